--- /dev/null
+++ b/doc.go
@@ -0,0 +1,2 @@
+// Package fireflypath schedules requests for unlike model engines and plain services behind one front door.
+package fireflypath
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,30 @@
+// Package deps holds the module's libraries in go.mod until each has its user.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/alecthomas/participle/v2"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/cockroachdb/errors"
+	_ "github.com/go-playground/validator/v10"
+	_ "github.com/gofiber/fiber/v3"
+	_ "github.com/jonboulle/clockwork"
+	_ "github.com/matryer/is"
+	_ "github.com/oklog/ulid/v2"
+	_ "github.com/peterh/liner"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/rogpeppe/go-internal/testscript"
+	_ "github.com/sourcegraph/conc"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/tailscale/hujson"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "github.com/urfave/cli/v3"
+	_ "github.com/valyala/fasthttp"
+	_ "go.uber.org/goleak"
+	_ "go.uber.org/zap"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/term"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot/vg/vgimg"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/life_test.go
@@ -0,0 +1,34 @@
+package fireflypath_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// A caller leaves, the scheduler sheds and the route dispatches at the same
+// moment. If two of them won, the caller would read "not run" for work that ran.
+func TestLifeMoveHasOneWinner(t *testing.T) {
+	is := is.New(t)
+	for range 200 {
+		var l fireflypath.Life
+		var won atomic.Int32
+		var wg sync.WaitGroup
+		for _, to := range []fireflypath.State{
+			fireflypath.StateDispatched, fireflypath.StateShed,
+			fireflypath.StateExpired, fireflypath.StateWithdrawn,
+		} {
+			wg.Go(func() {
+				if l.Move(fireflypath.StateWaiting, to) {
+					won.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(won.Load(), int32(1))
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,98 @@
+// Package settings holds the plain structs of a daemon's settings file.
+package settings
+
+import "github.com/fireflypath/fireflypath"
+
+// Settings is the whole file. Defaults are filled in by the part that uses them.
+type Settings struct {
+	// Name is the daemon's name; request ids begin with it.
+	Name string `json:"name" validate:"required,max=32,excludesall=./ "`
+	// Domain is the failure domain the daemon runs in.
+	Domain string `json:"domain" validate:"required"`
+	// Listen holds the addresses the daemon serves.
+	Listen Listen `json:"listen"`
+	// Platform is the key-value service and host list.
+	Platform Platform `json:"platform"`
+	// Peers are the other daemons.
+	Peers Peers `json:"peers"`
+	// Limits bound what callers can make the daemon hold.
+	Limits Limits `json:"limits"`
+	// Stop bounds a planned stop.
+	Stop Stop `json:"stop"`
+	// Records bounds what is kept for "why".
+	Records Records `json:"records"`
+	// Log is the lowest level printed: debug, info, warn or error.
+	Log string `json:"log" validate:"omitempty,oneof=debug info warn error"`
+	// Initial is put in force when the platform's service holds no configuration.
+	Initial *fireflypath.Config `json:"initial,omitempty"`
+}
+
+// Listen holds addresses, each an IP number and a port; port 0 takes a free one.
+type Listen struct {
+	// Callers is for requests.
+	Callers string `json:"callers" validate:"required,hostname_port"`
+	// Operators is for commands, queries and metrics.
+	Operators string `json:"operators" validate:"required,hostname_port"`
+	// Peers is for other daemons; empty for a daemon alone.
+	Peers string `json:"peers" validate:"omitempty,hostname_port"`
+	// CallersTLS and OperatorsTLS are reloaded when the files change.
+	CallersTLS   *TLS `json:"callers_tls,omitempty"`
+	OperatorsTLS *TLS `json:"operators_tls,omitempty"`
+}
+
+// TLS names files in PEM form.
+type TLS struct {
+	Cert string `json:"cert" validate:"required"`
+	Key  string `json:"key" validate:"required"`
+	// CA checks the other side; required between daemons.
+	CA string `json:"ca,omitempty"`
+}
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	// Addr is the key-value service and host list; empty for a daemon alone,
+	// whose configuration is Initial.
+	Addr string `json:"addr" validate:"omitempty,hostname_port"`
+	// Timeout bounds each call.
+	Timeout fireflypath.Duration `json:"timeout,omitempty" validate:"min=0"`
+}
+
+// Peers tells how daemons find and trust each other.
+type Peers struct {
+	// Seeds are peer addresses used while the platform's service is down.
+	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
+	// Heartbeat is the time between heartbeats.
+	Heartbeat fireflypath.Duration `json:"heartbeat,omitempty" validate:"min=0"`
+	// TLS is mutual; nil is refused unless Plain is set.
+	TLS *TLS `json:"tls,omitempty"`
+	// Plain allows peers without TLS.
+	Plain bool `json:"plain,omitempty"`
+}
+
+// Limits bound memory and bad input; 0 takes the default.
+type Limits struct {
+	// Body bounds a request's body in bytes.
+	Body int `json:"body,omitempty" validate:"min=0"`
+	// Header bounds a request's header in bytes.
+	Header int `json:"header,omitempty" validate:"min=0"`
+	// Connections bounds the callers' open connections.
+	Connections int `json:"connections,omitempty" validate:"min=0"`
+	// Waiting bounds the bytes of waiting requests over all pools.
+	Waiting int `json:"waiting,omitempty" validate:"min=0"`
+	// Buffer bounds the bytes held of one answer for a slow caller.
+	Buffer int `json:"buffer,omitempty" validate:"min=0"`
+	// Silence is how long an answer may bring nothing before its connection is replaced.
+	Silence fireflypath.Duration `json:"silence,omitempty" validate:"min=0"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// Limit is how long running requests are waited for; 0 takes the default.
+	Limit fireflypath.Duration `json:"limit,omitempty" validate:"min=0"`
+}
+
+// Records bounds what is kept for "why".
+type Records struct {
+	// Bytes bounds the memory of kept records; 0 takes the default.
+	Bytes int `json:"bytes,omitempty" validate:"min=0"`
+}
