feat(decide): scheduler of one pool at one daemon

Composes fair turns, windows, speeds, stragglers, deadlines, prefix placement and retry-after behind fireflypath.Scheduler, so that the route can plug it in. Shed gains Tokens: how much lower work peers give up.

--- /dev/null
+++ b/internal/decide/sched/next.go
@@ -0,0 +1,302 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/fair"
+	"github.com/fireflypath/fireflypath/internal/decide/place"
+	"github.com/fireflypath/fireflypath/internal/decide/slow"
+)
+
+const (
+	// sample is how many targets are weighed for one decision. Up to this
+	// number all are; of more, a random sample and the holders of the prefix, so
+	// that a decision costs the same at 2,700 targets as at 16. The best of 16
+	// random ones is among the best tenth in four of five decisions.
+	sample = 16
+	// aside is how many requests may step aside in one decision because only
+	// faster targets than the open ones could end them in time.
+	aside = 4
+	// again is how long after a relief round work past its time is returned
+	// once more: a few round trips between daemons.
+	again = 20 * time.Millisecond
+)
+
+// Next chooses the next work and its target and counts it as in flight.
+func (s *Sched) Next(now time.Time, p *fireflypath.Placement) bool {
+	s.drain.Pass(now, s.queue.Len() > 0)
+	if len(s.sick) > 0 {
+		s.probe(now)
+	}
+	for r := range fair.Ranks {
+		if s.queue.Requests(r) == 0 {
+			continue
+		}
+		if len(s.open) == 0 {
+			return false
+		}
+		if s.nextOf(now, r, p) {
+			return true
+		}
+	}
+	return false
+}
+
+// nextOf dispatches the first work of a tier that an open target can end in time.
+func (s *Sched) nextOf(now time.Time, r int, p *fireflypath.Placement) bool {
+	s.parked = s.parked[:0]
+	found := false
+	for !found && len(s.parked) < aside {
+		slot := s.queue.Head(r)
+		if slot == none {
+			break
+		}
+		w := s.items[slot].work
+		if w.Life.State() != fireflypath.StateWaiting {
+			s.unqueue(slot)
+			s.release(slot)
+			continue
+		}
+		if !s.items[slot].latest.After(now) {
+			s.doom(slot)
+			continue
+		}
+		if found = s.try(now, slot, p); !found {
+			s.queue.Remove(slot)
+			s.parked = append(s.parked, slot)
+		}
+	}
+	for i := len(s.parked) - 1; i >= 0; i-- {
+		s.queue.Return(s.parked[i], s.items[s.parked[i]].work)
+	}
+	return found
+}
+
+// doom sets work aside for Expire, which returns it.
+func (s *Sched) doom(slot int32) {
+	s.unqueue(slot)
+	s.items[slot].phase = phaseDoomed
+	s.doomed = append(s.doomed, slot)
+}
+
+// try places work, unless it would end too late at every open target.
+func (s *Sched) try(now time.Time, slot int32, p *fireflypath.Placement) bool {
+	it := &s.items[slot]
+	w := it.work
+	hit := s.weigh(now, w, p)
+	key := uint64(0)
+	if len(w.Prefix) > 0 {
+		key = w.Prefix[min(len(w.Prefix), 8)-1]
+	}
+	o := s.options[s.chosen.Choose(key, s.options)]
+	expected := time.Duration(o.Score * float64(time.Second))
+	if s.targets[o.Target].known() && s.margin.Latest(w.Deadline, expected).Before(now) {
+		return false
+	}
+	t := &s.targets[o.Target]
+	if !s.holds(o.Target) {
+		hit = 0
+	}
+	s.queue.Serve(slot)
+	s.unschedule(slot)
+	s.depart(now, slot, o.Target, max(w.Cost.Prompt-hit, 0), expected)
+	p.Work = w
+	p.Target = t.Name
+	p.Waited = now.Sub(w.Arrived)
+	p.Ahead = it.ahead
+	return true
+}
+
+// weigh fills the options and the candidates and returns the expected hit in
+// tokens at the holders of the prefix.
+func (s *Sched) weigh(now time.Time, w *fireflypath.Work, p *fireflypath.Placement) int {
+	s.options = s.options[:0]
+	p.Considered = p.Considered[:0]
+	found := 0
+	s.holders, found = s.index.Find(w.Prefix, s.holders[:0])
+	hit := found * block
+	for _, i := range s.holders {
+		if s.targets[i].at != none {
+			s.consider(now, i, w, hit, p)
+		}
+	}
+	n := len(s.open)
+	if n <= sample {
+		for _, i := range s.open {
+			if !s.holds(i) {
+				s.consider(now, i, w, 0, p)
+			}
+		}
+		return hit
+	}
+	at := s.rnd.IntN(n)
+	step := 1 + s.rnd.IntN(n-1)
+	for range sample {
+		if i := s.open[at]; !s.holds(i) {
+			s.consider(now, i, w, 0, p)
+		}
+		at = (at + step) % n
+	}
+	return hit
+}
+
+func (s *Sched) holds(i int32) bool {
+	for _, h := range s.holders {
+		if h == i {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Sched) consider(now time.Time, i int32, w *fireflypath.Work, hit int, p *fireflypath.Placement) {
+	t := &s.targets[i]
+	score := s.expect(now, t, w, hit)
+	if t.slow.State() == slow.Slow {
+		score *= slowPenalty
+	}
+	s.options = append(s.options, place.Option{Target: i, Requests: t.requests, Score: score})
+	p.Considered = append(p.Considered, fireflypath.Candidate{
+		Target:   t.Name,
+		Held:     t.tokens,
+		Reported: t.report.Tokens,
+		Age:      now.Sub(t.report.Measured),
+		Window:   int(t.part * float64(t.window.Tokens(s.prefillRate(t)))),
+		Hit:      hit,
+		Score:    score,
+	})
+}
+
+// slowPenalty makes a slow target the last choice, but better than none.
+const slowPenalty = 3
+
+// depart counts work as in flight.
+func (s *Sched) depart(now time.Time, slot, target int32, fresh int, expected time.Duration) {
+	it, t := &s.items[slot], &s.targets[target]
+	it.phase = phaseFlight
+	it.target, it.sent, it.first = target, now, time.Time{}
+	it.fresh, it.before, it.expected = fresh, t.prefill, expected
+	t.requests++
+	t.tokens += it.work.Cost.Tokens()
+	t.prefill += fresh
+	s.flights++
+	s.running[rank(it.work)] += it.work.Cost.Tokens()
+	s.drain.Add(now, it.work.Cost.Tokens())
+	t.slow.Probe()
+	s.index.Store(target, it.work.Prefix)
+	s.refresh(target)
+}
+
+// land takes work out of flight.
+func (s *Sched) land(slot int32) {
+	it := &s.items[slot]
+	t := &s.targets[it.target]
+	t.requests--
+	t.tokens -= it.work.Cost.Tokens()
+	if it.first.IsZero() {
+		t.prefill -= it.fresh
+	}
+	s.flights--
+	s.running[rank(it.work)] -= it.work.Cost.Tokens()
+	s.refresh(it.target)
+}
+
+// Expire appends the waiting work that can no longer end in time.
+func (s *Sched) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	s.drain.Pass(now, s.queue.Len() > 0)
+	for len(s.latest) > 0 && !s.items[s.latest[0]].latest.After(now) {
+		slot := s.latest[0]
+		latest := s.margin.Latest(s.items[slot].work.Deadline, s.best(s.items[slot].work))
+		if latest.After(now) {
+			s.unschedule(slot)
+			s.schedule(slot, latest)
+			continue
+		}
+		s.doom(slot)
+	}
+	kept := s.doomed[:0]
+	for _, slot := range s.doomed {
+		keep := false
+		if out, keep = s.expire(now, slot, out); keep {
+			kept = append(kept, slot)
+		}
+	}
+	s.doomed = kept
+	return out
+}
+
+// expire refuses work whose latest start has passed. Lower work that waits here
+// goes first, and peers are asked for theirs: a caller of a higher tier must not
+// be refused while lower work holds a place. While they are asked the work is
+// kept, for the owner to withdraw; it reports true then.
+func (s *Sched) expire(now time.Time, slot int32, out []fireflypath.Shed) ([]fireflypath.Shed, bool) {
+	it := &s.items[slot]
+	w := it.work
+	if it.phase != phaseDoomed || w.Life.State() != fireflypath.StateWaiting {
+		s.release(slot)
+		return out, false
+	}
+	if now.Sub(it.asked) < again {
+		return out, true
+	}
+	out = s.Relieve(now, rank(w), everything, out)
+	sh := s.lateShed(now, w)
+	sh.Detail = fmt.Sprintf("waited %v and can no longer end in time", now.Sub(w.Arrived).Round(time.Millisecond))
+	s.items[slot].asked = now
+	if !sh.Relief {
+		s.release(slot)
+	}
+	return append(out, sh), sh.Relief
+}
+
+// Relieve gives up waiting work of lower tiers than rank, lowest first, until
+// tokens are freed.
+func (s *Sched) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
+	freed := 0
+	for freed < tokens {
+		r := s.lower(rank)
+		if r < 0 {
+			break
+		}
+		slot := s.queue.Victim(r)
+		w := s.items[slot].work
+		freed += max(w.Cost.Tokens(), 1)
+		s.unqueue(slot)
+		out = append(out, fireflypath.Shed{
+			Work:       w,
+			Reason:     fireflypath.ReasonFull,
+			RetryAfter: s.retryAfter(now, w),
+			Detail:     fmt.Sprintf("gave way to work of rank %d", rank),
+		})
+		s.release(slot)
+	}
+	return out
+}
+
+// Wake is when Next or Expire may have something new without an event.
+func (s *Sched) Wake(now time.Time) time.Time {
+	var at time.Time
+	if len(s.latest) > 0 {
+		at = s.items[s.latest[0]].latest
+	}
+	for _, slot := range s.doomed {
+		if due := s.items[slot].asked.Add(again); at.IsZero() || due.Before(at) {
+			at = due
+		}
+	}
+	if s.queue.Len() == 0 {
+		return at
+	}
+	for _, i := range s.sick {
+		t := &s.targets[i]
+		if !t.usable() || t.requests > 0 {
+			continue
+		}
+		if due := t.slow.Due(); at.IsZero() || due.Before(at) {
+			at = due
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/decide/sched/offer.go
@@ -0,0 +1,216 @@
+package sched
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/fair"
+)
+
+const (
+	// shortest and longest bound the time a refused caller is told: below, the
+	// answer itself takes as long; above, no forecast holds.
+	shortest = 500 * time.Millisecond
+	longest  = 60 * time.Second
+	// jitter spreads callers that were refused together over a quarter of the
+	// time they were told, so that they do not come back together.
+	jitter = 0.25
+	// repeat is how long after peers were asked for room they are asked again
+	// for the same work.
+	repeat = 250 * time.Millisecond
+	// floor is the least part of the drain rate that a tier is reckoned with when
+	// higher tiers take it all; it keeps times finite.
+	floor = 0.02
+	// everything asks peers for all their lower work: more tokens than a daemon
+	// can hold.
+	everything = math.MaxInt32
+)
+
+// Offer takes work in. It appends to out what gives way: the work itself, or
+// lower work displaced by it.
+func (s *Sched) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
+	if _, ok := s.slots[w]; ok {
+		return out
+	}
+	s.drain.Pass(now, s.queue.Len() > 0)
+	r := rank(w)
+	s.cfg.Lowest = max(s.cfg.Lowest, r)
+	if w.Early {
+		s.damper.Early(now, w.Team)
+	}
+	s.arrivals[r].Add(now, w.Cost.Tokens())
+	expected := s.best(w)
+	latest := s.margin.Latest(w.Deadline, expected)
+	if latest.Before(now) {
+		return append(out, s.hopeless(w, expected))
+	}
+	if s.late(now, w, latest) {
+		return s.refuseLate(now, w, out)
+	}
+	slot := s.alloc(w)
+	it := &s.items[slot]
+	it.phase = phaseWaiting
+	for i := 0; i <= r; i++ {
+		it.ahead += s.queue.Requests(i)
+	}
+	s.queue.Push(slot, w)
+	s.schedule(slot, latest)
+	return s.bound(now, out)
+}
+
+// Withdraw removes waiting work; it reports false if it was not waiting here.
+// Work that Next returned, but that its owner did not send, is forgotten.
+func (s *Sched) Withdraw(now time.Time, w *fireflypath.Work) bool {
+	slot, ok := s.slots[w]
+	if !ok {
+		return false
+	}
+	switch s.items[slot].phase {
+	case phaseWaiting:
+		s.drain.Pass(now, true)
+		s.unqueue(slot)
+		s.release(slot)
+		return true
+	case phaseDoomed:
+		s.items[slot].phase = phaseFree
+		return true
+	case phaseFlight:
+		if st := w.Life.State(); st != fireflypath.StateDispatched {
+			s.land(slot)
+			s.release(slot)
+		}
+	case phaseFree:
+	}
+	return false
+}
+
+// best is how long the work takes at the fastest target, not cached; 0 while
+// nothing is known.
+func (s *Sched) best(w *fireflypath.Work) time.Duration {
+	if s.fastPrefill == 0 || s.fastDecode == 0 {
+		return 0
+	}
+	sec := float64(w.Cost.Prompt)/s.fastPrefill + s.outputOf(w)/s.fastDecode
+	return time.Duration(sec * float64(time.Second))
+}
+
+// late is true if the work is expected to wait past its latest start. While
+// lower work waits here it is not asked: the lower work would have to go first,
+// for the sake of an estimate.
+func (s *Sched) late(now time.Time, w *fireflypath.Work, latest time.Time) bool {
+	if s.lower(rank(w)) >= 0 {
+		return false
+	}
+	wait, ok := s.wait(w)
+	return ok && now.Add(wait).After(latest)
+}
+
+// wait is the time until w's turn, were it pushed now.
+func (s *Sched) wait(w *fireflypath.Work) (time.Duration, bool) {
+	drain := s.drain.Rate()
+	if drain == 0 {
+		return 0, false
+	}
+	r := rank(w)
+	ahead, free := float64(s.queue.Ahead(w)), drain
+	for i := range r {
+		ahead += float64(s.queue.Tokens(i))
+		free -= s.arrivals[i].Rate()
+	}
+	free = max(free, floor*drain)
+	return time.Duration(ahead / free * float64(time.Second)), true
+}
+
+// retryAfter is when what waits now will have been served.
+func (s *Sched) retryAfter(now time.Time, w *fireflypath.Work) time.Duration {
+	d, ok := s.wait(w)
+	if !ok {
+		d = shortest
+	}
+	d = min(max(d, shortest), longest)
+	d = s.damper.Stretch(now, w.Team, d)
+	return d + time.Duration(jitter*s.rnd.Float64()*float64(d))
+}
+
+// lower is the lowest rank below r of which work waits here, or -1.
+func (s *Sched) lower(r int) int {
+	for i := fair.Ranks - 1; i > r; i-- {
+		if s.queue.Requests(i) > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *Sched) hopeless(w *fireflypath.Work, expected time.Duration) fireflypath.Shed {
+	return fireflypath.Shed{
+		Work:   w,
+		Reason: fireflypath.ReasonDeadline,
+		Detail: fmt.Sprintf("needs about %v with an idle target", expected.Round(time.Millisecond)),
+	}
+}
+
+// refuseLate refuses work on arrival whose turn comes too late. If peers may
+// hold lower work it waits while they are asked.
+func (s *Sched) refuseLate(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
+	sh := s.lateShed(now, w)
+	if sh.Relief {
+		slot := s.alloc(w)
+		s.items[slot].phase = phaseWaiting
+		s.items[slot].asked = now
+		s.queue.Push(slot, w)
+		s.schedule(slot, s.margin.Latest(w.Deadline, s.best(w)))
+	}
+	return append(out, sh)
+}
+
+func (s *Sched) lateShed(now time.Time, w *fireflypath.Work) fireflypath.Shed {
+	wait, _ := s.wait(w)
+	reason := fireflypath.ReasonDeadline
+	if w.Early {
+		reason = fireflypath.ReasonEarly
+	}
+	return fireflypath.Shed{
+		Work:       w,
+		Reason:     reason,
+		RetryAfter: s.retryAfter(now, w),
+		Detail:     fmt.Sprintf("turn expected in %v, too late for the deadline", wait.Round(time.Millisecond)),
+		Relief:     rank(w) < s.cfg.Lowest,
+		Tokens:     everything,
+	}
+}
+
+// bound gives up work while the pool's limits are exceeded, the lowest tier first.
+func (s *Sched) bound(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	for s.queue.Len() > s.cfg.Pool.Requests || s.queue.Bytes() > s.cfg.Pool.Bytes {
+		r := s.lower(-1)
+		slot := s.queue.Victim(r)
+		it := &s.items[slot]
+		relief := r < s.cfg.Lowest
+		if relief && now.Sub(it.asked) < repeat {
+			return out
+		}
+		out = append(out, s.full(now, it.work, relief))
+		if relief {
+			it.asked = now
+			return out
+		}
+		s.unqueue(slot)
+		s.release(slot)
+	}
+	return out
+}
+
+func (s *Sched) full(now time.Time, w *fireflypath.Work, relief bool) fireflypath.Shed {
+	return fireflypath.Shed{
+		Work:       w,
+		Reason:     fireflypath.ReasonFull,
+		RetryAfter: s.retryAfter(now, w),
+		Detail: fmt.Sprintf("%d requests and %d bytes wait of %d and %d",
+			s.queue.Len(), s.queue.Bytes(), s.cfg.Pool.Requests, s.cfg.Pool.Bytes),
+		Relief: relief,
+		Tokens: w.Cost.Tokens(),
+	}
+}
--- /dev/null
+++ b/internal/decide/sched/view.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/fair"
+	"github.com/fireflypath/fireflypath/internal/decide/slow"
+)
+
+// Demand summarises waiting and running work for the other daemons.
+func (s *Sched) Demand(_ time.Time) fireflypath.Demand {
+	n := min(s.cfg.Lowest+1, fair.Ranks)
+	d := fireflypath.Demand{
+		Pool:     s.cfg.Pool.Name,
+		Waiting:  make([]int, n),
+		Running:  make([]int, n),
+		Requests: make([]int, n),
+	}
+	for r := range n {
+		d.Waiting[r] = s.queue.Tokens(r)
+		d.Running[r] = s.running[r]
+		d.Requests[r] = s.queue.Requests(r)
+	}
+	return d
+}
+
+// Views appends what is known of each target, for operators.
+func (s *Sched) Views(now time.Time, out []fireflypath.TargetView) []fireflypath.TargetView {
+	for i := range s.targets {
+		t := &s.targets[i]
+		if t.gone {
+			continue
+		}
+		out = append(out, fireflypath.TargetView{
+			Target:      t.Name,
+			Pool:        s.cfg.Pool.Name,
+			State:       t.state(),
+			Window:      t.window.Tokens(s.prefillRate(t)),
+			Part:        t.part,
+			Held:        t.tokens,
+			Requests:    t.requests,
+			PrefillRate: t.speed.Prefill(),
+			DecodeRate:  t.speed.Decode(),
+			Age:         now.Sub(t.report.Measured),
+		})
+	}
+	return out
+}
+
+func (t *target) state() string {
+	if t.Drained {
+		return "drained"
+	}
+	if t.leaving {
+		return "leaving"
+	}
+	switch t.slow.State() {
+	case slow.Slow:
+		return "slow"
+	case slow.Ejected:
+		return "ejected"
+	case slow.Probing:
+		return "probing"
+	case slow.Ready:
+	}
+	return "ready"
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -49,8 +49,11 @@
 	// Detail names the bound that was met, with its figures.
 	Detail string
 	// Relief is true if peers may hold lower waiting work, so that the owner
-	// must ask them before it refuses. The work still waits meanwhile.
+	// must ask them before it refuses. The work still waits meanwhile: the owner
+	// withdraws it when all peers have answered none, and else leaves it.
 	Relief bool
+	// Tokens is how much lower work the owner asks the peers to give up, if Relief.
+	Tokens int
 }
 
 // Placement is a decision to send work to a target.
