feat(platform): client and stand-in of the key-value service

The route, claims and members need a store before any engine exists. The client speaks docs/PROTOCOLS.md over fasthttp with every automatic resend off; the stand-in also serves the store in-process (Fake.Store()).

--- /dev/null
+++ b/internal/fake/platform/http.go
@@ -0,0 +1,226 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	"github.com/fireflypath/fireflypath/internal/fake/wire"
+)
+
+// maxBody leaves room to answer 413 for values just above the largest one.
+const maxBody = 2 * fireflypath.MaxValue
+
+// Listen serves the protocol of docs/PROTOCOLS.md at the address.
+func (f *Fake) Listen(addr string) error {
+	ln, err := wire.Listen(addr)
+	if err != nil {
+		return err
+	}
+	f.ln = ln
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.served = make(chan struct{})
+	f.server = &fasthttp.Server{
+		Handler:               f.handle,
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+	}
+	go func() {
+		defer close(f.served)
+		// The only error is the listener's end.
+		_ = f.server.Serve(ln)
+	}()
+	return nil
+}
+
+// Addr is the address that Listen opened.
+func (f *Fake) Addr() string {
+	return f.ln.Addr().String()
+}
+
+// Close ends the listener and all connections.
+func (f *Fake) Close() error {
+	if f.ln == nil {
+		return nil
+	}
+	f.cancel()
+	f.ln.Close()
+	<-f.served
+	return nil
+}
+
+func (f *Fake) handle(r *fasthttp.RequestCtx) {
+	path, err := url.PathUnescape(string(r.URI().PathOriginal()))
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	key, isKey := strings.CutPrefix(path, "/kv/")
+	lease, isLease := strings.CutPrefix(path, "/leases/")
+	switch {
+	case isKey:
+		err = f.serveKey(r, key)
+	case isLease:
+		err = f.serveLease(r, lease)
+	default:
+		err = f.serveRest(r, path)
+	}
+	if err != nil {
+		fail(r, err)
+	}
+}
+
+// fail turns an error into a status, or into no answer at all.
+func fail(r *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fireflypath.ErrUnknown) {
+		wire.Hangup(r)
+		return
+	}
+	statuses := []struct {
+		err    error
+		status int
+	}{
+		{fireflypath.ErrNotFound, fasthttp.StatusNotFound},
+		{fireflypath.ErrConflict, fasthttp.StatusConflict},
+		{fireflypath.ErrLapsed, fasthttp.StatusGone},
+		{fireflypath.ErrLimited, fasthttp.StatusTooManyRequests},
+		{fireflypath.ErrUnavailable, fasthttp.StatusServiceUnavailable},
+		{errTooLarge, fasthttp.StatusRequestEntityTooLarge},
+	}
+	for _, s := range statuses {
+		if errors.Is(err, s.err) {
+			r.Error(err.Error(), s.status)
+			return
+		}
+	}
+	r.Error(err.Error(), fasthttp.StatusBadRequest)
+}
+
+func (f *Fake) serveKey(r *fasthttp.RequestCtx, key string) error {
+	revision, err := number(r, "revision", fireflypath.AnyRevision)
+	if err != nil {
+		return err
+	}
+	switch {
+	case r.IsGet():
+		e, err := f.Store().Get(r, key)
+		if err != nil {
+			return err
+		}
+		r.Response.Header.Set("Revision", strconv.FormatUint(e.Revision, 10))
+		r.SetBody(e.Value)
+	case r.IsPut():
+		lease, err := number(r, "lease", 0)
+		if err != nil {
+			return err
+		}
+		got, err := f.Store().Put(r, key, r.PostBody(), revision, fireflypath.LeaseID(lease))
+		if err != nil {
+			return err
+		}
+		r.Response.Header.Set("Revision", strconv.FormatUint(got, 10))
+	case r.IsDelete():
+		return f.Store().Delete(r, key, revision)
+	default:
+		r.Error("", fasthttp.StatusMethodNotAllowed)
+	}
+	return nil
+}
+
+func (f *Fake) serveLease(r *fasthttp.RequestCtx, text string) error {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return errors.Wrapf(err, "parse lease %q", text)
+	}
+	id := fireflypath.LeaseID(n)
+	switch {
+	case r.IsPut():
+		err = f.Store().Renew(r, id)
+	case r.IsDelete():
+		err = f.Store().Revoke(r, id)
+	default:
+		r.Error("", fasthttp.StatusMethodNotAllowed)
+	}
+	if errors.Is(err, fireflypath.ErrLapsed) {
+		err = fireflypath.ErrNotFound
+	}
+	return err
+}
+
+func (f *Fake) serveRest(r *fasthttp.RequestCtx, path string) error {
+	switch path {
+	case "/kv":
+		found, err := f.Store().List(r, string(r.QueryArgs().Peek("prefix")))
+		return reply(r, found, err)
+	case "/watch":
+		return f.serveWatch(r)
+	case "/leases":
+		ttl, err := duration(r, "ttl")
+		if err != nil {
+			return err
+		}
+		id, err := f.Store().Grant(r, ttl)
+		return reply(r, struct {
+			ID fireflypath.LeaseID `json:"id"`
+		}{id}, err)
+	case "/hosts":
+		hosts, err := f.HostList().Hosts(r)
+		return reply(r, hosts, err)
+	case "/counts":
+		return reply(r, f.Counts(), nil)
+	case "/fault":
+		x, err := fault.Parse(r.PostBody())
+		if err != nil {
+			return err
+		}
+		return f.Fault(x)
+	}
+	r.Error("no such path", fasthttp.StatusNotFound)
+	return nil
+}
+
+func (f *Fake) serveWatch(r *fasthttp.RequestCtx) error {
+	after, err := number(r, "after", 0)
+	if err != nil {
+		return err
+	}
+	wait, err := duration(r, "wait")
+	if err != nil {
+		return err
+	}
+	found, err := f.Store().Watch(f.ctx, string(r.QueryArgs().Peek("prefix")), after, wait)
+	if found == nil {
+		found = []fireflypath.Entry{}
+	}
+	return reply(r, found, err)
+}
+
+func reply(r *fasthttp.RequestCtx, v any, err error) error {
+	if err != nil {
+		return err
+	}
+	r.SetContentType("application/json")
+	return json.NewEncoder(r).Encode(v)
+}
+
+func number(r *fasthttp.RequestCtx, name string, absent uint64) (uint64, error) {
+	text := r.QueryArgs().Peek(name)
+	if text == nil {
+		return absent, nil
+	}
+	n, err := strconv.ParseUint(string(text), 10, 64)
+	return n, errors.Wrapf(err, "parse %s", name)
+}
+
+func duration(r *fasthttp.RequestCtx, name string) (time.Duration, error) {
+	d, err := time.ParseDuration(string(r.QueryArgs().Peek(name)))
+	return d, errors.Wrapf(err, "parse %s", name)
+}
--- /dev/null
+++ b/internal/fake/platform/platform.go
@@ -0,0 +1,208 @@
+// Package platform is a small stand-in for the platform's key-value service and host list.
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	"github.com/fireflypath/fireflypath/internal/fake/wire"
+)
+
+// Config sets a Fake's limits.
+type Config struct {
+	// Rate is the number of calls a second that are answered; 0 is any number.
+	Rate float64
+	// Lag is how old the list of hosts is.
+	Lag time.Duration
+}
+
+// Counts are the calls taken, by name; a waiting watch is one.
+type Counts struct {
+	Get    int `json:"get"`
+	Put    int `json:"put"`
+	Delete int `json:"delete"`
+	List   int `json:"list"`
+	Watch  int `json:"watch"`
+	Lease  int `json:"lease"`
+	Hosts  int `json:"hosts"`
+	// Refused counts those of the calls that an outage or the rate refused.
+	Refused int `json:"refused"`
+}
+
+// Total is the number of all calls.
+func (c Counts) Total() int {
+	return c.Get + c.Put + c.Delete + c.List + c.Watch + c.Lease + c.Hosts
+}
+
+// Fake holds the data in memory. It serves in-process by Store and HostList,
+// and over HTTP after Listen.
+type Fake struct {
+	cfg     Config
+	clock   clockwork.Clock
+	faults  fault.Set
+	limiter *rate.Limiter
+
+	mu       sync.Mutex
+	state    *state
+	snapshot *state
+	changed  chan struct{}
+	counts   Counts
+	hosts    []hostList
+
+	// ctx ends the waiting watches of callers whose connections Close cuts.
+	ctx    context.Context
+	cancel context.CancelFunc
+	ln     *wire.Listener
+	server *fasthttp.Server
+	served chan struct{}
+}
+
+type hostList struct {
+	since time.Time
+	hosts []fireflypath.Host
+}
+
+// New makes an empty service that nothing listens for yet.
+func New(cfg Config, clock clockwork.Clock) *Fake {
+	f := &Fake{cfg: cfg, clock: clock, state: newState(), changed: make(chan struct{})}
+	if cfg.Rate > 0 {
+		f.limiter = rate.NewLimiter(rate.Limit(cfg.Rate), max(1, int(cfg.Rate)))
+	}
+	return f
+}
+
+// Store is the service without HTTP between.
+func (f *Fake) Store() fireflypath.Store {
+	return &store{f: f}
+}
+
+// HostList is the list of hosts without HTTP between.
+func (f *Fake) HostList() fireflypath.Hosts {
+	return &store{f: f}
+}
+
+// SetHosts changes the list; readers see it after the lag.
+func (f *Fake) SetHosts(hosts ...fireflypath.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = append(f.hosts, hostList{since: f.clock.Now(), hosts: hosts})
+}
+
+// Counts reads the calls taken so far.
+func (f *Fake) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+// Fault shows a fault: outage, slow, lost, snapshot, older, silent, refuse, die or clear.
+func (f *Fake) Fault(x fault.Fault) error {
+	switch x.Name {
+	case fault.Snapshot:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.snapshot = f.state.clone()
+	case fault.Older:
+		return f.restore()
+	case fault.Silent, fault.Refuse, fault.Die:
+		return f.network(x)
+	case fault.Clear:
+		f.faults.Apply(x)
+		if f.ln != nil {
+			return f.ln.Resume()
+		}
+	case fault.Outage, fault.Slow, fault.Lost:
+		f.faults.Apply(x)
+	default:
+		return errors.Wrapf(fault.ErrName, "%q", x.Name)
+	}
+	return nil
+}
+
+func (f *Fake) restore() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.snapshot == nil {
+		return errors.New("no snapshot was taken")
+	}
+	last := f.state.lastLease
+	f.state = f.snapshot.clone()
+	f.state.lastLease = last
+	f.wake()
+	return nil
+}
+
+func (f *Fake) network(x fault.Fault) error {
+	if f.ln == nil {
+		return errors.New("stand-in does not listen")
+	}
+	switch {
+	case x.Name == fault.Silent:
+		f.ln.Silence()
+	case x.Name == fault.Die:
+		f.ln.Close()
+	case x.Off:
+		return f.ln.Resume()
+	default:
+		f.ln.Refuse()
+	}
+	return nil
+}
+
+// wake tells the waiting watches that something changed; f.mu is held.
+func (f *Fake) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// admit counts a call and lets it in, or refuses it before it has any effect.
+func (f *Fake) admit(ctx context.Context, count func(*Counts)) error {
+	f.mu.Lock()
+	count(&f.counts)
+	f.mu.Unlock()
+	if x, ok := f.faults.Strike(fault.Slow); ok {
+		if err := f.pause(ctx, x.Delay.Std()); err != nil {
+			return err
+		}
+	}
+	if _, ok := f.faults.Strike(fault.Outage); ok {
+		return f.refused(fireflypath.ErrUnavailable)
+	}
+	if f.limiter != nil && !f.limiter.AllowN(f.clock.Now(), 1) {
+		return f.refused(fireflypath.ErrLimited)
+	}
+	return nil
+}
+
+func (f *Fake) refused(err error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Refused++
+	return err
+}
+
+func (f *Fake) pause(ctx context.Context, d time.Duration) error {
+	t := f.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(fireflypath.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+// lapse removes the leases that have run out; f.mu is held.
+func (f *Fake) lapse() {
+	if f.state.lapse(f.clock.Now()) {
+		f.wake()
+	}
+}
--- /dev/null
+++ b/internal/fake/platform/state.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// maxTombstones bounds the memory of removed keys; a watch that lags by more
+// removals than this misses some, as it would at a real service's compaction.
+const maxTombstones = 100_000
+
+// state is the data at one moment.
+type state struct {
+	revision uint64
+	keys     map[string]value
+	// removed maps a removed key to the revision of its removal.
+	removed map[string]uint64
+	leases  map[fireflypath.LeaseID]lease
+	// lastLease is kept over a restore: lease ids are never used twice.
+	lastLease fireflypath.LeaseID
+}
+
+type value struct {
+	data     []byte
+	revision uint64
+	lease    fireflypath.LeaseID
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+func newState() *state {
+	return &state{
+		keys:    make(map[string]value),
+		removed: make(map[string]uint64),
+		leases:  make(map[fireflypath.LeaseID]lease),
+	}
+}
+
+// clone copies the maps; stored bytes are never changed and are shared.
+func (s *state) clone() *state {
+	c := *s
+	c.keys = maps.Clone(s.keys)
+	c.removed = maps.Clone(s.removed)
+	c.leases = maps.Clone(s.leases)
+	return &c
+}
+
+func (s *state) get(key string) (fireflypath.Entry, error) {
+	v, ok := s.keys[key]
+	if !ok {
+		return fireflypath.Entry{}, fireflypath.ErrNotFound
+	}
+	return fireflypath.Entry{Key: key, Value: slices.Clone(v.data), Revision: v.revision}, nil
+}
+
+func (s *state) put(key string, data []byte, revision uint64, id fireflypath.LeaseID) (uint64, error) {
+	if revision != fireflypath.AnyRevision && s.keys[key].revision != revision {
+		return 0, fireflypath.ErrConflict
+	}
+	if _, ok := s.leases[id]; id != 0 && !ok {
+		return 0, fireflypath.ErrLapsed
+	}
+	s.revision++
+	s.keys[key] = value{data: slices.Clone(data), revision: s.revision, lease: id}
+	delete(s.removed, key)
+	return s.revision, nil
+}
+
+func (s *state) delete(key string, revision uint64) error {
+	v, ok := s.keys[key]
+	if !ok {
+		return fireflypath.ErrNotFound
+	}
+	if revision != fireflypath.AnyRevision && v.revision != revision {
+		return fireflypath.ErrConflict
+	}
+	s.drop(key)
+	return nil
+}
+
+func (s *state) drop(key string) {
+	s.revision++
+	delete(s.keys, key)
+	if len(s.removed) >= maxTombstones {
+		clear(s.removed)
+	}
+	s.removed[key] = s.revision
+}
+
+// list returns the keys with a prefix that changed above a revision, in order
+// of the key; removed keys are among them if removed is true.
+func (s *state) list(prefix string, above uint64, removed bool) []fireflypath.Entry {
+	out := []fireflypath.Entry{}
+	for k, v := range s.keys {
+		if strings.HasPrefix(k, prefix) && v.revision > above {
+			out = append(out, fireflypath.Entry{Key: k, Value: slices.Clone(v.data), Revision: v.revision})
+		}
+	}
+	for k, r := range s.removed {
+		if removed && strings.HasPrefix(k, prefix) && r > above {
+			out = append(out, fireflypath.Entry{Key: k, Revision: r, Deleted: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b fireflypath.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// lapse drops what leases that ended held and reports whether there was any.
+func (s *state) lapse(now time.Time) bool {
+	ended := false
+	for id, l := range s.leases {
+		if !now.Before(l.end) {
+			s.revoke(id)
+			ended = true
+		}
+	}
+	return ended
+}
+
+func (s *state) revoke(id fireflypath.LeaseID) {
+	delete(s.leases, id)
+	for k, v := range s.keys {
+		if v.lease == id {
+			s.drop(k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,213 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	fake "github.com/fireflypath/fireflypath/internal/fake/platform"
+	"github.com/fireflypath/fireflypath/internal/platform"
+)
+
+// start runs the stand-in and a client for it.
+func start(t *testing.T, cfg fake.Config, clock clockwork.Clock) (*fake.Fake, *platform.Client) {
+	t.Helper()
+	f := fake.New(cfg, clock)
+	if err := f.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	c := platform.New(f.Addr(), 10*time.Second)
+	t.Cleanup(func() {
+		c.Close()
+		f.Close()
+	})
+	return f, c
+}
+
+// both runs a test over HTTP and in-process.
+func both(t *testing.T, cfg fake.Config, run func(*is.I, *fake.Fake, fireflypath.Store, *clockwork.FakeClock)) {
+	t.Helper()
+	t.Run("http", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		f, c := start(t, cfg, clock)
+		run(is.New(t), f, c, clock)
+	})
+	t.Run("in process", func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		f := fake.New(cfg, clock)
+		run(is.New(t), f, f.Store(), clock)
+	})
+}
+
+func TestStoreCompareAndSwap(t *testing.T) {
+	both(t, fake.Config{}, func(is *is.I, _ *fake.Fake, s fireflypath.Store, _ *clockwork.FakeClock) {
+		ctx := t.Context()
+		_, err := s.Get(ctx, "a/b c")
+		is.True(errors.Is(err, fireflypath.ErrNotFound))
+		first, err := s.Put(ctx, "a/b c", []byte("one"), 0, 0)
+		is.NoErr(err)
+		_, err = s.Put(ctx, "a/b c", []byte("two"), 0, 0)
+		is.True(errors.Is(err, fireflypath.ErrConflict))
+		second, err := s.Put(ctx, "a/b c", []byte("two"), first, 0)
+		is.NoErr(err)
+		third, err := s.Put(ctx, "a/b c", []byte("three"), fireflypath.AnyRevision, 0)
+		is.NoErr(err)
+		is.True(first < second && second < third)
+		e, err := s.Get(ctx, "a/b c")
+		is.NoErr(err)
+		is.Equal(e, fireflypath.Entry{Key: "a/b c", Value: []byte("three"), Revision: third})
+		is.True(errors.Is(s.Delete(ctx, "a/b c", first), fireflypath.ErrConflict))
+		is.NoErr(s.Delete(ctx, "a/b c", third))
+		found, err := s.List(ctx, "a/")
+		is.NoErr(err)
+		is.Equal(len(found), 0)
+		_, err = s.Put(ctx, "big", make([]byte, fireflypath.MaxValue+1), 0, 0)
+		is.True(err != nil)
+	})
+}
+
+func TestStoreWatch(t *testing.T) {
+	both(t, fake.Config{}, func(is *is.I, f *fake.Fake, s fireflypath.Store, clock *clockwork.FakeClock) {
+		ctx := t.Context()
+		at, err := s.Put(ctx, "w/gone", []byte("x"), 0, 0)
+		is.NoErr(err)
+		type seen struct {
+			entries []fireflypath.Entry
+			err     error
+		}
+		got := make(chan seen, 1)
+		go func() {
+			entries, err := s.Watch(ctx, "w/", at, time.Minute)
+			got <- seen{entries, err}
+		}()
+		is.NoErr(clock.BlockUntilContext(ctx, 1))
+		is.NoErr(f.Store().Delete(ctx, "w/gone", at))
+		w := <-got
+		is.NoErr(w.err)
+		is.Equal(w.entries, []fireflypath.Entry{{Key: "w/gone", Revision: at + 1, Deleted: true}})
+		go func() {
+			entries, err := s.Watch(ctx, "w/", at+1, time.Minute)
+			got <- seen{entries, err}
+		}()
+		is.NoErr(clock.BlockUntilContext(ctx, 1))
+		clock.Advance(time.Minute)
+		w = <-got
+		is.NoErr(w.err)
+		is.Equal(len(w.entries), 0)
+		is.Equal(f.Counts().Watch, 2)
+	})
+}
+
+// A lease's holder pauses for longer than the lease lasts and believes that it
+// still holds it. Its key must be gone for others, and the holder must read so
+// at its next renewal, not a success.
+func TestStoreLeaseLapses(t *testing.T) {
+	both(t, fake.Config{}, func(is *is.I, _ *fake.Fake, s fireflypath.Store, clock *clockwork.FakeClock) {
+		ctx := t.Context()
+		id, err := s.Grant(ctx, 5*time.Second)
+		is.NoErr(err)
+		_, err = s.Put(ctx, "holder", []byte("me"), 0, id)
+		is.NoErr(err)
+		clock.Advance(4 * time.Second)
+		is.NoErr(s.Renew(ctx, id))
+		clock.Advance(4 * time.Second)
+		_, err = s.Get(ctx, "holder")
+		is.NoErr(err)
+		clock.Advance(2 * time.Second)
+		_, err = s.Get(ctx, "holder")
+		is.True(errors.Is(err, fireflypath.ErrNotFound))
+		is.True(errors.Is(s.Renew(ctx, id), fireflypath.ErrLapsed))
+		_, err = s.Put(ctx, "holder", []byte("me"), 0, id)
+		is.True(errors.Is(err, fireflypath.ErrLapsed))
+	})
+}
+
+// The service takes a write and its connection breaks before the answer. Were
+// the write sent again, the writer would read a conflict with itself and an
+// operator's accepted command would be called refused.
+func TestStoreLostAnswer(t *testing.T) {
+	both(t, fake.Config{}, func(is *is.I, f *fake.Fake, s fireflypath.Store, _ *clockwork.FakeClock) {
+		ctx := t.Context()
+		is.NoErr(f.Fault(fault.Fault{Name: fault.Lost, Count: 1}))
+		_, err := s.Put(ctx, "k", []byte("v"), 0, 0)
+		is.True(errors.Is(err, fireflypath.ErrUnknown))
+		e, err := s.Get(ctx, "k")
+		is.NoErr(err)
+		is.Equal(string(e.Value), "v")
+		is.Equal(f.Counts().Put, 1)
+	})
+}
+
+// The service is down, over its rate, or has come back with older data. A
+// caller that mistook a refusal for an unknown outcome would wait for nothing.
+func TestStoreRefuses(t *testing.T) {
+	both(t, fake.Config{Rate: 4}, func(is *is.I, f *fake.Fake, s fireflypath.Store, clock *clockwork.FakeClock) {
+		ctx := t.Context()
+		is.NoErr(f.Fault(fault.Fault{Name: fault.Outage}))
+		_, err := s.Put(ctx, "k", nil, 0, 0)
+		is.True(errors.Is(err, fireflypath.ErrUnavailable))
+		is.NoErr(f.Fault(fault.Fault{Name: fault.Clear}))
+		is.NoErr(f.Fault(fault.Fault{Name: fault.Snapshot}))
+		for range 4 {
+			_, err = s.Put(ctx, "k", nil, fireflypath.AnyRevision, 0)
+			is.NoErr(err)
+		}
+		_, err = s.Put(ctx, "k", nil, fireflypath.AnyRevision, 0)
+		is.True(errors.Is(err, fireflypath.ErrLimited))
+		clock.Advance(time.Second)
+		is.NoErr(f.Fault(fault.Fault{Name: fault.Older}))
+		_, err = s.Get(ctx, "k")
+		is.True(errors.Is(err, fireflypath.ErrNotFound))
+	})
+}
+
+// Something between the two ends loses track of the open connections. Calls on
+// them get no answer; the next ones must get through on new connections.
+func TestClientReplacesSilentConnections(t *testing.T) {
+	is := is.New(t)
+	f, c := start(t, fake.Config{}, clockwork.NewRealClock())
+	_, err := c.Put(t.Context(), "k", []byte("v"), 0, 0)
+	is.NoErr(err)
+	is.NoErr(f.Fault(fault.Fault{Name: fault.Silent}))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = c.Get(ctx, "k")
+	is.True(errors.Is(err, fireflypath.ErrUnavailable))
+	e, err := c.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(string(e.Value), "v")
+}
+
+// The service is gone altogether. A write that never left is not an unknown
+// outcome: nobody needs to settle it.
+func TestClientDialRefused(t *testing.T) {
+	is := is.New(t)
+	f, c := start(t, fake.Config{}, clockwork.NewRealClock())
+	is.NoErr(f.Fault(fault.Fault{Name: fault.Refuse}))
+	_, err := c.Put(t.Context(), "k", []byte("v"), 0, 0)
+	is.True(errors.Is(err, fireflypath.ErrUnavailable))
+	is.NoErr(f.Fault(fault.Fault{Name: fault.Clear}))
+	_, err = c.Put(t.Context(), "k", []byte("v"), 0, 0)
+	is.NoErr(err)
+}
+
+func TestHostsLag(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	f, c := start(t, fake.Config{Lag: 10 * time.Second}, clock)
+	host := fireflypath.Host{Addr: "127.0.0.1:1", Domain: "a", State: fireflypath.HostLeaving}
+	f.SetHosts(host)
+	got, err := c.Hosts(t.Context())
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+	clock.Advance(10 * time.Second)
+	got, err = c.Hosts(t.Context())
+	is.NoErr(err)
+	is.Equal(got, []fireflypath.Host{host})
+}
