--- a/internal/fake/platform/http.go
+++ b/internal/fake/platform/http.go
@@ -52,9 +52,9 @@
 		return nil
 	}
 	f.cancel()
-	f.ln.Close()
+	err := f.ln.Close()
 	<-f.served
-	return nil
+	return err
 }
 
 func (f *Fake) handle(r *fasthttp.RequestCtx) {
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -148,7 +148,7 @@
 	case x.Name == fault.Silent:
 		f.ln.Silence()
 	case x.Name == fault.Die:
-		f.ln.Close()
+		return f.ln.Close()
 	case x.Off:
 		return f.ln.Resume()
 	default:
--- /dev/null
+++ b/internal/mix/mix.go
@@ -0,0 +1,181 @@
+// Package mix describes the first users' work and generates its arrivals.
+package mix
+
+import (
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// BlockTokens is the number of prompt tokens in a cache block (docs/PROTOCOLS.md).
+const BlockTokens = 64
+
+// TokenBytes is the number of prompt bytes in a token (docs/PROTOCOLS.md).
+const TokenBytes = 4
+
+// The pools of both mixes.
+const (
+	// Models is the pool of model engines.
+	Models = "models"
+	// Packets is the pool of plain services.
+	Packets = "packets"
+)
+
+// Mix is one user's work. The brief gives its teams, tiers and kinds of work;
+// the shares and lengths are guesses within its words, to be replaced by the
+// users' own figures.
+type Mix struct {
+	Name string
+	// Tiers are ordered by rank.
+	Tiers []fireflypath.Tier
+	// Teams carry no keys.
+	Teams []fireflypath.Team
+	// Streams are the kinds of work; their shares need not add up to 1.
+	Streams []Stream
+}
+
+// Stream is one kind of work of one team.
+type Stream struct {
+	Team string
+	Tier string
+	Pool string
+	// Share is the part of the mix's arrivals, against the other streams.
+	Share float64
+	// Prompt and Output are token counts, log-uniform between the bounds.
+	Prompt Span
+	Output Span
+	// Deadline is counted from the arrival.
+	Deadline time.Duration
+	// Documents is the number of texts that prompts begin with; few are asked
+	// for often (Zipf's law). 0 means that no two prompts begin alike.
+	Documents int
+	// Shared is the part of a prompt that its document covers.
+	Shared float64
+	// Idempotent is false for work that must not run twice; it carries a key.
+	Idempotent bool
+}
+
+// Span bounds a number of tokens.
+type Span struct {
+	Min int
+	Max int
+}
+
+// Length of requests varies by a factor of about a hundred (brief, "Our
+// workloads"): from a co-op's question to a mud-log packet.
+const (
+	shortest = 160
+	longest  = 100 * shortest
+)
+
+// Pozo is Pozo Austral Datos: well records, where long scanned reports make
+// every repeated prefill expensive.
+func Pozo() Mix {
+	return Mix{
+		Name: "pozo",
+		Tiers: []fireflypath.Tier{
+			tier("workover", 0, 8*time.Second),
+			tier("permit", 1, 20*time.Second),
+			tier("archive", 2, 60*time.Second),
+		},
+		Teams: []fireflypath.Team{
+			{Name: "reservoir", Tiers: []string{"workover", "permit"}, Weight: 3},
+			{Name: "extraction", Tiers: []string{"permit"}, Weight: 3},
+			{Name: "scanning", Tiers: []string{"archive"}, Weight: 3},
+			{Name: "field", Tiers: []string{"workover"}, Weight: 1},
+			{Name: "regulators", Tiers: []string{"permit"}, Weight: 1},
+		},
+		Streams: []Stream{
+			{
+				Team: "reservoir", Tier: "workover", Pool: Models, Share: 20, Deadline: 8 * time.Second,
+				Prompt: Span{4 * shortest, longest / 4}, Output: Span{16, 160}, Documents: 40, Shared: 0.8, Idempotent: true,
+			},
+			{
+				Team: "reservoir", Tier: "permit", Pool: Models, Share: 10, Deadline: 20 * time.Second,
+				Prompt: Span{shortest, longest}, Output: Span{16, 160}, Documents: 40, Shared: 0.8, Idempotent: true,
+			},
+			{
+				Team: "extraction", Tier: "permit", Pool: Models, Share: 25, Deadline: 20 * time.Second,
+				Prompt: Span{shortest, longest}, Output: Span{16, 320}, Documents: 80, Shared: 0.9, Idempotent: true,
+			},
+			{
+				Team: "scanning", Tier: "archive", Pool: Models, Share: 30, Deadline: 60 * time.Second,
+				Prompt: Span{shortest, longest}, Output: Span{8, 64}, Documents: 200, Shared: 0.5, Idempotent: true,
+			},
+			packet("field", "workover", 10, 5*time.Second),
+			packet("regulators", "permit", 5, 20*time.Second),
+		},
+	}
+}
+
+// Meelwerk is Meelwerk Analytics: mill contracts, where traders' deadlines are
+// fixed by the exchange.
+func Meelwerk() Mix {
+	return Mix{
+		Name: "meelwerk",
+		Tiers: []fireflypath.Tier{
+			tier("exchange", 0, 3*time.Second),
+			tier("question", 1, 10*time.Second),
+			tier("review", 2, 120*time.Second),
+		},
+		Teams: []fireflypath.Team{
+			{Name: "traders", Tiers: []string{"exchange"}, Weight: 3},
+			{Name: "coops", Tiers: []string{"question"}, Weight: 3},
+			{Name: "millers", Tiers: []string{"review"}, Weight: 3},
+			{Name: "desk", Tiers: []string{"exchange", "question"}, Weight: 1},
+			{Name: "notices", Tiers: []string{"question"}, Weight: 1},
+		},
+		Streams: []Stream{
+			{
+				Team: "traders", Tier: "exchange", Pool: Models, Share: 25, Deadline: 3 * time.Second,
+				Prompt: Span{shortest, 10 * shortest}, Output: Span{16, 96}, Documents: 30, Shared: 0.5, Idempotent: true,
+			},
+			{
+				Team: "desk", Tier: "exchange", Pool: Models, Share: 5, Deadline: 3 * time.Second,
+				Prompt: Span{shortest, 10 * shortest}, Output: Span{16, 96}, Documents: 30, Shared: 0.5, Idempotent: true,
+			},
+			{
+				Team: "coops", Tier: "question", Pool: Models, Share: 40, Deadline: 10 * time.Second,
+				Prompt: Span{shortest, 4 * shortest}, Output: Span{8, 96}, Documents: 60, Shared: 0.4, Idempotent: true,
+			},
+			{
+				Team: "millers", Tier: "review", Pool: Models, Share: 20, Deadline: 120 * time.Second,
+				Prompt: Span{10 * shortest, longest}, Output: Span{64, 640}, Documents: 100, Shared: 0.6, Idempotent: true,
+			},
+			packet("notices", "question", 10, 10*time.Second),
+		},
+	}
+}
+
+// Find returns the mix of a name.
+func Find(name string) (Mix, bool) {
+	for _, m := range []Mix{Pozo(), Meelwerk()} {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Mix{}, false
+}
+
+func tier(name string, rank int, deadline time.Duration) fireflypath.Tier {
+	return fireflypath.Tier{Name: name, Rank: rank, Deadline: fireflypath.Duration(deadline)}
+}
+
+// packet is the delivery of a record packet or a notice: a call to a plain
+// service that must not run twice.
+func packet(team, tier string, share float64, deadline time.Duration) Stream {
+	return Stream{
+		Team: team, Tier: tier, Pool: Packets, Share: share, Deadline: deadline,
+		Prompt: Span{shortest, shortest}, Idempotent: false,
+	}
+}
+
+// Rank is the rank of a tier by name; the names of a Mix are its own.
+func (m Mix) Rank(tier string) int {
+	for _, t := range m.Tiers {
+		if t.Name == tier {
+			return t.Rank
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/mix/mix_test.go
@@ -0,0 +1,74 @@
+package mix_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath/internal/mix"
+)
+
+func TestArrivals(t *testing.T) {
+	for _, m := range []mix.Mix{mix.Pozo(), mix.Meelwerk()} {
+		t.Run(m.Name, func(t *testing.T) {
+			is := is.New(t)
+			o := mix.Options{Seed: 1, Rate: 100, For: time.Minute}
+			got := slices.Collect(m.Arrivals(o))
+			is.Equal(got, slices.Collect(m.Arrivals(o))) // same seed, same arrivals
+			is.True(len(got) > 5600 && len(got) < 6400)  // 6000, sd 77
+			teams, tiers := map[string]bool{}, map[int]bool{}
+			least, most, shared := got[0].Cost.Prompt, 0, map[uint64]int{}
+			for i, a := range got {
+				is.Equal(a.Seq, i)
+				teams[a.Team], tiers[a.Rank] = true, true
+				least, most = min(least, a.Cost.Prompt), max(most, a.Cost.Prompt)
+				if b := a.Blocks(); len(b) > 0 {
+					shared[b[0]]++
+				}
+			}
+			is.Equal(len(teams), 5)
+			is.Equal(len(tiers), 3)
+			is.True(most > 80*least && most <= 100*least)
+			is.True(len(shared) < len(got)/2) // most prompts begin like another
+		})
+	}
+}
+
+func TestPromptMatchesBlocks(t *testing.T) {
+	is := is.New(t)
+	var first *mix.Arrival
+	for a := range mix.Pozo().Arrivals(mix.Options{Seed: 2, Rate: 10, For: time.Hour}) {
+		is.Equal(len(a.Prompt()), a.Cost.Prompt*mix.TokenBytes)
+		if a.Shared < 2 {
+			continue
+		}
+		if first == nil {
+			first = &a
+			continue
+		}
+		if a.Document != first.Document {
+			continue
+		}
+		n := min(a.Shared, first.Shared)
+		size := n * mix.BlockTokens * mix.TokenBytes
+		is.Equal(a.Blocks()[:n], first.Blocks()[:n])
+		is.Equal(a.Prompt()[:size], first.Prompt()[:size])
+		return
+	}
+	t.Fatal("no two prompts of one document")
+}
+
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	o := mix.Options{Seed: 3, Rate: 100, For: time.Minute}
+	o.Bursts = []mix.Burst{{At: 20 * time.Second, For: 20 * time.Second, Team: "traders", Factor: 5}}
+	var third [3]int
+	for a := range mix.Meelwerk().Arrivals(o) {
+		if a.Team == "traders" {
+			third[a.At/(20*time.Second)]++
+		}
+	}
+	is.True(third[1] > 4*third[0] && third[1] > 4*third[2])
+}
