feat(fake): stand-ins for model engines and plain services

The route and the demo need targets that fail on demand and count what they ran. The engine batches first-in first-out, reads prompts one after the other, caches prefixes in limited memory and keeps its streams for a resume; waste is prefill whose answer was cancelled or never read to the end. The service counts runs by id and key. Faults are listed in internal/fake/fault.

--- /dev/null
+++ b/internal/fake/engine/engine_test.go
@@ -0,0 +1,206 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+)
+
+func start(t *testing.T, cfg Config) (*Engine, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	e, err := New(cfg, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Close() })
+	return e, clock
+}
+
+func (e *Engine) second() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance(time.Second)
+}
+
+func work(id string, prompt, output int) *stream {
+	return newStream(id, false, &completion{Prompt: strings.Repeat(id, prompt*tokenBytes/len(id)), MaxTokens: &output})
+}
+
+func TestBatchIsBoundedAndFirstInFirstOut(t *testing.T) {
+	is := is.New(t)
+	e, _ := start(t, Config{Batch: 2, Prefill: 1000, Decode: 10})
+	long, short, last := work("aaaa", 2000, 10), work("bbbb", 100, 10), work("cccc", 100, 10)
+	for _, s := range []*stream{long, short, last} {
+		e.submit(s)
+	}
+	e.second()
+	is.Equal([]int{long.prefilled, short.prefilled, last.prefilled}, []int{1000, 0, 0}) // read one after the other
+	e.second()
+	e.second()
+	is.Equal([]int{long.emitted, short.prefilled, last.prefilled}, []int{10, 100, 0}) // the third waits for a place
+	e.second()
+	is.Equal([]int{short.emitted, last.prefilled}, []int{10, 100})
+	is.Equal(e.Counts().Prefill, 2200)
+	is.Equal(e.Counts().Wasted, 2100) // two ended and nobody read them
+}
+
+func TestCacheIsLimitedAndTellsLate(t *testing.T) {
+	is := is.New(t)
+	e, clock := start(t, Config{Cache: 4 * blockTokens, Lag: time.Second})
+	e.submit(work("aaaa", 2*blockTokens, 1))
+	again := work("aaaa", 3*blockTokens, 1)
+	e.submit(again)
+	is.Equal(again.cached, 2*blockTokens)
+	e.submit(work("bbbb", 4*blockTokens, 1))
+	gone := work("aaaa", 2*blockTokens, 1)
+	e.submit(gone)
+	is.Equal(gone.cached, 0)
+	is.Equal(len(e.cache.after(0, clock.Now().Add(-time.Second))), 0)
+	clock.Advance(time.Second)
+	events := e.cache.after(0, clock.Now().Add(-time.Second))
+	is.Equal(events[0].Op, "stored")
+	is.Equal(events[0].Blocks, []string{hexBlock(again.blocks[0]), hexBlock(again.blocks[1])})
+}
+
+func TestCancelCountsWaste(t *testing.T) {
+	is := is.New(t)
+	e, _ := start(t, Config{Batch: 1, Prefill: 1000, Decode: 10})
+	first, second := work("aaaa", 2000, 10), work("bbbb", 100, 10)
+	e.submit(first)
+	e.submit(second)
+	e.second()
+	is.True(e.cancel("aaaa"))
+	is.Equal(e.Counts().Wasted, 1000)
+	e.second()
+	is.Equal(second.prefilled, 100)
+}
+
+// post sends a completion and reads what comes.
+func post(t *testing.T, e *Engine, id string) (answered, error) {
+	t.Helper()
+	body := strings.NewReader(`{"prompt":"hello","max_tokens":3,"stream":true}`)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Addr()+"/v1/completions", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(headerID, id)
+	return do(r)
+}
+
+// answered is what a caller received; the status is 0 without an answer.
+type answered struct {
+	status int
+	id     string
+	text   string
+}
+
+func do(r *http.Request) (answered, error) {
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answered{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answered{resp.StatusCode, resp.Header.Get(headerID), string(text)}, err
+}
+
+func event(id string, n int, finish string) string {
+	token := Text("hello", n)[(n-1)*5:]
+	return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"object\":\"text_completion\",\"choices\":"+
+		"[{\"index\":0,\"text\":%q%s}]}\n\n", n, id, token, finish)
+}
+
+func whole(id string, from int) string {
+	events := []string{
+		event(id, 1, ""), event(id, 2, ""), event(id, 3, `,"finish_reason":"length"`), "id: 4\ndata: [DONE]\n\n",
+	}
+	return strings.Join(events[from:], "")
+}
+
+func TestAnswerAndResume(t *testing.T) {
+	is := is.New(t)
+	e, _ := start(t, Config{})
+	a, err := post(t, e, "d.1")
+	is.NoErr(err)
+	is.Equal(a, answered{200, "d.1", whole("d.1", 0)})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.Addr()+"/v1/streams/d.1", nil)
+	is.NoErr(err)
+	r.Header.Set(headerLast, "2")
+	a, err = do(r)
+	is.NoErr(err)
+	is.Equal(a.text, whole("d.1", 2))
+	c := e.Counts()
+	is.Equal([]int{c.Dispatches["d.1"], c.Runs["d.1"], c.Resumes, c.Wasted}, []int{1, 1, 1, 0})
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		fault  fault.Fault
+		want   string // the body, or empty
+		status int    // 0: no answer
+		broken bool
+		runs   int
+	}{
+		{fault: fault.Fault{Name: fault.ReadClose}},
+		{fault: fault.Fault{Name: fault.Draining}, want: `{"error":{"code":"draining"}}`, status: 503},
+		{fault: fault.Fault{Name: fault.NotRun}, want: `{"error":{"code":"not_run"}}`, status: 503},
+		{fault: fault.Fault{Name: fault.Crossed}, want: whole("other-d.1", 0), status: 200, runs: 1},
+		{fault: fault.Fault{Name: fault.Truncate, After: 2}, want: event("d.1", 1, "") + event("d.1", 2, ""), status: 200, runs: 1},
+		{fault: fault.Fault{Name: fault.Break, After: 1}, want: event("d.1", 1, ""), status: 200, broken: true, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.fault.Name), func(t *testing.T) {
+			is := is.New(t)
+			e, _ := start(t, Config{})
+			is.NoErr(e.Fault(tt.fault))
+			a, err := post(t, e, "d.1")
+			is.Equal(err != nil, tt.status == 0 || tt.broken)
+			is.Equal(a.text, tt.want)
+			is.Equal(a.status, tt.status)
+			c := e.Counts()
+			is.Equal([]int{c.Dispatches["d.1"], c.Runs["d.1"]}, []int{1, tt.runs})
+			is.NoErr(e.Fault(fault.Fault{Name: fault.Clear}))
+			a, err = post(t, e, "d.2")
+			is.NoErr(err)
+			is.Equal(a.text, whole("d.2", 0))
+		})
+	}
+}
+
+func TestOrders(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("unfenced=%v", unfenced), func(t *testing.T) {
+			is := is.New(t)
+			e, _ := start(t, Config{Unfenced: unfenced})
+			var statuses []int
+			for i, fence := range []uint64{2, 1, 3, 3} {
+				body, err := json.Marshal(fireflypath.Order{ID: fmt.Sprint(min(i, 2)), Fence: fence})
+				is.NoErr(err)
+				resp, err := http.Post("http://"+e.Addr()+"/orders", "application/json", bytes.NewReader(body))
+				is.NoErr(err)
+				resp.Body.Close()
+				statuses = append(statuses, resp.StatusCode)
+			}
+			c := e.Counts()
+			if unfenced {
+				is.Equal(statuses, []int{200, 200, 200, 200})
+				is.Equal([]int{len(c.Orders), c.Stale}, []int{3, 1})
+				return
+			}
+			is.Equal(statuses, []int{200, 409, 200, 200})
+			is.Equal([]int{len(c.Orders), c.Stale}, []int{2, 0})
+		})
+	}
+}
--- /dev/null
+++ b/internal/fake/engine/http.go
@@ -0,0 +1,321 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	"github.com/fireflypath/fireflypath/internal/fake/wire"
+)
+
+const (
+	maxBody       = 64 << 20
+	defaultOutput = 16
+	headerID      = "X-Request-Id"
+	headerCached  = "X-Cached-Tokens"
+	headerLast    = "Last-Event-ID"
+)
+
+// completion is the part of a request that the stand-in reads.
+type completion struct {
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens *int `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+}
+
+// text is the prompt: a chat's contents one after the other.
+func (c *completion) text() string {
+	if len(c.Messages) == 0 {
+		return c.Prompt
+	}
+	var b strings.Builder
+	for _, m := range c.Messages {
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+func (e *Engine) handle(r *fasthttp.RequestCtx) {
+	path := string(r.Path())
+	id, isStream := strings.CutPrefix(path, "/v1/streams/")
+	switch {
+	case path == "/v1/completions", path == "/v1/chat/completions":
+		e.serveCompletion(r, path == "/v1/chat/completions")
+	case isStream && r.IsDelete():
+		if !e.cancel(id) {
+			r.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	case isStream:
+		e.serveResume(r, id)
+	default:
+		e.serveRest(r, path)
+	}
+}
+
+func (e *Engine) serveCompletion(r *fasthttp.RequestCtx, chat bool) {
+	id := string(r.Request.Header.Peek(headerID))
+	if !e.cfg.Uncounted {
+		e.mu.Lock()
+		e.counts.Dispatches[id]++
+		e.mu.Unlock()
+	}
+	if _, ok := e.faults.Strike(fault.ReadClose); ok {
+		wire.Hangup(r)
+		return
+	}
+	for _, name := range []fault.Name{fault.Draining, fault.NotRun} {
+		if _, ok := e.faults.Strike(name); ok {
+			NotRun(r, name)
+			return
+		}
+	}
+	var c completion
+	if err := json.Unmarshal(r.PostBody(), &c); err != nil {
+		r.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s := newStream(id, chat, &c)
+	e.submit(s)
+	if c.Stream {
+		e.answer(r, s, 0)
+		return
+	}
+	e.answerWhole(r, s)
+}
+
+// NotRun writes the refusal of a target that is leaving, or will not run the request.
+func NotRun(r *fasthttp.RequestCtx, why fault.Name) {
+	code := "not_run"
+	if why == fault.Draining {
+		code = "draining"
+	}
+	r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	r.SetContentType("application/json")
+	r.SetBodyString(`{"error":{"code":"` + code + `"}}`)
+}
+
+func newStream(id string, chat bool, c *completion) *stream {
+	text := c.text()
+	s := &stream{id: id, chat: chat, prompt: max(1, (len(text)+tokenBytes-1)/tokenBytes), output: defaultOutput}
+	if c.MaxTokens != nil {
+		s.output = max(0, *c.MaxTokens)
+	}
+	// Writing to a digest cannot fail.
+	d := xxhash.New()
+	for len(text) >= blockBytes {
+		_, _ = d.WriteString(text[:blockBytes])
+		s.blocks = append(s.blocks, d.Sum64())
+		text = text[blockBytes:]
+	}
+	_, _ = d.WriteString(text)
+	s.seed = d.Sum64()
+	return s
+}
+
+// Text is the answer that every engine gives to a prompt, for callers that
+// check that they got their own, and all of it.
+func Text(prompt string, output int) string {
+	seed := xxhash.Sum64String(prompt)
+	var b []byte
+	for n := range output {
+		b = appendToken(b, seed, n+1)
+	}
+	return string(b)
+}
+
+// answer streams events from behind an offset.
+func (e *Engine) answer(r *fasthttp.RequestCtx, s *stream, offset int) {
+	if _, _, err := e.events(s, -1); err != nil {
+		wire.Hangup(r)
+		return
+	}
+	b := buffers.Get().(*[]byte)
+	body := &reader{e: e, s: s, id: s.id, at: offset, buf: *b}
+	if _, ok := e.faults.Strike(fault.Crossed); ok {
+		body.id = e.other(s.id)
+	}
+	if f, ok := e.faults.Strike(fault.Truncate); ok {
+		body.end, body.cut = max(1, offset+f.After), io.EOF
+	}
+	if f, ok := e.faults.Strike(fault.Break); ok {
+		body.end, body.cut = max(1, offset+f.After), errBroken
+	}
+	// The header waits for the first event: only then the cache was looked up.
+	if offset <= s.output {
+		if err := body.fill(); err != nil {
+			wire.Hangup(r)
+			return
+		}
+	}
+	r.SetContentType("text/event-stream")
+	r.Response.Header.Set(headerID, body.id)
+	r.Response.Header.Set(headerCached, strconv.Itoa(e.cachedTokens(s)))
+	r.SetBodyStream(body, -1)
+}
+
+func (e *Engine) cachedTokens(s *stream) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.cached
+}
+
+// other is another stream's id, or one that nobody asked for.
+func (e *Engine) other(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for o := range e.streams {
+		if o != id {
+			return o
+		}
+	}
+	return "other-" + id
+}
+
+// answerWhole waits for the end and sends one JSON object.
+func (e *Engine) answerWhole(r *fasthttp.RequestCtx, s *stream) {
+	w := &reader{e: e, s: s}
+	for w.at <= s.output {
+		n, err := w.ready()
+		if err != nil {
+			wire.Hangup(r)
+			return
+		}
+		w.at = n
+	}
+	e.delivered(s)
+	var text []byte
+	for n := range s.output {
+		text = appendToken(text, s.seed, n+1)
+	}
+	r.SetContentType("application/json")
+	r.Response.Header.Set(headerID, s.id)
+	r.Response.Header.Set(headerCached, strconv.Itoa(e.cachedTokens(s)))
+	if s.chat {
+		r.SetBodyString(`{"id":"` + s.id + `","choices":[{"index":0,"message":{"role":"assistant","content":"` +
+			string(text) + `"},"finish_reason":"length"}]}`)
+		return
+	}
+	r.SetBodyString(`{"id":"` + s.id + `","choices":[{"index":0,"text":"` + string(text) + `","finish_reason":"length"}]}`)
+}
+
+func (e *Engine) serveResume(r *fasthttp.RequestCtx, id string) {
+	offset, err := strconv.Atoi(string(r.Request.Header.Peek(headerLast)))
+	if err != nil || offset < 0 {
+		offset = 0
+	}
+	s := e.resumable(id)
+	if s == nil {
+		r.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	e.answer(r, s, offset)
+}
+
+// resumable returns a kept stream, or nil.
+func (e *Engine) resumable(id string) *stream {
+	_, forgot := e.faults.Strike(fault.Forget)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[id]
+	if s == nil || s.cancelled || forgot {
+		return nil
+	}
+	e.counts.Resumes++
+	return s
+}
+
+func (e *Engine) serveRest(r *fasthttp.RequestCtx, path string) {
+	switch path {
+	case "/load":
+		reply(r, e.loadReport())
+	case "/cache/events":
+		e.serveCache(r)
+	case "/orders":
+		e.serveOrder(r)
+	case "/counts":
+		reply(r, e.Counts())
+	case "/fault":
+		f, err := fault.Parse(r.PostBody())
+		if err == nil {
+			err = e.Fault(f)
+		}
+		if err != nil {
+			r.Error(err.Error(), fasthttp.StatusBadRequest)
+		}
+	default:
+		r.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) loadReport() Load {
+	_, draining := e.faults.Strike(fault.Draining)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.load.at(e.clock.Now().Add(-e.cfg.Lag))
+	l.Batch = e.cfg.Batch
+	l.Draining = draining
+	return l
+}
+
+func (e *Engine) serveCache(r *fasthttp.RequestCtx) {
+	after, err := strconv.Atoi(string(r.QueryArgs().Peek("after")))
+	if err != nil {
+		after = 0
+	}
+	e.mu.Lock()
+	events := e.cache.after(after, e.clock.Now().Add(-e.cfg.Lag))
+	e.mu.Unlock()
+	reply(r, struct {
+		Events []cacheEvent `json:"events"`
+	}{events})
+}
+
+// refusedOrder is the answer to an order with an old fencing number.
+type refusedOrder struct {
+	Fence uint64 `json:"fence"`
+}
+
+func (e *Engine) serveOrder(r *fasthttp.RequestCtx) {
+	var o fireflypath.Order
+	if err := json.Unmarshal(r.PostBody(), &o); err != nil {
+		r.Error(errors.Wrap(err, "parse order").Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := o.Fence < e.fence
+	if old && !e.cfg.Unfenced {
+		reply(r, refusedOrder{e.fence})
+		r.SetStatusCode(fasthttp.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.orders[o.ID] {
+		return
+	}
+	e.orders[o.ID] = true
+	e.counts.Orders = append(e.counts.Orders, o)
+	if old {
+		e.counts.Stale++
+	}
+}
+
+func reply(r *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	r.SetContentType("application/json")
+	r.SetBody(body)
+}
--- /dev/null
+++ b/internal/fake/service/service.go
@@ -0,0 +1,228 @@
+// Package service is a small stand-in for a plain service whose calls must not all be repeated.
+package service
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath/internal/fake/engine"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	"github.com/fireflypath/fireflypath/internal/fake/wire"
+)
+
+// Config sets a service's habits.
+type Config struct {
+	// Addr is an IP number and a port; empty takes a free one on 127.0.0.1.
+	Addr string
+	// Delay is how long each call takes.
+	Delay time.Duration
+	// Batch is the number of calls that the load report calls full; 0 leaves it unknown.
+	Batch int
+}
+
+// Counts are what the service saw, for tests and the demo.
+type Counts struct {
+	// Dispatches counts the requests read, by id, refused ones among them.
+	Dispatches map[string]int `json:"dispatches"`
+	// Runs counts the calls that took effect, by request id.
+	Runs map[string]int `json:"runs"`
+	// Keys counts the calls that took effect, by the caller's Idempotency-Key.
+	Keys map[string]int `json:"keys"`
+}
+
+// Echo is the answer to a call.
+type Echo struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Query  string `json:"query,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Body   string `json:"body"`
+	// Run counts the calls that took effect before and with this one.
+	Run int64 `json:"run"`
+}
+
+// Service is a running stand-in. A call takes effect when it is read, before
+// the delay and before any fault cuts its answer.
+type Service struct {
+	cfg     Config
+	clock   clockwork.Clock
+	faults  fault.Set
+	ln      *wire.Listener
+	served  chan struct{}
+	runs    atomic.Int64
+	running atomic.Int64
+
+	mu     sync.Mutex
+	counts Counts
+}
+
+// New starts a service.
+func New(cfg Config, clock clockwork.Clock) (*Service, error) {
+	if cfg.Addr == "" {
+		cfg.Addr = "127.0.0.1:0"
+	}
+	ln, err := wire.Listen(cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Service{cfg: cfg, clock: clock, ln: ln, served: make(chan struct{})}
+	s.counts = Counts{Dispatches: make(map[string]int), Runs: make(map[string]int), Keys: make(map[string]int)}
+	server := &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
+	go func() {
+		defer close(s.served)
+		// The only error is the listener's end.
+		_ = server.Serve(ln)
+	}()
+	return s, nil
+}
+
+// Addr is the IP number and port.
+func (s *Service) Addr() string {
+	return s.ln.Addr().String()
+}
+
+// Close ends the service and cuts its connections.
+func (s *Service) Close() error {
+	err := s.ln.Close()
+	<-s.served
+	return err
+}
+
+// Fault shows a fault, or takes it back.
+func (s *Service) Fault(f fault.Fault) error {
+	switch f.Name {
+	case fault.Die:
+		return s.ln.Close()
+	case fault.Silent:
+		s.ln.Silence()
+	case fault.Refuse:
+		if f.Off {
+			return s.ln.Resume()
+		}
+		s.ln.Refuse()
+	case fault.Clear:
+		s.faults.Apply(f)
+		return s.ln.Resume()
+	case fault.ReadClose, fault.Crossed, fault.Break, fault.Slow, fault.Draining, fault.NotRun:
+		s.faults.Apply(f)
+	default:
+		return errors.Wrapf(fault.ErrName, "%q", f.Name)
+	}
+	return nil
+}
+
+// Counts reads the counts so far.
+func (s *Service) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Counts{
+		Dispatches: maps.Clone(s.counts.Dispatches),
+		Runs:       maps.Clone(s.counts.Runs),
+		Keys:       maps.Clone(s.counts.Keys),
+	}
+}
+
+func (s *Service) handle(r *fasthttp.RequestCtx) {
+	switch string(r.Path()) {
+	case "/load":
+		s.serveLoad(r)
+	case "/counts":
+		reply(r, s.Counts())
+	case "/fault":
+		f, err := fault.Parse(r.PostBody())
+		if err == nil {
+			err = s.Fault(f)
+		}
+		if err != nil {
+			r.Error(err.Error(), fasthttp.StatusBadRequest)
+		}
+	default:
+		s.serveCall(r)
+	}
+}
+
+func (s *Service) serveLoad(r *fasthttp.RequestCtx) {
+	_, draining := s.faults.Strike(fault.Draining)
+	n := s.running.Load()
+	reply(r, engine.Load{
+		At: s.clock.Now().UnixMilli(), Running: int(n), Tokens: int(n), Batch: s.cfg.Batch, Draining: draining,
+	})
+}
+
+func (s *Service) serveCall(r *fasthttp.RequestCtx) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	id := string(r.Request.Header.Peek("X-Request-Id"))
+	s.count(s.counts.Dispatches, id)
+	if _, ok := s.faults.Strike(fault.ReadClose); ok {
+		wire.Hangup(r)
+		return
+	}
+	for _, name := range []fault.Name{fault.Draining, fault.NotRun} {
+		if _, ok := s.faults.Strike(name); ok {
+			engine.NotRun(r, name)
+			return
+		}
+	}
+	e := s.run(r, id)
+	s.delay()
+	if _, ok := s.faults.Strike(fault.Break); ok {
+		wire.Hangup(r)
+		return
+	}
+	if _, ok := s.faults.Strike(fault.Crossed); ok {
+		id = "other-" + id
+	}
+	r.Response.Header.Set("X-Request-Id", id)
+	reply(r, e)
+}
+
+// run lets the call take effect.
+func (s *Service) run(r *fasthttp.RequestCtx, id string) Echo {
+	key := string(r.Request.Header.Peek("Idempotency-Key"))
+	s.count(s.counts.Runs, id)
+	if key != "" {
+		s.count(s.counts.Keys, key)
+	}
+	return Echo{
+		Method: string(r.Method()),
+		Path:   string(r.Path()),
+		Query:  string(r.URI().QueryString()),
+		Key:    key,
+		Body:   string(r.PostBody()),
+		Run:    s.runs.Add(1),
+	}
+}
+
+func (s *Service) count(m map[string]int, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m[name]++
+}
+
+func (s *Service) delay() {
+	d := s.cfg.Delay
+	if f, ok := s.faults.Strike(fault.Slow); ok {
+		d += f.Delay.Std() + time.Duration(float64(d)*max(0, f.Factor-1))
+	}
+	if d > 0 {
+		s.clock.Sleep(d)
+	}
+}
+
+func reply(r *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	r.SetContentType("application/json")
+	r.SetBody(body)
+}
