feat(trial): drive the decisions in virtual time

Nine daemons with stale reports before twelve fake engines of unlike speeds; baselines rr and least, and a fluid bound.

--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -14,7 +14,9 @@
 
 // commands lists the tools in the order that help prints them.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		newTrialCommand(),
+	}
 }
 
 // coded is an error that chooses the exit code.
--- /dev/null
+++ b/cmd/fireflypath/trial.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/sourcegraph/conc/iter"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypath/fireflypath/internal/trial"
+)
+
+// atOnce is how many runs go on together, so that a trial leaves the machine
+// usable.
+const atOnce = 4
+
+// compared are the policies tried when none is named.
+func compared() []string {
+	return []string{"shipped", "rr", "least", "bound"}
+}
+
+func newTrialCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "trial",
+		Usage: "measure the decisions under load in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "load", Usage: "loads to try (default: all)"},
+			&cli.StringSliceFlag{Name: "mix", Usage: "pozo or meelwerk (default: both)"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "policies to try (default: shipped, rr, least, bound)"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals and decisions"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to try, from seed on"},
+			&cli.DurationFlag{Name: "span", Value: trial.Span, Usage: "how long requests arrive"},
+			&cli.StringFlag{Name: "o", Usage: "json for one object a line"},
+		},
+		Action: runTrial,
+	}
+}
+
+func runTrial(_ context.Context, c *cli.Command) error {
+	results, err := iter.Mapper[trial.Options, []trial.Row]{MaxGoroutines: atOnce}.
+		MapErr(trialOptions(c), func(o *trial.Options) ([]trial.Row, error) { return trial.Run(*o) })
+	if err != nil {
+		return coded{error: err, code: exitInput}
+	}
+	var rows []trial.Row
+	for _, r := range results {
+		rows = append(rows, r...)
+	}
+	if c.String("o") == "json" {
+		return printJSON(c.Root().Writer, rows)
+	}
+	return printTable(c.Root().Writer, rows)
+}
+
+// trialOptions lists the runs in the order of the output.
+func trialOptions(c *cli.Command) []trial.Options {
+	var out []trial.Options
+	for _, l := range orAll(c.StringSlice("load"), trial.Loads()) {
+		for _, m := range orAll(c.StringSlice("mix"), trial.Mixes()) {
+			for _, p := range orAll(c.StringSlice("policy"), compared()) {
+				for i := range c.Int("seeds") {
+					out = append(out, trial.Options{
+						Load: l, Mix: m, Policy: p, Seed: c.Uint64("seed") + uint64(i), Span: c.Duration("span"),
+					})
+				}
+			}
+		}
+	}
+	return out
+}
+
+func orAll(named, all []string) []string {
+	if len(named) > 0 {
+		return named
+	}
+	return all
+}
+
+func printJSON(w io.Writer, rows []trial.Row) error {
+	enc := json.NewEncoder(w)
+	for _, r := range rows {
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printTable(w io.Writer, rows []trial.Row) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "load\tmix\tpolicy\tseed\ttier\tsent\tgoodput\trefused\texpired\tp50 ms\tp99 ms\tfirst p99\twasted\thit\tinversions\t")
+	for _, r := range rows {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%s\t%d\t%.4f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.4f\t%.3f\t%d\t\n",
+			r.Load, r.Mix, r.Policy, r.Seed, r.Tier, r.Sent, r.Goodput, r.Refused, r.Expired,
+			r.P50, r.P99, r.First99, r.Wasted, r.Hit, r.Inversions)
+	}
+	return tw.Flush()
+}
--- /dev/null
+++ b/internal/trial/daemon.go
@@ -0,0 +1,172 @@
+package trial
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/mix"
+)
+
+const (
+	// impatient is the part of refused callers that come back early.
+	impatient = 0.7
+	// attempts bounds a caller's attempts.
+	attempts = 10
+	// hasty is the longest time after which an impatient caller is back.
+	hasty = time.Second
+)
+
+// request is a caller's request with all its attempts.
+type request struct {
+	arrival  mix.Arrival
+	started  time.Time
+	deadline time.Time
+	prefix   []uint64
+	output   int
+	rnd      *rand.Rand
+	attempts int
+	first    time.Time
+	last     fireflypath.State
+	fresh    int
+}
+
+// daemon is one entry host with its own scheduler.
+type daemon struct {
+	fleet  *fleet
+	number int
+	sched  fireflypath.Scheduler
+	place  fireflypath.Placement
+	sheds  []fireflypath.Shed
+	wake   time.Time
+	waits  map[*fireflypath.Work]*request
+}
+
+func (d *daemon) offer(w *fireflypath.Work, r *request) {
+	if d.waits == nil {
+		d.waits = make(map[*fireflypath.Work]*request)
+	}
+	d.waits[w] = r
+	d.handle(d.sched.Offer(d.now(), w, nil))
+	d.pump()
+}
+
+func (d *daemon) observe(e fireflypath.Event) {
+	d.sched.Observe(d.now(), e)
+	d.pump()
+}
+
+func (d *daemon) now() time.Time { return d.fleet.loop.now }
+
+// pump dispatches what may be dispatched and sets the next wake-up.
+func (d *daemon) pump() {
+	d.handle(d.sched.Expire(d.now(), nil))
+	for d.sched.Next(d.now(), &d.place) {
+		w := d.place.Work
+		if w.Life.Move(fireflypath.StateWaiting, fireflypath.StateDispatched) {
+			d.dispatch(w, d.place.Target)
+		}
+	}
+	d.handle(d.sched.Expire(d.now(), nil))
+	at := d.sched.Wake(d.now())
+	if at.IsZero() || (at.Equal(d.wake) && at.After(d.now())) {
+		return
+	}
+	d.wake = at
+	d.fleet.loop.at(at.Add(time.Microsecond), func() {
+		if d.wake.Equal(at) {
+			d.wake = time.Time{}
+			d.pump()
+		}
+	})
+}
+
+func (d *daemon) dispatch(w *fireflypath.Work, target string) {
+	r := d.waits[w]
+	delete(d.waits, w)
+	e := d.fleet.names[target]
+	sent := d.now()
+	j := &job{work: w, output: r.output}
+	j.first = func(cached int) {
+		r.fresh = w.Cost.Prompt - cached
+		d.fleet.tally.prefilled(r, w.Cost.Prompt, r.fresh)
+		d.fleet.loop.after(hop, func() {
+			r.first = d.now()
+			d.observe(fireflypath.Event{Kind: fireflypath.EventFirst, Target: target, Work: w, Sent: sent, Cached: cached})
+		})
+	}
+	j.done = func() {
+		d.fleet.loop.after(hop, func() {
+			w.Life.Move(fireflypath.StateDispatched, fireflypath.StateAnswered)
+			d.fleet.tally.answered(r, d.now())
+			d.observe(fireflypath.Event{
+				Kind: fireflypath.EventDone, Target: target, Work: w, Sent: sent, Tokens: r.output, Cached: -1,
+			})
+		})
+	}
+	d.fleet.loop.after(hop, func() { e.accept(j) })
+}
+
+// handle writes the refusals, after a relief round where one is due.
+func (d *daemon) handle(sheds []fireflypath.Shed) {
+	for _, s := range sheds {
+		if !s.Relief {
+			d.refuse(s)
+			continue
+		}
+		d.fleet.loop.after(hop, func() { d.relieve(s) })
+	}
+}
+
+// relieve asks the peers for lower work; the answers arrive a hop later.
+func (d *daemon) relieve(s fireflypath.Shed) {
+	freed := false
+	for _, p := range d.fleet.daemons {
+		if p == d {
+			continue
+		}
+		out := p.sched.Relieve(d.now(), s.Work.Rank, s.Tokens, nil)
+		freed = freed || len(out) > 0
+		p.handle(out)
+	}
+	d.fleet.loop.after(hop, func() {
+		if !freed {
+			d.refuse(s)
+		}
+		d.pump()
+	})
+}
+
+// refuse gives the final answer, unless the work went elsewhere meanwhile.
+func (d *daemon) refuse(s fireflypath.Shed) {
+	to := fireflypath.StateShed
+	if s.Reason == fireflypath.ReasonDeadline {
+		to = fireflypath.StateExpired
+	}
+	if !s.Work.Life.Move(fireflypath.StateWaiting, to) {
+		return
+	}
+	d.sched.Withdraw(d.now(), s.Work)
+	r := d.waits[s.Work]
+	delete(d.waits, s.Work)
+	room := s.RetryAfter > 0
+	d.fleet.tally.refused(r, to, room && d.fleet.inverted(s.Work.Rank))
+	if d.fleet.load.retries && room {
+		d.retry(r, s.RetryAfter)
+	}
+}
+
+// retry brings a refused caller back, mostly before its time.
+func (d *daemon) retry(r *request, after time.Duration) {
+	early := false
+	if r.rnd.Float64() < impatient {
+		early = true
+		after = min(after, time.Duration(r.rnd.Int64N(int64(hasty))))
+	}
+	at := d.now().Add(after)
+	if r.attempts >= attempts || !at.Before(r.deadline) {
+		return
+	}
+	d.fleet.tally.again(r)
+	d.fleet.loop.at(at, func() { d.fleet.attempt(r, early) })
+}
--- /dev/null
+++ b/internal/trial/loop.go
@@ -0,0 +1,69 @@
+package trial
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the start of virtual time; any fixed time does.
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// loop runs functions in the order of their virtual times, and of their
+// scheduling where times are equal, so that a run is repeatable.
+type loop struct {
+	now   time.Time
+	queue events
+	seq   uint64
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	n := len(old) - 1
+	x := old[n]
+	old[n] = event{}
+	*e = old[:n]
+	return x
+}
+
+// at schedules a function; times that have passed mean now.
+func (l *loop) at(t time.Time, fn func()) {
+	if t.Before(l.now) {
+		t = l.now
+	}
+	l.seq++
+	heap.Push(&l.queue, event{at: t, seq: l.seq, fn: fn})
+}
+
+func (l *loop) after(d time.Duration, fn func()) {
+	l.at(l.now.Add(d), fn)
+}
+
+// run works until the end or until nothing is left.
+func (l *loop) run(end time.Time) {
+	for len(l.queue) > 0 && !l.queue[0].at.After(end) {
+		e := heap.Pop(&l.queue).(event)
+		l.now = e.at
+		e.fn()
+	}
+}
