perf(window): learn the window from reports as well

A daemon's part of a new target's window is less than a request, so some targets were never sent anything by a daemon and their windows never grew there.

--- a/cmd/fireflypath/trial.go
+++ b/cmd/fireflypath/trial.go
@@ -91,11 +91,16 @@
 
 func printTable(w io.Writer, rows []trial.Row) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "load\tmix\tpolicy\tseed\ttier\tsent\tgoodput\trefused\texpired\tp50 ms\tp99 ms\tfirst p99\twasted\thit\tinversions\t")
+	if _, err := fmt.Fprintln(tw, "load\tmix\tpolicy\tseed\ttier\tsent\tgoodput\trefused\texpired\tp50 ms\tp99 ms\tfirst p99\twasted\thit\tinversions\t"); err != nil {
+		return err
+	}
 	for _, r := range rows {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%s\t%d\t%.4f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.4f\t%.3f\t%d\t\n",
+		_, err := fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%s\t%d\t%.4f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.4f\t%.3f\t%d\t\n",
 			r.Load, r.Mix, r.Policy, r.Seed, r.Tier, r.Sent, r.Goodput, r.Refused, r.Expired,
 			r.P50, r.P99, r.First99, r.Wasted, r.Hit, r.Inversions)
+		if err != nil {
+			return err
+		}
 	}
 	return tw.Flush()
 }
--- a/internal/decide/window/window.go
+++ b/internal/decide/window/window.go
@@ -18,7 +18,7 @@
 	start = 4
 	// usual is the batch assumed for a target that never told its own.
 	usual = 16
-	// cap bounds the window of a target whose batch is unknown.
+	// most bounds the window of a target whose batch is unknown.
 	most = 256
 	// depth is how much prefill the target may have before it. The work of
 	// the highest tier waits at most about that long behind lower work, and half a
@@ -28,6 +28,12 @@
 	// shrink is the factor when the target reports a queue of its own; it
 	// halves the window in three reports.
 	shrink = 0.8
+	// growth is the factor when a report shows the window used and no queue: from
+	// start to a full batch in four reports.
+	growth = 1.5
+	// slack is the part of a batch that may stand in prefill or before it, so
+	// that the next request is there when one ends.
+	slack = 0.25
 	// queued is the part of its batch that a target may report as waiting
 	// before the window is taken as too deep; reports are seconds old, and a
 	// short queue in them is a moment's.
@@ -60,14 +66,19 @@
 	}
 }
 
-// Report learns from the target's own statement.
+// Report learns from the target's own statement, which covers the work of all
+// daemons: one whose part of a small window is less than a request would
+// otherwise never see the window grow.
 func (w *Window) Report(r fireflypath.Report) {
 	if r.Batch > 0 {
 		w.batch = r.Batch
-		return
 	}
-	if w.batch == 0 && float64(r.Waiting) > queued*float64(max(r.Running, 1)) {
+	long := float64(r.Waiting) > queued*float64(max(r.Running, 1))
+	switch {
+	case long && w.batch == 0:
 		w.requests = max(min(w.requests*shrink, float64(r.Running)), 1)
+	case !long && 2*float64(r.Running+r.Waiting) >= w.requests:
+		w.requests = min(w.requests*growth, float64(w.limit()))
 	}
 }
 
@@ -88,7 +99,7 @@
 
 func (w *Window) limit() int {
 	if w.batch > 0 {
-		return w.batch
+		return w.batch + int(slack*float64(w.batch))
 	}
 	if w.requests > usual {
 		return most
--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -37,7 +37,6 @@
 	number int
 	sched  fireflypath.Scheduler
 	place  fireflypath.Placement
-	sheds  []fireflypath.Shed
 	wake   time.Time
 	waits  map[*fireflypath.Work]*request
 }
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -56,7 +56,6 @@
 	output int
 	hit    int
 	end    float64
-	seq    int
 	first  func(cached int)
 	done   func()
 	cut    bool
