feat(reserve): keep slots for higher tiers whose work comes in bits

Lower work took every slot in moments when no higher work waited and held it for up to half a minute. A daemon now keeps free what the tiers above need by Little's law, less what they hold.

--- /dev/null
+++ b/internal/decide/reserve/reserve.go
@@ -0,0 +1,73 @@
+// Package reserve keeps room at the targets for tiers whose work comes and goes.
+//
+// It answers long work of a low tier under a high tier that arrives in bits.
+// Whenever the high tier has nothing waiting, a strict order alone gives every
+// free slot to lower work, which may hold it for half a minute; the next
+// requests of the high tier then wait for slots while lower work runs.
+package reserve
+
+import (
+	"math"
+	"time"
+
+	"github.com/fireflypath/fireflypath/internal/decide/fair"
+	"github.com/fireflypath/fireflypath/internal/decide/rate"
+)
+
+const (
+	// horizon is how long arrivals are counted: a few times the longest run of
+	// short work.
+	horizon = 10 * time.Second
+	// smooth weighs a new holding time: about fifty requests.
+	smooth = 0.02
+	// spread is how many deviations of the number in flight are kept free; one
+	// covers five of six moments of Poisson arrivals.
+	spread = 1
+)
+
+// Reserve reckons the slots that each tier needs by Little's law: arrivals a
+// second times the time that a request holds a slot.
+type Reserve struct {
+	arrivals [fair.Ranks]rate.Meter
+	hold     [fair.Ranks]float64
+	running  [fair.Ranks]int
+}
+
+// New makes a Reserve that keeps nothing free yet.
+func New() *Reserve {
+	r := &Reserve{}
+	for i := range r.arrivals {
+		r.arrivals[i].Horizon = horizon
+	}
+	return r
+}
+
+// Arrive counts a request.
+func (r *Reserve) Arrive(now time.Time, rank int) {
+	r.arrivals[rank].Add(now, 1)
+}
+
+// Start counts a request that takes a slot.
+func (r *Reserve) Start(rank int) {
+	r.running[rank]++
+}
+
+// End counts a request that gives its slot back.
+func (r *Reserve) End(rank int, held time.Duration) {
+	r.running[rank]--
+	if r.hold[rank] == 0 {
+		r.hold[rank] = held.Seconds()
+	}
+	r.hold[rank] += smooth * (held.Seconds() - r.hold[rank])
+}
+
+// Above is the number of slots to keep free for the tiers above a rank.
+func (r *Reserve) Above(now time.Time, rank int) float64 {
+	keep := 0.0
+	for i := range rank {
+		r.arrivals[i].Pass(now, true)
+		need := r.arrivals[i].Rate() * r.hold[i]
+		keep += max(need+spread*math.Sqrt(need)-float64(r.running[i]), 0)
+	}
+	return keep
+}
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -34,7 +34,7 @@
 		if s.queue.Requests(r) == 0 {
 			continue
 		}
-		if len(s.open) == 0 {
+		if len(s.open) == 0 || s.kept(now, r) {
 			return false
 		}
 		if s.nextOf(now, r, p) {
@@ -44,6 +44,15 @@
 	return false
 }
 
+// kept is true if the free slots are kept for higher tiers. A daemon with
+// nothing in flight keeps none, so that some work always goes on.
+func (s *Sched) kept(now time.Time, r int) bool {
+	if s.flights == 0 {
+		return false
+	}
+	return float64(s.capacity-s.flights) <= s.reserve.Above(now, r)
+}
+
 // nextOf dispatches the first work of a tier that an open target can end in time.
 func (s *Sched) nextOf(now time.Time, r int, p *fireflypath.Placement) bool {
 	s.parked = s.parked[:0]
@@ -182,6 +191,7 @@
 	t.tokens += it.work.Cost.Tokens()
 	t.prefill += fresh
 	s.flights++
+	s.reserve.Start(rank(it.work))
 	s.running[rank(it.work)] += it.work.Cost.Tokens()
 	s.drain.Add(now, it.work.Cost.Tokens())
 	t.slow.Probe()
@@ -190,7 +200,7 @@
 }
 
 // land takes work out of flight.
-func (s *Sched) land(slot int32) {
+func (s *Sched) land(now time.Time, slot int32) {
 	it := &s.items[slot]
 	t := &s.targets[it.target]
 	t.requests--
@@ -199,6 +209,7 @@
 		t.prefill -= it.fresh
 	}
 	s.flights--
+	s.reserve.End(rank(it.work), now.Sub(it.sent))
 	s.running[rank(it.work)] -= it.work.Cost.Tokens()
 	s.refresh(it.target)
 }
--- a/internal/decide/sched/observe.go
+++ b/internal/decide/sched/observe.go
@@ -105,7 +105,7 @@
 	}
 	s.margin.Sample(now.Sub(it.sent), it.expected)
 	t.window.Done()
-	s.land(slot)
+	s.land(now, slot)
 	s.release(slot)
 }
 
@@ -131,7 +131,7 @@
 		return
 	}
 	s.targets[i].slow.Fail(now)
-	s.land(slot)
+	s.land(now, slot)
 	w := e.Work
 	if w.Life.State() != fireflypath.StateWaiting {
 		s.release(slot)
@@ -151,7 +151,7 @@
 		s.forgive(t)
 	}
 	if slot, ok := s.flight(i, e.Work); ok {
-		s.land(slot)
+		s.land(now, slot)
 		s.release(slot)
 	}
 }
--- a/internal/decide/sched/offer.go
+++ b/internal/decide/sched/offer.go
@@ -41,6 +41,7 @@
 		s.damper.Early(now, w.Team)
 	}
 	s.arrivals[r].Add(now, w.Cost.Tokens())
+	s.reserve.Arrive(now, r)
 	expected := s.best(w)
 	latest := s.margin.Latest(w.Deadline, expected)
 	if latest.Before(now) {
@@ -78,7 +79,7 @@
 		return true
 	case phaseFlight:
 		if st := w.Life.State(); st != fireflypath.StateDispatched {
-			s.land(slot)
+			s.land(now, slot)
 			s.release(slot)
 		}
 	case phaseFree:
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -13,6 +13,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/prefix"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
+	"github.com/fireflypath/fireflypath/internal/decide/reserve"
 	"github.com/fireflypath/fireflypath/internal/decide/retry"
 )
 
@@ -71,6 +72,9 @@
 	flights    int
 	running    [fair.Ranks]int
 
+	reserve *reserve.Reserve
+	// capacity is the sum of the limits of usable targets.
+	capacity int
 	drain    rate.Meter
 	arrivals [fair.Ranks]rate.Meter
 	// output is the learned part of the allowed output that is generated.
@@ -126,18 +130,19 @@
 		cfg.Pool.Bytes = defaultBytes
 	}
 	s := &Sched{
-		cfg:    cfg,
-		queue:  fair.New(),
-		chosen: place.New(cfg.Place, cfg.Seed),
-		index:  prefix.New(),
-		damper: retry.New(),
-		rnd:    rand.New(rand.NewPCG(cfg.Seed, 2)),
-		slots:  make(map[*fireflypath.Work]int32),
-		names:  make(map[string]int32),
-		share:  fireflypath.Share{Default: 1},
-		drain:  rate.Meter{Horizon: horizon},
-		output: 1,
-		pace:   1,
+		cfg:     cfg,
+		queue:   fair.New(),
+		chosen:  place.New(cfg.Place, cfg.Seed),
+		index:   prefix.New(),
+		damper:  retry.New(),
+		reserve: reserve.New(),
+		rnd:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		slots:   make(map[*fireflypath.Work]int32),
+		names:   make(map[string]int32),
+		share:   fireflypath.Share{Default: 1},
+		drain:   rate.Meter{Horizon: horizon},
+		output:  1,
+		pace:    1,
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].Horizon = horizon
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -36,6 +36,8 @@
 	tokens   int
 	prefill  int
 	report   fireflypath.Report
+	// slots is what the target counts for in the sum of slots.
+	slots int
 	// at is the position in the list of open targets, or -1.
 	at int32
 }
@@ -140,6 +142,7 @@
 // refresh moves a target in or out of the list of open ones.
 func (s *Sched) refresh(i int32) {
 	t := &s.targets[i]
+	s.count(t)
 	if t.slow.State() == slow.Ejected {
 		s.close(i)
 		s.quarantine(i)
@@ -155,6 +158,16 @@
 	s.close(i)
 }
 
+// count keeps the sum of the limits.
+func (s *Sched) count(t *target) {
+	n := 0
+	if t.usable() && t.slow.State() != slow.Ejected {
+		n = t.limit()
+	}
+	s.capacity += n - t.slots
+	t.slots = n
+}
+
 func (s *Sched) close(i int32) {
 	t := &s.targets[i]
 	if t.at == none {
