perf(reserve): keep free only the fast targets

A fifth of the targets ends little work with a tight deadline in time, so slots kept there helped nobody and were missing to lower work. Targets up to 2.5 times slower than the fastest count as fast; lower work may always take the others.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -34,7 +34,7 @@
 		if s.queue.Requests(r) == 0 {
 			continue
 		}
-		if len(s.open) == 0 || s.kept(now, r) {
+		if len(s.open) == 0 {
 			return false
 		}
 		if s.nextOf(now, r, p) {
@@ -44,19 +44,20 @@
 	return false
 }
 
-// kept is true if the free slots are kept for higher tiers. A daemon with
-// nothing in flight keeps none, so that some work always goes on.
+// kept is true if the free slots of the fast targets are kept for higher tiers.
+// Slow targets are not: they end little work in time that has a tight deadline.
 func (s *Sched) kept(now time.Time, r int) bool {
 	if s.flights == 0 {
 		return false
 	}
-	return float64(s.capacity-s.flights) <= s.reserve.Above(now, r)
+	return float64(s.capacity-s.busy) <= s.reserve.Above(now, r)
 }
 
 // nextOf dispatches the first work of a tier that an open target can end in time.
 func (s *Sched) nextOf(now time.Time, r int, p *fireflypath.Placement) bool {
 	s.parked = s.parked[:0]
 	found := false
+	s.keep = s.kept(now, r)
 	for !found && len(s.parked) < aside {
 		slot := s.queue.Head(r)
 		if slot == none {
@@ -99,6 +100,9 @@
 	if len(w.Prefix) > 0 {
 		key = w.Prefix[min(len(w.Prefix), 8)-1]
 	}
+	if len(s.options) == 0 {
+		return false
+	}
 	o := s.options[s.chosen.Choose(key, s.options)]
 	expected := time.Duration(o.Score * float64(time.Second))
 	if s.targets[o.Target].known() && s.margin.Latest(w.Deadline, expected).Before(now) {
@@ -162,6 +166,9 @@
 
 func (s *Sched) consider(now time.Time, i int32, w *fireflypath.Work, hit int, p *fireflypath.Placement) {
 	t := &s.targets[i]
+	if s.keep && s.fast(t) {
+		return
+	}
 	score := s.expect(now, t, w, hit)
 	if t.slow.State() == slow.Slow {
 		score *= slowPenalty
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -73,10 +73,11 @@
 	running    [fair.Ranks]int
 
 	reserve *reserve.Reserve
-	// capacity is the sum of the limits of usable targets.
-	capacity int
-	drain    rate.Meter
-	arrivals [fair.Ranks]rate.Meter
+	// capacity is the sum of the limits of usable fast targets, busy what is in
+	// flight there.
+	capacity, busy int
+	drain          rate.Meter
+	arrivals       [fair.Ranks]rate.Meter
 	// output is the learned part of the allowed output that is generated.
 	output float64
 	// fastPrefill and fastDecode are the best known speeds, 0 before any answer.
@@ -84,6 +85,8 @@
 	// pace is the average over targets of how long answers take against expected.
 	pace float64
 
+	// keep is true while fast targets are kept for tiers above the one in turn.
+	keep    bool
 	options []place.Option
 	holders []int32
 	parked  []int32
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -16,6 +16,9 @@
 	// about 5,000.
 	guessPrefill = 5000
 	guessDecode  = 27
+	// quick is how many times slower than the fastest a fast target may be. Of
+	// five generations with speeds five times apart it takes the upper three.
+	quick = 2.5
 	// block is the size of a cache block in tokens (docs/PROTOCOLS.md).
 	block = 64
 )
@@ -36,8 +39,9 @@
 	tokens   int
 	prefill  int
 	report   fireflypath.Report
-	// slots is what the target counts for in the sum of slots.
-	slots int
+	// slots and busy are what the target counts for in the sums of slots and of
+	// busy slots of fast targets.
+	slots, busy int
 	// at is the position in the list of open targets, or -1.
 	at int32
 }
@@ -158,14 +162,20 @@
 	s.close(i)
 }
 
-// count keeps the sum of the limits.
+// count keeps the sums over fast targets.
 func (s *Sched) count(t *target) {
-	n := 0
-	if t.usable() && t.slow.State() != slow.Ejected {
-		n = t.limit()
+	slots, busy := 0, 0
+	if t.usable() && t.slow.State() == slow.Ready && s.fast(t) {
+		slots, busy = t.limit(), t.requests
 	}
-	s.capacity += n - t.slots
-	t.slots = n
+	s.capacity += slots - t.slots
+	s.busy += busy - t.busy
+	t.slots, t.busy = slots, busy
+}
+
+// fast is true for a target that work with a tight deadline can use.
+func (s *Sched) fast(t *target) bool {
+	return quick*s.decodeRate(t) >= s.fastDecode
 }
 
 func (s *Sched) close(i int32) {
