fix(decide): relieve rank by rank, and bar lower work meanwhile

A request of tier 0 that expired made each daemon give up tier 1 while other daemons still held tier 2, and lower work that arrived during the round made it start over. Rounds now go from the lowest tier up, and a daemon lets no lower work wait for 50 ms after it was asked. Daemons' shares weigh the demand of a tier four times that of the next.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -22,6 +22,9 @@
 	// again is how long after a relief round work past its time is returned
 	// once more: a few round trips between daemons.
 	again = 20 * time.Millisecond
+	// press is how long after a relief round lower work is not let in to wait: a
+	// few round trips, until the daemon that asked has decided.
+	press = 50 * time.Millisecond
 )
 
 // Next chooses the next work and its target and counts it as in flight.
@@ -245,9 +248,9 @@
 	return out
 }
 
-// expire refuses work whose latest start has passed. Lower work that waits here
-// goes first, and peers are asked for theirs: a caller of a higher tier must not
-// be refused while lower work holds a place. While they are asked the work is
+// expire refuses work whose latest start has passed. If lower work may wait
+// here or at peers it has to go first: a caller of a higher tier must not be
+// refused while lower work holds a place. While peers are asked the work is
 // kept, for the owner to withdraw; it reports true then.
 func (s *Sched) expire(now time.Time, slot int32, out []fireflypath.Shed) ([]fireflypath.Shed, bool) {
 	it := &s.items[slot]
@@ -259,7 +262,6 @@
 	if now.Sub(it.asked) < again {
 		return out, true
 	}
-	out = s.Relieve(now, rank(w), everything, out)
 	sh := s.lateShed(now, w)
 	sh.Detail = fmt.Sprintf("waited %v and can no longer end in time", now.Sub(w.Arrived).Round(time.Millisecond))
 	s.items[slot].asked = now
@@ -272,6 +274,7 @@
 // Relieve gives up waiting work of lower tiers than rank, lowest first, until
 // tokens are freed.
 func (s *Sched) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
+	s.pressed, s.pressure = now.Add(press), rank
 	freed := 0
 	for freed < tokens {
 		r := s.lower(rank)
--- a/internal/decide/sched/offer.go
+++ b/internal/decide/sched/offer.go
@@ -47,6 +47,9 @@
 	if latest.Before(now) {
 		return append(out, s.hopeless(w, expected))
 	}
+	if s.barred(now, r) {
+		return append(out, s.full(now, w, false))
+	}
 	if s.late(now, w, latest) {
 		return s.refuseLate(now, w, out)
 	}
@@ -61,6 +64,14 @@
 	return s.bound(now, out)
 }
 
+// barred is true for work below a tier that was just relieved here. Without it
+// the daemon that asked for relief would refuse its work while newly arrived
+// lower work waits, and would have to ask again. Work that might be dispatched
+// at once is barred too: whether it would be is known only after it was let in.
+func (s *Sched) barred(now time.Time, r int) bool {
+	return r > s.pressure && now.Before(s.pressed)
+}
+
 // Withdraw removes waiting work; it reports false if it was not waiting here.
 // Work that Next returned, but that its owner did not send, is forgotten.
 func (s *Sched) Withdraw(now time.Time, w *fireflypath.Work) bool {
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -85,6 +85,9 @@
 	// pace is the average over targets of how long answers take against expected.
 	pace float64
 
+	// pressed is until when work of ranks below pressure may not wait.
+	pressed  time.Time
+	pressure int
 	// keep is true while fast targets are kept for tiers above the one in turn.
 	keep    bool
 	options []place.Option
--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -113,26 +113,35 @@
 			d.refuse(s)
 			continue
 		}
-		d.fleet.loop.after(hop, func() { d.relieve(s) })
+		d.ask(s, len(d.fleet.mix.Tiers)-2, false)
 	}
 }
 
-// relieve asks the peers for lower work; the answers arrive a hop later.
-func (d *daemon) relieve(s fireflypath.Shed) {
-	freed := false
-	for _, p := range d.fleet.daemons {
-		if p == d {
-			continue
-		}
-		out := p.sched.Relieve(d.now(), s.Work.Rank, s.Tokens, nil)
-		freed = freed || len(out) > 0
-		p.handle(out)
-	}
+// ask is a relief round: it asks the peers for their work of the lowest tier,
+// then of the next, up to the one below the work's, so that no tier gives way
+// before all daemons have given up the ones below it. Each question takes a
+// hop and each answer another.
+func (d *daemon) ask(s fireflypath.Shed, rank int, freed bool) {
 	d.fleet.loop.after(hop, func() {
-		if !freed {
-			d.refuse(s)
+		for _, p := range d.fleet.daemons {
+			if p == d && rank == s.Work.Rank {
+				continue
+			}
+			out := p.sched.Relieve(d.now(), rank, s.Tokens, nil)
+			freed = freed || len(out) > 0
+			p.handle(out)
 		}
-		d.pump()
+		d.fleet.loop.after(hop, func() {
+			if rank > s.Work.Rank {
+				d.ask(s, rank-1, freed)
+				return
+			}
+			if !freed {
+				d.handle(d.sched.Relieve(d.now(), rank, s.Tokens, nil))
+				d.refuse(s)
+			}
+			d.pump()
+		})
 	})
 }
 
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -26,6 +27,9 @@
 	exchange = time.Second
 	// tail is how long a run goes on after the last arrival.
 	tail = 4 * time.Minute
+	// tierWeight is how much more the demand of a tier counts than that of the
+	// next lower one.
+	tierWeight = 4
 	// minShare is the part of the windows that is split evenly, so that a burst
 	// starts at once at a daemon that had no work.
 	minShare = 0.25
@@ -143,7 +147,8 @@
 	for i, d := range f.daemons {
 		line := d.sched.Demand(f.loop.now)
 		for r := range line.Waiting {
-			demand[i] += float64(line.Waiting[r] + line.Running[r])
+			weight := math.Pow(tierWeight, float64(len(line.Waiting)-1-r))
+			demand[i] += weight * float64(line.Waiting[r]+line.Running[r])
 		}
 		sum += demand[i]
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -49,8 +49,13 @@
 	// Detail names the bound that was met, with its figures.
 	Detail string
 	// Relief is true if peers may hold lower waiting work, so that the owner
-	// must ask them before it refuses. The work still waits meanwhile: the owner
-	// withdraws it when all peers have answered none, and else leaves it.
+	// must ask them before it refuses. The work still waits meanwhile. The owner
+	// asks all peers and its own Scheduler to relieve the lowest configured tier's
+	// neighbour first, then each rank up to the work's own, so that no tier gives
+	// way before all daemons have given up the ones below it. If peers freed
+	// nothing, the owner relieves its own Scheduler for the work's rank, and then
+	// refuses and withdraws the work; else it leaves it, and the Scheduler returns
+	// it again if it must.
 	Relief bool
 	// Tokens is how much lower work the owner asks the peers to give up, if Relief.
 	Tokens int
