feat(long): bound the long prefills that a daemon has in flight

Nine daemons each had a long prompt in flight at most targets, and short work queued behind them inside the engines. Prefills above 0.4 s now wait at the daemon while those in flight exceed its part of one second for each target, and shorter work passes.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -123,9 +123,14 @@
 	if !s.holds(o.Target) {
 		hit = 0
 	}
+	fresh := max(w.Cost.Prompt-hit, 0)
+	seconds := float64(fresh) / s.prefillRate(t)
+	if s.long.Long(seconds) && !s.long.Open(s.parts) {
+		return false
+	}
 	s.queue.Serve(slot)
 	s.unschedule(slot)
-	s.depart(now, slot, o.Target, max(w.Cost.Prompt-hit, 0), expected)
+	s.depart(now, slot, o.Target, fresh, expected)
 	p.Work = w
 	p.Target = t.Name
 	p.Waited = now.Sub(w.Arrived)
@@ -235,6 +240,10 @@
 	t.tokens += it.work.Cost.Tokens()
 	t.prefill += fresh
 	t.filling++
+	if sec := float64(fresh) / s.prefillRate(t); s.long.Long(sec) {
+		it.long = sec
+		s.long.Start(sec)
+	}
 	s.prompt += blend * (float64(fresh) - s.prompt)
 	s.flights++
 	s.reserve.Start(rank(it.work))
@@ -245,6 +254,15 @@
 	s.refresh(target)
 }
 
+// filled ends the prefill of work in flight.
+func (s *Sched) filled(it *item, t *target) {
+	t.prefill -= it.fresh
+	t.filling--
+	if it.long > 0 {
+		s.long.End(it.long)
+	}
+}
+
 // land takes work out of flight.
 func (s *Sched) land(now time.Time, slot int32) {
 	it := &s.items[slot]
@@ -252,8 +270,7 @@
 	t.requests--
 	t.tokens -= it.work.Cost.Tokens()
 	if it.first.IsZero() {
-		t.prefill -= it.fresh
-		t.filling--
+		s.filled(it, t)
 	}
 	s.flights--
 	s.reserve.End(rank(it.work), now.Sub(it.sent))
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -10,6 +10,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/deadline"
 	"github.com/fireflypath/fireflypath/internal/decide/fair"
+	"github.com/fireflypath/fireflypath/internal/decide/long"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/prefix"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
@@ -90,6 +91,9 @@
 	// pressed is until when work of ranks below pressure may not wait.
 	pressed  time.Time
 	pressure int
+	long     long.Gate
+	// parts is the sum of this daemon's parts of the usable targets.
+	parts float64
 	// keep is true while fast targets are kept for tiers above the one in turn.
 	keep    bool
 	options []place.Option
@@ -121,11 +125,13 @@
 	asked time.Time
 	// target, sent, first, fresh, before and expected describe the flight:
 	// fresh is the prompt to prefill, before what stood before it from here.
-	target   int32
-	sent     time.Time
-	first    time.Time
-	fresh    int
-	before   int
+	target int32
+	sent   time.Time
+	first  time.Time
+	fresh  int
+	before int
+	// long is the prefill in seconds if it counts as long, else 0.
+	long     float64
 	expected time.Duration
 }
 
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -44,6 +44,8 @@
 	// slots and busy are what the target counts for in the sums of slots and of
 	// busy slots of fast targets.
 	slots, busy int
+	// counted is what the target counts for in the sum of parts.
+	counted float64
 	// at is the position in the list of open targets, or -1.
 	at int32
 }
@@ -164,8 +166,14 @@
 	s.close(i)
 }
 
-// count keeps the sums over fast targets.
+// count keeps the sums over targets.
 func (s *Sched) count(t *target) {
+	part := 0.0
+	if t.usable() && t.slow.State() != slow.Ejected {
+		part = t.part
+	}
+	s.parts += part - t.counted
+	t.counted = part
 	slots, busy := 0, 0
 	if t.usable() && t.slow.State() == slow.Ready && s.fast(t) {
 		slots, busy = t.limit(), t.requests
