--- /dev/null
+++ b/cmd/fireflypathd/run.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/fireflypath/fireflypath/internal/daemon"
+	"github.com/fireflypath/fireflypath/pkg/settings"
+)
+
+// defaultLimit is above the longest answers, which take minutes.
+const defaultLimit = 5 * time.Minute
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "run",
+		Usage:  "serve until a signal; a second signal ends a planned stop",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	cfg, err := settings.Load(c.String("settings"))
+	if err != nil {
+		return input{err}
+	}
+	log, err := logger(cfg.Log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.New(*cfg, daemon.Deps{Log: log})
+	if err != nil {
+		return input{err}
+	}
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	s := <-signals
+	log.Info("planned stop", zap.Stringer("signal", s))
+	return stop(ctx, d, cfg.Stop.Limit.Std(), signals)
+}
+
+// stop gives requests in progress until the limit or a second signal.
+func stop(ctx context.Context, d *daemon.Daemon, limit time.Duration, signals <-chan os.Signal) error {
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return errors.Wrap(d.Stop(ctx), "stop")
+}
+
+func logger(level string) (*zap.Logger, error) {
+	if level == "" {
+		level = "info"
+	}
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, input{err}
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(l)
+	return cfg.Build()
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,241 @@
+// Package caller serves requests over HTTP.
+package caller
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/caller/departures"
+	"github.com/fireflypath/fireflypath/internal/route/refuse"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+	"github.com/fireflypath/fireflypath/pkg/settings"
+)
+
+const (
+	headerID         = "Fireflypath-Request"
+	headerTier       = "Fireflypath-Tier"
+	headerDeadline   = "Fireflypath-Deadline"
+	headerIdempotent = "Fireflypath-Idempotent"
+	headerKey        = "Idempotency-Key"
+	bearer           = "Bearer "
+)
+
+const (
+	// defaultBody holds a prompt of a million tokens at 4 bytes each.
+	defaultBody = 4 << 20
+	// defaultHeader is the bound that most servers have.
+	defaultHeader = 16 << 10
+	// readTimeout ends a request that trickles in: one held open for each
+	// connection would keep others out.
+	readTimeout = 30 * time.Second
+	// idleTimeout is above the keep-alive time of common balancers (60 s), so
+	// that the balancer closes first and never sends into a closed connection.
+	idleTimeout = 75 * time.Second
+)
+
+// Route runs a request and sets its reply.
+type Route interface {
+	Serve(ctx context.Context, r *request.Request)
+}
+
+// Server is the callers' front door.
+type Server struct {
+	route  Route
+	gone   *departures.Departures
+	server *fasthttp.Server
+}
+
+// New returns a server that does not listen yet.
+func New(route Route, gone *departures.Departures, limits settings.Limits) *Server {
+	s := &Server{route: route, gone: gone}
+	app := fiber.New(fiber.Config{CaseSensitive: true, StrictRouting: true, DisableHeadAutoRegister: true})
+	app.Post("/v1/completions", s.completions)
+	app.Post("/v1/chat/completions", s.completions)
+	app.All("/services/:pool", s.services)
+	app.All("/services/:pool/*", s.services)
+	app.Use(s.unknown)
+	s.server = &fasthttp.Server{
+		Handler:                       app.Handler(),
+		ErrorHandler:                  unreadable,
+		Name:                          "fireflypath",
+		ReadBufferSize:                orDefault(limits.Header, defaultHeader),
+		MaxRequestBodySize:            orDefault(limits.Body, defaultBody),
+		ReadTimeout:                   readTimeout,
+		IdleTimeout:                   idleTimeout,
+		NoDefaultContentType:          true,
+		DisablePreParseMultipartForm:  true,
+		CloseOnShutdown:               true,
+		SecureErrorLogMessage:         true,
+		DisableHeaderNamesNormalizing: false,
+		Logger:                        silent{},
+	}
+	return s
+}
+
+func orDefault(n, d int) int {
+	if n == 0 {
+		return d
+	}
+	return n
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.server.Serve(ln)
+}
+
+// Shutdown takes no more requests and waits for those held.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.server.ShutdownWithContext(ctx)
+}
+
+func (s *Server) completions(c fiber.Ctx) error {
+	r := inbound(c.RequestCtx())
+	r.Inbound.Path = string(c.RequestCtx().Path())
+	s.serve(c.RequestCtx(), r)
+	return nil
+}
+
+func (s *Server) services(c fiber.Ctx) error {
+	r := inbound(c.RequestCtx())
+	rest := strings.TrimPrefix(r.Inbound.Path, "/services/")
+	pool, path, _ := strings.Cut(rest, "/")
+	pool, query, hasQuery := strings.Cut(pool, "?")
+	r.Inbound.Service = pool
+	r.Inbound.Rest = "/" + path
+	if hasQuery {
+		r.Inbound.Rest = "/?" + query
+	}
+	r.Inbound.Header = endToEnd(&c.RequestCtx().Request.Header)
+	s.serve(c.RequestCtx(), r)
+	return nil
+}
+
+func (s *Server) unknown(c fiber.Ctx) error {
+	write(c.RequestCtx(), refuse.Reply(&fireflypath.Refusal{
+		Code: fireflypath.ReasonNoPool, Detail: "no call has this path and method", Run: fireflypath.RunNo,
+	}))
+	return nil
+}
+
+// inbound copies what a request needs longer than its connection's buffers.
+func inbound(c *fasthttp.RequestCtx) *request.Request {
+	h := &c.Request.Header
+	r := &request.Request{}
+	r.Inbound = request.Inbound{
+		Method:     string(h.Method()),
+		Path:       string(h.RequestURI()),
+		Token:      token(h.Peek(fasthttp.HeaderAuthorization)),
+		Tier:       string(h.Peek(headerTier)),
+		Deadline:   string(h.Peek(headerDeadline)),
+		Idempotent: string(h.Peek(headerIdempotent)),
+		Key:        string(h.Peek(headerKey)),
+		Body:       c.Request.Body(),
+	}
+	return r
+}
+
+func token(h []byte) string {
+	t, ok := strings.CutPrefix(string(h), bearer)
+	if !ok {
+		return ""
+	}
+	return t
+}
+
+// own lists the headers that end here: they belong to this connection or are
+// meant for this daemon.
+var own = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Host": true, "Authorization": true, "X-Request-Id": true, "Expect": true,
+	headerTier: true, headerDeadline: true, headerIdempotent: true, headerKey: true,
+}
+
+func endToEnd(h *fasthttp.RequestHeader) map[string]string {
+	out := map[string]string{}
+	for k, v := range h.All() {
+		if !own[string(k)] {
+			out[string(k)] = string(v)
+		}
+	}
+	return out
+}
+
+func (s *Server) serve(c *fasthttp.RequestCtx, r *request.Request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	held := s.gone.Add(c.Conn(), cancel)
+	s.route.Serve(ctx, r)
+	c.Response.Header.Set(headerID, r.Work.ID)
+	if r.Reply.Stream != nil {
+		r.Reply.Stream = &watched{ReadCloser: r.Reply.Stream, end: func() {
+			s.gone.Remove(held)
+			cancel()
+		}}
+		write(c, r.Reply)
+		return
+	}
+	s.gone.Remove(held)
+	cancel()
+	write(c, r.Reply)
+}
+
+func write(c *fasthttp.RequestCtx, r request.Reply) {
+	c.SetStatusCode(r.Status)
+	for k, v := range r.Header {
+		c.Response.Header.Set(k, v)
+	}
+	if r.Stream != nil {
+		c.SetBodyStream(r.Stream, r.Length)
+		return
+	}
+	c.SetBody(r.Body)
+}
+
+// unreadable answers what the library could not parse.
+func unreadable(c *fasthttp.RequestCtx, err error) {
+	ref := &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: "the request is not HTTP", Run: fireflypath.RunNo}
+	reply := refuse.Reply(ref)
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case asSmall(err, &small):
+		ref.Code, ref.Detail = fireflypath.ReasonTooLarge, "the header is above the limit"
+		reply = refuse.Reply(ref)
+		reply.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case err == fasthttp.ErrBodyTooLarge: //nolint:errorlint // the library compares so, too
+		ref.Code, ref.Detail = fireflypath.ReasonTooLarge, "the body is above the limit"
+		reply = refuse.Reply(ref)
+	}
+	write(c, reply)
+	c.SetConnectionClose()
+}
+
+// silent keeps the library's lines out of the log: they are counters here.
+type silent struct{}
+
+// Printf does nothing.
+func (silent) Printf(string, ...any) {}
+
+// Crowded answers a connection above the limit and closes it.
+func Crowded(c net.Conn) {
+	defer c.Close()
+	reply := refuse.Reply(&fireflypath.Refusal{
+		Code: fireflypath.ReasonFull, Detail: "too many connections", Run: fireflypath.RunNo, RetryAfter: time.Second,
+	})
+	var resp fasthttp.Response
+	resp.SetStatusCode(reply.Status)
+	for k, v := range reply.Header {
+		resp.Header.Set(k, v)
+	}
+	resp.SetConnectionClose()
+	resp.SetBody(reply.Body)
+	if c.SetDeadline(time.Now().Add(time.Second)) == nil {
+		_, _ = resp.WriteTo(c)
+	}
+}
--- /dev/null
+++ b/internal/caller/departures/departures.go
@@ -0,0 +1,113 @@
+// Package departures notices callers that close their connection while their request is held.
+package departures
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+// every is the time between two looks. Requests that end sooner cost none; a
+// caller's leaving frees its place at most this much later.
+const every = 50 * time.Millisecond
+
+// Departures looks at the sockets of held requests.
+//
+// The server library reads nothing while a request is held, so a caller that
+// left would be noticed only when its answer is written. Until then its work
+// would wait, be dispatched and run for nobody. The kernel knows: POLLRDHUP
+// tells that the other side has closed, and reads no byte of a next request.
+type Departures struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	held  map[*Held]struct{}
+}
+
+// Held is one request whose caller is watched.
+type Held struct {
+	raw  syscall.RawConn
+	left func()
+}
+
+// New returns Departures that watch nobody.
+func New(clock clockwork.Clock) *Departures {
+	return &Departures{clock: clock, held: map[*Held]struct{}{}}
+}
+
+// Add watches the connection and calls left once if the caller closes it.
+func (d *Departures) Add(c net.Conn, left func()) *Held {
+	for {
+		inner, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = inner.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	h := &Held{raw: raw, left: left}
+	d.mu.Lock()
+	d.held[h] = struct{}{}
+	d.mu.Unlock()
+	return h
+}
+
+// Remove ends the watch; nil is allowed.
+func (d *Departures) Remove(h *Held) {
+	if h == nil {
+		return
+	}
+	d.mu.Lock()
+	delete(d.held, h)
+	d.mu.Unlock()
+}
+
+// Run looks until the context ends.
+func (d *Departures) Run(ctx context.Context) {
+	t := d.clock.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.Chan():
+			d.look()
+		}
+	}
+}
+
+func (d *Departures) look() {
+	d.mu.Lock()
+	held := make([]*Held, 0, len(d.held))
+	for h := range d.held {
+		held = append(held, h)
+	}
+	d.mu.Unlock()
+	for _, h := range held {
+		if h.closed() {
+			d.Remove(h)
+			h.left()
+		}
+	}
+}
+
+func (h *Held) closed() bool {
+	closed := false
+	err := h.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0
+	})
+	return closed || err != nil
+}
--- /dev/null
+++ b/internal/caller/door/door.go
@@ -0,0 +1,129 @@
+// Package door is a listener that knows its connections.
+package door
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// stall bounds a write that makes no progress: a caller that reads nothing for
+// so long is gone, and holds a target's answer open.
+const stall = 60 * time.Second
+
+// Door accepts at most a number of connections at once.
+type Door struct {
+	net.Listener
+	limit  int
+	refuse func(net.Conn)
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	killed bool
+}
+
+// New wraps the listener. A connection above the limit is given to refuse,
+// which answers and closes it; a limit of 0 means none.
+func New(ln net.Listener, limit int, refuse func(net.Conn)) *Door {
+	return &Door{Listener: ln, limit: limit, refuse: refuse, conns: map[*conn]struct{}{}}
+}
+
+// Accept waits for the next connection below the limit.
+func (d *Door) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if t, ok := d.admit(c); ok {
+			return t, nil
+		}
+	}
+}
+
+func (d *Door) admit(c net.Conn) (net.Conn, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.killed {
+		c.Close()
+		return nil, false
+	}
+	if d.limit > 0 && len(d.conns) >= d.limit {
+		go d.refuse(c)
+		return nil, false
+	}
+	t := &conn{Conn: c, door: d}
+	d.conns[t] = struct{}{}
+	return t, true
+}
+
+// Open is the number of open connections.
+func (d *Door) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns)
+}
+
+// Kill closes the listener and all connections at once.
+func (d *Door) Kill() error {
+	err := d.Close()
+	d.mu.Lock()
+	d.killed = true
+	conns := make([]*conn, 0, len(d.conns))
+	for c := range d.conns {
+		conns = append(conns, c)
+	}
+	d.mu.Unlock()
+	for _, c := range conns {
+		c.abort()
+	}
+	return errors.Wrap(err, "close listener")
+}
+
+func (d *Door) remove(c *conn) {
+	d.mu.Lock()
+	delete(d.conns, c)
+	d.mu.Unlock()
+}
+
+// conn leaves the door's count when it closes.
+type conn struct {
+	net.Conn
+	door  *Door
+	once  sync.Once
+	armed time.Time
+}
+
+// NetConn is the connection below.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// Write fails if the other side takes nothing for long. The deadline is moved
+// only now and then: setting it costs more than a small write.
+func (c *conn) Write(b []byte) (int, error) {
+	if now := time.Now(); now.Sub(c.armed) > stall/4 {
+		c.armed = now
+		if err := c.SetWriteDeadline(now.Add(stall)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Close leaves the count.
+func (c *conn) Close() error {
+	c.once.Do(func() { c.door.remove(c) })
+	return c.Conn.Close()
+}
+
+// abort ends the connection without sending what is buffered, like a process
+// that died.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,161 @@
+// Package daemon assembles a daemon as an ordered list of start steps.
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/caller"
+	"github.com/fireflypath/fireflypath/internal/caller/departures"
+	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/service"
+	"github.com/fireflypath/fireflypath/pkg/settings"
+)
+
+// Deps are what tests and demos put in place of the real parts; a start step
+// makes each that is nil.
+type Deps struct {
+	Store     fireflypath.Store
+	Hosts     fireflypath.Hosts
+	Configs   fireflypath.Configs
+	Committer fireflypath.Committer
+	Members   fireflypath.Members
+	Relief    fireflypath.Relief
+	Recorder  fireflypath.Recorder
+	Scheduler func(fireflypath.Pool) fireflypath.Scheduler
+	Clock     clockwork.Clock
+	Log       *zap.Logger
+	// Operator adds calls to the operators' endpoint.
+	Operator []func(*fiber.App)
+	// Leaving spreads to peers that a target takes no more work.
+	Leaving func(target, why string)
+}
+
+// Daemon is one process's worth of the system. The steps fill its fields in
+// their order and empty them in the reverse one.
+type Daemon struct {
+	cfg   settings.Settings
+	deps  Deps
+	steps []step
+	// started is the number of steps that ran.
+	started int
+
+	// ctx ends with the daemon; background work runs in work.
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   conc.WaitGroup
+
+	pools    *pools.Pools
+	engine   *engine.Engine
+	service  *service.Service
+	route    *route.Route
+	gone     *departures.Departures
+	callers  *caller.Server
+	front    *door.Door
+	operator *fiber.App
+	back     *door.Door
+	ready    atomic.Bool
+}
+
+// step is one part of starting. Stop undoes Run, within the context's time.
+type step interface {
+	String() string
+	Run(ctx context.Context, d *Daemon) error
+	Stop(ctx context.Context, d *Daemon) error
+}
+
+// steps are run from top to bottom at the start, and stopped from the bottom up.
+func steps() []step {
+	return []step{
+		basics{},
+		platformClient{},
+		configuration{},
+		scheduling{},
+		membership{},
+		backends{},
+		theRoute{},
+		operatorEndpoint{},
+		callerListener{},
+		readiness{},
+	}
+}
+
+// New returns a daemon that has not started.
+func New(cfg settings.Settings, deps Deps) (*Daemon, error) {
+	if err := settings.Check(&cfg); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Daemon{cfg: cfg, deps: deps, steps: steps(), ctx: ctx, cancel: cancel}, nil
+}
+
+// Start runs the steps. If one fails, those before it are stopped.
+func (d *Daemon) Start(ctx context.Context) error {
+	for _, s := range d.steps {
+		if err := s.Run(ctx, d); err != nil {
+			return errors.CombineErrors(errors.Wrapf(err, "start %s", s), d.Stop(ctx))
+		}
+		d.started++
+	}
+	d.deps.Log.Info("started",
+		zap.String("name", d.cfg.Name), zap.String("callers", d.CallerAddr()), zap.String("operators", d.OperatorAddr()))
+	return nil
+}
+
+// Stop ends the daemon in order: it finishes what it holds until the context
+// ends, and then refuses what still waits.
+func (d *Daemon) Stop(ctx context.Context) error {
+	var all error
+	for d.started > 0 {
+		d.started--
+		s := d.steps[d.started]
+		if err := s.Stop(ctx, d); err != nil {
+			all = errors.CombineErrors(all, errors.Wrapf(err, "stop %s", s))
+		}
+	}
+	d.cancel()
+	d.work.Wait()
+	return all
+}
+
+// Kill ends the daemon like a crash: nothing is finished and nobody is told.
+func (d *Daemon) Kill() {
+	d.cancel()
+	_ = d.front.Kill()
+	_ = d.back.Kill()
+	d.pools.Stop(fireflypath.Refusal{Code: fireflypath.ReasonStopping, Detail: "killed"})
+	d.work.Wait()
+}
+
+// Ready reports whether the daemon takes requests.
+func (d *Daemon) Ready() bool {
+	return d.ready.Load()
+}
+
+// CallerAddr is the address that callers use.
+func (d *Daemon) CallerAddr() string {
+	return addr(d.front)
+}
+
+// OperatorAddr is the address that operators use.
+func (d *Daemon) OperatorAddr() string {
+	return addr(d.back)
+}
+
+func addr(ln net.Listener) string {
+	if dr, ok := ln.(*door.Door); ok && dr == nil {
+		return ""
+	}
+	return ln.Addr().String()
+}
--- /dev/null
+++ b/internal/daemon/steps.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/caller"
+	"github.com/fireflypath/fireflypath/internal/caller/departures"
+	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/decide/fifo"
+	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/service"
+)
+
+const (
+	// defaultSilence is many times the pause between two tokens and short
+	// against a minute, the usual patience of callers.
+	defaultSilence = 10 * time.Second
+	// serviceSilence is how many times longer a plain service may be silent: it
+	// cannot be asked again, so a wrong guess loses an answer.
+	serviceSilence = 12
+	// defaultBuffer holds the largest event seen in completions APIs many times.
+	defaultBuffer = 256 << 10
+	// defaultConnections is about the connections of a balancer's pools at 100
+	// times today's rate for one entry host.
+	defaultConnections = 8192
+	// flush is for writing the refusals at the end of a planned stop.
+	flush = time.Second
+)
+
+// basics fills in the clock and the log.
+type basics struct{}
+
+func (basics) String() string { return "basics" }
+
+func (basics) Run(ctx context.Context, d *Daemon) error {
+	if d.deps.Clock == nil {
+		d.deps.Clock = clockwork.NewRealClock()
+	}
+	if d.deps.Log == nil {
+		d.deps.Log = zap.NewNop()
+	}
+	return nil
+}
+
+func (basics) Stop(context.Context, *Daemon) error { return nil }
+
+// platformClient connects the Store and the host list.
+type platformClient struct{}
+
+func (platformClient) String() string { return "platform client" }
+
+func (platformClient) Run(ctx context.Context, d *Daemon) error { return nil }
+
+func (platformClient) Stop(context.Context, *Daemon) error { return nil }
+
+// configuration finds the configuration in force.
+type configuration struct{}
+
+func (configuration) String() string { return "configuration" }
+
+func (configuration) Run(ctx context.Context, d *Daemon) error {
+	if d.deps.Configs != nil {
+		return nil
+	}
+	if d.cfg.Initial == nil {
+		return errors.New("neither a platform service nor an initial configuration is set")
+	}
+	d.deps.Configs = newFixed(d.cfg.Initial)
+	return nil
+}
+
+func (configuration) Stop(context.Context, *Daemon) error { return nil }
+
+// scheduling makes the pools and keeps them as the configuration says.
+type scheduling struct{}
+
+func (scheduling) String() string { return "scheduling" }
+
+func (scheduling) Run(ctx context.Context, d *Daemon) error {
+	if d.deps.Scheduler == nil {
+		d.deps.Scheduler = func(p fireflypath.Pool) fireflypath.Scheduler { return fifo.New(p) }
+	}
+	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
+	d.pools.Apply(d.deps.Configs.Current())
+	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
+	return nil
+}
+
+func (scheduling) Stop(ctx context.Context, d *Daemon) error {
+	d.pools.Stop(stopping)
+	return nil
+}
+
+// membership joins the other daemons.
+type membership struct{}
+
+func (membership) String() string { return "membership" }
+
+func (membership) Run(ctx context.Context, d *Daemon) error { return nil }
+
+func (membership) Stop(context.Context, *Daemon) error { return nil }
+
+// backends makes the clients towards targets.
+type backends struct{}
+
+func (backends) String() string { return "backends" }
+
+func (backends) Run(ctx context.Context, d *Daemon) error {
+	silence := d.cfg.Limits.Silence.Std()
+	if silence == 0 {
+		silence = defaultSilence
+	}
+	buffer := d.cfg.Limits.Buffer
+	if buffer == 0 {
+		buffer = defaultBuffer
+	}
+	d.engine = engine.New(d.deps.Clock, silence, buffer)
+	d.service = service.New(d.deps.Clock, serviceSilence*silence)
+	return nil
+}
+
+func (backends) Stop(ctx context.Context, d *Daemon) error {
+	d.engine.Close()
+	d.service.Close()
+	return nil
+}
+
+// theRoute puts the request's steps together.
+type theRoute struct{}
+
+func (theRoute) String() string { return "route" }
+
+func (theRoute) Run(ctx context.Context, d *Daemon) error {
+	d.route = route.New(route.Deps{
+		Name:    d.cfg.Name,
+		Clock:   d.deps.Clock,
+		Configs: d.deps.Configs,
+		Pools:   d.pools,
+		Backends: map[fireflypath.Kind]fireflypath.Backend{
+			fireflypath.KindEngine:  d.engine,
+			fireflypath.KindService: d.service,
+		},
+		Recorder: d.deps.Recorder,
+		Leaving:  d.leaving,
+	})
+	return nil
+}
+
+func (theRoute) Stop(context.Context, *Daemon) error { return nil }
+
+// leaving ends new work to a target here and tells the peers.
+func (d *Daemon) leaving(target, why string) {
+	d.pools.TargetLeaving(target, why)
+	if d.deps.Leaving != nil {
+		d.deps.Leaving(target, why)
+	}
+}
+
+// operatorEndpoint serves health, metrics, queries and commands.
+type operatorEndpoint struct{}
+
+func (operatorEndpoint) String() string { return "operator endpoint" }
+
+func (operatorEndpoint) Run(ctx context.Context, d *Daemon) error {
+	ln, err := net.Listen("tcp", d.cfg.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	d.back = door.New(ln, 0, nil)
+	d.operator = fiber.New(fiber.Config{})
+	d.operator.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	d.operator.Get("/readyz", d.readyz)
+	for _, add := range d.deps.Operator {
+		add(d.operator)
+	}
+	d.work.Go(func() {
+		_ = d.operator.Listener(d.back, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	return nil
+}
+
+func (operatorEndpoint) Stop(ctx context.Context, d *Daemon) error {
+	return d.back.Kill()
+}
+
+func (d *Daemon) readyz(c fiber.Ctx) error {
+	if !d.Ready() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// callerListener lets requests in.
+type callerListener struct{}
+
+func (callerListener) String() string { return "caller listener" }
+
+func (callerListener) Run(ctx context.Context, d *Daemon) error {
+	ln, err := net.Listen("tcp", d.cfg.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	limit := d.cfg.Limits.Connections
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	d.front = door.New(ln, limit, caller.Crowded)
+	d.gone = departures.New(d.deps.Clock)
+	d.callers = caller.New(d.route, d.gone, d.cfg.Limits)
+	d.work.Go(func() { d.gone.Run(d.ctx) })
+	d.work.Go(func() { _ = d.callers.Serve(d.front) })
+	return nil
+}
+
+// stopping is the refusal of what still waits when a planned stop ends.
+var stopping = fireflypath.Refusal{
+	Code: fireflypath.ReasonStopping, Detail: "the daemon stops", RetryAfter: flush,
+}
+
+// Stop finishes the requests held. What still waits when the context ends is
+// refused, and what still runs is cut, so that its caller sees the cut.
+func (callerListener) Stop(ctx context.Context, d *Daemon) error {
+	err := d.callers.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	d.pools.Stop(stopping)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), flush)
+	defer cancel()
+	if d.callers.Shutdown(last) == nil {
+		return nil
+	}
+	return d.front.Kill()
+}
+
+// readiness is the last thing up and the first down.
+type readiness struct{}
+
+func (readiness) String() string { return "readiness" }
+
+func (readiness) Run(ctx context.Context, d *Daemon) error {
+	d.ready.Store(true)
+	return nil
+}
+
+func (readiness) Stop(ctx context.Context, d *Daemon) error {
+	d.ready.Store(false)
+	return nil
+}
--- /dev/null
+++ b/internal/route/classify/classify.go
@@ -0,0 +1,121 @@
+// Package classify finds the pool of a request and estimates its cost.
+package classify
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+const (
+	// tokenBytes is the length of prompt text taken for one token (docs/PROTOCOLS.md).
+	tokenBytes = 4
+	// defaultOutput is the output expected of callers that name no bound; it
+	// is the common default of completions APIs, rounded up to a power of two.
+	defaultOutput = 256
+	// maxOutput bounds what a caller may ask for: no engine holds more.
+	maxOutput = 1 << 20
+	// maxModel bounds a model's name, which records keep.
+	maxModel = 256
+)
+
+// Classify is the step that reads the body of model work.
+type Classify struct{}
+
+// New returns the step.
+func New() *Classify {
+	return &Classify{}
+}
+
+// String names the step.
+func (*Classify) String() string {
+	return "classify"
+}
+
+// Run sets the pool, the cost, the prefix and the call.
+func (*Classify) Run(_ context.Context, r *request.Request) error {
+	r.Call.ID = r.Work.ID
+	r.Call.Method = r.Inbound.Method
+	r.Call.Key = r.Inbound.Key
+	r.Work.Bytes = len(r.Inbound.Body)
+	if r.Inbound.Service != "" {
+		return service(r)
+	}
+	return engine(r)
+}
+
+func service(r *request.Request) error {
+	p := r.Catalog.Pool(r.Inbound.Service)
+	if p == nil || p.Kind != fireflypath.KindService {
+		return refuse(fireflypath.ReasonNoPool, "no service pool has this name")
+	}
+	r.Call.Path = r.Inbound.Rest
+	r.Call.Header = r.Inbound.Header
+	r.Call.Body = r.Inbound.Body
+	r.Work.Cost = fireflypath.Cost{Prompt: 1}
+	return use(r, p)
+}
+
+// body is what is read of a completions call.
+type body struct {
+	Model    string          `json:"model"`
+	Stream   json.RawMessage `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages []message       `json:"messages"`
+	Max      *int            `json:"max_tokens"`
+}
+
+type message struct {
+	Content json.RawMessage `json:"content"`
+}
+
+func engine(r *request.Request) error {
+	var b body
+	if err := json.Unmarshal(r.Inbound.Body, &b); err != nil {
+		return refuse(fireflypath.ReasonMalformed, "the body is not a completions call in JSON: "+err.Error())
+	}
+	p := r.Catalog.Model(b.Model)
+	if p == nil || len(b.Model) > maxModel {
+		return refuse(fireflypath.ReasonNoPool, "no pool serves the model")
+	}
+	if b.Max != nil && (*b.Max < 0 || *b.Max > maxOutput) {
+		return refuse(fireflypath.ReasonMalformed, "max_tokens is out of range")
+	}
+	text, ok := b.text()
+	if !ok {
+		return refuse(fireflypath.ReasonMalformed, "the prompt is neither a text nor a list of messages")
+	}
+	if err := stream(r, &b); err != nil {
+		return err
+	}
+	r.Call.Path = r.Inbound.Path
+	r.Work.Model = b.Model
+	r.Work.Cost = cost(&b, text)
+	r.Work.Prefix = prefix(text)
+	return use(r, p)
+}
+
+// use checks that the team may use the pool.
+func use(r *request.Request, p *fireflypath.Pool) error {
+	if len(r.Team.Pools) > 0 && !slices.Contains(r.Team.Pools, p.Name) {
+		return refuse(fireflypath.ReasonForbidden, "the team may not use the pool")
+	}
+	r.Pool = p
+	r.Work.Pool = p.Name
+	return nil
+}
+
+func cost(b *body, text []byte) fireflypath.Cost {
+	c := fireflypath.Cost{Prompt: max(1, (len(text)+tokenBytes-1)/tokenBytes), Output: defaultOutput}
+	if b.Max != nil {
+		c.Output = *b.Max
+	}
+	return c
+}
+
+func refuse(code fireflypath.Reason, detail string) error {
+	return &fireflypath.Refusal{Code: code, Detail: detail, Run: fireflypath.RunNo}
+}
--- /dev/null
+++ b/internal/route/classify/prompt.go
@@ -0,0 +1,94 @@
+package classify
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// blockBytes is the prompt text of one cache block (docs/PROTOCOLS.md).
+const blockBytes = 256
+
+// text is the prompt as the engine counts it: a chat's contents one after the other.
+func (b *body) text() ([]byte, bool) {
+	if b.Messages != nil {
+		return b.chat()
+	}
+	var s string
+	if err := json.Unmarshal(b.Prompt, &s); err != nil {
+		return nil, false
+	}
+	return []byte(s), true
+}
+
+func (b *body) chat() ([]byte, bool) {
+	var out []byte
+	for _, m := range b.Messages {
+		var s string
+		if err := json.Unmarshal(m.Content, &s); err != nil {
+			return nil, false
+		}
+		out = append(out, s...)
+	}
+	return out, true
+}
+
+// prefix is the cumulative hash at the end of each full block.
+func prefix(text []byte) []uint64 {
+	n := len(text) / blockBytes
+	if n == 0 {
+		return nil
+	}
+	out := make([]uint64, 0, n)
+	var d xxhash.Digest
+	d.Reset()
+	for range n {
+		_, _ = d.Write(text[:blockBytes])
+		text = text[blockBytes:]
+		out = append(out, d.Sum64())
+	}
+	return out
+}
+
+// stream makes the body ask for a stream: only streams can be resumed.
+func stream(r *request.Request, b *body) error {
+	r.Call.Body = r.Inbound.Body
+	switch string(b.Stream) {
+	case "true":
+		r.Call.Stream = true
+	case "":
+		r.Call.Body = appendField(r.Inbound.Body, `"stream":true`)
+	case "false", "null":
+		return replaceStream(r)
+	default:
+		return refuse(fireflypath.ReasonMalformed, "stream is neither true nor false")
+	}
+	return nil
+}
+
+// appendField adds a field to a JSON object that has at least one.
+func appendField(object []byte, field string) []byte {
+	end := bytes.LastIndexByte(object, '}')
+	out := make([]byte, 0, len(object)+len(field)+1)
+	out = append(out, object[:end]...)
+	out = append(out, ',')
+	out = append(out, field...)
+	return append(out, '}')
+}
+
+// replaceStream writes the object anew; a second field of the same name would
+// leave the choice between the two to the engine's parser.
+func replaceStream(r *request.Request) error {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(r.Inbound.Body, &m); err != nil {
+		return refuse(fireflypath.ReasonMalformed, "the body is not a JSON object")
+	}
+	m["stream"] = json.RawMessage("true")
+	out, err := json.Marshal(m)
+	r.Call.Body = out
+	return err
+}
--- /dev/null
+++ b/internal/route/identify/identify.go
@@ -0,0 +1,56 @@
+// Package identify finds the team that sent a request.
+package identify
+
+import (
+	"context"
+	"slices"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// Identify is the step that admits nobody without a team's key.
+type Identify struct{}
+
+// New returns the step.
+func New() *Identify {
+	return &Identify{}
+}
+
+// String names the step.
+func (*Identify) String() string {
+	return "identify"
+}
+
+// Run sets the team and the tier.
+func (*Identify) Run(_ context.Context, r *request.Request) error {
+	team := r.Catalog.Team(r.Inbound.Token, r.Work.Arrived)
+	if r.Inbound.Token == "" || team == nil {
+		return refuse(fireflypath.ReasonUnauthorized, "no team has this key")
+	}
+	r.Team = team
+	r.Work.Team = team.Name
+	r.Work.Weight = max(team.Weight, 1)
+	return tier(r, team)
+}
+
+func tier(r *request.Request, team *fireflypath.Team) error {
+	name := r.Inbound.Tier
+	if name == "" {
+		name = team.Tiers[0]
+	}
+	t := r.Catalog.Tier(name)
+	if t == nil || !slices.Contains(team.Tiers, name) {
+		return refuse(fireflypath.ReasonForbidden, "the team may not use the tier")
+	}
+	r.Work.Tier = t.Name
+	r.Work.Rank = t.Rank
+	if r.Work.Deadline.IsZero() {
+		r.Work.Deadline = r.Work.Arrived.Add(t.Deadline.Std())
+	}
+	return nil
+}
+
+func refuse(code fireflypath.Reason, detail string) error {
+	return &fireflypath.Refusal{Code: code, Detail: detail, Run: fireflypath.RunNo}
+}
--- /dev/null
+++ b/internal/route/pool/events.go
@@ -0,0 +1,85 @@
+package pool
+
+import (
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// Observe passes an event to the scheduler and carries out what follows.
+func (p *Pool) Observe(e fireflypath.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.Observe(p.clock.Now(), e)
+	p.pump()
+}
+
+// Ended tells of the end of a dispatched request.
+func (p *Pool) Ended(r *request.Request, kind fireflypath.EventKind, cached int) {
+	p.Observe(fireflypath.Event{
+		Kind: kind, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Tokens: r.Tokens, Cached: cached,
+	})
+}
+
+// SetTargets replaces the targets.
+func (p *Pool) SetTargets(targets []fireflypath.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.targets)
+	for _, t := range targets {
+		p.targets[t.Name] = t
+	}
+	p.sched.SetTargets(p.clock.Now(), targets)
+	p.pump()
+}
+
+// SetShare puts a share of the targets' windows in force.
+func (p *Pool) SetShare(s fireflypath.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.SetShare(p.clock.Now(), s)
+	p.pump()
+}
+
+// Demand summarises the pool.
+func (p *Pool) Demand() fireflypath.Demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Demand(p.clock.Now())
+}
+
+// Views appends what is known of the targets.
+func (p *Pool) Views(out []fireflypath.TargetView) []fireflypath.TargetView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Views(p.clock.Now(), out)
+}
+
+// Relieve refuses waiting work of lower tiers and returns the tokens freed.
+func (p *Pool) Relieve(rank, tokens int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sheds := p.sched.Relieve(p.clock.Now(), rank, tokens, nil)
+	freed := 0
+	for _, s := range sheds {
+		if s.Work.Life.State() == fireflypath.StateWaiting {
+			freed += s.Work.Cost.Tokens()
+		}
+		p.give(s)
+	}
+	return freed
+}
+
+// Close refuses all that waits and whatever comes later. Running requests go on.
+func (p *Pool) Close(why fireflypath.Refusal) {
+	p.mu.Lock()
+	p.closed = &why
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	for _, r := range p.waiting {
+		p.refuseIfClosed(r)
+	}
+	p.mu.Unlock()
+	p.cancel()
+	p.asks.Wait()
+}
--- /dev/null
+++ b/internal/route/pool/pool.go
@@ -0,0 +1,245 @@
+// Package pool owns the scheduler of one pool and carries its decisions out.
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// minWake keeps a scheduler that asks to be woken at once from spinning.
+const minWake = time.Millisecond
+
+// Pool holds one lock around its scheduler. All moves of a waiting request's
+// Life are made under that lock.
+type Pool struct {
+	name   string
+	clock  clockwork.Clock
+	relief fireflypath.Relief
+
+	mu      sync.Mutex
+	sched   fireflypath.Scheduler
+	waiting map[*fireflypath.Work]*request.Request
+	targets map[string]fireflypath.Target
+	closed  *fireflypath.Refusal
+	place   fireflypath.Placement
+	sheds   []fireflypath.Shed
+	timer   clockwork.Timer
+	wakeAt  time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	asks   conc.WaitGroup
+}
+
+// New returns a pool without targets. A nil relief stands for a daemon alone.
+func New(name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		name: name, clock: clock, relief: relief, sched: sched,
+		waiting: map[*fireflypath.Work]*request.Request{},
+		targets: map[string]fireflypath.Target{},
+		ctx:     ctx, cancel: cancel,
+	}
+}
+
+// Wait offers the request and returns when it has a target, with its Life in
+// StateDispatched, or the refusal that ended its wait. If the caller leaves
+// first, the error is a refusal as withdrawn.
+func (p *Pool) Wait(ctx context.Context, r *request.Request) error {
+	p.offer(r)
+	return p.turn(ctx, r)
+}
+
+// Again lets a request wait once more of whose dispatch no byte left.
+func (p *Pool) Again(ctx context.Context, r *request.Request) error {
+	p.mu.Lock()
+	r.Draft.Unsent()
+	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
+	p.waiting[&r.Work] = r
+	p.sched.Observe(p.clock.Now(), fireflypath.Event{
+		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
+	})
+	if ctx.Err() != nil {
+		err := p.withdraw(r)
+		p.mu.Unlock()
+		return err
+	}
+	p.refuseIfClosed(r)
+	p.pump()
+	p.mu.Unlock()
+	return p.turn(ctx, r)
+}
+
+func (p *Pool) offer(r *request.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[&r.Work] = r
+	if p.refuseIfClosed(r) {
+		return
+	}
+	p.sheds = p.sched.Offer(p.clock.Now(), &r.Work, p.sheds[:0])
+	p.shed()
+	p.pump()
+}
+
+func (p *Pool) turn(ctx context.Context, r *request.Request) error {
+	select {
+	case t := <-r.Turn:
+		return p.take(r, t)
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	err := p.withdraw(r)
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return p.take(r, <-r.Turn)
+}
+
+// withdraw takes the request out of the queue, or returns nil if it no longer
+// waits and its turn is on the way. The lock is held.
+func (p *Pool) withdraw(r *request.Request) error {
+	if !r.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateWithdrawn) {
+		return nil
+	}
+	p.sched.Withdraw(p.clock.Now(), &r.Work)
+	delete(p.waiting, &r.Work)
+	p.pump()
+	return p.refusal(r, fireflypath.Shed{
+		Reason: fireflypath.ReasonWithdrawn, Detail: "the caller left while the request waited",
+	})
+}
+
+func (p *Pool) take(r *request.Request, t request.Turn) error {
+	if t.Refusal != nil {
+		return t.Refusal
+	}
+	r.Target = t.Target
+	return nil
+}
+
+// pump carries out what the scheduler decides now. The lock is held.
+func (p *Pool) pump() {
+	now := p.clock.Now()
+	for p.sched.Next(now, &p.place) {
+		p.dispatch(now)
+	}
+	p.arm(now)
+}
+
+func (p *Pool) dispatch(now time.Time) {
+	w := p.place.Work
+	r := p.waiting[w]
+	if r == nil || !w.Life.Move(fireflypath.StateWaiting, fireflypath.StateDispatched) {
+		p.sched.Observe(now, fireflypath.Event{Kind: fireflypath.EventUnsent, Target: p.place.Target, Work: w, Cached: -1})
+		return
+	}
+	delete(p.waiting, w)
+	r.Sent = now
+	r.Draft.Placed(now, &p.place)
+	r.Turn <- request.Turn{Target: p.targets[p.place.Target]}
+}
+
+// arm sets the timer if the scheduler wants to be woken earlier than it is set.
+func (p *Pool) arm(now time.Time) {
+	at := p.sched.Wake(now)
+	if at.IsZero() || p.closed != nil {
+		return
+	}
+	if soonest := now.Add(minWake); at.Before(soonest) {
+		at = soonest
+	}
+	if !p.wakeAt.IsZero() && !at.Before(p.wakeAt) {
+		return
+	}
+	p.wakeAt = at
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	p.timer = p.clock.AfterFunc(at.Sub(now), p.tick)
+}
+
+func (p *Pool) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeAt = time.Time{}
+	p.expire()
+	p.pump()
+}
+
+func (p *Pool) expire() {
+	p.sheds = p.sched.Expire(p.clock.Now(), p.sheds[:0])
+	p.shed()
+}
+
+// shed refuses what the scheduler gave up. The lock is held.
+func (p *Pool) shed() {
+	for _, s := range p.sheds {
+		if s.Relief && p.relief != nil {
+			p.ask(s)
+			continue
+		}
+		p.give(s)
+	}
+}
+
+// give refuses one piece of work that still waits.
+func (p *Pool) give(s fireflypath.Shed) {
+	state := fireflypath.StateShed
+	if s.Reason == fireflypath.ReasonDeadline {
+		state = fireflypath.StateExpired
+	}
+	r := p.waiting[s.Work]
+	if r == nil || !s.Work.Life.Move(fireflypath.StateWaiting, state) {
+		return
+	}
+	p.sched.Withdraw(p.clock.Now(), s.Work)
+	delete(p.waiting, s.Work)
+	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
+}
+
+func (p *Pool) refusal(r *request.Request, s fireflypath.Shed) *fireflypath.Refusal {
+	return &fireflypath.Refusal{
+		Code: s.Reason, Tier: r.Work.Tier, Detail: s.Detail, Run: fireflypath.RunNo,
+		RetryAfter: s.RetryAfter, ID: r.Work.ID, Generation: r.Config.Generation,
+	}
+}
+
+// ask lets the work wait while peers are asked for room.
+func (p *Pool) ask(s fireflypath.Shed) {
+	p.asks.Go(func() {
+		freed, err := p.relief.Ask(p.ctx, p.name, s.Work.Rank, s.Work.Cost.Tokens())
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		r := p.waiting[s.Work]
+		if r == nil || err != nil {
+			return
+		}
+		if freed > 0 {
+			r.Draft.Relief("peers gave up lower work")
+			p.pump()
+			return
+		}
+		r.Draft.Relief("no peer held lower work")
+		p.give(s)
+	})
+}
+
+// refuseIfClosed refuses the request if the pool takes no more. The lock is held.
+func (p *Pool) refuseIfClosed(r *request.Request) bool {
+	if p.closed == nil {
+		return false
+	}
+	p.give(fireflypath.Shed{
+		Work: &r.Work, Reason: p.closed.Code, Detail: p.closed.Detail, RetryAfter: p.closed.RetryAfter,
+	})
+	return true
+}
--- /dev/null
+++ b/internal/route/pools/pools.go
@@ -0,0 +1,171 @@
+// Package pools keeps one pool for each that the configuration names.
+package pools
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/pool"
+)
+
+// Pools implements fireflypath.Cluster.
+type Pools struct {
+	clock  clockwork.Clock
+	relief fireflypath.Relief
+	sched  func(fireflypath.Pool) fireflypath.Scheduler
+
+	mu      sync.Mutex
+	applied *fireflypath.Config
+	stopped *fireflypath.Refusal
+	byName  atomic.Pointer[map[string]*pool.Pool]
+	// home maps a target to its pool.
+	home atomic.Pointer[map[string]*pool.Pool]
+}
+
+// New returns Pools without any; sched makes the scheduler of a pool.
+func New(clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler) *Pools {
+	p := &Pools{clock: clock, relief: relief, sched: sched}
+	p.byName.Store(&map[string]*pool.Pool{})
+	p.home.Store(&map[string]*pool.Pool{})
+	return p
+}
+
+// Follow applies each configuration until the context ends.
+func (p *Pools) Follow(ctx context.Context, configs fireflypath.Configs) {
+	for {
+		cfg := configs.Current()
+		p.Apply(cfg)
+		select {
+		case <-ctx.Done():
+			return
+		case <-configs.Changed(cfg.Generation):
+		}
+	}
+}
+
+// Apply makes, changes and ends pools. A lower generation than the one applied
+// is ignored.
+func (p *Pools) Apply(cfg *fireflypath.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.applied == cfg || p.applied != nil && cfg.Generation < p.applied.Generation {
+		return
+	}
+	p.applied = cfg
+	old := *p.byName.Load()
+	next := make(map[string]*pool.Pool, len(cfg.Pools))
+	for _, c := range cfg.Pools {
+		next[c.Name] = old[c.Name]
+		if next[c.Name] == nil {
+			next[c.Name] = p.make(c)
+		}
+	}
+	p.assign(cfg, next)
+	p.byName.Store(&next)
+	for name, gone := range old {
+		if next[name] == nil {
+			gone.Close(fireflypath.Refusal{Code: fireflypath.ReasonNoPool, Detail: "the pool was removed"})
+		}
+	}
+}
+
+func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
+	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
+	if p.stopped != nil {
+		n.Close(*p.stopped)
+	}
+	return n
+}
+
+func (p *Pools) assign(cfg *fireflypath.Config, pools map[string]*pool.Pool) {
+	targets := make(map[string][]fireflypath.Target, len(pools))
+	home := make(map[string]*pool.Pool, len(cfg.Targets))
+	for _, t := range cfg.Targets {
+		targets[t.Pool] = append(targets[t.Pool], t)
+		home[t.Name] = pools[t.Pool]
+	}
+	for name, n := range pools {
+		n.SetTargets(targets[name])
+	}
+	p.home.Store(&home)
+}
+
+// Pool is the pool of the name under the configuration, or nil.
+//
+// A request can hold a configuration that Follow has not come to yet. Without
+// applying it here the request would be refused for want of a pool that the
+// operator was told is in force.
+func (p *Pools) Pool(cfg *fireflypath.Config, name string) *pool.Pool {
+	if n := (*p.byName.Load())[name]; n != nil {
+		return n
+	}
+	p.Apply(cfg)
+	return (*p.byName.Load())[name]
+}
+
+// Observe passes an event to the pool of its target.
+func (p *Pools) Observe(e fireflypath.Event) {
+	if n := (*p.home.Load())[e.Target]; n != nil {
+		n.Observe(e)
+	}
+}
+
+// Stop refuses all that waits in any pool and whatever comes later.
+func (p *Pools) Stop(why fireflypath.Refusal) {
+	p.mu.Lock()
+	p.stopped = &why
+	all := maps.Clone(*p.byName.Load())
+	p.mu.Unlock()
+	for _, n := range all {
+		n.Close(why)
+	}
+}
+
+// Views is what this daemon knows of all targets.
+func (p *Pools) Views() []fireflypath.TargetView {
+	var out []fireflypath.TargetView
+	for _, n := range *p.byName.Load() {
+		out = n.Views(out)
+	}
+	return out
+}
+
+// Demands summarises all pools.
+func (p *Pools) Demands() []fireflypath.Demand {
+	all := *p.byName.Load()
+	out := make([]fireflypath.Demand, 0, len(all))
+	for _, n := range all {
+		out = append(out, n.Demand())
+	}
+	return out
+}
+
+// Relieve gives up waiting work of lower tiers.
+func (p *Pools) Relieve(name string, rank, tokens int) int {
+	if n := (*p.byName.Load())[name]; n != nil {
+		return n.Relieve(rank, tokens)
+	}
+	return 0
+}
+
+// ApplyShare puts a share in force.
+func (p *Pools) ApplyShare(name string, s fireflypath.Share) {
+	if n := (*p.byName.Load())[name]; n != nil {
+		n.SetShare(s)
+	}
+}
+
+// TargetLeaving ends new work to the target.
+func (p *Pools) TargetLeaving(target, why string) {
+	p.Observe(fireflypath.Event{Kind: fireflypath.EventLeaving, Target: target, Cached: -1})
+}
+
+// TargetBack allows new work to the target.
+func (p *Pools) TargetBack(target string) {
+	p.Observe(fireflypath.Event{Kind: fireflypath.EventBack, Target: target, Cached: -1})
+}
--- /dev/null
+++ b/internal/route/queue/queue.go
@@ -0,0 +1,35 @@
+// Package queue lets a request wait for its turn.
+package queue
+
+import (
+	"context"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// Queue is the step that ends with a target or a refusal as not run.
+type Queue struct {
+	pools *pools.Pools
+}
+
+// New returns the step.
+func New(p *pools.Pools) *Queue {
+	return &Queue{pools: p}
+}
+
+// String names the step.
+func (*Queue) String() string {
+	return "queue"
+}
+
+// Run waits.
+func (q *Queue) Run(ctx context.Context, r *request.Request) error {
+	p := q.pools.Pool(r.Config, r.Work.Pool)
+	if p == nil {
+		return &fireflypath.Refusal{Code: fireflypath.ReasonNoPool, Detail: "the pool was removed", Run: fireflypath.RunNo}
+	}
+	r.Owner = p
+	return p.Wait(ctx, r)
+}
--- /dev/null
+++ b/internal/route/relay/body.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/refuse"
+)
+
+// errCut makes the caller's connection end without the end mark.
+var errCut = errors.New("answer could not be finished")
+
+// body is a streamed answer. It reads from the target only as fast as the
+// caller takes, so a slow caller costs one piece of memory.
+type body struct {
+	l      *Relay
+	f      *follower
+	rest   []byte
+	err    error
+	events bool
+	ended  bool
+}
+
+func newBody(l *Relay, f *follower, first fireflypath.Chunk, err error, events bool) *body {
+	return &body{l: l, f: f, rest: first.Data, err: err, events: events}
+}
+
+// Read returns a piece as soon as it comes.
+func (b *body) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.err != nil {
+			return 0, b.finish()
+		}
+		c, err := b.f.next()
+		b.rest, b.err = c.Data, err
+		if err != nil && !errors.Is(err, io.EOF) {
+			b.fail()
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// fail ends a cut answer: the caller of a stream reads why.
+func (b *body) fail() {
+	ref := b.l.fail(b.f, b.err)
+	b.ended = true
+	b.err = errCut
+	var r *fireflypath.Refusal
+	if b.events && errors.As(ref, &r) {
+		b.rest = append(append([]byte("event: error\ndata: "), refuse.JSON(r)...), "\n\n"...)
+	}
+}
+
+func (b *body) finish() error {
+	if b.ended {
+		return b.err
+	}
+	b.ended = true
+	if errors.Is(b.err, io.EOF) {
+		b.l.whole(b.f)
+	}
+	return b.err
+}
+
+// Close ends an answer whose caller left before its end.
+func (b *body) Close() error {
+	if b.ended {
+		return nil
+	}
+	b.ended = true
+	b.l.abandoned(b.f)
+	return nil
+}
--- /dev/null
+++ b/internal/route/relay/relay.go
@@ -0,0 +1,150 @@
+// Package relay passes the target's answer to the caller.
+package relay
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+const (
+	// small is the largest answer of a service that is read whole before a
+	// byte is passed on, so that a cut one still gets a refusal with a status.
+	small = 64 << 10
+	// maxWhole bounds an answer assembled for a caller that wants no stream.
+	maxWhole = 16 << 20
+)
+
+var errTooLong = errors.New("answer is longer than the bound")
+
+// Relay is the last step.
+type Relay struct {
+	clock clockwork.Clock
+	ended func(r *request.Request, ref *fireflypath.Refusal)
+}
+
+// New returns the step; ended is called once for each request that came here,
+// with nil for a whole answer.
+func New(clock clockwork.Clock, ended func(r *request.Request, ref *fireflypath.Refusal)) *Relay {
+	return &Relay{clock: clock, ended: ended}
+}
+
+// String names the step.
+func (*Relay) String() string {
+	return "relay"
+}
+
+// Run sets the reply. A streamed one ends after Run has returned.
+func (l *Relay) Run(ctx context.Context, r *request.Request) error {
+	f := newFollower(ctx, l.clock, r)
+	first, err := f.begin()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return l.fail(f, err)
+	}
+	head := f.head()
+	r.Reply = request.Reply{Status: head.Status, Header: head.Header, Length: -1}
+	switch {
+	case r.Pool.Kind == fireflypath.KindEngine && head.Status == statusOK && !r.Call.Stream:
+		return l.assemble(f, first, err)
+	case r.Pool.Kind == fireflypath.KindEngine && head.Status == statusOK:
+		r.Reply.Stream = newBody(l, f, first, err, true)
+	default:
+		return l.plain(f, first, err)
+	}
+	return nil
+}
+
+const statusOK = 200
+
+// plain passes on an answer without events.
+func (l *Relay) plain(f *follower, first fireflypath.Chunk, err error) error {
+	r := f.r
+	if n, ok := f.answer.(interface{ Length() int }); ok {
+		r.Reply.Length = n.Length()
+	}
+	if r.Reply.Length > small {
+		r.Reply.Stream = newBody(l, f, first, err, false)
+		return nil
+	}
+	body := append([]byte(nil), first.Data...)
+	for err == nil && len(body) <= small {
+		var c fireflypath.Chunk
+		c, err = f.next()
+		body = append(body, c.Data...)
+	}
+	switch {
+	case err == nil:
+		r.Reply.Stream = newBody(l, f, fireflypath.Chunk{Data: body}, nil, false)
+		return nil
+	case errors.Is(err, io.EOF):
+		r.Reply.Body = body
+		l.whole(f)
+		return nil
+	default:
+		return l.fail(f, err)
+	}
+}
+
+func (l *Relay) whole(f *follower) {
+	r := f.r
+	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateAnswered)
+	r.Owner.Ended(r, fireflypath.EventDone, f.cached())
+	f.close()
+	l.ended(r, nil)
+}
+
+// fail ends a request whose answer will not be whole.
+func (l *Relay) fail(f *follower, err error) error {
+	r := f.r
+	if f.ctx.Err() != nil {
+		f.close()
+		f.abandon()
+		return l.left(f)
+	}
+	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
+	r.Owner.Ended(r, fireflypath.EventFailed, f.cached())
+	f.close()
+	ref := &fireflypath.Refusal{
+		Code: fireflypath.ReasonTarget, Tier: r.Work.Tier, Run: fireflypath.RunUnknown,
+		Detail: "the answer of " + r.Target.Name + " was lost: " + err.Error(),
+		ID:     r.Work.ID, Generation: r.Config.Generation,
+	}
+	l.ended(r, ref)
+	return ref
+}
+
+// abandoned ends the answer of a caller that left. Work that may not be cut is
+// read to its end, because a target may take a closed connection for a cancel.
+func (l *Relay) abandoned(f *follower) {
+	r := f.r
+	if r.Work.Idempotent {
+		f.close()
+		f.abandon()
+		_ = l.left(f)
+		return
+	}
+	for {
+		if _, err := f.next(); err != nil {
+			break
+		}
+	}
+	f.close()
+	_ = l.left(f)
+}
+
+func (l *Relay) left(f *follower) error {
+	r := f.r
+	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
+	r.Owner.Ended(r, fireflypath.EventFailed, f.cached())
+	ref := &fireflypath.Refusal{
+		Code: fireflypath.ReasonWithdrawn, Tier: r.Work.Tier, Run: fireflypath.RunUnknown,
+		Detail: "the caller left while the request ran", ID: r.Work.ID, Generation: r.Config.Generation,
+	}
+	l.ended(r, ref)
+	return ref
+}
--- /dev/null
+++ b/internal/route/relay/whole.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// event is what is read of a streamed completion.
+type event struct {
+	ID      string `json:"id"`
+	Model   string `json:"model"`
+	Created int64  `json:"created"`
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// completion is a whole answer, as the completions API has it.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Text    *string  `json:"text,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+}
+
+// assembly collects the events of one answer.
+type assembly struct {
+	text   []byte
+	last   event
+	finish *string
+}
+
+var (
+	fieldData = []byte("data:")
+	dataDone  = []byte("[DONE]")
+)
+
+func (a *assembly) add(data []byte) error {
+	for line := range bytes.Lines(data) {
+		v, ok := bytes.CutPrefix(line, fieldData)
+		v = bytes.TrimSpace(v)
+		if !ok || bytes.Equal(v, dataDone) {
+			continue
+		}
+		var e event
+		if err := json.Unmarshal(v, &e); err != nil {
+			return errors.Wrap(err, "parse event")
+		}
+		a.last = e
+		for _, c := range e.Choices {
+			a.text = append(a.text, c.Text...)
+			a.text = append(a.text, c.Delta.Content...)
+			if c.Finish != nil {
+				a.finish = c.Finish
+			}
+		}
+	}
+	if len(a.text) > maxWhole {
+		return errTooLong
+	}
+	return nil
+}
+
+// assemble makes one JSON answer of the events.
+func (l *Relay) assemble(f *follower, c fireflypath.Chunk, err error) error {
+	var a assembly
+	for err == nil {
+		if err = a.add(c.Data); err == nil {
+			c, err = f.next()
+		}
+	}
+	if !errors.Is(err, io.EOF) {
+		return l.fail(f, err)
+	}
+	body, err := json.Marshal(a.completion(f))
+	if err != nil {
+		return l.fail(f, err)
+	}
+	f.r.Reply.Header = map[string]string{"Content-Type": "application/json"}
+	f.r.Reply.Body = body
+	l.whole(f)
+	return nil
+}
+
+func (a *assembly) completion(f *follower) completion {
+	r := f.r
+	text := string(a.text)
+	ch := choice{Finish: a.finish}
+	object := "text_completion"
+	if r.Inbound.Path == "/v1/chat/completions" {
+		object = "chat.completion"
+		ch.Message = &message{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	return completion{
+		ID: r.Work.ID, Object: object, Created: a.last.Created, Model: r.Work.Model, Choices: []choice{ch},
+		Usage: usage{Prompt: r.Work.Cost.Prompt, Completion: r.Tokens, Total: r.Work.Cost.Prompt + r.Tokens},
+	}
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,122 @@
+// Package route is the way of a request through a daemon.
+package route
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/record/draft"
+	"github.com/fireflypath/fireflypath/internal/route/catalog"
+	"github.com/fireflypath/fireflypath/internal/route/classify"
+	"github.com/fireflypath/fireflypath/internal/route/dispatch"
+	"github.com/fireflypath/fireflypath/internal/route/identify"
+	"github.com/fireflypath/fireflypath/internal/route/parse"
+	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/route/queue"
+	"github.com/fireflypath/fireflypath/internal/route/refuse"
+	"github.com/fireflypath/fireflypath/internal/route/relay"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// Step is one part of the way. An error ends it: a *fireflypath.Refusal is the
+// caller's answer, any other error is turned into one.
+type Step interface {
+	String() string
+	Run(ctx context.Context, r *request.Request) error
+}
+
+// Deps is what the steps need.
+type Deps struct {
+	// Name begins the ids of requests.
+	Name     string
+	Clock    clockwork.Clock
+	Configs  fireflypath.Configs
+	Pools    *pools.Pools
+	Backends map[fireflypath.Kind]fireflypath.Backend
+	// Recorder may be nil.
+	Recorder fireflypath.Recorder
+	// Leaving spreads what a target says of itself.
+	Leaving func(target, why string)
+}
+
+// Route runs requests.
+type Route struct {
+	deps     Deps
+	catalogs catalog.Cache
+	steps    []Step
+}
+
+// New returns a route.
+func New(deps Deps) *Route {
+	rt := &Route{deps: deps}
+	rt.steps = []Step{
+		parse.New(deps.Clock),
+		identify.New(),
+		classify.New(),
+		queue.New(deps.Pools),
+		dispatch.New(deps.Backends, deps.Leaving),
+		relay.New(deps.Clock, rt.ended),
+	}
+	return rt
+}
+
+// Serve sets the request's reply. The context ends when the caller leaves.
+func (rt *Route) Serve(ctx context.Context, r *request.Request) {
+	rt.begin(r)
+	for _, s := range rt.steps {
+		if err := s.Run(ctx, r); err != nil {
+			rt.refuse(r, s, err)
+			return
+		}
+	}
+}
+
+func (rt *Route) begin(r *request.Request) {
+	r.Work.ID = rt.id()
+	r.Turn = make(chan request.Turn, 1)
+	r.Config = rt.deps.Configs.Current()
+	r.Catalog = rt.catalogs.For(r.Config)
+}
+
+func (rt *Route) id() string {
+	u := ulid.MustNew(ulid.Timestamp(rt.deps.Clock.Now()), ulid.DefaultEntropy())
+	return rt.deps.Name + "." + u.String()
+}
+
+// refuse makes a refusal of the error that ended the route.
+func (rt *Route) refuse(r *request.Request, s Step, err error) {
+	var ref *fireflypath.Refusal
+	if !errors.As(err, &ref) {
+		ref = &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: s.String() + ": " + err.Error(), Run: rt.ran(r)}
+	}
+	ref.ID = r.Work.ID
+	ref.Tier = r.Work.Tier
+	ref.Generation = r.Config.Generation
+	r.Reply = refuse.Reply(ref)
+	rt.ended(r, ref)
+}
+
+func (rt *Route) ran(r *request.Request) fireflypath.Run {
+	switch r.Work.Life.State() {
+	case fireflypath.StateDispatched, fireflypath.StateAnswered, fireflypath.StateFailed:
+		return fireflypath.RunUnknown
+	default:
+		return fireflypath.RunNo
+	}
+}
+
+// ended counts the end of a request, once.
+func (rt *Route) ended(r *request.Request, ref *fireflypath.Refusal) {
+	if r.Ended {
+		return
+	}
+	r.Ended = true
+	if r.Draft == nil {
+		r.Draft = draft.New(rt.deps.Recorder, &r.Work, r.Config.Generation)
+	}
+	r.Draft.End(rt.deps.Clock.Now(), r.Work.Life.State(), r.Tokens, ref)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,11 +30,11 @@
 // Listen holds addresses, each an IP number and a port; port 0 takes a free one.
 type Listen struct {
 	// Callers is for requests.
-	Callers string `json:"callers" validate:"required,hostname_port"`
+	Callers string `json:"callers" validate:"required,ipport"`
 	// Operators is for commands, queries and metrics.
-	Operators string `json:"operators" validate:"required,hostname_port"`
+	Operators string `json:"operators" validate:"required,ipport"`
 	// Peers is for other daemons; empty for a daemon alone.
-	Peers string `json:"peers" validate:"omitempty,hostname_port"`
+	Peers string `json:"peers" validate:"omitempty,ipport"`
 	// CallersTLS and OperatorsTLS are reloaded when the files change.
 	CallersTLS   *TLS `json:"callers_tls,omitempty"`
 	OperatorsTLS *TLS `json:"operators_tls,omitempty"`
@@ -52,7 +52,7 @@
 type Platform struct {
 	// Addr is the key-value service and host list; empty for a daemon alone,
 	// whose configuration is Initial.
-	Addr string `json:"addr" validate:"omitempty,hostname_port"`
+	Addr string `json:"addr" validate:"omitempty,ipport"`
 	// Timeout bounds each call.
 	Timeout fireflypath.Duration `json:"timeout,omitempty" validate:"min=0"`
 }
@@ -60,7 +60,7 @@
 // Peers tells how daemons find and trust each other.
 type Peers struct {
 	// Seeds are peer addresses used while the platform's service is down.
-	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
+	Seeds []string `json:"seeds,omitempty" validate:"dive,ipport"`
 	// Heartbeat is the time between heartbeats.
 	Heartbeat fireflypath.Duration `json:"heartbeat,omitempty" validate:"min=0"`
 	// TLS is mutual; nil is refused unless Plain is set.
