feat(route): load reports, cache events and the host list are polled

Targets that leave have to lose new work within 3 s. A poller reads each target and the host list once a second, one read per target at a time; evidence of leaving is kept by source, so that a lagging list does not overrule a target's own word. Not measured yet beyond the race test of the daemon.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/service"
 	"github.com/fireflypath/fireflypath/pkg/settings"
@@ -38,8 +39,9 @@
 	Log       *zap.Logger
 	// Operator adds calls to the operators' endpoint.
 	Operator []func(*fiber.App)
-	// Leaving spreads to peers that a target takes no more work.
+	// Leaving and Back spread first-hand evidence of targets to peers.
 	Leaving func(target, why string)
+	Back    func(target string)
 }
 
 // Daemon is one process's worth of the system. The steps fill its fields in
@@ -57,6 +59,7 @@
 	work   conc.WaitGroup
 
 	pools    *pools.Pools
+	evidence *evidence.Evidence
 	engine   *engine.Engine
 	service  *service.Service
 	route    *route.Route
@@ -85,6 +88,7 @@
 		membership{},
 		backends{},
 		theRoute{},
+		polling{},
 		operatorEndpoint{},
 		callerListener{},
 		readiness{},
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -16,7 +16,10 @@
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 	"github.com/fireflypath/fireflypath/internal/decide/fifo"
 	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/platform"
 	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
+	"github.com/fireflypath/fireflypath/internal/route/poll"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/service"
 )
@@ -59,7 +62,17 @@
 
 func (platformClient) String() string { return "platform client" }
 
-func (platformClient) Run(ctx context.Context, d *Daemon) error { return nil }
+func (platformClient) Run(ctx context.Context, d *Daemon) error {
+	if d.cfg.Platform.Addr == "" || d.deps.Store != nil {
+		return nil
+	}
+	c := platform.New(d.cfg.Platform.Addr, d.cfg.Platform.Timeout.Std())
+	d.deps.Store = c
+	if d.deps.Hosts == nil {
+		d.deps.Hosts = c
+	}
+	return nil
+}
 
 func (platformClient) Stop(context.Context, *Daemon) error { return nil }
 
@@ -91,6 +104,7 @@
 		d.deps.Scheduler = func(p fireflypath.Pool) fireflypath.Scheduler { return fifo.New(p) }
 	}
 	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
+	d.evidence = evidence.New(d.heardLeaving, d.heardBack)
 	d.pools.Apply(d.deps.Configs.Current())
 	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
 	return nil
@@ -151,21 +165,55 @@
 			fireflypath.KindService: d.service,
 		},
 		Recorder: d.deps.Recorder,
-		Leaving:  d.leaving,
+		Leaving: func(target string) {
+			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
+		},
 	})
 	return nil
 }
 
 func (theRoute) Stop(context.Context, *Daemon) error { return nil }
 
-// leaving ends new work to a target here and tells the peers.
-func (d *Daemon) leaving(target, why string) {
+// heardLeaving ends new work to a target here and tells the peers.
+func (d *Daemon) heardLeaving(target, why string) {
+	d.deps.Log.Info("target leaves", zap.String("target", target), zap.String("why", why))
 	d.pools.TargetLeaving(target, why)
 	if d.deps.Leaving != nil {
 		d.deps.Leaving(target, why)
 	}
 }
 
+func (d *Daemon) heardBack(target string) {
+	d.deps.Log.Info("target is back", zap.String("target", target))
+	d.pools.TargetBack(target)
+	if d.deps.Back != nil {
+		d.deps.Back(target)
+	}
+}
+
+// polling reads the state of targets and hosts.
+type polling struct{}
+
+func (polling) String() string { return "polling" }
+
+func (polling) Run(ctx context.Context, d *Daemon) error {
+	p := poll.New(poll.Deps{
+		Clock:   d.deps.Clock,
+		Configs: d.deps.Configs,
+		Watchers: map[fireflypath.Kind]fireflypath.Watcher{
+			fireflypath.KindEngine:  d.engine,
+			fireflypath.KindService: d.service,
+		},
+		Hosts:    d.deps.Hosts,
+		Observe:  d.pools.Observe,
+		Evidence: d.evidence,
+	})
+	d.work.Go(func() { p.Run(d.ctx) })
+	return nil
+}
+
+func (polling) Stop(context.Context, *Daemon) error { return nil }
+
 // operatorEndpoint serves health, metrics, queries and commands.
 type operatorEndpoint struct{}
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/send"
+	"github.com/fireflypath/fireflypath/internal/send/report"
 )
 
 const (
@@ -22,9 +24,9 @@
 	headerCached = "X-Cached-Tokens"
 	headerLast   = "Last-Event-ID"
 	pathStreams  = "/v1/streams/"
-	// pollSilence bounds reading a report: an engine answers it from memory.
-	pollSilence = time.Second
-	// maxNotice bounds a small answer: an error, a report or a list of cache events.
+	// noticeSilence bounds a cancel: an engine answers it from memory.
+	noticeSilence = time.Second
+	// maxNotice bounds an error answer.
 	maxNotice = 1 << 20
 )
 
@@ -33,9 +35,13 @@
 	sender *send.Sender
 	// notices sends what is not work: it is allowed less time.
 	notices *send.Sender
-	clock   clockwork.Clock
+	reports *report.Reader
 	// event bounds the bytes of one event.
 	event int
+
+	mu sync.Mutex
+	// seen is the number of the last cache event read, by target.
+	seen map[string]uint64
 }
 
 // New returns an Engine. An answer that brings nothing for silence is an
@@ -43,9 +49,10 @@
 func New(clock clockwork.Clock, silence time.Duration, event int) *Engine {
 	return &Engine{
 		sender:  send.New(silence),
-		notices: send.New(pollSilence),
-		clock:   clock,
+		notices: send.New(noticeSilence),
+		reports: report.New(clock),
 		event:   event,
+		seen:    map[string]uint64{},
 	}
 }
 
@@ -53,6 +60,7 @@
 func (e *Engine) Close() {
 	e.sender.Close()
 	e.notices.Close()
+	e.reports.Close()
 }
 
 // Dispatch sends the call once.
--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -101,6 +101,7 @@
 	}
 	r.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	r.SetContentType("application/json")
+	r.Response.Header.Set(headerID, string(r.Request.Header.Peek(headerID)))
 	r.SetBodyString(`{"error":{"code":"` + code + `"}}`)
 }
 
--- a/internal/route/dispatch/dispatch.go
+++ b/internal/route/dispatch/dispatch.go
@@ -18,11 +18,11 @@
 // Dispatch is the step in which a request's bytes leave, once.
 type Dispatch struct {
 	backends map[fireflypath.Kind]fireflypath.Backend
-	leaving  func(target, why string)
+	leaving  func(target string)
 }
 
 // New returns the step; leaving spreads what a target says of itself.
-func New(backends map[fireflypath.Kind]fireflypath.Backend, leaving func(target, why string)) *Dispatch {
+func New(backends map[fireflypath.Kind]fireflypath.Backend, leaving func(target string)) *Dispatch {
 	return &Dispatch{backends: backends, leaving: leaving}
 }
 
@@ -70,7 +70,7 @@
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
 	r.Owner.Ended(r, fireflypath.EventRefused, -1)
 	if errors.Is(err, fireflypath.ErrDraining) {
-		d.leaving(r.Target.Name, err.Error())
+		d.leaving(r.Target.Name)
 	}
 	return &fireflypath.Refusal{
 		Code: fireflypath.ReasonTargetRefused, Detail: err.Error(), Run: fireflypath.RunNo, RetryAfter: retry,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -40,7 +40,7 @@
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
 	// Leaving spreads what a target says of itself.
-	Leaving func(target, why string)
+	Leaving func(target string)
 }
 
 // Route runs requests.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,13 +13,12 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/send"
+	"github.com/fireflypath/fireflypath/internal/send/report"
 )
 
 const (
 	headerID  = "X-Request-Id"
 	headerKey = "Idempotency-Key"
-	// pollSilence bounds reading a report: a service answers it from memory.
-	pollSilence = time.Second
 	// maxNotice bounds a report and the answer of a target that did not run the work.
 	maxNotice = 64 << 10
 	// piece is the size of the pieces in which answers are passed on.
@@ -29,20 +28,19 @@
 // Service is the fireflypath.Backend and Watcher of service pools.
 type Service struct {
 	sender  *send.Sender
-	notices *send.Sender
-	clock   clockwork.Clock
+	reports *report.Reader
 }
 
 // New returns a Service. An answer that brings nothing for silence is an
 // error: its outcome is unknown, because plain services cannot resume.
 func New(clock clockwork.Clock, silence time.Duration) *Service {
-	return &Service{sender: send.New(silence), notices: send.New(pollSilence), clock: clock}
+	return &Service{sender: send.New(silence), reports: report.New(clock)}
 }
 
 // Close drops the idle connections.
 func (s *Service) Close() {
 	s.sender.Close()
-	s.notices.Close()
+	s.reports.Close()
 }
 
 // Dispatch sends the call once.
@@ -85,6 +83,11 @@
 	return nil
 }
 
+// Poll reads the load report.
+func (s *Service) Poll(ctx context.Context, t fireflypath.Target) ([]fireflypath.Event, error) {
+	return s.reports.Load(ctx, t, nil)
+}
+
 // hop lists the headers that belong to one connection (RFC 9110, 7.6.1) or are
 // written anew.
 var hop = map[string]bool{
