--- /dev/null
+++ b/internal/testkit/mapstore.go
@@ -0,0 +1,294 @@
+// Package testkit holds helpers that several packages' tests share.
+package testkit
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// Fault is what a MapStore does with one call.
+type Fault struct {
+	// Before is returned without an effect.
+	Before error
+	// After is returned although the call took effect, like a lost answer.
+	After error
+}
+
+// MapStore is the platform's key-value service in memory, with faults.
+type MapStore struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	fault    func(op, key string) Fault
+	calls    map[string]int
+	revision uint64
+	entries  map[string]stored
+	leases   map[fireflypath.LeaseID]lease
+	nextID   fireflypath.LeaseID
+	changed  chan struct{}
+}
+
+type stored struct {
+	fireflypath.Entry
+	lease fireflypath.LeaseID
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+var _ fireflypath.Store = (*MapStore)(nil)
+
+// NewMapStore makes an empty store whose leases run on the clock.
+func NewMapStore(clock clockwork.Clock) *MapStore {
+	return &MapStore{
+		clock: clock, calls: map[string]int{}, entries: map[string]stored{},
+		leases: map[fireflypath.LeaseID]lease{}, changed: make(chan struct{}),
+	}
+}
+
+// SetFault decides the fate of each later call by operation and key.
+func (s *MapStore) SetFault(f func(op, key string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls is the number of calls of an operation, of all if it is empty.
+func (s *MapStore) Calls(op string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for o, c := range s.calls {
+		if op == "" || op == o {
+			n += c
+		}
+	}
+	return n
+}
+
+// Snapshot copies the values; Restore puts such a copy back, like a service
+// that comes back with older data.
+func (s *MapStore) Snapshot() []fireflypath.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list("")
+}
+
+// Restore replaces all values by a snapshot's.
+func (s *MapStore) Restore(es []fireflypath.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = map[string]stored{}
+	for _, e := range es {
+		s.entries[e.Key] = stored{Entry: e}
+	}
+	s.wake()
+}
+
+func (s *MapStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// begin counts the call, lets leases lapse and gives the fault.
+func (s *MapStore) begin(op, key string) Fault {
+	s.mu.Lock()
+	f := s.fault
+	s.calls[op]++
+	s.lapse()
+	s.mu.Unlock()
+	if f == nil {
+		return Fault{}
+	}
+	return f(op, key)
+}
+
+func (s *MapStore) lapse() {
+	now := s.clock.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *MapStore) end(id fireflypath.LeaseID) {
+	delete(s.leases, id)
+	for k, e := range s.entries {
+		if e.lease == id {
+			s.remove(k)
+		}
+	}
+}
+
+func (s *MapStore) remove(key string) {
+	s.revision++
+	s.entries[key] = stored{Entry: fireflypath.Entry{Key: key, Revision: s.revision, Deleted: true}}
+	s.wake()
+}
+
+// Get reads one key.
+func (s *MapStore) Get(_ context.Context, key string) (fireflypath.Entry, error) {
+	f := s.begin("get", key)
+	if f.Before != nil {
+		return fireflypath.Entry{}, f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok || e.Deleted {
+		return fireflypath.Entry{}, fireflypath.ErrNotFound
+	}
+	return e.Entry, f.After
+}
+
+// Put writes by compare-and-swap.
+func (s *MapStore) Put(_ context.Context, key string, value []byte, revision uint64, id fireflypath.LeaseID) (uint64, error) {
+	f := s.begin("put", key)
+	if f.Before != nil {
+		return 0, f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	have := e.Revision
+	if !ok || e.Deleted {
+		have = 0
+	}
+	if revision != fireflypath.AnyRevision && revision != have {
+		return 0, fireflypath.ErrConflict
+	}
+	if _, held := s.leases[id]; id != 0 && !held {
+		return 0, fireflypath.ErrLapsed
+	}
+	s.revision++
+	e = stored{lease: id, Entry: fireflypath.Entry{Key: key, Revision: s.revision}}
+	e.Value = append([]byte(nil), value...)
+	s.entries[key] = e
+	s.wake()
+	return s.revision, f.After
+}
+
+// Delete removes a key by compare-and-swap.
+func (s *MapStore) Delete(_ context.Context, key string, revision uint64) error {
+	f := s.begin("delete", key)
+	if f.Before != nil {
+		return f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok || e.Deleted {
+		return fireflypath.ErrNotFound
+	}
+	if revision != fireflypath.AnyRevision && revision != e.Revision {
+		return fireflypath.ErrConflict
+	}
+	s.remove(key)
+	return f.After
+}
+
+// List reads the keys with a prefix.
+func (s *MapStore) List(_ context.Context, prefix string) ([]fireflypath.Entry, error) {
+	f := s.begin("list", prefix)
+	if f.Before != nil {
+		return nil, f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(prefix), f.After
+}
+
+func (s *MapStore) list(prefix string) []fireflypath.Entry {
+	var out []fireflypath.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) && !e.Deleted {
+			out = append(out, e.Entry)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+// Watch waits for changes above a revision.
+func (s *MapStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fireflypath.Entry, error) {
+	f := s.begin("watch", prefix)
+	if f.Before != nil {
+		return nil, f.Before
+	}
+	t := s.clock.NewTimer(wait)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		s.lapse()
+		var out []fireflypath.Entry
+		for k, e := range s.entries {
+			if strings.HasPrefix(k, prefix) && e.Revision > after {
+				out = append(out, e.Entry)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, f.After
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-t.Chan():
+			return nil, f.After
+		case <-changed:
+		}
+	}
+}
+
+// Grant makes a lease.
+func (s *MapStore) Grant(_ context.Context, ttl time.Duration) (fireflypath.LeaseID, error) {
+	f := s.begin("grant", "")
+	if f.Before != nil {
+		return 0, f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = lease{ttl: ttl, until: s.clock.Now().Add(ttl)}
+	return s.nextID, f.After
+}
+
+// Renew extends a lease.
+func (s *MapStore) Renew(_ context.Context, id fireflypath.LeaseID) error {
+	f := s.begin("renew", "")
+	if f.Before != nil {
+		return f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return fireflypath.ErrLapsed
+	}
+	l.until = s.clock.Now().Add(l.ttl)
+	s.leases[id] = l
+	return f.After
+}
+
+// Revoke ends a lease.
+func (s *MapStore) Revoke(_ context.Context, id fireflypath.LeaseID) error {
+	f := s.begin("revoke", "")
+	if f.Before != nil {
+		return f.Before
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(id)
+	return f.After
+}
