feat(query): lists, counts, percentiles, why, settle and top over one daemon's knowledge

A query's grammar shares no rule with the commands'. Values are read as the column's kind, and an unknown column is answered with those there are. Refused commands stand in the trail under ID/refused, because a commit that finds its own id there takes it for done.

--- /dev/null
+++ b/internal/query/eval/eval.go
@@ -0,0 +1,156 @@
+// Package eval answers queries from what one daemon knows.
+package eval
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/query"
+	"github.com/fireflypath/fireflypath/internal/query/table"
+	"github.com/fireflypath/fireflypath/internal/query/why"
+)
+
+// Errors of an Evaluator, apart from *syntax.Error.
+var (
+	// ErrNotKept means that no record of the request is held here.
+	ErrNotKept = errors.New("no record of the request is kept")
+	// ErrTrail means that the audit trail could not be read.
+	ErrTrail = errors.New("the audit trail cannot be read now")
+)
+
+// Elsewhere is the error for a request that another daemon took.
+type Elsewhere struct {
+	// Daemon is the name at the beginning of the request's id.
+	Daemon string
+}
+
+// Error names the daemon.
+func (e *Elsewhere) Error() string {
+	return "the request was taken by daemon " + e.Daemon
+}
+
+// Sources are what an Evaluator reads; all are safe for concurrent use.
+type Sources struct {
+	// Name is this daemon's.
+	Name      string
+	Configs   fireflypath.Configs
+	Members   fireflypath.Members
+	Recorder  fireflypath.Recorder
+	Committer fireflypath.Committer
+	// Views and Demands read all pools of this daemon.
+	Views   func() []fireflypath.TargetView
+	Demands func() []fireflypath.Demand
+	Clock   clockwork.Clock
+}
+
+// Section is a table with its title, empty if it stands alone.
+type Section struct {
+	Title string       `json:"title,omitempty"`
+	Table *table.Table `json:"table"`
+}
+
+// Answer is what a query gives.
+type Answer struct {
+	// Lines are sentences, before the tables.
+	Lines    []string  `json:"lines,omitempty"`
+	Sections []Section `json:"sections,omitempty"`
+	// Record is set for "why".
+	Record *fireflypath.Record `json:"record,omitempty"`
+	// Commit is set for "settle".
+	Commit *fireflypath.Commit `json:"commit,omitempty"`
+	// Daemon is whose knowledge this is.
+	Daemon string `json:"daemon"`
+}
+
+// Evaluator answers queries.
+type Evaluator struct {
+	src Sources
+}
+
+// New returns the evaluator of the sources.
+func New(src Sources) *Evaluator {
+	return &Evaluator{src: src}
+}
+
+// Ask answers a query. Its errors are *syntax.Error, *Elsewhere, ErrNotKept,
+// ErrTrail and those of Committer.Settle.
+func (e *Evaluator) Ask(ctx context.Context, q *query.Query) (*Answer, error) {
+	a := &Answer{Daemon: e.src.Name}
+	switch q.Kind {
+	case query.KindWhy:
+		return a, e.why(q.ID, a)
+	case query.KindSettle:
+		return a, e.settle(ctx, q.ID, a)
+	case query.KindTop:
+		e.top(a)
+		return a, nil
+	}
+	t, err := e.table(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.filter(q, t); err != nil {
+		return nil, err
+	}
+	if t, err = e.shape(q, t); err != nil {
+		return nil, err
+	}
+	a.Sections = []Section{{Table: t}}
+	return a, nil
+}
+
+func (e *Evaluator) why(id string, a *Answer) error {
+	if rec := e.src.Recorder.Find(id); rec != nil {
+		s := why.New(rec)
+		a.Record, a.Lines = rec, s.Lines
+		if s.Considered != nil {
+			a.Sections = []Section{{Title: "targets considered, as known at that moment", Table: s.Considered}}
+		}
+		return nil
+	}
+	daemon, _, ok := strings.Cut(id, ".")
+	if ok && daemon != e.src.Name {
+		return &Elsewhere{Daemon: daemon}
+	}
+	return errors.Wrapf(ErrNotKept, "request %s: it never came here, still runs, or made room for newer ones; a refusal itself says why", id)
+}
+
+// settleLines bounds where a refusal is looked for: an hour at the letter's
+// 4,200 changes a day.
+const settleLines = 175
+
+func (e *Evaluator) settle(ctx context.Context, id string, a *Answer) error {
+	c, err := e.src.Committer.Settle(ctx, id)
+	if errors.Is(err, fireflypath.ErrNotFound) {
+		a.Lines = []string{"not done: " + e.refusal(ctx, id)}
+		return nil
+	}
+	if err != nil {
+		return errors.Wrapf(ErrTrail, "command %s: %v", id, err)
+	}
+	a.Commit = &c
+	a.Lines = []string{fmt.Sprintf("done: in force from generation %d", c.Generation)}
+	return nil
+}
+
+// RefusedID is the id of a refused command's line in the trail. It is not the
+// command's own: a commit that finds its id in the trail takes it for done.
+func RefusedID(id string) string {
+	return id + "/refused"
+}
+
+// refusal looks for the line that tells why a command was refused.
+func (e *Evaluator) refusal(ctx context.Context, id string) string {
+	lines, _ := e.src.Committer.Trail(ctx, settleLines)
+	for _, l := range lines {
+		if l.ID == RefusedID(id) {
+			return l.Result
+		}
+	}
+	return "the trail holds no command " + id
+}
--- /dev/null
+++ b/internal/query/why/why.go
@@ -0,0 +1,148 @@
+// Package why tells a request's record in sentences.
+package why
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/query/table"
+)
+
+const stamp = "2006-01-02T15:04:05.000Z"
+
+// Story is what happened to a request.
+type Story struct {
+	// Lines are sentences in the order of events.
+	Lines []string
+	// Considered is the weighing of targets, nil if there was none.
+	Considered *table.Table
+}
+
+// New tells the record.
+func New(r *fireflypath.Record) *Story {
+	s := &Story{}
+	s.arrival(r)
+	s.waiting(r)
+	s.placement(r)
+	s.end(r)
+	s.Considered = considered(r)
+	return s
+}
+
+func (s *Story) add(format string, args ...any) {
+	s.Lines = append(s.Lines, fmt.Sprintf(format, args...))
+}
+
+func (s *Story) arrival(r *fireflypath.Record) {
+	s.add("request %s of team %s, tier %s, pool %s", r.ID, or(r.Team), or(r.Tier), or(r.Pool))
+	s.add("came %s, deadline %s later", r.Arrived.UTC().Format(stamp), span(r.Arrived, r.Deadline))
+	s.add("estimated at %d prompt and at most %d output tokens", r.Cost.Prompt, r.Cost.Output)
+	s.add("decided under configuration generation %d%s", r.Generation, ruled(r))
+}
+
+func ruled(r *fireflypath.Record) string {
+	if r.Rule == "" {
+		return ", no rule matched"
+	}
+	return ", by rule " + r.Rule
+}
+
+func (s *Story) waiting(r *fireflypath.Record) {
+	if r.Ahead > 0 {
+		s.add("%d requests stood before it in the queue", r.Ahead)
+	}
+	if len(r.Unsent) > 0 {
+		s.add("attempts of which no byte was sent, so that it waited again: %s", strings.Join(r.Unsent, ", "))
+	}
+	if r.Relief != "" {
+		s.add("relief round among the daemons: %s", r.Relief)
+	}
+}
+
+func (s *Story) placement(r *fireflypath.Record) {
+	if r.Target == "" {
+		s.add("sent to no target")
+		return
+	}
+	s.add("sent to %s after waiting %s%s", r.Target, span(r.Arrived, r.Dispatched), choice(r))
+	if !r.First.IsZero() {
+		s.add("first output %s after it was sent", span(r.Dispatched, r.First))
+	}
+	if r.Resumes > 0 {
+		s.add("its answer was resumed on %d new connections; it was not sent again", r.Resumes)
+	}
+}
+
+func choice(r *fireflypath.Record) string {
+	usable, skipped := 0, 0
+	for _, c := range r.Considered {
+		if c.Skip == "" {
+			usable++
+		} else {
+			skipped++
+		}
+	}
+	if usable+skipped == 0 {
+		return ""
+	}
+	return fmt.Sprintf(": the lowest score of %d usable targets, %d could not be used", usable, skipped)
+}
+
+func (s *Story) end(r *fireflypath.Record) {
+	if !r.Ended.IsZero() {
+		s.add("ended as %s %s after it came, %d output tokens", r.State, span(r.Arrived, r.Ended), r.Tokens)
+	}
+	ref := r.Refusal
+	if ref == nil {
+		return
+	}
+	s.add("refused as %s: %s", ref.Code, ref.Detail)
+	switch ref.Run {
+	case fireflypath.RunNo:
+		s.add("it did not run and will not")
+	default:
+		s.add("it was sent to a target, so it may have run")
+	}
+	if ref.RetryAfter > 0 {
+		s.add("the caller was told to come back after %s", ref.RetryAfter)
+	}
+}
+
+// considered lists the candidates with their figures at the decision.
+func considered(r *fireflypath.Record) *table.Table {
+	if len(r.Considered) == 0 {
+		return nil
+	}
+	t := &table.Table{Columns: []table.Column{
+		{Name: "target", Kind: table.Text},
+		{Name: "chosen", Kind: table.Bool},
+		{Name: "held", Kind: table.Number},
+		{Name: "reported", Kind: table.Number},
+		{Name: "age", Kind: table.Duration},
+		{Name: "window", Kind: table.Number},
+		{Name: "hit", Kind: table.Number},
+		{Name: "score", Kind: table.Duration},
+		{Name: "skip", Kind: table.Text},
+	}}
+	for _, c := range r.Considered {
+		t.Rows = append(t.Rows, table.Row{
+			table.Str(c.Target), table.Flag(c.Target == r.Target),
+			table.Num(c.Held), table.Num(c.Reported), table.Dur(c.Age),
+			table.Num(c.Window), table.Num(c.Hit), table.Num(c.Score), table.Str(c.Skip),
+		})
+	}
+	return t
+}
+
+func or(name string) string {
+	if name == "" {
+		return "(unknown)"
+	}
+	return name
+}
+
+func span(from, to time.Time) string {
+	return table.Between(from, to).String(table.Duration)
+}
--- a/internal/syntax/language.go
+++ b/internal/syntax/language.go
@@ -2,6 +2,7 @@
 package syntax
 
 import (
+	"fmt"
 	"regexp"
 	"slices"
 	"strings"
@@ -11,9 +12,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxText bounds a command or query in bytes. A file that creates 10,000 teams
-// at some 80 bytes each fits; more is split into several changes.
-const MaxText = 1 << 20
+// MaxText bounds a command or query in bytes: the audit trail keeps the words
+// as given and takes no longer line. About a hundred teams with their keys fit;
+// more are split into several changes.
+const MaxText = 16 << 10
 
 // probe stands for a word that is no keyword of any language here.
 const probe = "0probe0"
@@ -27,7 +29,7 @@
 	{Name: "Mark", Pattern: `[;,]`},
 })
 
-var literal = regexp.MustCompile(`"([a-z0-9]+|[;,])"`)
+var literal = regexp.MustCompile(`"([a-z0-9]+|[;,=!<>~]+)"`)
 
 // Word is a name or value, with its place for errors.
 type Word struct {
@@ -57,7 +59,7 @@
 	for _, m := range literal.FindAllStringSubmatch(l.parser.String(), -1) {
 		switch {
 		case slices.Contains(l.literals, m[1]) || slices.Contains(marks, m[1]):
-		case len(m[1]) == 1:
+		case strings.ContainsAny(m[1], ";,=<>~"):
 			marks = append(marks, m[1])
 		default:
 			l.literals = append(l.literals, m[1])
@@ -70,7 +72,7 @@
 // Parse reads the whole text, or returns an *Error.
 func (l *Language[G]) Parse(text string) (*G, error) {
 	if len(text) > MaxText {
-		return nil, &Error{Line: 1, Column: 1, Detail: "text is longer than a megabyte; split it"}
+		return nil, &Error{Line: 1, Column: 1, Detail: tooLong(len(text))}
 	}
 	g, err := l.parser.ParseString("", text)
 	if err == nil {
@@ -146,6 +148,10 @@
 	return out
 }
 
+func tooLong(n int) string {
+	return fmt.Sprintf("the text is %d bytes, above the limit of %d: split it into several", n, MaxText)
+}
+
 func firstRune(s string) string {
 	for _, r := range s {
 		return string(r)
