feat(route): answers true under faults, the shipped scheduler plugged in

A test for each fault of a target found two: a connection closed before the answer's header was taken for a whole answer (io.EOF passed through), which crashed the request, and records missed everything before their end. Both are mended; the draft of a record begins in a step of its own.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -163,3 +163,8 @@
 	}
 	return ln.Addr().String()
 }
+
+// Demands summarises the pools.
+func (d *Daemon) Demands() []fireflypath.Demand {
+	return d.pools.Demands()
+}
--- /dev/null
+++ b/internal/daemon/fault_test.go
@@ -0,0 +1,352 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/daemon"
+	"github.com/fireflypath/fireflypath/internal/fake/engine"
+	"github.com/fireflypath/fireflypath/internal/fake/fault"
+	"github.com/fireflypath/fireflypath/internal/fake/service"
+	"github.com/fireflypath/fireflypath/internal/testkit"
+)
+
+// rig is a daemon alone before stand-ins.
+type rig struct {
+	*daemon.Daemon
+	t        *testing.T
+	engines  []*engine.Engine
+	services []*service.Service
+	records  chan *fireflypath.Record
+}
+
+// setup says how a rig differs from two fast engines and a service.
+type setup struct {
+	engine  engine.Config
+	service service.Config
+	engines int
+	window  int
+	silence time.Duration
+	deps    daemon.Deps
+}
+
+func newRig(t *testing.T, s setup) *rig {
+	is := is.New(t)
+	r := &rig{t: t, records: make(chan *fireflypath.Record, 64)}
+	var engines, services []string
+	for range max(s.engines, 1) {
+		e, err := engine.New(s.engine, clockwork.NewRealClock())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = e.Close() })
+		r.engines = append(r.engines, e)
+		engines = append(engines, e.Addr())
+	}
+	sv, err := service.New(s.service, clockwork.NewRealClock())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = sv.Close() })
+	r.services = append(r.services, sv)
+	services = append(services, sv.Addr())
+
+	cfg := testkit.Config(engines, services)
+	for i := range cfg.Targets {
+		cfg.Targets[i].Window = s.window
+	}
+	set := testkit.Settings(cfg)
+	set.Limits.Silence = fireflypath.Duration(s.silence)
+	s.deps.Recorder = r
+	r.Daemon, err = daemon.New(set, s.deps)
+	is.NoErr(err)
+	is.NoErr(r.Start(t.Context()))
+	t.Cleanup(r.Kill)
+	return r
+}
+
+// Keep hands records to the test.
+func (r *rig) Keep(rec *fireflypath.Record) { r.records <- rec }
+
+// Find and Each complete the Recorder.
+func (r *rig) Find(string) *fireflypath.Record     { return nil }
+func (r *rig) Each(func(*fireflypath.Record) bool) {}
+
+func (r *rig) request(ctx context.Context, path, body string, header ...string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.CallerAddr()+path, strings.NewReader(body))
+	is.New(r.t).NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+testkit.Token)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+// result is what a caller received; err is set for a cut answer.
+type result struct {
+	status int
+	header http.Header
+	text   string
+	err    error
+}
+
+func (r *rig) post(path, body string, header ...string) result {
+	resp, err := http.DefaultClient.Do(r.request(r.t.Context(), path, body, header...))
+	is.New(r.t).NoErr(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, text: string(text), err: err}
+}
+
+func (r *rig) stream(tokens int) result {
+	return r.post("/v1/completions", completion(tokens))
+}
+
+func completion(tokens int) string {
+	return fmt.Sprintf(`{"model":"m","prompt":"hello","max_tokens":%d,"stream":true}`, tokens)
+}
+
+// fault shows faults at all engines.
+func (r *rig) fault(faults ...fault.Fault) {
+	for _, e := range r.engines {
+		for _, f := range faults {
+			is.New(r.t).NoErr(e.Fault(f))
+		}
+	}
+}
+
+// dispatches sums what the engines read, and the most of one request.
+func (r *rig) dispatches() (sum, most int) {
+	for _, e := range r.engines {
+		for _, n := range e.Counts().Dispatches {
+			sum += n
+			most = max(most, n)
+		}
+	}
+	return sum, most
+}
+
+func (r *rig) isWhole(got result, tokens int) {
+	r.t.Helper()
+	is := is.New(r.t)
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(strings.Count(got.text, "\ndata: {"), tokens)
+	is.True(strings.HasSuffix(got.text, "data: [DONE]\n\n"))
+	for n := 1; n <= tokens+1; n++ {
+		is.Equal(strings.Count(got.text, fmt.Sprintf("id: %d\n", n)), 1) // no gap and no overlap
+	}
+	is.Equal(strings.Count(got.text, got.header.Get("Fireflypath-Request")), tokens) // nobody else's events
+}
+
+// A target dies or closes its port while the daemon has work for it. Nothing
+// of the work was sent there, so callers notice nothing: it goes elsewhere.
+func TestTargetDeadBeforeDispatch(t *testing.T) {
+	for _, name := range []fault.Name{fault.Die, fault.Refuse} {
+		t.Run(string(name), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, setup{engines: 2})
+			is.NoErr(r.engines[0].Fault(fault.Fault{Name: name}))
+			for range 5 {
+				r.isWhole(r.stream(3), 3)
+			}
+			is.Equal(len(r.engines[0].Counts().Runs), 0)
+			sum, most := r.dispatches()
+			is.Equal(sum, 5)
+			is.Equal(most, 1)
+		})
+	}
+}
+
+// A connection breaks, an answer is cut or comes under another request's id,
+// while the target still holds the answer. The caller reads all of its own
+// answer once, and the target is sent the work once.
+func TestAnswerResumed(t *testing.T) {
+	for _, f := range []fault.Fault{
+		{Name: fault.Break, After: 2, Count: 1},
+		{Name: fault.Truncate, After: 2, Count: 1},
+		{Name: fault.Crossed, Count: 1},
+	} {
+		t.Run(string(f.Name), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, setup{})
+			r.fault(f)
+			r.isWhole(r.stream(5), 5)
+			sum, _ := r.dispatches()
+			is.Equal(sum, 1)
+			is.Equal(r.engines[0].Counts().Resumes, 1)
+			is.Equal((<-r.records).Resumes, 1)
+		})
+	}
+}
+
+// The target forgets an answer that broke off, as one does that died. What the
+// caller has got is not whole, so it must see a cut and read that the request
+// may have run.
+func TestAnswerLost(t *testing.T) {
+	for _, name := range []fault.Name{fault.Break, fault.Truncate} {
+		t.Run(string(name), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, setup{})
+			r.fault(fault.Fault{Name: name, After: 2, Count: 1}, fault.Fault{Name: fault.Forget})
+			got := r.stream(5)
+			is.True(got.err != nil) // the connection ends without the final chunk
+			is.True(!strings.Contains(got.text, "[DONE]"))
+			is.True(strings.Contains(got.text, "event: error"))
+			is.True(strings.Contains(got.text, `"run":"unknown"`))
+			sum, _ := r.dispatches()
+			is.Equal(sum, 1)
+		})
+	}
+}
+
+// A target reads a request and closes the connection. Client libraries send
+// such a request again by themselves; the target may have run it, so by the
+// target's own count it must come once, also on a kept connection.
+func TestTargetReadsAndCloses(t *testing.T) {
+	t.Run("engine", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, setup{})
+		r.isWhole(r.stream(1), 1)
+		r.fault(fault.Fault{Name: fault.ReadClose, Count: 1})
+		got := r.stream(1)
+		is.Equal(got.status, http.StatusBadGateway)
+		is.True(strings.Contains(got.text, `"run":"unknown"`))
+		sum, most := r.dispatches()
+		is.Equal(sum, 2)
+		is.Equal(most, 1)
+	})
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
+		t.Run("service "+method, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, setup{})
+			is.Equal(r.post("/services/packets/a", "x").status, http.StatusOK)
+			is.NoErr(r.services[0].Fault(fault.Fault{Name: fault.ReadClose}))
+			req := r.request(t.Context(), "/services/packets/a", "x")
+			req.Method = method
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(len(r.services[0].Counts().Dispatches), 2)
+			for _, n := range r.services[0].Counts().Dispatches {
+				is.Equal(n, 1)
+			}
+		})
+	}
+}
+
+// Something between daemon and target loses track of open connections: they
+// stay open and bring nothing, new ones work. The caller gets the rest of its
+// answer over a new one.
+func TestConnectionGoesSilent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 40}, silence: 150 * time.Millisecond})
+	resp, err := http.DefaultClient.Do(r.request(t.Context(), "/v1/completions", completion(8)))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body := bufio.NewReader(resp.Body)
+	head, err := body.ReadString('}')
+	is.NoErr(err)
+	r.fault(fault.Fault{Name: fault.Silent})
+	rest, err := io.ReadAll(body)
+	r.isWhole(result{status: resp.StatusCode, header: resp.Header, text: head + string(rest), err: err}, 8)
+	sum, _ := r.dispatches()
+	is.Equal(sum, 1)
+}
+
+// A target needs longer than the caller's deadline. After the dispatch the
+// work is done anyway, so the caller still gets its whole answer.
+func TestLateAnswerIsDelivered(t *testing.T) {
+	r := newRig(t, setup{engine: engine.Config{Decode: 20}})
+	got := r.post("/v1/completions", completion(8), "Fireflypath-Deadline", "330ms")
+	r.isWhole(got, 8)
+}
+
+// A caller hangs up while its request waits. Nobody will read the answer, so
+// no target may be given the work.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 10, Batch: 1}, window: 1})
+	first, err := http.DefaultClient.Do(r.request(t.Context(), "/v1/completions", completion(20)))
+	is.NoErr(err)
+	defer first.Body.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(r.request(ctx, "/v1/completions", completion(1)))
+		if err == nil {
+			resp.Body.Close()
+		}
+		done <- err
+	}()
+	r.waiting("engines", 1)
+	cancel()
+	is.True(<-done != nil)
+	rec := <-r.records
+	is.Equal(rec.State, "withdrawn")
+	is.Equal(rec.Target, "")
+	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+}
+
+// waiting blocks until so many requests wait in the pool.
+func (r *rig) waiting(pool string, n int) {
+	for r.t.Context().Err() == nil {
+		for _, d := range r.Demands() {
+			sum := 0
+			for _, k := range d.Requests {
+				sum += k
+			}
+			if d.Pool == pool && sum == n {
+				return
+			}
+		}
+		runtime.Gosched()
+	}
+}
+
+// A caller hangs up while its answer is generated. Going on would take the
+// place of work that somebody waits for, so the engine is told to stop.
+func TestCallerLeavesWhileRunning(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 20}})
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := http.DefaultClient.Do(r.request(ctx, "/v1/completions", completion(200)))
+	is.NoErr(err)
+	cancel()
+	resp.Body.Close()
+	rec := <-r.records
+	is.Equal(rec.State, "failed")
+	is.Equal(rec.Refusal.Code, fireflypath.ReasonWithdrawn)
+	is.Equal(r.engines[0].Counts().Cancels, 1)
+}
+
+// A target that is told to leave refuses new work. The refusal is passed on as
+// not run, and further requests are not sent there.
+func TestTargetRefuses(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engines: 2})
+	is.NoErr(r.engines[0].Fault(fault.Fault{Name: fault.Draining}))
+	refused := 0
+	for range 6 {
+		got := r.stream(1)
+		if got.status == http.StatusServiceUnavailable {
+			refused++
+			is.True(strings.Contains(got.text, `"run":"no"`))
+			is.True(got.header.Get("Retry-After") != "")
+			continue
+		}
+		r.isWhole(got, 1)
+	}
+	is.True(refused <= 1)
+	is.Equal(len(r.engines[0].Counts().Dispatches), refused)
+	is.Equal(len(r.engines[0].Counts().Runs), 0)
+}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
@@ -14,7 +15,7 @@
 	"github.com/fireflypath/fireflypath/internal/caller"
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
-	"github.com/fireflypath/fireflypath/internal/decide/fifo"
+	"github.com/fireflypath/fireflypath/internal/decide/sched"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/platform"
 	"github.com/fireflypath/fireflypath/internal/route"
@@ -101,7 +102,7 @@
 
 func (scheduling) Run(ctx context.Context, d *Daemon) error {
 	if d.deps.Scheduler == nil {
-		d.deps.Scheduler = func(p fireflypath.Pool) fireflypath.Scheduler { return fifo.New(p) }
+		d.deps.Scheduler = d.scheduler
 	}
 	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
 	d.evidence = evidence.New(d.heardLeaving, d.heardBack)
@@ -110,6 +111,16 @@
 	return nil
 }
 
+// scheduler is the shipped one. The seed differs between daemons, so that
+// equal views do not send everything to the same target.
+func (d *Daemon) scheduler(p fireflypath.Pool) fireflypath.Scheduler {
+	lowest := 0
+	for _, t := range d.deps.Configs.Current().Tiers {
+		lowest = max(lowest, t.Rank)
+	}
+	return sched.New(sched.Config{Pool: p, Lowest: lowest, Seed: xxhash.Sum64String(d.cfg.Name + "/" + p.Name)})
+}
+
 func (scheduling) Stop(ctx context.Context, d *Daemon) error {
 	d.pools.Stop(stopping)
 	return nil
--- a/internal/fake/service/service_test.go
+++ b/internal/fake/service/service_test.go
@@ -23,8 +23,8 @@
 	}{
 		{fault: fault.Clear, status: 200, id: "d.1", runs: 1},
 		{fault: fault.ReadClose},
-		{fault: fault.Draining, status: 503},
-		{fault: fault.NotRun, status: 503},
+		{fault: fault.Draining, status: 503, id: "d.1"},
+		{fault: fault.NotRun, status: 503, id: "d.1"},
 		{fault: fault.Break, runs: 1},
 		{fault: fault.Crossed, status: 200, id: "other-d.1", runs: 1},
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/parse"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/route/queue"
+	"github.com/fireflypath/fireflypath/internal/route/record"
 	"github.com/fireflypath/fireflypath/internal/route/refuse"
 	"github.com/fireflypath/fireflypath/internal/route/relay"
 	"github.com/fireflypath/fireflypath/internal/route/request"
@@ -57,6 +58,7 @@
 		parse.New(deps.Clock),
 		identify.New(),
 		classify.New(),
+		record.New(deps.Recorder),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
 		relay.New(deps.Clock, rt.ended),
--- a/internal/send/sender.go
+++ b/internal/send/sender.go
@@ -66,7 +66,7 @@
 	}
 	if err := x.readHeader(); err != nil {
 		x.Close()
-		return nil, errors.Wrap(err, "read answer header")
+		return nil, errors.Wrap(cut(err), "read answer header")
 	}
 	return x, nil
 }
