feat(demo): daemons, stand-ins and callers in one process

Nothing yet compared what callers received with what targets ran. The demo starts 12 unlike engines, 3 services, the platform and daemons, sends a mix with faults on the way, lets callers retry elsewhere as real ones do, and exits 1 if an answer is lost, an id or key ran twice, or a refusal that says not run is untrue.

--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -15,6 +15,7 @@
 // commands lists the tools in the order that help prints them.
 func commands() []*cli.Command {
 	return []*cli.Command{
+		newDemoCommand(),
 		newStandCommand(),
 		newLoadCommand(),
 	}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,135 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/fireflypath/fireflypath/internal/load"
+)
+
+// Report compares what callers received with what targets counted.
+type Report struct {
+	// Load is what callers received; its Failed are Lost here.
+	Load load.Report `json:"load"`
+	// Lost counts requests whose callers in the end got neither their whole
+	// answer nor a refusal.
+	Lost int `json:"lost"`
+	// Twice counts ids that targets were sent more than once, and ids and keys
+	// that targets ran more than once.
+	Twice int `json:"twice"`
+	// Untrue counts refusals that say that a request did not run, but it did.
+	Untrue int `json:"untrue"`
+	// Late counts the requests sent to the leaving target later than 3 s after
+	// it began to leave; -1 if the demo ended before that.
+	Late int `json:"late"`
+	// Prefill and Wasted are prompt tokens computed, and those for nothing.
+	Prefill int `json:"prefill"`
+	Wasted  int `json:"wasted"`
+	// Tiers split Wasted; a tier is empty if no caller learned the request's id.
+	Tiers []TierWaste `json:"tiers"`
+}
+
+// TierWaste is the prefill done for nothing for a tier's requests.
+type TierWaste struct {
+	Tier   string `json:"tier"`
+	Wasted int    `json:"wasted"`
+}
+
+// Good reports whether everything held that must always hold.
+func (r Report) Good() bool {
+	return r.Lost == 0 && r.Twice == 0 && r.Untrue == 0
+}
+
+// audit reads the targets' counts.
+func (d *Demo) audit() Report {
+	l := d.tally.Report(d.o.For)
+	r := Report{Load: l, Lost: l.Failed, Late: -1}
+	dispatches, runs, keys, waste := make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)
+	for _, e := range d.engines {
+		c := e.Counts()
+		add(dispatches, c.Dispatches)
+		add(runs, c.Runs)
+		for id, n := range c.Waste {
+			waste[d.callers.tiers[id]] += n
+		}
+		r.Prefill += c.Prefill
+		r.Wasted += c.Wasted
+	}
+	for _, s := range d.services {
+		c := s.Counts()
+		add(dispatches, c.Dispatches)
+		add(runs, c.Runs)
+		add(keys, c.Keys)
+	}
+	r.Twice = twice(dispatches, runs) + twice(keys)
+	for _, id := range d.callers.notRun {
+		r.Untrue += min(1, runs[id])
+	}
+	for _, t := range d.o.Mix.Tiers {
+		r.Tiers = append(r.Tiers, TierWaste{t.Name, waste[t.Name]})
+	}
+	r.Tiers = append(r.Tiers, TierWaste{"", waste[""]})
+	if t := d.leaving.target; t != nil && d.leaving.before >= 0 {
+		r.Late = sum(t.Counts().Dispatches) - d.leaving.before
+	}
+	return r
+}
+
+func add(all, more map[string]int) {
+	for k, n := range more {
+		all[k] += n
+	}
+}
+
+// twice counts the names that any of the maps counts more than once.
+func twice(counts ...map[string]int) int {
+	names := make(map[string]bool)
+	for _, m := range counts {
+		for k, n := range m {
+			if n > 1 {
+				names[k] = true
+			}
+		}
+	}
+	return len(names)
+}
+
+const header = "tier\tsent\twhole\tin time\trefused\tlost\tgoodput/s\tp50 ms\tp95 ms\twasted prefill\t\n"
+
+// Print writes a report as a table and one last line for scripts.
+func (r Report) Print(w io.Writer) error {
+	rows := []byte(header)
+	for i, x := range r.Load.Tiers {
+		rows = fmt.Appendf(rows, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%d\t\n",
+			x.Tier, x.Sent, x.Whole, x.InTime, x.Refused, x.Failed, x.Goodput, x.Answer.P50, x.Answer.P95, r.Tiers[i].Wasted)
+	}
+	rows = fmt.Appendf(rows, "(id unknown)\t\t\t\t\t\t\t\t\t%d\t\n", r.Tiers[len(r.Tiers)-1].Wasted)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	if _, err := t.Write(rows); err != nil {
+		return err
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := w.Write(r.lines())
+	return err
+}
+
+func (r Report) lines() []byte {
+	var b []byte
+	for _, c := range r.Load.Codes {
+		b = fmt.Appendf(b, "refused as %s, run %s: %d\n", c.Code, c.Run, c.Count)
+	}
+	for _, e := range r.Load.Errors {
+		b = fmt.Appendf(b, "lost: %s\n", e)
+	}
+	b = fmt.Appendf(b, "prefill: %d tokens, %d wasted (%.1f%%)\n",
+		r.Prefill, r.Wasted, 100*float64(r.Wasted)/float64(max(1, r.Prefill)))
+	b = fmt.Appendf(b, "refused as not run, but ran: %d\n", r.Untrue)
+	if r.Late >= 0 {
+		b = fmt.Appendf(b, "sent to the leaving target after 3 s: %d\n", r.Late)
+	}
+	return fmt.Appendf(b, "demo: sent=%d whole=%d refused=%d lost=%d twice=%d\n",
+		r.Load.Sent, r.Load.Whole, r.Load.Refused, r.Lost, r.Twice)
+}
--- a/internal/fake/engine/batch.go
+++ b/internal/fake/engine/batch.go
@@ -154,8 +154,8 @@
 
 // forget drops a stream; e.mu is held.
 func (e *Engine) forget(s *stream) {
-	if !s.read && !s.cancelled {
-		e.counts.Wasted += s.prefilled
+	if !s.read && !s.cancelled && !e.cfg.Uncounted {
+		e.counts.waste(s)
 	}
 	delete(e.streams, s.id)
 }
@@ -170,7 +170,7 @@
 	}
 	e.counts.Cancels++
 	if !s.read {
-		e.counts.Wasted += s.prefilled
+		e.counts.waste(s)
 	}
 	s.cancelled = true
 	s.tell()
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -57,6 +57,8 @@
 	Prefill int `json:"prefill"`
 	// Wasted is the part of Prefill whose answers were cancelled or never read to the end.
 	Wasted int `json:"wasted"`
+	// Waste is Wasted by request id.
+	Waste map[string]int `json:"waste"`
 	// Cached is the number of prompt tokens found in the cache.
 	Cached int `json:"cached"`
 	// Resumes and Cancels count the calls that met a kept stream.
@@ -68,6 +70,14 @@
 	Stale  int                 `json:"stale"`
 }
 
+// waste counts a stream's prefill as done for nothing.
+func (c *Counts) waste(s *stream) {
+	if s.prefilled > 0 {
+		c.Wasted += s.prefilled
+		c.Waste[s.id] += s.prefilled
+	}
+}
+
 // Engine is a running stand-in.
 type Engine struct {
 	cfg    Config
@@ -113,7 +123,7 @@
 		streams: make(map[string]*stream),
 		cache:   newCache(cfg),
 		orders:  make(map[string]bool),
-		counts:  Counts{Dispatches: make(map[string]int), Runs: make(map[string]int)},
+		counts:  Counts{Dispatches: make(map[string]int), Runs: make(map[string]int), Waste: make(map[string]int)},
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
 	}
@@ -184,10 +194,11 @@
 	c := e.counts
 	c.Dispatches = maps.Clone(c.Dispatches)
 	c.Runs = maps.Clone(c.Runs)
+	c.Waste = maps.Clone(c.Waste)
 	c.Orders = append([]fireflypath.Order(nil), c.Orders...)
 	for _, s := range e.streams {
 		if !s.read && !s.cancelled && (s.finished() || e.closed) {
-			c.Wasted += s.prefilled
+			c.waste(s)
 		}
 	}
 	return c
