--- a/internal/decide/sched/offer.go
+++ b/internal/decide/sched/offer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/deadline"
 	"github.com/fireflypath/fireflypath/internal/decide/fair"
 )
 
@@ -41,11 +42,15 @@
 		s.damper.Early(now, w.Team)
 	}
 	s.arrivals[r].Add(now, w.Cost.Tokens())
+	s.reserve.Arrive(now, r)
 	expected := s.best(w)
-	latest := s.margin.Latest(w.Deadline, expected)
+	latest := s.latestOf(w)
 	if latest.Before(now) {
 		return append(out, s.hopeless(w, expected))
 	}
+	if s.barred(now, r) {
+		return append(out, s.full(now, w, false))
+	}
 	if s.late(now, w, latest) {
 		return s.refuseLate(now, w, out)
 	}
@@ -60,6 +65,14 @@
 	return s.bound(now, out)
 }
 
+// barred is true for work below a tier that was just relieved here. Without it
+// the daemon that asked for relief would refuse its work while newly arrived
+// lower work waits, and would have to ask again. Work that might be dispatched
+// at once is barred too: whether it would be is known only after it was let in.
+func (s *Sched) barred(now time.Time, r int) bool {
+	return r > s.pressure && now.Before(s.pressed)
+}
+
 // Withdraw removes waiting work; it reports false if it was not waiting here.
 // Work that Next returned, but that its owner did not send, is forgotten.
 func (s *Sched) Withdraw(now time.Time, w *fireflypath.Work) bool {
@@ -78,7 +91,7 @@
 		return true
 	case phaseFlight:
 		if st := w.Life.State(); st != fireflypath.StateDispatched {
-			s.land(slot)
+			s.land(now, slot)
 			s.release(slot)
 		}
 	case phaseFree:
@@ -96,6 +109,11 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
+// latestOf is when the work must start at the fastest target.
+func (s *Sched) latestOf(w *fireflypath.Work) time.Time {
+	return deadline.Latest(w.Deadline, s.best(w), s.margin.Tight())
+}
+
 // late is true if the work is expected to wait past its latest start. While
 // lower work waits here it is not asked: the lower work would have to go first,
 // for the sake of an estimate.
@@ -161,7 +179,7 @@
 		s.items[slot].phase = phaseWaiting
 		s.items[slot].asked = now
 		s.queue.Push(slot, w)
-		s.schedule(slot, s.margin.Latest(w.Deadline, s.best(w)))
+		s.schedule(slot, s.latestOf(w))
 	}
 	return append(out, sh)
 }
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -16,6 +16,9 @@
 	// about 5,000.
 	guessPrefill = 5000
 	guessDecode  = 27
+	// quick is how many times slower than the fastest a fast target may be. Of
+	// five generations with speeds five times apart it takes the upper three.
+	quick = 2.5
 	// block is the size of a cache block in tokens (docs/PROTOCOLS.md).
 	block = 64
 )
@@ -35,7 +38,12 @@
 	requests int
 	tokens   int
 	prefill  int
-	report   fireflypath.Report
+	// filling is the number of requests before their first token.
+	filling int
+	report  fireflypath.Report
+	// slots and busy are what the target counts for in the sums of slots and of
+	// busy slots of fast targets.
+	slots, busy int
 	// at is the position in the list of open targets, or -1.
 	at int32
 }
@@ -140,6 +148,7 @@
 // refresh moves a target in or out of the list of open ones.
 func (s *Sched) refresh(i int32) {
 	t := &s.targets[i]
+	s.count(t)
 	if t.slow.State() == slow.Ejected {
 		s.close(i)
 		s.quarantine(i)
@@ -155,6 +164,22 @@
 	s.close(i)
 }
 
+// count keeps the sums over fast targets.
+func (s *Sched) count(t *target) {
+	slots, busy := 0, 0
+	if t.usable() && t.slow.State() == slow.Ready && s.fast(t) {
+		slots, busy = t.limit(), t.requests
+	}
+	s.capacity += slots - t.slots
+	s.busy += busy - t.busy
+	t.slots, t.busy = slots, busy
+}
+
+// fast is true for a target that work with a tight deadline can use.
+func (s *Sched) fast(t *target) bool {
+	return quick*s.decodeRate(t) >= s.fastDecode
+}
+
 func (s *Sched) close(i int32) {
 	t := &s.targets[i]
 	if t.at == none {
@@ -225,12 +250,22 @@
 // delay that others cause, what is not cached, and the output.
 func (s *Sched) expect(now time.Time, t *target, w *fireflypath.Work, hit int) float64 {
 	fresh := max(w.Cost.Prompt-hit, 0)
-	wait := t.speed.Delay(now).Seconds()
+	wait := max(t.speed.Delay(now).Seconds(), s.queued(now, t))
 	prefill := float64(t.prefill+fresh) / s.prefillRate(t)
 	decode := s.outputOf(w) / s.decodeRate(t)
 	return wait + prefill + decode
 }
 
+// queued is the time that the work of other daemons waiting in the target takes
+// to prefill, in seconds, as last reported, less what has passed since.
+func (s *Sched) queued(now time.Time, t *target) float64 {
+	if t.report.Waiting == 0 {
+		return 0
+	}
+	others := float64(max(t.report.Waiting-t.filling, 0))
+	return max(others*s.prompt/s.prefillRate(t)-now.Sub(t.report.Measured).Seconds(), 0)
+}
+
 func (s *Sched) outputOf(w *fireflypath.Work) float64 {
 	return float64(w.Cost.Output) * s.output
 }
