--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"github.com/fireflypath/fireflypath"
+)
+
+// protocol is checked in the introduction; a daemon of another one is refused.
+const protocol = 1
+
+const (
+	methodHello = "hello"
+	methodBeat  = "beat"
+)
+
+// hello introduces the daemons of a new connection to each other.
+type hello struct {
+	Protocol int                `json:"protocol"`
+	Member   fireflypath.Member `json:"member"`
+}
+
+// Beat is the heartbeat on a connection. It carries what spreads through the
+// fleet; empty parts cost nothing.
+type Beat struct {
+	// Generation is the configuration in force at the sender.
+	Generation uint64 `json:"g,omitempty"`
+	// View is a hash over the members as the sender sees them.
+	View uint64 `json:"v,omitempty"`
+	// News are changes of members, each sent once on a connection.
+	News []News `json:"n,omitempty"`
+	// Demands are the lines that changed since the last beat.
+	Demands []Demand `json:"d,omitempty"`
+	// Evidence is what was seen of targets first-hand, each sent once.
+	Evidence []Evidence `json:"e,omitempty"`
+}
+
+// State is what is known of a member's life.
+type State string
+
+// The states, with one letter for the wire.
+const (
+	Alive   State = "a"
+	Suspect State = "s"
+	Dead    State = "d"
+	Left    State = "l"
+)
+
+// News is a member's state at an incarnation.
+type News struct {
+	State  State              `json:"s"`
+	Member fireflypath.Member `json:"m"`
+}
+
+// Demand is the short form of fireflypath.Demand for the wire, rounded to two
+// digits so that small changes are not sent.
+type Demand struct {
+	Pool     string `json:"p"`
+	Waiting  []int  `json:"w,omitempty"`
+	Running  []int  `json:"r,omitempty"`
+	Requests []int  `json:"q,omitempty"`
+}
+
+// Evidence is first-hand news of a target.
+type Evidence struct {
+	Target string `json:"t"`
+	// By is the daemon that saw it, Number its own count, so that an older
+	// message that comes late changes nothing.
+	By     string `json:"b"`
+	Number uint64 `json:"n"`
+	// Kind is one of leaving, dead, back.
+	Kind string `json:"k"`
+	Why  string `json:"w,omitempty"`
+}
--- /dev/null
+++ b/internal/testkit/network.go
@@ -0,0 +1,317 @@
+package testkit
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+var errRefused = errors.New("connection refused")
+
+// Network joins daemons in memory. Links between two hosts can be cut one way
+// or both ways, and single connections can fall silent for good.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cut       map[direction]bool
+	conns     map[*conn]bool
+	paused    map[string]chan struct{}
+	// Bytes counts what all hosts wrote.
+	Bytes atomic.Int64
+}
+
+type direction struct{ from, to string }
+
+// NewNetwork makes a network without hosts.
+func NewNetwork() *Network {
+	return &Network{
+		listeners: map[string]*listener{}, cut: map[direction]bool{},
+		conns: map[*conn]bool{}, paused: map[string]chan struct{}{},
+	}
+}
+
+// Host is one host's view of the network; addresses are "host:port".
+func (n *Network) Host(name string) fireflypath.Network { return &host{n: n, name: name} }
+
+// Cut loses all that goes from one host to another; what was lost on an open
+// connection is not sent again, so the connection stays silent that way.
+func (n *Network) Cut(from, to string) { n.set(from, to, true) }
+
+// CutBoth cuts both ways.
+func (n *Network) CutBoth(a, b string) { n.Cut(a, b); n.Cut(b, a) }
+
+// Heal undoes Cut for new connections.
+func (n *Network) Heal(from, to string) { n.set(from, to, false) }
+
+// HealBoth heals both ways.
+func (n *Network) HealBoth(a, b string) { n.Heal(a, b); n.Heal(b, a) }
+
+func (n *Network) set(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[direction{from, to}] = cut
+}
+
+// Silence loses for good all that open connections carry from one host to
+// another. Connections opened later work.
+func (n *Network) Silence(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.from == from && c.to == to {
+			c.lost.Store(true)
+		}
+	}
+}
+
+// Kill ends a host's process: its connections break and dials are refused.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	var broken []*conn
+	for c := range n.conns {
+		if c.from == name || c.to == name {
+			broken = append(broken, c)
+		}
+	}
+	for a, l := range n.listeners {
+		if l.host == name {
+			delete(n.listeners, a)
+			l.stop()
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
+
+// Pause stops a host from taking anything in, like a stopped process whose
+// kernel still acknowledges; Resume lets it read what came meanwhile. Stop the
+// host's clock as well.
+func (n *Network) Pause(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[name] = make(chan struct{})
+}
+
+// Resume undoes Pause.
+func (n *Network) Resume(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.paused[name])
+	delete(n.paused, name)
+}
+
+// awake waits while a host is paused.
+func (n *Network) awake(name string) {
+	n.mu.Lock()
+	ch := n.paused[name]
+	n.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
+func (n *Network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[direction{from, to}]
+}
+
+type host struct {
+	n    *Network
+	name string
+}
+
+type listener struct {
+	n    *Network
+	host string
+	addr addr
+	ch   chan net.Conn
+	done chan struct{}
+	once sync.Once
+}
+
+type addr string
+
+func (a addr) Network() string { return "mem" }
+func (a addr) String() string  { return string(a) }
+
+// Listen takes an address of any form; the host is the one that asked.
+func (h *host) Listen(a string) (net.Listener, error) {
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	if h.n.listeners[a] != nil {
+		return nil, errors.Newf("address %s in use", a)
+	}
+	l := &listener{n: h.n, host: h.name, addr: addr(a), ch: make(chan net.Conn), done: make(chan struct{})}
+	h.n.listeners[a] = l
+	return l, nil
+}
+
+func (l *listener) stop()          { l.once.Do(func() { close(l.done) }) }
+func (l *listener) Addr() net.Addr { return l.addr }
+
+func (l *listener) Close() error {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	if l.n.listeners[string(l.addr)] == l {
+		delete(l.n.listeners, string(l.addr))
+	}
+	l.stop()
+	return nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ch:
+		l.n.awake(l.host)
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Dial connects, is refused if nobody listens, or waits for ctx across a cut.
+func (h *host) Dial(ctx context.Context, a string) (net.Conn, error) {
+	h.n.mu.Lock()
+	l := h.n.listeners[a]
+	h.n.mu.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	if h.n.isCut(h.name, l.host) || h.n.isCut(l.host, h.name) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	up, down := newPipe(), newPipe()
+	mine := &conn{n: h.n, from: h.name, to: l.host, r: down, w: up, peer: addr(a)}
+	theirs := &conn{n: h.n, from: l.host, to: h.name, r: up, w: down, peer: addr(h.name)}
+	h.n.mu.Lock()
+	h.n.conns[mine], h.n.conns[theirs] = true, true
+	h.n.mu.Unlock()
+	select {
+	case l.ch <- theirs:
+		return mine, nil
+	case <-l.done:
+		return nil, errRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// pipe is one direction of a connection, buffered like a kernel would.
+type pipe struct {
+	mu     sync.Mutex
+	buf    []byte
+	closed bool
+	wake   chan struct{}
+}
+
+func newPipe() *pipe { return &pipe{wake: make(chan struct{})} }
+
+func (p *pipe) signal() {
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+type conn struct {
+	n        *Network
+	from, to string
+	r, w     *pipe
+	peer     addr
+	lost     atomic.Bool
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		c.n.awake(c.from)
+		c.r.mu.Lock()
+		if len(c.r.buf) > 0 {
+			n := copy(b, c.r.buf)
+			c.r.buf = c.r.buf[n:]
+			c.r.mu.Unlock()
+			return n, nil
+		}
+		closed, wake := c.r.closed, c.r.wake
+		c.r.mu.Unlock()
+		if closed {
+			return 0, io.EOF
+		}
+		c.mu.Lock()
+		d := c.deadline
+		c.mu.Unlock()
+		if d.IsZero() {
+			<-wake
+			continue
+		}
+		t := time.NewTimer(time.Until(d))
+		select {
+		case <-wake:
+			t.Stop()
+		case <-t.C:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if c.n.isCut(c.from, c.to) {
+		c.lost.Store(true)
+	}
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.w.closed {
+		return 0, io.ErrClosedPipe
+	}
+	c.n.Bytes.Add(int64(len(b)))
+	if !c.lost.Load() {
+		c.w.buf = append(c.w.buf, b...)
+		c.w.signal()
+	}
+	return len(b), nil
+}
+
+// Close ends this side; the other hears of it unless the way there is lost.
+func (c *conn) Close() error {
+	c.n.mu.Lock()
+	delete(c.n.conns, c)
+	reached := !c.lost.Load() && !c.n.cut[direction{c.from, c.to}]
+	c.n.mu.Unlock()
+	c.r.mu.Lock()
+	c.r.closed = true
+	c.r.signal()
+	c.r.mu.Unlock()
+	if reached {
+		c.w.mu.Lock()
+		c.w.closed = true
+		c.w.signal()
+		c.w.mu.Unlock()
+	}
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr              { return addr(c.from) }
+func (c *conn) RemoteAddr() net.Addr             { return c.peer }
+func (c *conn) SetDeadline(t time.Time) error    { return c.SetReadDeadline(t) }
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.mu.Unlock()
+	c.r.mu.Lock()
+	c.r.signal()
+	c.r.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/network.go
@@ -0,0 +1,12 @@
+package fireflypath
+
+import (
+	"context"
+	"net"
+)
+
+// Network opens the connections between daemons.
+type Network interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+}
