--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -46,14 +46,12 @@
 	always map[string]bool
 	joined map[string]bool
 	last   map[string]uint64
-	stop   chan struct{}
-	wg     sync.WaitGroup
 }
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{
 		t: t, net: testkit.NewNetwork(), store: testkit.NewMapStore(clockwork.NewRealClock()),
-		daemons: map[string]*daemon{}, always: map[string]bool{}, joined: map[string]bool{}, last: map[string]uint64{}, stop: make(chan struct{}),
+		daemons: map[string]*daemon{}, always: map[string]bool{}, joined: map[string]bool{}, last: map[string]uint64{},
 	}
 	for i := range n {
 		f.start(fmt.Sprint("d", i))
@@ -209,12 +207,12 @@
 }
 
 // await lets time go by until cond holds, and fails after the limit.
-func (f *fleet) await(limit time.Duration, what string, cond func() bool) time.Duration {
+func (f *fleet) await(limit time.Duration, what string, cond func() bool) {
 	f.t.Helper()
 	const every = 50 * time.Millisecond
 	for d := time.Duration(0); d <= limit; d += every {
 		if cond() {
-			return d
+			return
 		}
 		time.Sleep(every)
 		f.sample()
@@ -223,7 +221,6 @@
 		f.t.Log(n, "sees", view(d), "generation", d.configs.Generation(), "connected", d.peers.Connected())
 	}
 	f.t.Fatalf("not within %v: %s", limit, what)
-	return 0
 }
 
 // counter reads a counter of one daemon.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -87,6 +87,14 @@
 // so that beats stay in order; calls get their own, up to a bound.
 func (l *link) Handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	<-l.bound
+	if l.dialed && !l.introduced() {
+		// The other side's first beat may be read before the goroutine that
+		// waited for its introduction, which came first, has run.
+		select {
+		case <-l.ready:
+		case <-l.conn.DisconnectNotify():
+		}
+	}
 	switch {
 	case r.Method == methodHello:
 		l.greet(ctx, r)
