feat(operator): endpoints for commands and queries, client with do, ask and shell

An operator reads done, refused, not done (unavailable) or unknown; the client repeats under one id, and an attempt whose fate is open stays unknown until a daemon settles it. Failed keys slow the source.

--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -14,7 +14,11 @@
 
 // commands lists the tools in the order that help prints them.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		doCommand(),
+		askCommand(),
+		shellCommand(),
+	}
 }
 
 // coded is an error that chooses the exit code.
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,170 @@
+// Package client speaks to a daemon's operators' endpoints.
+package client
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath/internal/operator/wire"
+	"github.com/fireflypath/fireflypath/internal/query/eval"
+)
+
+const (
+	// tries bounds how often a command is sent, always under the same id, so
+	// that it is done once however many of them arrive.
+	tries = 3
+	// callTimeout is above what a daemon takes to say that an outcome is
+	// unknown to it, so that its own words reach the operator.
+	callTimeout = 12 * time.Second
+	dialTimeout = 2 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// Errors of a Client, apart from *syntax.Error.
+var (
+	// ErrUnreached means that no daemon took the call.
+	ErrUnreached = errors.New("no daemon can be reached")
+	// ErrRefused means that the daemon refused to answer.
+	ErrRefused = errors.New("refused")
+)
+
+// Options tell where the daemons are.
+type Options struct {
+	// Addrs are tried in turn; https:// in front asks for TLS.
+	Addrs []string
+	// Key is the operator's, empty where none is configured.
+	Key string
+	// Roots check the daemon's certificate; nil takes the system's.
+	Roots *x509.CertPool
+}
+
+// Client asks one daemon after another.
+type Client struct {
+	opts Options
+	http fasthttp.Client
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	c := &Client{opts: opts}
+	c.http.TLSConfig = &tls.Config{RootCAs: opts.Roots, MinVersion: tls.VersionTLS12}
+	c.http.MaxResponseBodySize = maxAnswer
+	c.http.Dial = func(addr string) (net.Conn, error) {
+		conn, err := fasthttp.DialTimeout(addr, dialTimeout)
+		if err != nil {
+			return nil, errors.Mark(err, ErrUnreached)
+		}
+		return conn, nil
+	}
+	return c
+}
+
+// reply is a daemon's answer.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// Do has a command done. The answer's outcome is OutcomeUnknown unless a daemon
+// said otherwise, and OutcomeUnavailable if none was reached at all.
+func (c *Client) Do(d wire.Do) wire.Done {
+	best := wire.Done{ID: d.ID, Outcome: wire.OutcomeUnavailable, Detail: "no address is given"}
+	for i := range tries {
+		addr := c.opts.Addrs[i%len(c.opts.Addrs)]
+		done := c.doOnce(addr, d)
+		switch done.Outcome {
+		case wire.OutcomeUnknown:
+			best = done
+		case wire.OutcomeUnavailable:
+			// Nothing was changed by this attempt; an earlier one may have.
+			if best.Outcome != wire.OutcomeUnknown {
+				best = done
+			}
+		default:
+			return done
+		}
+	}
+	return best
+}
+
+func (c *Client) doOnce(addr string, d wire.Do) wire.Done {
+	done := wire.Done{ID: d.ID}
+	r, err := c.post(addr, wire.PathDo, d)
+	if errors.Is(err, ErrUnreached) {
+		done.Outcome, done.Detail = wire.OutcomeUnavailable, "nothing was changed: "+err.Error()
+		return done
+	}
+	if err != nil {
+		done.Outcome, done.Detail = wire.OutcomeUnknown, "the answer was lost: "+err.Error()
+		return done
+	}
+	if json.Unmarshal(r.body, &done) == nil && done.Outcome != "" {
+		return done
+	}
+	done.Outcome, done.Detail = wire.OutcomeUnknown, "the answer cannot be read"
+	var f wire.Failure
+	if json.Unmarshal(r.body, &f) == nil && f.Detail != "" {
+		done.Outcome, done.Detail = wire.OutcomeRefused, f.Detail
+	}
+	return done
+}
+
+// Ask answers a query. Its errors are *syntax.Error, ErrUnreached and ErrRefused.
+func (c *Client) Ask(words string) (*eval.Answer, error) {
+	var last error
+	for _, addr := range c.opts.Addrs {
+		r, err := c.post(addr, wire.PathAsk, wire.Ask{Words: words})
+		if err != nil {
+			last = errors.Mark(err, ErrUnreached)
+			continue
+		}
+		return decode(r)
+	}
+	return nil, last
+}
+
+func decode(r *reply) (*eval.Answer, error) {
+	if r.status == fasthttp.StatusOK {
+		var a eval.Answer
+		return &a, errors.Wrap(json.Unmarshal(r.body, &a), "read the answer")
+	}
+	var f wire.Failure
+	if err := json.Unmarshal(r.body, &f); err != nil || f.Detail == "" {
+		return nil, errors.Wrapf(ErrRefused, "with status %d", r.status)
+	}
+	if f.Syntax != nil {
+		return nil, f.Syntax
+	}
+	return nil, errors.Mark(errors.New(f.Detail), ErrRefused)
+}
+
+func (c *Client) post(addr, path string, message any) (*reply, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "write the call")
+	}
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	req.SetRequestURI(addr + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	if c.opts.Key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.opts.Key)
+	}
+	req.SetBodyRaw(body)
+	if err := c.http.DoTimeout(req, res, callTimeout); err != nil {
+		return nil, errors.Wrapf(err, "call %s", addr)
+	}
+	return &reply{status: res.StatusCode(), body: append([]byte(nil), res.Body()...)}, nil
+}
--- a/internal/command/key.go
+++ b/internal/command/key.go
@@ -111,3 +111,32 @@
 	}
 	*found[0] = left
 }
+
+// Issue gives every key command of a text that names no hash one, made by the
+// given function for its owner, and returns the text with the hashes in it.
+func Issue(text string, hash func(owner string) string) (string, error) {
+	parsed, err := language.Parse(text)
+	if err != nil {
+		return "", err
+	}
+	// From the last to the first, so that places before stay as they are.
+	for _, cmd := range slices.Backward(parsed.Commands) {
+		if cmd.Key == nil || len(cmd.Key.Hash) > 0 {
+			continue
+		}
+		owner := cmd.Key.owner()
+		end := owner.Pos.Offset + len(owner.Text)
+		if text[owner.Pos.Offset] == '"' {
+			end += len(`""`)
+		}
+		text = text[:end] + " hash " + hash(cmd.Key.title()) + text[end:]
+	}
+	return text, nil
+}
+
+func (k *key) title() string {
+	if k.Team != nil {
+		return "team " + k.Team.Text
+	}
+	return "operator " + k.Operator.Text
+}
--- /dev/null
+++ b/internal/operator/auth.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/keys"
+	"github.com/fireflypath/fireflypath/internal/operator/wire"
+)
+
+// local is who acts while the configuration holds no operator.
+const local = "local"
+
+// operator returns who asks, or writes the answer to somebody without a key
+// and returns nil.
+//
+// With no operator in the configuration, callers from a loopback address may do
+// everything: somebody must create the first operator, and whoever has a shell
+// on the host could read its settings anyway. Other addresses are refused.
+func (a *API) operator(c fiber.Ctx) (*fireflypath.Operator, error) {
+	addr := source(c)
+	if len(a.deps.Configs.Current().Operators) == 0 {
+		if addr.IsLoopback() {
+			return &fireflypath.Operator{Name: local, Role: fireflypath.RoleOrder}, nil
+		}
+		return nil, a.deny(c, "no operator is configured: create the first one from the daemon's host")
+	}
+	if wait := a.tries.Wait(addr); wait > 0 {
+		a.count.denied.Inc(1)
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+		detail := fmt.Sprintf("too many failed keys from %s: wait %s", addr, wait)
+		return nil, failure(c, fiber.StatusTooManyRequests, wire.Failure{Detail: detail})
+	}
+	key := keys.Bearer(c.Get(fiber.HeaderAuthorization))
+	if who := a.ring.Operator(key, a.deps.Clock.Now()); who != nil {
+		return who, nil
+	}
+	a.tries.Fail(addr)
+	return nil, a.deny(c, "the operator's key is missing, unknown or ended")
+}
+
+func (a *API) deny(c fiber.Ctx, detail string) error {
+	a.count.denied.Inc(1)
+	return failure(c, fiber.StatusUnauthorized, wire.Failure{Detail: detail})
+}
+
+// source is the address of the connection; headers that claim another one are
+// not believed.
+func source(c fiber.Ctx) netip.Addr {
+	tcp, ok := c.RequestCtx().RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	return tcp.AddrPort().Addr().Unmap()
+}
+
+// may says whether a role allows what another one names: order includes
+// change, and change includes ask.
+func may(has, needs fireflypath.Role) bool {
+	return level(has) >= level(needs)
+}
+
+func level(r fireflypath.Role) int {
+	switch r {
+	case fireflypath.RoleOrder:
+		return 3
+	case fireflypath.RoleChange:
+		return 2
+	case fireflypath.RoleAsk:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/operator/do.go
@@ -0,0 +1,194 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/check"
+	"github.com/fireflypath/fireflypath/internal/command"
+	"github.com/fireflypath/fireflypath/internal/operator/wire"
+	"github.com/fireflypath/fireflypath/internal/plan"
+	"github.com/fireflypath/fireflypath/internal/query/eval"
+	"github.com/fireflypath/fireflypath/internal/syntax"
+)
+
+// statuses maps outcomes to HTTP; the body's outcome is what counts.
+var statuses = map[wire.Outcome]int{
+	wire.OutcomeDone:        fiber.StatusOK,
+	wire.OutcomePlanned:     fiber.StatusOK,
+	wire.OutcomeRefused:     fiber.StatusConflict,
+	wire.OutcomeUnavailable: fiber.StatusServiceUnavailable,
+	wire.OutcomeBad:         fiber.StatusBadRequest,
+	wire.OutcomeUnknown:     fiber.StatusGatewayTimeout,
+}
+
+func (a *API) do(c fiber.Ctx) error {
+	who, err := a.operator(c)
+	if who == nil {
+		return err
+	}
+	var req wire.Do
+	if err := json.Unmarshal(c.Body(), &req); err != nil {
+		return a.finish(c, bad(wire.Done{}, "the body is no command: "+err.Error()))
+	}
+	done := wire.Done{ID: req.ID}
+	if _, err := ulid.ParseStrict(req.ID); err != nil {
+		return a.finish(c, bad(done, "the command's id is not a ULID"))
+	}
+	script, err := command.Parse(req.Words)
+	if err != nil {
+		return a.finish(c, unparsed(done, err))
+	}
+	if script.Base == 0 {
+		script.Base = req.Base
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), doTimeout)
+	defer cancel()
+	if need := needed(script); !may(who.Role, need) {
+		done.Outcome = wire.OutcomeRefused
+		done.Detail = fmt.Sprintf("operator %s has the role %s; this needs %s", who.Name, who.Role, need)
+		return a.finish(c, a.noteRefusal(ctx, who.Name, req, done))
+	}
+	return a.finish(c, a.run(ctx, who.Name, req, script))
+}
+
+func needed(s *command.Script) fireflypath.Role {
+	switch {
+	case s.Order != nil:
+		return fireflypath.RoleOrder
+	case s.Plan:
+		return fireflypath.RoleAsk
+	default:
+		return fireflypath.RoleChange
+	}
+}
+
+func (a *API) finish(c fiber.Ctx, done wire.Done) error {
+	a.count.outcomes.Counter(string(done.Outcome)).Inc(1)
+	return c.Status(statuses[done.Outcome]).JSON(done)
+}
+
+func (a *API) run(ctx context.Context, who string, req wire.Do, s *command.Script) wire.Done {
+	switch {
+	case s.Plan:
+		return a.plan(req, s)
+	case s.Order != nil:
+		return a.order(ctx, who, req, s)
+	default:
+		return a.change(ctx, who, req, s)
+	}
+}
+
+func (a *API) plan(req wire.Do, s *command.Script) wire.Done {
+	done := wire.Done{ID: req.ID}
+	old := a.deps.Configs.Current()
+	done.Generation = old.Generation
+	if s.Order != nil {
+		done.Outcome = wire.OutcomePlanned
+		done.Plan = &plan.Plan{Lines: []string{fmt.Sprintf("order %s %s to target %s", s.Order.Kind, s.Order.Value, s.Order.Target)}}
+		return done
+	}
+	if s.Base != 0 && s.Base != old.Generation {
+		done.Outcome = wire.OutcomeRefused
+		done.Detail = fmt.Sprintf("it was written against generation %d, and %d is in force here", s.Base, old.Generation)
+		return done
+	}
+	next, err := s.Apply(old, a.deps.Clock.Now())
+	if err != nil {
+		return refused(done, err)
+	}
+	done.Outcome, done.Plan = wire.OutcomePlanned, plan.New(old, next)
+	return done
+}
+
+func (a *API) change(ctx context.Context, who string, req wire.Do, s *command.Script) wire.Done {
+	now := a.deps.Clock.Now()
+	commit, err := a.deps.Committer.Commit(ctx, fireflypath.Change{
+		ID: req.ID, Who: who, Words: req.Words, Base: s.Base,
+		Apply: func(old *fireflypath.Config) (*fireflypath.Config, error) { return s.Apply(old, now) },
+	})
+	done := wire.Done{ID: req.ID, Generation: commit.Generation, Repeated: commit.Repeated, Lost: commit.Lost}
+	switch {
+	case err == nil && commit.Lost == "":
+		done.Outcome = wire.OutcomeDone
+		return done
+	case commit.Lost != "":
+		done = a.lost(ctx, done, s.Base)
+	case errors.Is(err, fireflypath.ErrUnknown):
+		done.Outcome = wire.OutcomeUnknown
+		done.Detail = "it may or may not be in force: " + err.Error()
+		return done
+	case unavailable(ctx, err):
+		done.Outcome = wire.OutcomeUnavailable
+		done.Detail = "nothing was changed: " + err.Error()
+		return done
+	default:
+		done = refused(done, err)
+	}
+	return a.noteRefusal(ctx, who, req, done)
+}
+
+func (a *API) noteRefusal(ctx context.Context, who string, req wire.Do, done wire.Done) wire.Done {
+	done.Unnoted = a.note(ctx, eval.RefusedID(req.ID), who, req.Words, "refused: "+done.Detail) != nil
+	return done
+}
+
+// unavailable is true for errors that time may mend.
+func unavailable(ctx context.Context, err error) bool {
+	return errors.IsAny(err, fireflypath.ErrUnavailable, fireflypath.ErrLimited, fireflypath.ErrConflict,
+		context.DeadlineExceeded, context.Canceled) || ctx.Err() != nil
+}
+
+// lost names the change that was committed first, with its author and words if
+// the trail tells them.
+func (a *API) lost(ctx context.Context, done wire.Done, base uint64) wire.Done {
+	done.Outcome = wire.OutcomeRefused
+	done.Detail = fmt.Sprintf("generation %d is no longer in force: change %s was committed first", base, done.Lost)
+	lines, _ := a.deps.Committer.Trail(ctx, lostLines)
+	for _, l := range lines {
+		if l.ID == done.Lost {
+			done.Detail += fmt.Sprintf(" by %s: %s", l.Who, l.Words)
+		}
+	}
+	return done
+}
+
+// lostLines bounds where the words of a change that won are looked for.
+const lostLines = 64
+
+func refused(done wire.Done, err error) wire.Done {
+	done.Outcome = wire.OutcomeRefused
+	done.Detail = err.Error()
+	if problems, ok := check.From(err); ok {
+		done.Problems = problems
+		done.Detail = problems.Error()
+	}
+	return done
+}
+
+func bad(done wire.Done, detail string) wire.Done {
+	done.Outcome, done.Detail = wire.OutcomeBad, detail
+	return done
+}
+
+func unparsed(done wire.Done, err error) wire.Done {
+	done = bad(done, err.Error())
+	var at *syntax.Error
+	if errors.As(err, &at) {
+		done.Syntax = at
+	}
+	return done
+}
+
+// note writes a line about something that changed no configuration.
+func (a *API) note(ctx context.Context, id, who, words, result string) error {
+	return a.deps.Committer.Note(ctx, fireflypath.AuditLine{
+		ID: id, At: a.deps.Clock.Now().UTC(), Who: who, Words: words, Result: result,
+	})
+}
--- a/internal/query/eval/eval.go
+++ b/internal/query/eval/eval.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -119,38 +118,3 @@
 	}
 	return errors.Wrapf(ErrNotKept, "request %s: it never came here, still runs, or made room for newer ones; a refusal itself says why", id)
 }
-
-// settleLines bounds where a refusal is looked for: an hour at the letter's
-// 4,200 changes a day.
-const settleLines = 175
-
-func (e *Evaluator) settle(ctx context.Context, id string, a *Answer) error {
-	c, err := e.src.Committer.Settle(ctx, id)
-	if errors.Is(err, fireflypath.ErrNotFound) {
-		a.Lines = []string{"not done: " + e.refusal(ctx, id)}
-		return nil
-	}
-	if err != nil {
-		return errors.Wrapf(ErrTrail, "command %s: %v", id, err)
-	}
-	a.Commit = &c
-	a.Lines = []string{fmt.Sprintf("done: in force from generation %d", c.Generation)}
-	return nil
-}
-
-// RefusedID is the id of a refused command's line in the trail. It is not the
-// command's own: a commit that finds its id in the trail takes it for done.
-func RefusedID(id string) string {
-	return id + "/refused"
-}
-
-// refusal looks for the line that tells why a command was refused.
-func (e *Evaluator) refusal(ctx context.Context, id string) string {
-	lines, _ := e.src.Committer.Trail(ctx, settleLines)
-	for _, l := range lines {
-		if l.ID == RefusedID(id) {
-			return l.Result
-		}
-	}
-	return "the trail holds no command " + id
-}
--- a/internal/query/eval/eval_test.go
+++ b/internal/query/eval/eval_test.go
@@ -165,8 +165,7 @@
 func TestAskWithoutService(t *testing.T) {
 	is := is.New(t)
 	e, ledger := stand()
-	down := fireflypath.ErrUnavailable
-	ledger.Before.Store(&down)
+	ledger.Down(fireflypath.ErrUnavailable, 0)
 	is.Equal(show(t, e, "count teams"), "COUNT\n3")
 	q, err := query.Parse("changes")
 	is.NoErr(err)
--- a/internal/testkit/ledger.go
+++ b/internal/testkit/ledger.go
@@ -18,8 +18,6 @@
 type Ledger struct {
 	// Now stamps the trail.
 	Now func() time.Time
-	// Before is returned by every call of the service without an effect.
-	Before atomic.Pointer[error]
 	// After is returned once by a Commit that took effect, like a lost answer.
 	After atomic.Pointer[error]
 
@@ -27,6 +25,9 @@
 	mu      sync.Mutex
 	lines   []fireflypath.AuditLine
 	changed chan struct{}
+	// down is returned by calls without an effect, once left has reached 0.
+	down error
+	left int
 }
 
 // NewLedger starts with a configuration.
@@ -48,11 +49,24 @@
 	return l.changed
 }
 
+// Down lets n more calls of the service pass, then each fails without an effect.
+func (l *Ledger) Down(err error, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down, l.left = err, n
+}
+
+// Up ends Down.
+func (l *Ledger) Up() {
+	l.Down(nil, 0)
+}
+
 func (l *Ledger) fault() error {
-	if err := l.Before.Load(); err != nil {
-		return *err
+	if l.left > 0 {
+		l.left--
+		return nil
 	}
-	return nil
+	return l.down
 }
 
 // Commit implements fireflypath.Committer.
