--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	Hosts     fireflypath.Hosts
 	Configs   fireflypath.Configs
 	Committer fireflypath.Committer
+	Orderer   fireflypath.Orderer
 	Members   fireflypath.Members
 	Relief    fireflypath.Relief
 	Recorder  fireflypath.Recorder
@@ -87,8 +88,10 @@
 		scheduling{},
 		membership{},
 		backends{},
+		records{},
 		theRoute{},
 		polling{},
+		operators{},
 		operatorEndpoint{},
 		callerListener{},
 		readiness{},
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -231,7 +230,7 @@
 func (operatorEndpoint) String() string { return "operator endpoint" }
 
 func (operatorEndpoint) Run(ctx context.Context, d *Daemon) error {
-	ln, err := net.Listen("tcp", d.cfg.Listen.Operators)
+	ln, err := d.listen(d.cfg.Listen.Operators, d.cfg.Listen.OperatorsTLS)
 	if err != nil {
 		return err
 	}
@@ -265,7 +264,7 @@
 func (callerListener) String() string { return "caller listener" }
 
 func (callerListener) Run(ctx context.Context, d *Daemon) error {
-	ln, err := net.Listen("tcp", d.cfg.Listen.Callers)
+	ln, err := d.listen(d.cfg.Listen.Callers, d.cfg.Listen.CallersTLS)
 	if err != nil {
 		return err
 	}
