--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -174,6 +174,7 @@
 			fireflypath.KindEngine:  d.engine,
 			fireflypath.KindService: d.service,
 		},
+		Members:  d.deps.Members,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
 			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -19,7 +19,7 @@
 	// doTimeout bounds a command: the platform's service answers in
 	// milliseconds, so what takes longer is an outage, and an operator waits no
 	// longer than this to read that the outcome is unknown.
-	doTimeout = 10 * time.Second
+	doTimeout = 5 * time.Second
 	// askTimeout bounds a query, a forwarded one too.
 	askTimeout = 5 * time.Second
 )
--- a/internal/query/why/why.go
+++ b/internal/query/why/why.go
@@ -129,13 +129,29 @@
 	for _, c := range r.Considered {
 		t.Rows = append(t.Rows, table.Row{
 			table.Str(c.Target), table.Flag(c.Target == r.Target),
-			table.Num(c.Held), table.Num(c.Reported), table.Dur(c.Age),
+			table.Num(c.Held), reported(c), age(c.Age),
 			table.Num(c.Window), table.Num(c.Hit), table.Num(c.Score), table.Str(c.Skip),
 		})
 	}
 	return t
 }
 
+// reported is empty for a target that has not reported yet.
+func reported(c fireflypath.Candidate) table.Cell {
+	if c.Age < 0 {
+		return table.Cell{Empty: true}
+	}
+	return table.Num(c.Reported)
+}
+
+// age is empty for a report that never came.
+func age(d time.Duration) table.Cell {
+	if d < 0 {
+		return table.Cell{Empty: true}
+	}
+	return table.Dur(d)
+}
+
 func or(name string) string {
 	if name == "" {
 		return "(unknown)"
--- /dev/null
+++ b/internal/route/admit/admit.go
@@ -0,0 +1,47 @@
+// Package admit applies the operators' rules to a request.
+package admit
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/rules"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// Admit is the step before the queue.
+type Admit struct {
+	clock   clockwork.Clock
+	members fireflypath.Members
+	rules   rules.Rules
+}
+
+// New returns the step; nil members are this daemon alone.
+func New(clock clockwork.Clock, members fireflypath.Members) *Admit {
+	return &Admit{clock: clock, members: members}
+}
+
+// String names the step.
+func (*Admit) String() string {
+	return "admit"
+}
+
+// Run refuses what a rule does not let in.
+func (a *Admit) Run(_ context.Context, r *request.Request) error {
+	daemons := 1
+	if a.members != nil {
+		daemons = len(a.members.Live())
+	}
+	v := a.rules.Decide(a.clock.Now(), r.Config, daemons, &r.Work)
+	if v.Rule != "" {
+		r.Draft.Rule(v.Rule)
+	}
+	if !v.Refused || !r.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateShed) {
+		return nil
+	}
+	return &fireflypath.Refusal{
+		Code: fireflypath.ReasonRule, Detail: v.Detail, Run: fireflypath.RunNo, RetryAfter: v.RetryAfter,
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
+	"github.com/fireflypath/fireflypath/internal/route/admit"
 	"github.com/fireflypath/fireflypath/internal/route/catalog"
 	"github.com/fireflypath/fireflypath/internal/route/classify"
 	"github.com/fireflypath/fireflypath/internal/route/dispatch"
@@ -38,6 +39,8 @@
 	Configs  fireflypath.Configs
 	Pools    *pools.Pools
 	Backends map[fireflypath.Kind]fireflypath.Backend
+	// Members share the operators' limits; nil is this daemon alone.
+	Members fireflypath.Members
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
 	// Leaving spreads what a target says of itself.
@@ -59,6 +62,7 @@
 		identify.New(),
 		classify.New(),
 		record.New(deps.Recorder),
+		admit.New(deps.Clock, deps.Members),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
 		relay.New(deps.Clock, rt.ended),
