--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -175,6 +174,7 @@
 			fireflypath.KindEngine:  d.engine,
 			fireflypath.KindService: d.service,
 		},
+		Members:  d.deps.Members,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
 			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
@@ -231,7 +231,7 @@
 func (operatorEndpoint) String() string { return "operator endpoint" }
 
 func (operatorEndpoint) Run(ctx context.Context, d *Daemon) error {
-	ln, err := net.Listen("tcp", d.cfg.Listen.Operators)
+	ln, err := d.listen(d.cfg.Listen.Operators, d.cfg.Listen.OperatorsTLS)
 	if err != nil {
 		return err
 	}
@@ -265,7 +265,7 @@
 func (callerListener) String() string { return "caller listener" }
 
 func (callerListener) Run(ctx context.Context, d *Daemon) error {
-	ln, err := net.Listen("tcp", d.cfg.Listen.Callers)
+	ln, err := d.listen(d.cfg.Listen.Callers, d.cfg.Listen.CallersTLS)
 	if err != nil {
 		return err
 	}
