--- a/cmd/fireflypath/trial.go
+++ b/cmd/fireflypath/trial.go
@@ -50,9 +50,9 @@
 		rows = append(rows, r...)
 	}
 	if c.String("o") == "json" {
-		return printJSON(c.Root().Writer, rows)
+		return printRows(c.Root().Writer, rows)
 	}
-	return printTable(c.Root().Writer, rows)
+	return printTrials(c.Root().Writer, rows)
 }
 
 // trialOptions lists the runs in the order of the output.
@@ -79,7 +79,7 @@
 	return all
 }
 
-func printJSON(w io.Writer, rows []trial.Row) error {
+func printRows(w io.Writer, rows []trial.Row) error {
 	enc := json.NewEncoder(w)
 	for _, r := range rows {
 		if err := enc.Encode(r); err != nil {
@@ -89,7 +89,7 @@
 	return nil
 }
 
-func printTable(w io.Writer, rows []trial.Row) error {
+func printTrials(w io.Writer, rows []trial.Row) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if _, err := fmt.Fprintln(tw, "load\tmix\tpolicy\tseed\ttier\tsent\tgoodput\trefused\texpired\tp50 ms\tp99 ms\tfirst p99\twasted\thit\tinversions\t"); err != nil {
 		return err
