perf(place): meet in the same cache, and let others pass for a cached prompt

Among targets of about equal score all daemons take the one that the prompt's beginning hashes to; holders of shorter prefixes are weighed too; blocks that were found keep their row in the index; and work whose prompt is cached at a target without room steps aside for up to four times the prefill it saves.

--- a/internal/decide/place/chooser.go
+++ b/internal/decide/place/chooser.go
@@ -32,15 +32,22 @@
 	Ranking
 )
 
-// near is how much worse a score may be than the best to count as equal. The
-// speeds and delays behind scores err by more than this, and an even choice
-// among equals keeps daemons with the same view from choosing the same target.
-const near = 0.05
+const (
+	// near and even are how much worse a score may be than the best to count as
+	// equal, as a part and in seconds. The speeds and delays behind scores err by
+	// about this much. Among equals all daemons choose by the hash of the prompt's
+	// beginning, so that work that begins alike meets in the same cache without a
+	// word between them, and unlike work does not run after the same report.
+	near = 0.2
+	even = 0.2
+)
 
 // Option is a target that has room.
 type Option struct {
 	// Target is the owner's number for the target.
 	Target int32
+	// Hash is of the target's name, equal at all daemons.
+	Hash uint64
 	// Requests is this daemon's own work in flight there.
 	Requests int
 	// Score is the expected time to the end of the answer, in seconds.
@@ -77,26 +84,29 @@
 	case Ranking:
 		return c.rank(opts)
 	case Scored:
-		return c.scored(opts)
+		return c.scored(prefix, opts)
 	}
-	return c.scored(opts)
+	return c.scored(prefix, opts)
 }
 
-// scored takes a random one of those whose score is near the best.
-func (c *Chooser) scored(opts []Option) int {
+// scored takes, of those whose score is near the best, the one that the prefix
+// hashes to, or a random one if there is no prefix.
+func (c *Chooser) scored(prefix uint64, opts []Option) int {
 	best := opts[0].Score
 	for i := range opts {
 		best = min(best, opts[i].Score)
 	}
-	limit := best * (1 + near)
-	chosen, n := 0, 0
+	limit := best*(1+near) + even
+	if prefix == 0 {
+		prefix = c.rnd.Uint64()
+	}
+	chosen, top := 0, uint64(0)
 	for i := range opts {
 		if opts[i].Score > limit {
 			continue
 		}
-		n++
-		if n == 1 || c.rnd.IntN(n) == 0 {
-			chosen = i
+		if h := Mix(prefix ^ opts[i].Hash); h >= top {
+			chosen, top = i, h
 		}
 	}
 	return chosen
@@ -149,7 +159,7 @@
 func hash(prefix uint64, opts []Option) int {
 	best, top := 0, uint64(0)
 	for i := range opts {
-		h := Mix(prefix ^ Mix(uint64(opts[i].Target)+1))
+		h := Mix(prefix ^ opts[i].Hash)
 		if h >= top {
 			best, top = i, h
 		}
--- a/internal/decide/prefix/index.go
+++ b/internal/decide/prefix/index.go
@@ -5,6 +5,8 @@
 // everything.
 package prefix
 
+import "slices"
+
 const (
 	// blocks bounds the index; at about 24 bytes each it takes under 2 MB.
 	blocks = 1 << 16
@@ -16,7 +18,9 @@
 
 // Index maps block hashes to targets. It is a table of fixed size in which a
 // new block takes the place of an older one, so it needs no removal for what
-// engines dropped without telling: a stale entry costs one prefill.
+// engines dropped without telling: a stale entry costs one prefill. Most blocks
+// belong to one prompt only and are never asked for again; a block that was
+// found keeps its row against the first of them.
 type Index struct {
 	rows []row
 }
@@ -24,6 +28,8 @@
 type row struct {
 	hash    uint64
 	targets [holders]int32
+	// used is true if the block was found since another one asked for the row.
+	used bool
 }
 
 // New makes an empty Index.
@@ -38,11 +44,15 @@
 	}
 	for _, h := range hashes {
 		r := &x.rows[h%blocks]
-		if r.hash != h {
-			*r = row{hash: h, targets: [holders]int32{target, none, none, none}}
+		if r.hash == h {
+			r.add(target)
+			continue
+		}
+		if r.used {
+			r.used = false
 			continue
 		}
-		r.add(target)
+		*r = row{hash: h, targets: [holders]int32{target, none, none, none}}
 	}
 }
 
@@ -75,13 +85,32 @@
 	}
 }
 
-// Find appends the targets that hold the longest known part of the prompt, and
-// how many blocks that is. It looks from the longest prefix down by halves, so
-// a prompt of thousands of blocks costs few steps.
-func (x *Index) Find(hashes []uint64, out []int32) ([]int32, int) {
+// Find appends the targets that probably hold the beginning of the prompt, and
+// for each how many blocks of it. The longest known prefix is found by halving,
+// as a prompt may have thousands of blocks; holders of half, a quarter and so on
+// follow, since one of them may be idle where the best is busy.
+func (x *Index) Find(hashes []uint64, targets []int32, depths []int) ([]int32, []int) {
 	if x.rows == nil {
-		return out, 0
+		return targets, depths
 	}
+	for n := x.longest(hashes); n > 0 && len(targets) < holders; n /= 2 {
+		r := &x.rows[hashes[n-1]%blocks]
+		if r.hash != hashes[n-1] {
+			continue
+		}
+		r.used = true
+		for _, t := range r.targets {
+			if t != none && !slices.Contains(targets, t) {
+				targets = append(targets, t)
+				depths = append(depths, n)
+			}
+		}
+	}
+	return targets, depths
+}
+
+// longest is the number of blocks of the longest known prefix.
+func (x *Index) longest(hashes []uint64) int {
 	lo, hi := 0, len(hashes)
 	for lo < hi {
 		mid := (lo + hi + 1) / 2
@@ -91,15 +120,7 @@
 			hi = mid - 1
 		}
 	}
-	if lo == 0 {
-		return out, 0
-	}
-	for _, t := range x.rows[hashes[lo-1]%blocks].targets {
-		if t != none {
-			out = append(out, t)
-		}
-	}
-	return out, lo
+	return lo
 }
 
 func (x *Index) known(h uint64) bool {
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -17,9 +17,17 @@
 	// that a decision costs the same at 2,700 targets as at 12. The best of 12
 	// random ones is among the best sixth in nine of ten decisions.
 	sample = 12
-	// aside is how many requests may step aside in one decision because only
-	// faster targets than the open ones could end them in time.
-	aside = 4
+	// aside is how many requests may step aside in one decision: for a faster
+	// target, for one that has the prompt cached, or as long work. Each costs
+	// another weighing of the open targets, few when many wait.
+	aside = 8
+	// worth is the least number of cached tokens that work steps aside for: four
+	// blocks, a tenth of a second at the slowest targets.
+	worth = 4 * block
+	// patience is how many times the prefill it saves work may step aside for.
+	// Under overload the target's time is what is short, and others use it
+	// meanwhile.
+	patience = 4
 	// again is how long after a relief round work past its time is returned
 	// once more: a few round trips between daemons.
 	again = 20 * time.Millisecond
@@ -57,37 +65,85 @@
 	return float64(s.capacity-s.busy) <= s.reserve.Above(now, r)
 }
 
-// nextOf dispatches the first work of a tier that an open target can end in time.
+// nextOf dispatches the first work of a tier that an open target can end in
+// time. Work whose prompt is cached at a target without room lets others pass
+// that are as well off here, for a while: the open target would prefill it anew.
 func (s *Sched) nextOf(now time.Time, r int, p *fireflypath.Placement) bool {
 	s.parked = s.parked[:0]
-	found := false
 	s.keep = s.kept(now, r)
+	patient := none
+	found := false
 	for !found && len(s.parked) < aside {
 		slot := s.queue.Head(r)
 		if slot == none {
 			break
 		}
-		w := s.items[slot].work
-		if w.Life.State() != fireflypath.StateWaiting {
-			s.unqueue(slot)
-			s.release(slot)
+		if s.drop(now, slot) {
 			continue
 		}
-		if !s.items[slot].latest.After(now) {
-			s.doom(slot)
+		if !s.choose(now, slot, p) {
+			s.park(slot)
 			continue
 		}
-		if found = s.try(now, slot, p); !found {
-			s.queue.Remove(slot)
-			s.parked = append(s.parked, slot)
+		if s.elsewhere(now, slot) {
+			if patient == none {
+				patient = slot
+			}
+			s.park(slot)
+			continue
 		}
+		s.send(now, slot, p)
+		found = true
 	}
 	for i := len(s.parked) - 1; i >= 0; i-- {
 		s.queue.Return(s.parked[i], s.items[s.parked[i]].work)
 	}
+	if !found && patient != none && s.choose(now, patient, p) {
+		s.send(now, patient, p)
+		found = true
+	}
 	return found
 }
 
+// drop takes work out that was withdrawn elsewhere or that is too late.
+func (s *Sched) drop(now time.Time, slot int32) bool {
+	it := &s.items[slot]
+	if it.work.Life.State() != fireflypath.StateWaiting {
+		s.unqueue(slot)
+		s.release(slot)
+		return true
+	}
+	if !it.latest.After(now) {
+		s.doom(slot)
+		return true
+	}
+	return false
+}
+
+// park lets others pass until the end of the decision.
+func (s *Sched) park(slot int32) {
+	s.queue.Remove(slot)
+	s.parked = append(s.parked, slot)
+}
+
+// elsewhere is true if much more of the prompt is cached at another target than
+// at the chosen one, for as long as is worth waiting for it.
+func (s *Sched) elsewhere(now time.Time, slot int32) bool {
+	it := &s.items[slot]
+	if len(s.depths) == 0 || s.urgent(now, it) {
+		return false
+	}
+	saved := s.depths[0]*block - s.hit(s.pick.Target)
+	if saved < worth {
+		return false
+	}
+	if it.aside.IsZero() {
+		it.aside = now
+	}
+	sec := float64(saved) / s.prefillRate(&s.targets[s.pick.Target])
+	return now.Sub(it.aside).Seconds() < patience*sec
+}
+
 // doom sets work aside for Expire, which returns it.
 func (s *Sched) doom(slot int32) {
 	s.unqueue(slot)
@@ -95,80 +151,95 @@
 	s.doomed = append(s.doomed, slot)
 }
 
-// try places work, unless it would end too late at every open target.
-func (s *Sched) try(now time.Time, slot int32, p *fireflypath.Placement) bool {
+// choose finds the target for work. It reports false if the work would end too
+// late at every open target, or is long and has to wait for its turn.
+func (s *Sched) choose(now time.Time, slot int32, p *fireflypath.Placement) bool {
 	it := &s.items[slot]
 	w := it.work
-	hit := s.weigh(now, w, p)
-	key := uint64(0)
-	if len(w.Prefix) > 0 {
-		key = w.Prefix[min(len(w.Prefix), 8)-1]
-	}
+	s.weigh(now, w, p)
 	if len(s.options) == 0 {
 		s.exceed(now, slot, p)
 	}
 	if len(s.options) == 0 {
 		return false
 	}
-	o := s.options[s.chosen.Choose(key, s.options)]
-	expected := time.Duration(o.Score * float64(time.Second))
+	key := uint64(0)
+	if len(w.Prefix) > 0 {
+		key = w.Prefix[0]
+	}
+	s.pick = s.options[s.chosen.Choose(key, s.options)]
 	factor := s.margin.Factor()
 	if s.urgent(now, it) {
 		factor = s.margin.Tight()
 	}
-	if s.targets[o.Target].known() && deadline.Latest(w.Deadline, expected, factor).Before(now) {
-		return false
-	}
-	t := &s.targets[o.Target]
-	if !s.holds(o.Target) {
-		hit = 0
-	}
-	fresh := max(w.Cost.Prompt-hit, 0)
-	seconds := float64(fresh) / s.prefillRate(t)
-	if s.long.Long(seconds) && !s.long.Open(s.parts) {
+	if s.targets[s.pick.Target].known() && deadline.Latest(w.Deadline, s.expected(), factor).Before(now) {
 		return false
 	}
+	return !s.long.Long(s.prefill(w)) || s.long.Open(s.parts)
+}
+
+// expected is how long the work chosen for last takes.
+func (s *Sched) expected() time.Duration {
+	return time.Duration(s.pick.Score * float64(time.Second))
+}
+
+// prefill is how long the prefill of the work chosen for last takes, in seconds.
+func (s *Sched) prefill(w *fireflypath.Work) float64 {
+	t := s.pick.Target
+	return float64(max(w.Cost.Prompt-s.hit(t), 0)) / s.prefillRate(&s.targets[t])
+}
+
+// send counts work as in flight at the target chosen last.
+func (s *Sched) send(now time.Time, slot int32, p *fireflypath.Placement) {
+	it := &s.items[slot]
 	s.queue.Serve(slot)
 	s.unschedule(slot)
-	s.depart(now, slot, o.Target, fresh, expected)
-	p.Work = w
-	p.Target = t.Name
-	p.Waited = now.Sub(w.Arrived)
+	s.depart(now, slot)
+	p.Work = it.work
+	p.Target = s.targets[it.target].Name
+	p.Waited = now.Sub(it.work.Arrived)
 	p.Ahead = it.ahead
-	return true
 }
 
-// weigh fills the options and the candidates and returns the expected hit in
-// tokens at the holders of the prefix.
-func (s *Sched) weigh(now time.Time, w *fireflypath.Work, p *fireflypath.Placement) int {
+// weigh fills the options and the candidates: the holders of the prefix, and
+// all open targets or a random sample of many.
+func (s *Sched) weigh(now time.Time, w *fireflypath.Work, p *fireflypath.Placement) {
 	s.options = s.options[:0]
 	p.Considered = p.Considered[:0]
-	found := 0
-	s.holders, found = s.index.Find(w.Prefix, s.holders[:0])
-	hit := found * block
+	s.holders, s.depths = s.index.Find(w.Prefix, s.holders[:0], s.depths[:0])
 	for _, i := range s.holders {
 		if s.targets[i].at != none {
-			s.consider(now, i, w, hit, p)
+			s.consider(now, i, w, p)
 		}
 	}
 	n := len(s.open)
 	if n <= sample {
 		for _, i := range s.open {
-			if !s.holds(i) {
-				s.consider(now, i, w, 0, p)
+			if s.hit(i) == 0 {
+				s.consider(now, i, w, p)
 			}
 		}
-		return hit
+		return
 	}
 	at := s.rnd.IntN(n)
 	step := 1 + s.rnd.IntN(n-1)
 	for range sample {
-		if i := s.open[at]; !s.holds(i) {
-			s.consider(now, i, w, 0, p)
+		if i := s.open[at]; s.hit(i) == 0 {
+			s.consider(now, i, w, p)
 		}
 		at = (at + step) % n
 	}
-	return hit
+}
+
+// hit is the number of prompt tokens expected in the cache of a target, for the
+// work weighed last.
+func (s *Sched) hit(i int32) int {
+	for k, h := range s.holders {
+		if h == i {
+			return s.depths[k] * block
+		}
+	}
+	return 0
 }
 
 // urgent is true for work that has waited for half of the time it has.
@@ -191,31 +262,23 @@
 	for range min(n, sample) {
 		t := &s.targets[at]
 		if t.usable() && t.slow.State() == slow.Ready && t.requests <= t.limit() && t.filling == 0 {
-			s.consider(now, int32(at), it.work, 0, p)
+			s.consider(now, int32(at), it.work, p)
 		}
 		at = (at + 1) % n
 	}
 }
 
-func (s *Sched) holds(i int32) bool {
-	for _, h := range s.holders {
-		if h == i {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Sched) consider(now time.Time, i int32, w *fireflypath.Work, hit int, p *fireflypath.Placement) {
+func (s *Sched) consider(now time.Time, i int32, w *fireflypath.Work, p *fireflypath.Placement) {
 	t := &s.targets[i]
 	if s.keep && s.fast(t) {
 		return
 	}
+	hit := s.hit(i)
 	score := s.expect(now, t, w, hit)
 	if t.slow.State() == slow.Slow {
 		score *= slowPenalty
 	}
-	s.options = append(s.options, place.Option{Target: i, Requests: t.requests, Score: score})
+	s.options = append(s.options, place.Option{Target: i, Hash: t.hash, Requests: t.requests, Score: score})
 	p.Considered = append(p.Considered, fireflypath.Candidate{
 		Target:   t.Name,
 		Held:     t.tokens,
@@ -231,27 +294,29 @@
 const slowPenalty = 3
 
 // depart counts work as in flight.
-func (s *Sched) depart(now time.Time, slot, target int32, fresh int, expected time.Duration) {
-	it, t := &s.items[slot], &s.targets[target]
+func (s *Sched) depart(now time.Time, slot int32) {
+	it, t := &s.items[slot], &s.targets[s.pick.Target]
+	w := it.work
 	it.phase = phaseFlight
-	it.target, it.sent, it.first = target, now, time.Time{}
-	it.fresh, it.before, it.expected = fresh, t.prefill, expected
-	t.requests++
-	t.tokens += it.work.Cost.Tokens()
-	t.prefill += fresh
-	t.filling++
-	if sec := float64(fresh) / s.prefillRate(t); s.long.Long(sec) {
+	it.target, it.sent, it.first = s.pick.Target, now, time.Time{}
+	it.fresh, it.before = max(w.Cost.Prompt-s.hit(it.target), 0), t.prefill
+	it.expected, it.long = s.expected(), 0
+	if sec := s.prefill(w); s.long.Long(sec) {
 		it.long = sec
 		s.long.Start(sec)
 	}
-	s.prompt += blend * (float64(fresh) - s.prompt)
+	t.requests++
+	t.tokens += w.Cost.Tokens()
+	t.prefill += it.fresh
+	t.filling++
+	s.prompt += blend * (float64(it.fresh) - s.prompt)
 	s.flights++
-	s.reserve.Start(rank(it.work))
-	s.running[rank(it.work)] += it.work.Cost.Tokens()
-	s.drain.Add(now, it.work.Cost.Tokens())
+	s.reserve.Start(rank(w))
+	s.running[rank(w)] += w.Cost.Tokens()
+	s.drain.Add(now, w.Cost.Tokens())
 	t.slow.Probe()
-	s.index.Store(target, it.work.Prefix)
-	s.refresh(target)
+	s.index.Store(it.target, w.Prefix)
+	s.refresh(it.target)
 }
 
 // filled ends the prefill of work in flight.
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -97,7 +97,11 @@
 	// keep is true while fast targets are kept for tiers above the one in turn.
 	keep    bool
 	options []place.Option
+	// pick is the option chosen last.
+	pick place.Option
+	// holders and depths are the targets found for a prefix and the blocks there.
 	holders []int32
+	depths  []int
 	parked  []int32
 }
 
@@ -121,6 +125,8 @@
 	pos    int32
 	latest time.Time
 	ahead  int
+	// aside is when it first let others pass for a target with a cached prompt.
+	aside time.Time
 	// asked is when peers were last asked to make room for it.
 	asked time.Time
 	// target, sent, first, fresh, before and expected describe the flight:
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/slow"
 	"github.com/fireflypath/fireflypath/internal/decide/speed"
@@ -33,6 +35,8 @@
 	slow    slow.Detector
 	// part is this daemon's fraction of the window, dither what rounds it.
 	part, dither float64
+	// hash is of the name, the same at all daemons.
+	hash uint64
 	// requests and tokens are in flight from here; prefill is the prompt part
 	// before the first token.
 	requests int
@@ -82,6 +86,7 @@
 		window: window.New(t.Window),
 		part:   s.partOf(t.Name),
 		dither: s.noise(t.Name),
+		hash:   xxhash.Sum64String(t.Name),
 		at:     none,
 	}
 	s.names[t.Name] = i
