--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/fireflypath/fireflypath/internal/caller"
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
@@ -60,6 +61,7 @@
 
 	pools    *pools.Pools
 	evidence *evidence.Evidence
+	claims   *claim.Claims
 	engine   *engine.Engine
 	service  *service.Service
 	route    *route.Route
@@ -87,6 +89,7 @@
 		scheduling{},
 		membership{},
 		backends{},
+		claims{},
 		theRoute{},
 		polling{},
 		operatorEndpoint{},
@@ -138,6 +141,9 @@
 	d.cancel()
 	_ = d.front.Kill()
 	_ = d.back.Kill()
+	dead, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.claims.Close(dead)
 	d.pools.Stop(fireflypath.Refusal{Code: fireflypath.ReasonStopping, Detail: "killed"})
 	d.work.Wait()
 }
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/claim/memory"
 	"github.com/fireflypath/fireflypath/internal/daemon"
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
@@ -44,6 +45,8 @@
 func newRig(t *testing.T, s setup) *rig {
 	is := is.New(t)
 	r := &rig{t: t, records: make(chan *fireflypath.Record, 64)}
+	s.engine.Addr = testkit.Loopback() + ":0"
+	s.service.Addr = s.engine.Addr
 	var engines, services []string
 	for range max(s.engines, 1) {
 		e, err := engine.New(s.engine, clockwork.NewRealClock())
@@ -350,3 +353,45 @@
 	is.Equal(len(r.engines[0].Counts().Dispatches), refused)
 	is.Equal(len(r.engines[0].Counts().Runs), 0)
 }
+
+// A caller sends a delivery, its daemon dies, and it retries with the same key
+// at another daemon. Whatever became of the first try, the delivery must not
+// be made twice; the caller reads that it may have run.
+func TestKeyedCallRetriedAtAnotherDaemon(t *testing.T) {
+	is := is.New(t)
+	store := memory.New()
+	first := newRig(t, setup{deps: daemon.Deps{Store: store}, service: service.Config{Delay: time.Minute}})
+	done := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
+		if err == nil {
+			resp.Body.Close()
+		}
+		done <- err
+	}()
+	for len(first.services[0].Counts().Keys) == 0 {
+		runtime.Gosched()
+	}
+	first.Kill()
+	is.True(<-done != nil)
+
+	second := newRig(t, setup{deps: daemon.Deps{Store: store}})
+	got := second.post("/services/packets/a", "x", "Idempotency-Key", "k")
+	is.Equal(got.status, http.StatusConflict)
+	is.True(strings.Contains(got.text, `"run":"unknown"`))
+	is.Equal(len(second.services[0].Counts().Runs), 0)
+}
+
+// A target refuses a keyed delivery as not run. The key must be free again, or
+// the caller's retry would be refused although nothing was delivered.
+func TestKeyFreeAfterRefusal(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{})
+	is.NoErr(r.services[0].Fault(fault.Fault{Name: fault.NotRun, Count: 1}))
+	got := r.post("/services/packets/a", "x", "Idempotency-Key", "k")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.text, `"run":"no"`))
+	is.Equal(r.post("/services/packets/a", "x", "Idempotency-Key", "k").status, http.StatusOK)
+	is.Equal(r.post("/services/packets/a", "x", "Idempotency-Key", "k").status, http.StatusConflict)
+	is.Equal(r.services[0].Counts().Keys["k"], 1)
+}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -15,6 +15,8 @@
 	"github.com/fireflypath/fireflypath/internal/caller"
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/claim"
+	"github.com/fireflypath/fireflypath/internal/claim/memory"
 	"github.com/fireflypath/fireflypath/internal/decide/sched"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/platform"
@@ -160,6 +162,25 @@
 	return nil
 }
 
+// claims keeps idempotency keys in the platform's service.
+type claims struct{}
+
+func (claims) String() string { return "claims" }
+
+func (claims) Run(ctx context.Context, d *Daemon) error {
+	store := d.deps.Store
+	if store == nil {
+		store = memory.New()
+	}
+	d.claims = claim.New(store, d.deps.Clock)
+	return nil
+}
+
+func (claims) Stop(ctx context.Context, d *Daemon) error {
+	d.claims.Close(ctx)
+	return nil
+}
+
 // theRoute puts the request's steps together.
 type theRoute struct{}
 
@@ -175,6 +196,7 @@
 			fireflypath.KindEngine:  d.engine,
 			fireflypath.KindService: d.service,
 		},
+		Claims:   d.claims,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
 			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,8 +9,10 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/fireflypath/fireflypath"
+	claims "github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
 	"github.com/fireflypath/fireflypath/internal/route/catalog"
+	"github.com/fireflypath/fireflypath/internal/route/claim"
 	"github.com/fireflypath/fireflypath/internal/route/classify"
 	"github.com/fireflypath/fireflypath/internal/route/dispatch"
 	"github.com/fireflypath/fireflypath/internal/route/identify"
@@ -38,6 +40,7 @@
 	Configs  fireflypath.Configs
 	Pools    *pools.Pools
 	Backends map[fireflypath.Kind]fireflypath.Backend
+	Claims   *claims.Claims
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
 	// Leaving spreads what a target says of itself.
@@ -59,6 +62,7 @@
 		identify.New(),
 		classify.New(),
 		record.New(deps.Recorder),
+		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
 		relay.New(deps.Clock, rt.ended),
@@ -117,6 +121,9 @@
 		return
 	}
 	r.Ended = true
+	if r.Claimed && ref != nil && ref.Run == fireflypath.RunNo {
+		rt.deps.Claims.Release(r.Work.Team, r.Inbound.Key, r.Work.ID)
+	}
 	if r.Draft == nil {
 		r.Draft = draft.New(rt.deps.Recorder, &r.Work, r.Config.Generation)
 	}
--- a/internal/testkit/daemon.go
+++ b/internal/testkit/daemon.go
@@ -54,6 +54,6 @@
 func Settings(cfg *fireflypath.Config) settings.Settings {
 	return settings.Settings{
 		Name: "d0", Domain: "d0", Initial: cfg,
-		Listen: settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		Listen: settings.Listen{Callers: Loopback() + ":0", Operators: Loopback() + ":0"},
 	}
 }
