--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	Hosts     fireflypath.Hosts
 	Configs   fireflypath.Configs
 	Committer fireflypath.Committer
+	Orderer   fireflypath.Orderer
 	Members   fireflypath.Members
 	Relief    fireflypath.Relief
 	Recorder  fireflypath.Recorder
@@ -90,8 +91,10 @@
 		membership{},
 		backends{},
 		claims{},
+		records{},
 		theRoute{},
 		polling{},
+		operators{},
 		operatorEndpoint{},
 		callerListener{},
 		readiness{},
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -11,6 +11,7 @@
 	"github.com/fireflypath/fireflypath"
 	claims "github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
+	"github.com/fireflypath/fireflypath/internal/route/admit"
 	"github.com/fireflypath/fireflypath/internal/route/catalog"
 	"github.com/fireflypath/fireflypath/internal/route/claim"
 	"github.com/fireflypath/fireflypath/internal/route/classify"
@@ -41,6 +42,8 @@
 	Pools    *pools.Pools
 	Backends map[fireflypath.Kind]fireflypath.Backend
 	Claims   *claims.Claims
+	// Members share the operators' limits; nil is this daemon alone.
+	Members fireflypath.Members
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
 	// Leaving spreads what a target says of itself.
@@ -62,6 +65,7 @@
 		identify.New(),
 		classify.New(),
 		record.New(deps.Recorder),
+		admit.New(deps.Clock, deps.Members),
 		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
