--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 
@@ -10,6 +11,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
@@ -60,6 +62,8 @@
 	cancel context.CancelFunc
 	work   conc.WaitGroup
 
+	scope    tally.Scope
+	reports  io.Closer
 	pools    *pools.Pools
 	evidence *evidence.Evidence
 	claims   *claim.Claims
@@ -85,6 +89,7 @@
 func steps() []step {
 	return []step{
 		basics{},
+		metrics{},
 		platformClient{},
 		configuration{},
 		scheduling{},
@@ -149,6 +154,7 @@
 	d.claims.Close(dead)
 	d.pools.Stop(fireflypath.Refusal{Code: fireflypath.ReasonStopping, Detail: "killed"})
 	d.work.Wait()
+	_ = d.reports.Close()
 }
 
 // Ready reports whether the daemon takes requests.
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflypath/fireflypath"
 	registry "github.com/fireflypath/fireflypath/internal/configuration"
@@ -37,7 +36,7 @@
 	committer, members := d.deps.Committer, d.deps.Members
 	if committer == nil {
 		// Without the platform's service it refuses every change by name.
-		committer = registry.New(nil, d.cfg.Initial, d.cfg.Name, d.deps.Clock, tally.NoopScope, d.deps.Log)
+		committer = registry.New(nil, d.cfg.Initial, d.cfg.Name, d.deps.Clock, d.scope, d.deps.Log)
 	}
 	if members == nil {
 		members = alone{d}
@@ -54,7 +53,7 @@
 		},
 		Orderer: d.deps.Orderer,
 		Forward: forward.New(secure),
-		Scope:   tally.NoopScope,
+		Scope:   d.scope,
 	})
 	d.deps.Operator = append(d.deps.Operator, func(app *fiber.App) { api.Register(app) })
 	return nil
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -21,6 +21,7 @@
 	"github.com/fireflypath/fireflypath/internal/platform"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
+	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/poll"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/service"
@@ -196,6 +197,7 @@
 			fireflypath.KindService: d.service,
 		},
 		Claims:   d.claims,
+		Meter:    meter.New(d.scope),
 		Members:  d.deps.Members,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
--- /dev/null
+++ b/internal/route/meter/meter.go
@@ -0,0 +1,92 @@
+// Package meter counts what becomes of requests.
+package meter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// buckets double from a millisecond, the network's own time, to about four
+// minutes, above the longest deadline in use.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
+
+// Meter holds the instruments by tier, so that a request looks up one map.
+type Meter struct {
+	scope tally.Scope
+	tiers sync.Map // of string to *tier
+}
+
+// tier is one tier's instruments.
+type tier struct {
+	scope    tally.Scope
+	requests tally.Counter
+	// goodput counts whole answers in time, late the other whole ones.
+	goodput tally.Counter
+	late    tally.Counter
+	tokens  tally.Counter
+	// wait is from arrival to dispatch, latency to the end of a whole answer.
+	wait    tally.Histogram
+	latency tally.Histogram
+	refused sync.Map // of fireflypath.Reason to tally.Counter
+}
+
+// New returns a Meter that counts in the scope.
+func New(scope tally.Scope) *Meter {
+	return &Meter{scope: scope}
+}
+
+// Ended counts the end of a request; ref is nil for a whole answer.
+func (m *Meter) Ended(now time.Time, r *request.Request, ref *fireflypath.Refusal) {
+	t := m.tier(r.Work.Tier)
+	t.requests.Inc(1)
+	if !r.Sent.IsZero() {
+		t.wait.RecordDuration(r.Sent.Sub(r.Work.Arrived))
+	}
+	if r.Tokens > 0 {
+		t.tokens.Inc(int64(r.Tokens))
+	}
+	if ref != nil {
+		t.refusal(ref.Code).Inc(1)
+		return
+	}
+	t.latency.RecordDuration(now.Sub(r.Work.Arrived))
+	if now.After(r.Work.Deadline) {
+		t.late.Inc(1)
+		return
+	}
+	t.goodput.Inc(1)
+}
+
+func (m *Meter) tier(name string) *tier {
+	if t, ok := m.tiers.Load(name); ok {
+		return t.(*tier)
+	}
+	tag := name
+	if tag == "" {
+		tag = "none"
+	}
+	s := m.scope.Tagged(map[string]string{"tier": tag})
+	t, _ := m.tiers.LoadOrStore(name, &tier{
+		scope:    s,
+		requests: s.Counter("requests"),
+		goodput:  s.Counter("goodput"),
+		late:     s.Counter("late"),
+		tokens:   s.Counter("output_tokens"),
+		wait:     s.Histogram("wait_seconds", buckets),
+		latency:  s.Histogram("latency_seconds", buckets),
+	})
+	return t.(*tier)
+}
+
+func (t *tier) refusal(code fireflypath.Reason) tally.Counter {
+	if c, ok := t.refused.Load(code); ok {
+		return c.(tally.Counter)
+	}
+	c, _ := t.refused.LoadOrStore(code, t.scope.Tagged(map[string]string{"code": string(code)}).Counter("refused"))
+	return c.(tally.Counter)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/classify"
 	"github.com/fireflypath/fireflypath/internal/route/dispatch"
 	"github.com/fireflypath/fireflypath/internal/route/identify"
+	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/parse"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/route/queue"
@@ -42,6 +43,7 @@
 	Pools    *pools.Pools
 	Backends map[fireflypath.Kind]fireflypath.Backend
 	Claims   *claims.Claims
+	Meter    *meter.Meter
 	// Members share the operators' limits; nil is this daemon alone.
 	Members fireflypath.Members
 	// Recorder may be nil.
@@ -131,5 +133,7 @@
 	if r.Draft == nil {
 		r.Draft = draft.New(rt.deps.Recorder, &r.Work, r.Config.Generation)
 	}
-	r.Draft.End(rt.deps.Clock.Now(), r.Work.Life.State(), r.Tokens, ref)
+	now := rt.deps.Clock.Now()
+	rt.deps.Meter.Ended(now, r, ref)
+	r.Draft.End(now, r.Work.Life.State(), r.Tokens, ref)
 }
