--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 
@@ -10,12 +11,14 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/caller"
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
@@ -59,8 +62,11 @@
 	cancel context.CancelFunc
 	work   conc.WaitGroup
 
+	scope    tally.Scope
+	reports  io.Closer
 	pools    *pools.Pools
 	evidence *evidence.Evidence
+	claims   *claim.Claims
 	engine   *engine.Engine
 	service  *service.Service
 	route    *route.Route
@@ -83,11 +89,13 @@
 func steps() []step {
 	return []step{
 		basics{},
+		metrics{},
 		platformClient{},
 		configuration{},
 		scheduling{},
 		membership{},
 		backends{},
+		claims{},
 		records{},
 		theRoute{},
 		polling{},
@@ -141,8 +149,12 @@
 	d.cancel()
 	_ = d.front.Kill()
 	_ = d.back.Kill()
+	dead, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.claims.Close(dead)
 	d.pools.Stop(fireflypath.Refusal{Code: fireflypath.ReasonStopping, Detail: "killed"})
 	d.work.Wait()
+	_ = d.reports.Close()
 }
 
 // Ready reports whether the daemon takes requests.
