feat(sched): demand tells slots and running requests

Daemons split windows by places for requests, which the summaries lacked. Demand gains Busy and Slots; the shipped scheduler counts both.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -183,6 +183,7 @@
 	t.prefill += fresh
 	s.flights++
 	s.running[rank(it.work)] += it.work.Cost.Tokens()
+	s.flying[rank(it.work)]++
 	s.drain.Add(now, it.work.Cost.Tokens())
 	t.slow.Probe()
 	s.index.Store(target, it.work.Prefix)
@@ -200,6 +201,7 @@
 	}
 	s.flights--
 	s.running[rank(it.work)] -= it.work.Cost.Tokens()
+	s.flying[rank(it.work)]--
 	s.refresh(it.target)
 }
 
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -70,6 +70,7 @@
 	share      fireflypath.Share
 	flights    int
 	running    [fair.Ranks]int
+	flying     [fair.Ranks]int
 
 	drain    rate.Meter
 	arrivals [fair.Ranks]rate.Meter
--- a/internal/decide/sched/view.go
+++ b/internal/decide/sched/view.go
@@ -16,11 +16,18 @@
 		Waiting:  make([]int, n),
 		Running:  make([]int, n),
 		Requests: make([]int, n),
+		Busy:     make([]int, n),
 	}
 	for r := range n {
 		d.Waiting[r] = s.queue.Tokens(r)
 		d.Running[r] = s.running[r]
 		d.Requests[r] = s.queue.Requests(r)
+		d.Busy[r] = s.flying[r]
+	}
+	for i := range s.targets {
+		if t := &s.targets[i]; t.usable() {
+			d.Slots += int(t.window.Requests())
+		}
 	}
 	return d
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -160,8 +160,12 @@
 	// Waiting and Running are estimated tokens by rank.
 	Waiting []int `json:"waiting"`
 	Running []int `json:"running"`
-	// Requests is the number of waiting requests by rank.
+	// Requests is the number of waiting requests by rank, Busy that of running ones.
 	Requests []int `json:"requests"`
+	Busy     []int `json:"busy,omitempty"`
+	// Slots is the learned window of all the pool's targets in requests, not
+	// only this daemon's part; 0 if it is not known.
+	Slots int `json:"slots,omitempty"`
 }
 
 // TargetView is what one daemon knows of a target.
