feat(exchange): windows shared with the daemons of a cell

Each daemon tells its cell once a second what waits and runs, in lines that are sent only when they change; all compute their part from the same lines, and one that is short asks the idlest three for loans in one batched call each.

--- /dev/null
+++ b/internal/exchange/borrow.go
@@ -0,0 +1,201 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+const (
+	methodBorrow = "borrow"
+	// askEvery bounds the questions of a daemon that stays short of slots to
+	// four a second, whatever its load.
+	askEvery = 250 * time.Millisecond
+	// askPeers is how many daemons are asked at once, those with most idle first.
+	askPeers = 3
+	// askTimeout is far above a millisecond or two; a loan that comes later is
+	// worth little of its two seconds.
+	askTimeout = 500 * time.Millisecond
+)
+
+// borrowAsk asks for parts of several pools in one call.
+type borrowAsk struct {
+	Lines []borrowLine `json:"lines"`
+}
+
+// borrowLine is the need for one pool.
+type borrowLine struct {
+	Pool string `json:"pool"`
+	// Rank is the highest tier that waits; Part is the wanted part of the windows.
+	Rank int     `json:"rank"`
+	Part float64 `json:"part"`
+}
+
+// borrowReply gives a part for each line of the question.
+type borrowReply struct {
+	Parts []float64 `json:"parts"`
+}
+
+// request is a question to one peer.
+type request struct {
+	to  string
+	ask borrowAsk
+}
+
+// needy collects what this daemon is short of, by the peer to ask. The caller
+// holds mu.
+func (x *Exchange) needy(now time.Time) []request {
+	byPeer := map[string]*request{}
+	for name, p := range x.pools {
+		rank, wanted := p.short(now)
+		if wanted <= 0 || p.asking || now.Sub(p.asked) < askEvery {
+			continue
+		}
+		lenders := x.idlest(p)
+		wanted = max(wanted/float64(max(1, len(lenders))), 1/float64(p.fresh.Slots))
+		for _, to := range lenders {
+			p.asked, p.asking = now, true
+			if byPeer[to] == nil {
+				byPeer[to] = &request{to: to}
+			}
+			byPeer[to].ask.Lines = append(byPeer[to].ask.Lines, borrowLine{Pool: name, Rank: rank, Part: wanted})
+		}
+	}
+	out := make([]request, 0, len(byPeer))
+	for _, r := range byPeer {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// short is the rank that waits and the part that it needs above the one in use.
+func (p *pool) short(now time.Time) (int, float64) {
+	waiting := sum(p.fresh.Requests)
+	use := p.ledger.InUse(now)
+	slots := float64(p.fresh.Slots)
+	if waiting == 0 || slots == 0 || float64(sum(p.fresh.Busy)) < use*slots-1 {
+		return 0, 0
+	}
+	rank := slices.IndexFunc(p.fresh.Requests, func(v int) bool { return v > 0 })
+	return rank, min(1-use, float64(waiting)/slots)
+}
+
+// idlest names the mates that seem to have most idle slots.
+func (x *Exchange) idlest(p *pool) []string {
+	self := x.members.Self().Name
+	var names []string
+	for _, n := range p.cell {
+		if n != self {
+			names = append(names, n)
+		}
+	}
+	load := func(n string) int { return sum(p.heard[n].Busy) + sum(p.heard[n].Requests) }
+	slices.SortStableFunc(names, func(a, b string) int { return load(a) - load(b) })
+	return names[:min(askPeers, len(names))]
+}
+
+// ask sends the questions; each pool has one round of them under way.
+func (x *Exchange) ask(ctx context.Context, rs []request) {
+	for _, r := range rs {
+		to, ok := x.find(r.to)
+		if !ok {
+			x.answered(r)
+			continue
+		}
+		x.wg.Go(func() {
+			defer x.answered(r)
+			asked := x.clock.Now()
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			var reply borrowReply
+			x.count.asked.Inc(1)
+			err := x.peers.Call(ctx, to, methodBorrow, r.ask, &reply)
+			if err != nil || len(reply.Parts) != len(r.ask.Lines) {
+				return
+			}
+			for i, l := range r.ask.Lines {
+				x.Borrow(l.Pool, asked, reply.Parts[i])
+			}
+		})
+	}
+}
+
+func (x *Exchange) find(name string) (fireflypath.Member, bool) {
+	for _, m := range x.members.Live() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return fireflypath.Member{}, false
+}
+
+func (x *Exchange) answered(r request) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, l := range r.ask.Lines {
+		if p := x.pools[l.Pool]; p != nil {
+			p.asking = false
+		}
+	}
+}
+
+// Borrow uses a part that a peer gave, by a question asked at that time.
+func (x *Exchange) Borrow(name string, asked time.Time, part float64) {
+	if part <= 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p := x.pools[name]; p != nil {
+		p.ledger.Borrow(asked, x.clock.Now(), part)
+		x.count.borrowed.Inc(1)
+	}
+}
+
+// Lend gives away a part that work of the rank and above does not need here.
+// The smaller part is in force before Lend returns.
+func (x *Exchange) Lend(name string, rank int, wanted float64) float64 {
+	x.refresh()
+	x.applying.Lock()
+	defer x.applying.Unlock()
+	x.mu.Lock()
+	p := x.pools[name]
+	if p == nil {
+		x.mu.Unlock()
+		return 0
+	}
+	now := x.clock.Now()
+	used := 0.0
+	if slots := float64(p.fresh.Slots); slots > 0 {
+		urgent := p.fresh.Requests[:min(len(p.fresh.Requests), rank+1)]
+		used = float64(sum(p.fresh.Busy)+sum(urgent)) / slots
+	}
+	got := p.ledger.Lend(now, wanted, used, len(p.group))
+	if got == 0 {
+		x.mu.Unlock()
+		return 0
+	}
+	p.applied = p.ledger.InUse(now)
+	s := x.shareOf(p, p.applied)
+	x.mu.Unlock()
+	x.count.lent.Inc(1)
+	x.cluster.ApplyShare(name, s)
+	return got
+}
+
+func (x *Exchange) answerBorrow(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var ask borrowAsk
+	if err := json.Unmarshal(params, &ask); err != nil {
+		return nil, errors.Wrap(err, "decode the question for a loan")
+	}
+	r := borrowReply{Parts: make([]float64, len(ask.Lines))}
+	for i, l := range ask.Lines {
+		r.Parts[i] = x.Lend(l.Pool, l.Rank, l.Part)
+	}
+	return r, nil
+}
--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -127,7 +127,7 @@
 // Attach connects the membership to the endpoint before it serves.
 func (m *Membership) Attach(e *peer.Endpoint) {
 	m.peers = e
-	e.SetUp(m.met)
+	e.AddUp(m.met)
 	e.AddSource(m.tell)
 	e.AddSink(m.hear)
 	e.Handle(methodSync, m.answerSync)
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -60,7 +60,7 @@
 type Sink func(from string, b *Beat)
 
 // Endpoint holds this daemon's connections to others. Configure it with
-// Handle, AddSource, AddSink and SetUp before Serve.
+// Handle, AddSource, AddSink and AddUp before Serve.
 type Endpoint struct {
 	network fireflypath.Network
 	config  *tls.Config
@@ -73,7 +73,7 @@
 	methods map[string]Method
 	sources []Source
 	sinks   []Sink
-	up      func(fireflypath.Member)
+	ups     []func(fireflypath.Member)
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -95,7 +95,6 @@
 	e := &Endpoint{
 		network: network, self: self, beat: beat, clock: clock, log: log, count: newCounters(scope),
 		methods: map[string]Method{}, links: map[string][]*link{}, keep: map[string]bool{},
-		up: func(fireflypath.Member) {},
 	}
 	if beat <= 0 {
 		e.beat = Heartbeat
@@ -116,8 +115,8 @@
 // AddSink adds a reader of each beat received.
 func (e *Endpoint) AddSink(s Sink) { e.sinks = append(e.sinks, s) }
 
-// SetUp sets what is told of each new connection's other side.
-func (e *Endpoint) SetUp(up func(fireflypath.Member)) { e.up = up }
+// AddUp adds what is told of each new connection's other side.
+func (e *Endpoint) AddUp(up func(fireflypath.Member)) { e.ups = append(e.ups, up) }
 
 // Serve accepts connections until the endpoint or the listener is closed.
 func (e *Endpoint) Serve(l net.Listener) error {
@@ -259,7 +258,9 @@
 	e.links[l.peer.Name] = append(e.links[l.peer.Name], l)
 	e.gauge()
 	e.mu.Unlock()
-	e.up(l.peer)
+	for _, up := range e.ups {
+		up(l.peer)
+	}
 	l.wake()
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -202,21 +202,26 @@
 	defer l.close()
 	t := l.e.clock.NewTicker(l.e.beat / 2)
 	defer t.Stop()
-	for n := 0; ; n++ {
+	var sent time.Time
+	for {
+		due := true
 		select {
 		case <-l.conn.DisconnectNotify():
 			return
 		case <-l.kick:
-			if l.send() != nil {
+		case <-t.Chan():
+			if l.silent() || l.unwanted() {
 				return
 			}
-			continue
-		case <-t.Chan():
+			// Flushed beats count: a daemon that shares its demand every second
+			// does not send another beat for the connection's sake.
+			due = l.e.clock.Since(sent) > l.e.beat*3/4
 		}
-		if l.silent() || l.unwanted() {
-			return
+		if !due {
+			continue
 		}
-		if n%2 == 0 && l.send() != nil {
+		sent = l.e.clock.Now()
+		if l.send() != nil {
 			return
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -53,10 +53,12 @@
 // Demand is the short form of fireflypath.Demand for the wire, rounded to two
 // digits so that small changes are not sent.
 type Demand struct {
-	Pool     string `json:"p"`
-	Waiting  []int  `json:"w,omitempty"`
-	Running  []int  `json:"r,omitempty"`
-	Requests []int  `json:"q,omitempty"`
+	Pool string `json:"p"`
+	// Slots is the learned window of the pool's targets in requests.
+	Slots int `json:"s,omitempty"`
+	// Requests wait, Busy ones run, both by rank.
+	Requests []int `json:"q,omitempty"`
+	Busy     []int `json:"b,omitempty"`
 }
 
 // Evidence is first-hand news of a target.
