--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -248,6 +248,7 @@
 	s.flights++
 	s.reserve.Start(rank(it.work))
 	s.running[rank(it.work)] += it.work.Cost.Tokens()
+	s.flying[rank(it.work)]++
 	s.drain.Add(now, it.work.Cost.Tokens())
 	t.slow.Probe()
 	s.index.Store(target, it.work.Prefix)
@@ -275,6 +276,7 @@
 	s.flights--
 	s.reserve.End(rank(it.work), now.Sub(it.sent))
 	s.running[rank(it.work)] -= it.work.Cost.Tokens()
+	s.flying[rank(it.work)]--
 	s.refresh(it.target)
 }
 
