--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -313,6 +313,7 @@
 	s.flights++
 	s.reserve.Start(rank(w))
 	s.running[rank(w)] += w.Cost.Tokens()
+	s.flying[rank(w)]++
 	s.drain.Add(now, w.Cost.Tokens())
 	t.slow.Probe()
 	s.index.Store(it.target, w.Prefix)
@@ -340,6 +341,7 @@
 	s.flights--
 	s.reserve.End(rank(it.work), now.Sub(it.sent))
 	s.running[rank(it.work)] -= it.work.Cost.Tokens()
+	s.flying[rank(it.work)]--
 	s.refresh(it.target)
 }
 
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -72,6 +72,7 @@
 	share      fireflypath.Share
 	flights    int
 	running    [fair.Ranks]int
+	flying     [fair.Ranks]int
 
 	reserve *reserve.Reserve
 	// capacity is the sum of the limits of usable fast targets, busy what is in
