--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -1,26 +1,33 @@
 package settings
 
 import (
-	"encoding/json"
 	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 )
 
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. Faults of its content are Problems.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
-	std, err := hujson.Standardize(text)
+	return Parse(path, text)
+}
+
+// Parse reads and checks settings; the path only appears in problems.
+func Parse(path string, text []byte) (*Settings, error) {
+	root, err := hujson.Parse(text)
 	if err != nil {
-		return nil, errors.Wrap(err, "parse settings")
+		return nil, syntax(path, err)
 	}
+	d := newDecoder(path, text)
 	var s Settings
-	if err := json.Unmarshal(std, &s); err != nil {
-		return nil, errors.Wrap(err, "parse settings")
+	d.value(rootName, &s, root)
+	d.check(&s)
+	if len(d.problems) > 0 {
+		return nil, d.sorted()
 	}
-	return &s, Check(&s)
+	return &s, nil
 }
