--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -1,7 +1,9 @@
 package demo
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
@@ -32,7 +34,7 @@
 
 // burst is one large team's sudden work.
 func (d *Demo) burst() mix.Burst {
-	return mix.Burst{At: d.part(0.4), For: d.part(0.15), Team: d.o.Mix.Teams[1].Name, Factor: 8}
+	return mix.Burst{At: d.part(0.4), For: d.part(0.15), Team: d.o.Mix.Teams[1].Name, Factor: 25}
 }
 
 // strike shows the faults one after the other.
@@ -63,7 +65,8 @@
 		{0.25, show(d.services[0], fault.Fault{Name: fault.ReadClose, Count: 1})},
 		{0.30, show(d.services[1], fault.Fault{Name: fault.Break, Count: 1})},
 		{0.35, show(d.engines[0], fault.Fault{Name: fault.Die})},
-		{0.45, show(d.engines[5], fault.Fault{Name: fault.Slow, Factor: 8})},
+		{0.40, show(d.engines[5], fault.Fault{Name: fault.Slow, Factor: 8})},
+		{0.70, show(d.engines[5], fault.Fault{Name: fault.Slow, Off: true})},
 	}
 	for i := range d.o.Kill {
 		x := d.daemons[i]
@@ -73,7 +76,9 @@
 		}})
 	}
 	d.leaving.target = d.engines[6]
-	return append(all, blow{0.65, show(d.engines[6], fault.Fault{Name: fault.Draining})})
+	all = append(all, blow{0.65, show(d.engines[6], fault.Fault{Name: fault.Draining})})
+	slices.SortStableFunc(all, func(a, b blow) int { return cmp.Compare(a.at, b.at) })
+	return all
 }
 
 func (d *Demo) sleep(ctx context.Context, dt time.Duration) bool {
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -131,6 +131,7 @@
 		Handler:               e.handle,
 		MaxRequestBodySize:    maxBody,
 		NoDefaultServerHeader: true,
+		Logger:                wire.NoLog{},
 		NoDefaultDate:         true,
 	}
 	e.wg.Go(func() {
--- a/internal/fake/platform/http.go
+++ b/internal/fake/platform/http.go
@@ -32,6 +32,7 @@
 		Handler:               f.handle,
 		MaxRequestBodySize:    maxBody,
 		NoDefaultServerHeader: true,
+		Logger:                wire.NoLog{},
 	}
 	go func() {
 		defer close(f.served)
--- a/internal/fake/service/service.go
+++ b/internal/fake/service/service.go
@@ -74,7 +74,7 @@
 	}
 	s := &Service{cfg: cfg, clock: clock, ln: ln, served: make(chan struct{})}
 	s.counts = Counts{Dispatches: make(map[string]int), Runs: make(map[string]int), Keys: make(map[string]int)}
-	server := &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
+	server := &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: wire.NoLog{}}
 	go func() {
 		defer close(s.served)
 		// The only error is the listener's end.
--- a/internal/fake/wire/wire.go
+++ b/internal/fake/wire/wire.go
@@ -187,3 +187,9 @@
 	r.HijackSetNoResponse(true)
 	r.Hijack(func(c net.Conn) { c.Close() })
 }
+
+// NoLog drops what a server logs: broken connections are what stand-ins are for.
+type NoLog struct{}
+
+// Printf implements fasthttp.Logger.
+func (NoLog) Printf(string, ...any) {}
