--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,12 +9,15 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/fireflypath/fireflypath"
+	claims "github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
 	"github.com/fireflypath/fireflypath/internal/route/admit"
 	"github.com/fireflypath/fireflypath/internal/route/catalog"
+	"github.com/fireflypath/fireflypath/internal/route/claim"
 	"github.com/fireflypath/fireflypath/internal/route/classify"
 	"github.com/fireflypath/fireflypath/internal/route/dispatch"
 	"github.com/fireflypath/fireflypath/internal/route/identify"
+	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/parse"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/route/queue"
@@ -39,6 +42,8 @@
 	Configs  fireflypath.Configs
 	Pools    *pools.Pools
 	Backends map[fireflypath.Kind]fireflypath.Backend
+	Claims   *claims.Claims
+	Meter    *meter.Meter
 	// Members share the operators' limits; nil is this daemon alone.
 	Members fireflypath.Members
 	// Recorder may be nil.
@@ -63,6 +68,7 @@
 		classify.New(),
 		record.New(deps.Recorder),
 		admit.New(deps.Clock, deps.Members),
+		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
 		relay.New(deps.Clock, rt.ended),
@@ -121,8 +127,13 @@
 		return
 	}
 	r.Ended = true
+	if r.Claimed && ref != nil && ref.Run == fireflypath.RunNo {
+		rt.deps.Claims.Release(r.Work.Team, r.Inbound.Key, r.Work.ID)
+	}
 	if r.Draft == nil {
 		r.Draft = draft.New(rt.deps.Recorder, &r.Work, r.Config.Generation)
 	}
-	r.Draft.End(rt.deps.Clock.Now(), r.Work.Life.State(), r.Tokens, ref)
+	now := rt.deps.Clock.Now()
+	rt.deps.Meter.Ended(now, r, ref)
+	r.Draft.End(now, r.Work.Life.State(), r.Tokens, ref)
 }
