--- a/pkg/client/events.go
+++ b/pkg/client/events.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,12 +24,20 @@
 
 const done = "[DONE]"
 
+// maxEvent bounds the bytes of one event; an event normally holds one token.
+const maxEvent = 1 << 16
+
+// readers spare each stream a buffer of maxEvent.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxEvent) }}
+
 // readEvents reads a stream to its end mark or to a refusal. A stream that ends
 // without either was cut, even if its connection was closed in good order.
 func (a *Answer) readEvents(r io.Reader) error {
 	var text strings.Builder
 	defer func() { a.Text = text.String() }()
-	lines := bufio.NewReaderSize(r, 1<<16)
+	lines := readers.Get().(*bufio.Reader)
+	lines.Reset(r)
+	defer readers.Put(lines)
 	failed := false
 	for {
 		line, err := lines.ReadSlice('\n')
