--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/share"
 	"github.com/fireflypath/fireflypath/internal/mix"
 )
 
@@ -39,12 +41,30 @@
 	place  fireflypath.Placement
 	wake   time.Time
 	waits  map[*fireflypath.Work]*request
+	heard  [daemons]share.Line
+	ledger share.Ledger
 }
 
-func (d *daemon) offer(w *fireflypath.Work, r *request) {
-	if d.waits == nil {
-		d.waits = make(map[*fireflypath.Work]*request)
+// line is the daemon's demand as it tells it to the others.
+func (d *daemon) line() share.Line {
+	m := d.sched.Demand(d.now())
+	return share.Line{Name: strconv.Itoa(d.number), Slots: m.Slots, Running: m.Busy, Waiting: m.Requests}
+}
+
+// apply puts the part of the windows in force that may be used now, and again
+// when more may be.
+func (d *daemon) apply() {
+	d.sched.SetShare(d.now(), fireflypath.Share{Default: d.ledger.InUse(d.now())})
+	d.pump()
+	if at := d.ledger.Wake(); !at.IsZero() {
+		d.fleet.loop.at(at.Add(time.Microsecond), func() {
+			d.sched.SetShare(d.now(), fireflypath.Share{Default: d.ledger.InUse(d.now())})
+			d.pump()
+		})
 	}
+}
+
+func (d *daemon) offer(w *fireflypath.Work, r *request) {
 	d.waits[w] = r
 	d.handle(d.sched.Offer(d.now(), w, nil))
 	d.pump()
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/share"
 	"github.com/fireflypath/fireflypath/internal/mix"
 )
 
@@ -22,17 +22,10 @@
 	lagMax = 2 * time.Second
 	// gap is the part of the cache events that is lost.
 	gap = 0.1
-	// exchange is how often daemons exchange their demand; it is in force one
-	// exchange later.
+	// exchange is how often each daemon tells the others its demand.
 	exchange = time.Second
 	// tail is how long a run goes on after the last arrival.
 	tail = 4 * time.Minute
-	// tierWeight is how much more the demand of a tier counts than that of the
-	// next lower one.
-	tierWeight = 4
-	// minShare is the part of the windows that is split evenly, so that a burst
-	// starts at once at a daemon that had no work.
-	minShare = 0.25
 )
 
 // skew is the uneven balancer: each daemon's part of the arrivals against the even one.
@@ -76,7 +69,8 @@
 		targets = append(targets, fireflypath.Target{Name: e.name, Pool: mix.Models, Addr: e.name})
 	}
 	for i := range daemons {
-		d := &daemon{fleet: f, number: i}
+		d := &daemon{fleet: f, number: i, waits: make(map[*fireflypath.Work]*request)}
+		d.ledger.Start(1.0 / daemons)
 		d.sched = p.make(o.Seed*daemons+uint64(i), len(m.Tiers)-1, targets)
 		d.sched.SetShare(epoch, fireflypath.Share{Default: 1.0 / daemons})
 		f.daemons = append(f.daemons, d)
@@ -96,7 +90,9 @@
 		f.loop.after(poll, func() { f.events(e) })
 	}
 	if f.policy.shares {
-		f.loop.after(exchange, f.exchange)
+		for i, d := range f.daemons {
+			f.loop.after(exchange*time.Duration(i+1)/daemons, func() { f.exchange(d) })
+		}
 	}
 	f.strike()
 	f.loop.run(f.end)
@@ -140,29 +136,17 @@
 	f.loop.after(poll, func() { f.events(e) })
 }
 
-// exchange gives each daemon its part of the windows by demand.
-func (f *fleet) exchange() {
-	var demand [daemons]float64
-	sum := 0.0
-	for i, d := range f.daemons {
-		line := d.sched.Demand(f.loop.now)
-		for r := range line.Waiting {
-			weight := math.Pow(tierWeight, float64(len(line.Waiting)-1-r))
-			demand[i] += weight * float64(line.Waiting[r]+line.Running[r])
-		}
-		sum += demand[i]
-	}
-	f.loop.after(exchange, func() {
-		for i, d := range f.daemons {
-			part := 1.0 / daemons
-			if sum > 0 {
-				part = minShare/daemons + (1-minShare)*demand[i]/sum
-			}
-			d.sched.SetShare(f.loop.now, fireflypath.Share{Default: part})
-			d.pump()
+// exchange brings a daemon's demand to all daemons, which split the windows anew.
+func (f *fleet) exchange(d *daemon) {
+	line := d.line()
+	f.loop.after(hop, func() {
+		for _, p := range f.daemons {
+			p.heard[d.number] = line
+			p.ledger.Set(f.loop.now, share.Split(p.heard[:], 0)[p.number])
+			p.apply()
 		}
 	})
-	f.loop.after(exchange, f.exchange)
+	f.loop.after(exchange, func() { f.exchange(d) })
 }
 
 // arrive is a caller's first attempt, through a daemon that the balancer picks.
