--- a/internal/exchange/borrow.go
+++ b/internal/exchange/borrow.go
@@ -188,6 +188,17 @@
 	return got
 }
 
+// freePart is the most that goes with the work given up in one answer of a
+// relief round. The other daemon asks for more four times a second if it is
+// short; more here would stand idle if it is not.
+const freePart = 0.05
+
+// Free lends a part to a daemon for whose work of the rank lower work was given
+// up here.
+func (x *Exchange) Free(pool string, rank, _ int) float64 {
+	return x.Lend(pool, rank, freePart)
+}
+
 func (x *Exchange) answerBorrow(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	var ask borrowAsk
 	if err := json.Unmarshal(params, &ask); err != nil {
