--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -14,7 +14,15 @@
 
 // commands lists the tools in the order that help prints them.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		newDemoCommand(),
+		newStandCommand(),
+		newLoadCommand(),
+		newTrialCommand(),
+		doCommand(),
+		askCommand(),
+		shellCommand(),
+	}
 }
 
 // coded is an error that chooses the exit code.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 
@@ -10,14 +11,17 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/caller"
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
+	"github.com/fireflypath/fireflypath/internal/claim"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/service"
 	"github.com/fireflypath/fireflypath/pkg/settings"
@@ -30,6 +34,7 @@
 	Hosts     fireflypath.Hosts
 	Configs   fireflypath.Configs
 	Committer fireflypath.Committer
+	Orderer   fireflypath.Orderer
 	Members   fireflypath.Members
 	Relief    fireflypath.Relief
 	Recorder  fireflypath.Recorder
@@ -38,8 +43,9 @@
 	Log       *zap.Logger
 	// Operator adds calls to the operators' endpoint.
 	Operator []func(*fiber.App)
-	// Leaving spreads to peers that a target takes no more work.
+	// Leaving and Back spread first-hand evidence of targets to peers.
 	Leaving func(target, why string)
+	Back    func(target string)
 }
 
 // Daemon is one process's worth of the system. The steps fill its fields in
@@ -56,7 +62,11 @@
 	cancel context.CancelFunc
 	work   conc.WaitGroup
 
+	scope    tally.Scope
+	reports  io.Closer
 	pools    *pools.Pools
+	evidence *evidence.Evidence
+	claims   *claim.Claims
 	engine   *engine.Engine
 	service  *service.Service
 	route    *route.Route
@@ -79,12 +89,17 @@
 func steps() []step {
 	return []step{
 		basics{},
+		metrics{},
 		platformClient{},
 		configuration{},
 		scheduling{},
 		membership{},
 		backends{},
+		claims{},
+		records{},
 		theRoute{},
+		polling{},
+		operators{},
 		operatorEndpoint{},
 		callerListener{},
 		readiness{},
@@ -134,8 +149,12 @@
 	d.cancel()
 	_ = d.front.Kill()
 	_ = d.back.Kill()
+	dead, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.claims.Close(dead)
 	d.pools.Stop(fireflypath.Refusal{Code: fireflypath.ReasonStopping, Detail: "killed"})
 	d.work.Wait()
+	_ = d.reports.Close()
 }
 
 // Ready reports whether the daemon takes requests.
@@ -159,3 +178,8 @@
 	}
 	return ln.Addr().String()
 }
+
+// Demands summarises the pools.
+func (d *Daemon) Demands() []fireflypath.Demand {
+	return d.pools.Demands()
+}
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/deadline"
 	"github.com/fireflypath/fireflypath/internal/decide/fair"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/slow"
@@ -22,6 +23,9 @@
 	// again is how long after a relief round work past its time is returned
 	// once more: a few round trips between daemons.
 	again = 20 * time.Millisecond
+	// press is how long after a relief round lower work is not let in to wait: a
+	// few round trips, until the daemon that asked has decided.
+	press = 50 * time.Millisecond
 )
 
 // Next chooses the next work and its target and counts it as in flight.
@@ -34,7 +38,7 @@
 		if s.queue.Requests(r) == 0 {
 			continue
 		}
-		if len(s.open) == 0 {
+		if len(s.open) == 0 && r >= s.cfg.Lowest {
 			return false
 		}
 		if s.nextOf(now, r, p) {
@@ -44,10 +48,20 @@
 	return false
 }
 
+// kept is true if the free slots of the fast targets are kept for higher tiers.
+// Slow targets are not: they end little work in time that has a tight deadline.
+func (s *Sched) kept(now time.Time, r int) bool {
+	if s.flights == 0 {
+		return false
+	}
+	return float64(s.capacity-s.busy) <= s.reserve.Above(now, r)
+}
+
 // nextOf dispatches the first work of a tier that an open target can end in time.
 func (s *Sched) nextOf(now time.Time, r int, p *fireflypath.Placement) bool {
 	s.parked = s.parked[:0]
 	found := false
+	s.keep = s.kept(now, r)
 	for !found && len(s.parked) < aside {
 		slot := s.queue.Head(r)
 		if slot == none {
@@ -90,18 +104,33 @@
 	if len(w.Prefix) > 0 {
 		key = w.Prefix[min(len(w.Prefix), 8)-1]
 	}
+	if len(s.options) == 0 {
+		s.exceed(now, slot, p)
+	}
+	if len(s.options) == 0 {
+		return false
+	}
 	o := s.options[s.chosen.Choose(key, s.options)]
 	expected := time.Duration(o.Score * float64(time.Second))
-	if s.targets[o.Target].known() && s.margin.Latest(w.Deadline, expected).Before(now) {
+	factor := s.margin.Factor()
+	if s.urgent(now, it) {
+		factor = s.margin.Tight()
+	}
+	if s.targets[o.Target].known() && deadline.Latest(w.Deadline, expected, factor).Before(now) {
 		return false
 	}
 	t := &s.targets[o.Target]
 	if !s.holds(o.Target) {
 		hit = 0
 	}
+	fresh := max(w.Cost.Prompt-hit, 0)
+	seconds := float64(fresh) / s.prefillRate(t)
+	if s.long.Long(seconds) && !s.long.Open(s.parts) {
+		return false
+	}
 	s.queue.Serve(slot)
 	s.unschedule(slot)
-	s.depart(now, slot, o.Target, max(w.Cost.Prompt-hit, 0), expected)
+	s.depart(now, slot, o.Target, fresh, expected)
 	p.Work = w
 	p.Target = t.Name
 	p.Waited = now.Sub(w.Arrived)
@@ -142,6 +171,32 @@
 	return hit
 }
 
+// urgent is true for work that has waited for half of the time it has.
+func (s *Sched) urgent(now time.Time, it *item) bool {
+	return 2*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
+}
+
+// exceed offers targets beyond their windows to work whose time is running out,
+// unless it is of the lowest tier. The slots of a window that lower work took in
+// a quiet moment come back too late for it; one request more in the target's own
+// queue waits for the next answer there, which all daemons together bring about
+// nine times as often as this one sees.
+func (s *Sched) exceed(now time.Time, slot int32, p *fireflypath.Placement) {
+	it := &s.items[slot]
+	if rank(it.work) >= s.cfg.Lowest || !s.urgent(now, it) {
+		return
+	}
+	n := len(s.targets)
+	at := s.rnd.IntN(n)
+	for range min(n, sample) {
+		t := &s.targets[at]
+		if t.usable() && t.slow.State() == slow.Ready && t.requests <= t.limit() && t.filling == 0 {
+			s.consider(now, int32(at), it.work, 0, p)
+		}
+		at = (at + 1) % n
+	}
+}
+
 func (s *Sched) holds(i int32) bool {
 	for _, h := range s.holders {
 		if h == i {
@@ -153,6 +208,9 @@
 
 func (s *Sched) consider(now time.Time, i int32, w *fireflypath.Work, hit int, p *fireflypath.Placement) {
 	t := &s.targets[i]
+	if s.keep && s.fast(t) {
+		return
+	}
 	score := s.expect(now, t, w, hit)
 	if t.slow.State() == slow.Slow {
 		score *= slowPenalty
@@ -181,7 +239,14 @@
 	t.requests++
 	t.tokens += it.work.Cost.Tokens()
 	t.prefill += fresh
+	t.filling++
+	if sec := float64(fresh) / s.prefillRate(t); s.long.Long(sec) {
+		it.long = sec
+		s.long.Start(sec)
+	}
+	s.prompt += blend * (float64(fresh) - s.prompt)
 	s.flights++
+	s.reserve.Start(rank(it.work))
 	s.running[rank(it.work)] += it.work.Cost.Tokens()
 	s.flying[rank(it.work)]++
 	s.drain.Add(now, it.work.Cost.Tokens())
@@ -190,16 +255,26 @@
 	s.refresh(target)
 }
 
+// filled ends the prefill of work in flight.
+func (s *Sched) filled(it *item, t *target) {
+	t.prefill -= it.fresh
+	t.filling--
+	if it.long > 0 {
+		s.long.End(it.long)
+	}
+}
+
 // land takes work out of flight.
-func (s *Sched) land(slot int32) {
+func (s *Sched) land(now time.Time, slot int32) {
 	it := &s.items[slot]
 	t := &s.targets[it.target]
 	t.requests--
 	t.tokens -= it.work.Cost.Tokens()
 	if it.first.IsZero() {
-		t.prefill -= it.fresh
+		s.filled(it, t)
 	}
 	s.flights--
+	s.reserve.End(rank(it.work), now.Sub(it.sent))
 	s.running[rank(it.work)] -= it.work.Cost.Tokens()
 	s.flying[rank(it.work)]--
 	s.refresh(it.target)
@@ -210,7 +285,7 @@
 	s.drain.Pass(now, s.queue.Len() > 0)
 	for len(s.latest) > 0 && !s.items[s.latest[0]].latest.After(now) {
 		slot := s.latest[0]
-		latest := s.margin.Latest(s.items[slot].work.Deadline, s.best(s.items[slot].work))
+		latest := s.latestOf(s.items[slot].work)
 		if latest.After(now) {
 			s.unschedule(slot)
 			s.schedule(slot, latest)
@@ -229,9 +304,9 @@
 	return out
 }
 
-// expire refuses work whose latest start has passed. Lower work that waits here
-// goes first, and peers are asked for theirs: a caller of a higher tier must not
-// be refused while lower work holds a place. While they are asked the work is
+// expire refuses work whose latest start has passed. If lower work may wait
+// here or at peers it has to go first: a caller of a higher tier must not be
+// refused while lower work holds a place. While peers are asked the work is
 // kept, for the owner to withdraw; it reports true then.
 func (s *Sched) expire(now time.Time, slot int32, out []fireflypath.Shed) ([]fireflypath.Shed, bool) {
 	it := &s.items[slot]
@@ -243,7 +318,6 @@
 	if now.Sub(it.asked) < again {
 		return out, true
 	}
-	out = s.Relieve(now, rank(w), everything, out)
 	sh := s.lateShed(now, w)
 	sh.Detail = fmt.Sprintf("waited %v and can no longer end in time", now.Sub(w.Arrived).Round(time.Millisecond))
 	s.items[slot].asked = now
@@ -256,6 +330,7 @@
 // Relieve gives up waiting work of lower tiers than rank, lowest first, until
 // tokens are freed.
 func (s *Sched) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
+	s.pressed, s.pressure = now.Add(press), rank
 	freed := 0
 	for freed < tokens {
 		r := s.lower(rank)
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -10,9 +10,11 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/deadline"
 	"github.com/fireflypath/fireflypath/internal/decide/fair"
+	"github.com/fireflypath/fireflypath/internal/decide/long"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/prefix"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
+	"github.com/fireflypath/fireflypath/internal/decide/reserve"
 	"github.com/fireflypath/fireflypath/internal/decide/retry"
 )
 
@@ -72,15 +74,29 @@
 	running    [fair.Ranks]int
 	flying     [fair.Ranks]int
 
-	drain    rate.Meter
-	arrivals [fair.Ranks]rate.Meter
+	reserve *reserve.Reserve
+	// capacity is the sum of the limits of usable fast targets, busy what is in
+	// flight there.
+	capacity, busy int
+	drain          rate.Meter
+	arrivals       [fair.Ranks]rate.Meter
 	// output is the learned part of the allowed output that is generated.
 	output float64
 	// fastPrefill and fastDecode are the best known speeds, 0 before any answer.
 	fastPrefill, fastDecode float64
+	// prompt is the average prompt to prefill, in tokens.
+	prompt float64
 	// pace is the average over targets of how long answers take against expected.
 	pace float64
 
+	// pressed is until when work of ranks below pressure may not wait.
+	pressed  time.Time
+	pressure int
+	long     long.Gate
+	// parts is the sum of this daemon's parts of the usable targets.
+	parts float64
+	// keep is true while fast targets are kept for tiers above the one in turn.
+	keep    bool
 	options []place.Option
 	holders []int32
 	parked  []int32
@@ -110,11 +126,13 @@
 	asked time.Time
 	// target, sent, first, fresh, before and expected describe the flight:
 	// fresh is the prompt to prefill, before what stood before it from here.
-	target   int32
-	sent     time.Time
-	first    time.Time
-	fresh    int
-	before   int
+	target int32
+	sent   time.Time
+	first  time.Time
+	fresh  int
+	before int
+	// long is the prefill in seconds if it counts as long, else 0.
+	long     float64
 	expected time.Duration
 }
 
@@ -127,18 +145,19 @@
 		cfg.Pool.Bytes = defaultBytes
 	}
 	s := &Sched{
-		cfg:    cfg,
-		queue:  fair.New(),
-		chosen: place.New(cfg.Place, cfg.Seed),
-		index:  prefix.New(),
-		damper: retry.New(),
-		rnd:    rand.New(rand.NewPCG(cfg.Seed, 2)),
-		slots:  make(map[*fireflypath.Work]int32),
-		names:  make(map[string]int32),
-		share:  fireflypath.Share{Default: 1},
-		drain:  rate.Meter{Horizon: horizon},
-		output: 1,
-		pace:   1,
+		cfg:     cfg,
+		queue:   fair.New(),
+		chosen:  place.New(cfg.Place, cfg.Seed),
+		index:   prefix.New(),
+		damper:  retry.New(),
+		reserve: reserve.New(),
+		rnd:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		slots:   make(map[*fireflypath.Work]int32),
+		names:   make(map[string]int32),
+		share:   fireflypath.Share{Default: 1},
+		drain:   rate.Meter{Horizon: horizon},
+		output:  1,
+		pace:    1,
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].Horizon = horizon
