feat(leaving): first-hand evidence of targets spreads with the beats

A target's own word from one daemon is enough to end new work everywhere; that it does not answer must be seen by a third of the daemons that use it, and by two at least, so that one bad link takes a healthy target from nobody else. Words are numbered per daemon, repeated while they hold, and lapse. One beat spreads them to nine daemons in the tests; with a beat a second that is inside the 3 s asked for.

--- /dev/null
+++ b/internal/leaving/board_test.go
@@ -0,0 +1,154 @@
+package leaving
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+// mesh joins boards without a network; beats are carried by pass.
+type mesh struct {
+	clock  *clockwork.FakeClock
+	boards []*Board
+	// state is what each daemon's route was told last of target t.
+	state []string
+	cut   map[int]bool
+}
+
+type wire struct{}
+
+func (wire) AddSource(peer.Source)          {}
+func (wire) AddSink(peer.Sink)              {}
+func (wire) AddUp(func(fireflypath.Member)) {}
+func (wire) Flush()                         {}
+
+func newMesh(n int) *mesh {
+	m := &mesh{clock: clockwork.NewFakeClock(), state: make([]string, n), cut: map[int]bool{}}
+	for i := range n {
+		m.boards = append(m.boards, New(fmt.Sprint("d", i), func() int { return n }, wire{},
+			func(_, why string) { m.state[i] = why }, func(string) { m.state[i] = "" }, m.clock, tally.NoopScope))
+	}
+	return m
+}
+
+// pass is one second: each board steps and sends one beat to each other one.
+func (m *mesh) pass() {
+	m.clock.Advance(time.Second)
+	for i, b := range m.boards {
+		b.step()
+		for j, o := range m.boards {
+			if i == j || m.cut[i] || m.cut[j] {
+				continue
+			}
+			var beat peer.Beat
+			b.tell(fmt.Sprint("d", j), &beat)
+			o.hear(fmt.Sprint("d", i), &beat)
+		}
+	}
+}
+
+// out is the number of daemons whose route was told that t is out.
+func (m *mesh) out() int {
+	n := 0
+	for _, s := range m.state {
+		if s != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// A target tells one daemon that it drains. All others must stop sending work
+// there within three seconds, and begin again after it came back.
+func TestLeavingSpreads(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	m.boards[3].Leaving("t", "the target's own word")
+	m.pass()
+	is.Equal(m.out(), 8) // the daemon that saw it has told its own route itself
+	for range 200 {
+		m.pass()
+	}
+	is.Equal(m.out(), 8) // it is repeated while it is seen
+	m.boards[3].Back("t")
+	m.pass()
+	is.Equal(m.out(), 0)
+}
+
+// All daemons see a target drain. One word is spread, not nine.
+func TestOneWordIsEnough(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	m.boards[0].Leaving("t", "drains")
+	m.pass()
+	for _, b := range m.boards[1:] {
+		b.Leaving("t", "drains")
+	}
+	m.pass()
+	is.Equal(len(m.boards[5].heard["t"]), 1)
+	// The one that told it goes. Another takes over before its word lapses.
+	m.cut[0] = true
+	for range 200 {
+		m.pass()
+		is.True(m.out() >= 7) // all but the two that know it first-hand
+	}
+}
+
+// One daemon's link to a healthy target is bad. The others must keep using it;
+// if a third of them cannot reach it, it is taken for dead, and used again soon
+// after they reach it.
+func TestBadLinkOfOne(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	for range 20 {
+		m.boards[0].Dead("t", "connection refused")
+		m.pass()
+	}
+	is.Equal(m.out(), 0)
+	m.boards[1].Dead("t", "connection refused")
+	m.pass()
+	is.Equal(m.out(), 0)
+	m.boards[2].Dead("t", "connection refused")
+	m.pass()
+	is.Equal(m.out(), 9)
+	m.boards[1].Back("t")
+	m.pass()
+	is.Equal(m.out(), 0)
+}
+
+// A daemon saw a target drain and died. What it said must not stand for ever,
+// or the target would be lost to all after its return.
+func TestWordOfTheDeadLapses(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	m.boards[3].Leaving("t", "drains")
+	m.pass()
+	m.cut[3] = true
+	for range int(leavingLasts / time.Second) {
+		m.pass()
+	}
+	m.pass()
+	is.Equal(m.out(), 0)
+}
+
+// A late message of a daemon's older word arrives after its newer one, as when
+// a slow path delivers it last. The newer word must stand.
+func TestOlderWordChangesNothing(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(2)
+	m.boards[0].Leaving("t", "drains")
+	var old peer.Beat
+	m.boards[0].tell("x", &old)
+	m.pass()
+	m.boards[0].Back("t")
+	m.pass()
+	m.boards[1].hear("x", &old)
+	is.Equal(m.out(), 0)
+}
