feat(daemon): peers, configuration, membership, shares and relief as start steps

A daemon with a platform service now takes its configuration from there, joins its peers, shares windows, asks for relief and spreads evidence of targets; it waits for a first configuration before it lets callers in.

--- /dev/null
+++ b/internal/daemon/cluster.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	registry "github.com/fireflypath/fireflypath/internal/configuration"
+	"github.com/fireflypath/fireflypath/internal/exchange"
+	"github.com/fireflypath/fireflypath/internal/leaving"
+	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/peer"
+	"github.com/fireflypath/fireflypath/internal/relief"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
+	"github.com/fireflypath/fireflypath/internal/spread"
+)
+
+// configuration finds the configuration in force.
+type configuration struct{}
+
+func (configuration) String() string { return "configuration" }
+
+func (configuration) Run(ctx context.Context, d *Daemon) error {
+	switch {
+	case d.deps.Configs != nil:
+		return nil
+	case d.deps.Store != nil:
+	case d.cfg.Initial != nil:
+		d.deps.Configs = newFixed(d.cfg.Initial)
+		return nil
+	default:
+		return errors.New("neither a platform service nor an initial configuration is set")
+	}
+	d.registry = registry.New(d.deps.Store, d.cfg.Initial, d.cfg.Name, d.deps.Clock, d.scope, d.deps.Log)
+	d.deps.Configs = d.registry
+	if d.deps.Committer == nil {
+		d.deps.Committer = d.registry
+	}
+	return nil
+}
+
+func (configuration) Stop(context.Context, *Daemon) error { return nil }
+
+// peers makes what speaks to other daemons; membership starts it.
+type peers struct{}
+
+func (peers) String() string { return "peers" }
+
+func (peers) Run(ctx context.Context, d *Daemon) error {
+	if d.cfg.Listen.Peers == "" || d.deps.Members != nil {
+		return nil
+	}
+	var trust *peer.Trust
+	if d.cfg.Peers.TLS != nil {
+		t, err := peer.NewTrust(*d.cfg.Peers.TLS, d.deps.Clock, d.scope)
+		if err != nil {
+			return err
+		}
+		trust = t
+	} else if !d.cfg.Peers.Plain {
+		return errors.New("peers have neither tls nor plain set")
+	}
+	ln, err := peer.TCP{}.Listen(d.cfg.Listen.Peers)
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", d.cfg.Listen.Peers)
+	}
+	d.peerPort = ln
+	self := fireflypath.Member{
+		Name: d.cfg.Name, Domain: d.cfg.Domain, Peer: ln.Addr().String(),
+		Caller: d.cfg.Listen.Callers, Operator: d.cfg.Listen.Operators,
+		// Grows with each start under this name; if a clock was set back, the
+		// peers' word about the earlier life corrects it.
+		Incarnation: uint64(d.deps.Clock.Now().UnixMilli()),
+	}
+	beat := d.cfg.Peers.Heartbeat.Std()
+	d.members = member.New(self, d.deps.Store, d.cfg.Peers.Seeds, beat, d.deps.Clock, d.scope, d.deps.Log)
+	d.peers = peer.New(peer.TCP{}, trust, d.members.Self, beat, d.deps.Clock, d.scope, d.deps.Log)
+	d.members.Attach(d.peers)
+	d.deps.Members = d.members
+	if d.deps.Relief == nil {
+		rounds := relief.New(d.cfg.Name, d.members, d.peers, d.cluster, windows{d}, d.deps.Clock, d.scope)
+		rounds.Handle(d.peers)
+		d.deps.Relief = rounds
+	}
+	return nil
+}
+
+func (peers) Stop(ctx context.Context, d *Daemon) error {
+	if d.peers != nil {
+		d.peers.Close()
+	}
+	return nil
+}
+
+// cluster is this daemon's own route, nil until it is there.
+func (d *Daemon) cluster() fireflypath.Cluster {
+	if d.pools == nil {
+		return nil
+	}
+	return d.pools
+}
+
+// windows hands shares over in relief rounds.
+type windows struct{ d *Daemon }
+
+// Free implements relief.Windows.
+func (w windows) Free(pool string, rank, tokens int) float64 {
+	return w.d.exchange.Free(pool, rank, tokens)
+}
+
+// Borrow implements relief.Windows.
+func (w windows) Borrow(pool string, asked time.Time, part float64) {
+	w.d.exchange.Borrow(pool, asked, part)
+}
+
+// membership joins the other daemons: it follows the configuration, shares
+// windows and spreads evidence of targets.
+type membership struct{}
+
+func (membership) String() string { return "membership" }
+
+func (membership) Run(ctx context.Context, d *Daemon) error {
+	if d.registry != nil {
+		d.work.Go(func() { _ = d.registry.Run(d.ctx) })
+	}
+	if d.members == nil {
+		return nil
+	}
+	log, clock := d.deps.Log, d.deps.Clock
+	if d.registry != nil {
+		s := spread.New(d.registry, d.members, d.peers, log)
+		d.work.Go(func() { _ = s.Run(d.ctx) })
+	}
+	single := d.deps.Store == nil && len(d.cfg.Peers.Seeds) == 0
+	d.exchange = exchange.New(d.members, d.peers, d.deps.Configs, d.pools, single, clock, d.scope)
+	d.board = leaving.New(d.cfg.Name, d.mates, d.peers, d.peersLeaving, d.peersBack, clock, d.scope)
+	if d.deps.Leaving == nil {
+		d.deps.Leaving, d.deps.Back = d.board.Leaving, d.board.Back
+	}
+	d.work.Go(func() { _ = d.exchange.Run(d.ctx) })
+	d.work.Go(func() { _ = d.board.Run(d.ctx) })
+	d.work.Go(func() { _ = d.members.Run(d.ctx) })
+	d.work.Go(func() {
+		if err := d.peers.Serve(d.peerPort); !errors.Is(err, peer.ErrClosed) {
+			log.Error("no longer listening for peers", zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// Stop takes leave of the peers, after the requests held were finished.
+func (membership) Stop(ctx context.Context, d *Daemon) error {
+	if d.members != nil {
+		d.members.Leave(ctx)
+	}
+	return nil
+}
+
+// mates is the number of daemons that send work to the same targets.
+func (d *Daemon) mates() int {
+	return len(d.members.Layout().Mates(d.cfg.Name))
+}
+
+func (d *Daemon) peersLeaving(target, _ string) {
+	d.evidence.Leaving(target, evidence.SourcePeers, d.deps.Clock.Now())
+}
+
+func (d *Daemon) peersBack(target string) {
+	d.evidence.Staying(target, evidence.SourcePeers, d.deps.Clock.Now())
+}
+
+// firstConfiguration waits until there is a configuration, from the service or
+// from a peer. Without it a daemon that starts in an outage would refuse its
+// callers as unknown teams.
+type firstConfiguration struct{}
+
+func (firstConfiguration) String() string { return "first configuration" }
+
+func (firstConfiguration) Run(ctx context.Context, d *Daemon) error {
+	if d.registry == nil {
+		return nil
+	}
+	select {
+	case <-d.registry.Changed(0):
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "no configuration from the service or a peer")
+	}
+}
+
+func (firstConfiguration) Stop(context.Context, *Daemon) error { return nil }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,12 @@
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 	"github.com/fireflypath/fireflypath/internal/claim"
+	registry "github.com/fireflypath/fireflypath/internal/configuration"
 	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/exchange"
+	"github.com/fireflypath/fireflypath/internal/leaving"
+	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -62,6 +67,13 @@
 	cancel context.CancelFunc
 	work   conc.WaitGroup
 
+	registry *registry.Registry
+	members  *member.Membership
+	peers    *peer.Endpoint
+	peerPort net.Listener
+	exchange *exchange.Exchange
+	board    *leaving.Board
+
 	scope    tally.Scope
 	reports  io.Closer
 	pools    *pools.Pools
@@ -92,6 +104,7 @@
 		metrics{},
 		platformClient{},
 		configuration{},
+		peers{},
 		scheduling{},
 		membership{},
 		backends{},
@@ -101,6 +114,7 @@
 		polling{},
 		operators{},
 		operatorEndpoint{},
+		firstConfiguration{},
 		callerListener{},
 		readiness{},
 	}
@@ -149,6 +163,9 @@
 	d.cancel()
 	_ = d.front.Kill()
 	_ = d.back.Kill()
+	if d.peers != nil {
+		d.peers.Close()
+	}
 	dead, cancel := context.WithCancel(context.Background())
 	cancel()
 	d.claims.Close(dead)
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -15,7 +15,6 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/claim/memory"
 	"github.com/fireflypath/fireflypath/internal/daemon"
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
@@ -359,7 +358,7 @@
 // be made twice; the caller reads that it may have run.
 func TestKeyedCallRetriedAtAnotherDaemon(t *testing.T) {
 	is := is.New(t)
-	store := memory.New()
+	store := testkit.NewMapStore(clockwork.NewRealClock())
 	first := newRig(t, setup{deps: daemon.Deps{Store: store}, service: service.Config{Delay: time.Minute}})
 	done := make(chan error, 1)
 	go func() {
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
@@ -79,24 +78,6 @@
 
 func (platformClient) Stop(context.Context, *Daemon) error { return nil }
 
-// configuration finds the configuration in force.
-type configuration struct{}
-
-func (configuration) String() string { return "configuration" }
-
-func (configuration) Run(ctx context.Context, d *Daemon) error {
-	if d.deps.Configs != nil {
-		return nil
-	}
-	if d.cfg.Initial == nil {
-		return errors.New("neither a platform service nor an initial configuration is set")
-	}
-	d.deps.Configs = newFixed(d.cfg.Initial)
-	return nil
-}
-
-func (configuration) Stop(context.Context, *Daemon) error { return nil }
-
 // scheduling makes the pools and keeps them as the configuration says.
 type scheduling struct{}
 
@@ -128,15 +109,6 @@
 	return nil
 }
 
-// membership joins the other daemons.
-type membership struct{}
-
-func (membership) String() string { return "membership" }
-
-func (membership) Run(ctx context.Context, d *Daemon) error { return nil }
-
-func (membership) Stop(context.Context, *Daemon) error { return nil }
-
 // backends makes the clients towards targets.
 type backends struct{}
 
@@ -213,7 +185,7 @@
 func (d *Daemon) heardLeaving(target, why string) {
 	d.deps.Log.Info("target leaves", zap.String("target", target), zap.String("why", why))
 	d.pools.TargetLeaving(target, why)
-	if d.deps.Leaving != nil {
+	if d.deps.Leaving != nil && why != string(evidence.SourcePeers) {
 		d.deps.Leaving(target, why)
 	}
 }
@@ -332,11 +304,17 @@
 func (readiness) String() string { return "readiness" }
 
 func (readiness) Run(ctx context.Context, d *Daemon) error {
+	if d.members != nil {
+		d.members.SetAddresses(d.CallerAddr(), d.OperatorAddr())
+	}
 	d.ready.Store(true)
 	return nil
 }
 
 func (readiness) Stop(ctx context.Context, d *Daemon) error {
 	d.ready.Store(false)
+	if d.members != nil {
+		d.members.SetLeaving()
+	}
 	return nil
 }
--- a/internal/leaving/board.go
+++ b/internal/leaving/board.go
@@ -49,7 +49,9 @@
 }
 
 // Board holds what this daemon and its peers saw of targets, and tells the
-// route when the sum of it changes.
+// route when the sum of it changes. It tells so from Run and from the endpoint,
+// never from within Leaving, Dead and Back, whose callers may hold a lock that
+// they take when they are told.
 type Board struct {
 	self    string
 	mates   func() int
@@ -152,7 +154,6 @@
 	}
 	b.mu.Unlock()
 	b.peers.Flush()
-	b.judge(target)
 }
 
 func (b *Board) see(target, kind, why string) {
@@ -167,7 +168,6 @@
 	if said {
 		b.peers.Flush()
 	}
-	b.judge(target)
 }
 
 // repeat tells what was seen if it is due, and if no other daemon's word of the
--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -209,13 +209,33 @@
 	}
 }
 
-// SetLeaving tells the others that a planned stop began.
-func (m *Membership) SetLeaving() {
+// SetAddresses puts the addresses into the own record that are known only once
+// the daemon listens there.
+func (m *Membership) SetAddresses(caller, operator string) {
 	m.mu.Lock()
-	m.self.Leaving = true
+	if m.self.Caller == caller && m.self.Operator == operator {
+		m.mu.Unlock()
+		return
+	}
+	m.self.Caller, m.self.Operator = caller, operator
+	m.announce()
+	m.mu.Unlock()
+	m.peers.Flush()
+}
+
+// announce tells all of a changed own record; only a new incarnation replaces
+// the old one. The caller holds mu.
+func (m *Membership) announce() {
 	m.self.Incarnation++
 	m.add(peer.News{State: peer.Alive, Member: m.self})
 	m.publish()
+}
+
+// SetLeaving tells the others that a planned stop began.
+func (m *Membership) SetLeaving() {
+	m.mu.Lock()
+	m.self.Leaving = true
+	m.announce()
 	m.mu.Unlock()
 	m.peers.Flush()
 }
--- a/internal/route/evidence/evidence.go
+++ b/internal/route/evidence/evidence.go
@@ -14,6 +14,8 @@
 	SourceTarget Source = "the target's own word"
 	// SourceHosts is the platform's list.
 	SourceHosts Source = "the host list"
+	// SourcePeers is what other daemons saw; it is not told to them again.
+	SourcePeers Source = "other daemons"
 )
 
 // Evidence holds the sources that say so, by target. Only the first one and
