--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypath/fireflypath/internal/exchange"
 	"github.com/fireflypath/fireflypath/internal/leaving"
 	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/order"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/relief"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
@@ -116,6 +117,37 @@
 	w.d.exchange.Borrow(pool, asked, part)
 }
 
+// orders sends orders to targets, or passes them on to the daemon that does.
+type orders struct{}
+
+func (orders) String() string { return "orders" }
+
+func (orders) Run(ctx context.Context, d *Daemon) error {
+	if d.deps.Store == nil || d.deps.Orderer != nil {
+		return nil
+	}
+	members, caller := fireflypath.Members(alone{d}), order.Caller(nil)
+	if d.members != nil {
+		members, caller = d.members, d.peers
+	}
+	d.orders = order.New(d.cfg.Name, d.deps.Store, d.deps.Configs, members, caller, d.engine,
+		order.WeightsEvery, d.deps.Clock, d.scope, d.deps.Log)
+	if d.peers != nil {
+		d.orders.Handle(d.peers)
+	}
+	d.deps.Orderer = d.orders
+	d.work.Go(func() { _ = d.orders.Run(d.ctx) })
+	return nil
+}
+
+// Stop hands the lease over, so that no order waits for it to lapse.
+func (orders) Stop(ctx context.Context, d *Daemon) error {
+	if d.orders != nil {
+		d.orders.Release(ctx)
+	}
+	return nil
+}
+
 // membership joins the other daemons: it follows the configuration, shares
 // windows and spreads evidence of targets.
 type membership struct{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/fireflypath/fireflypath/internal/exchange"
 	"github.com/fireflypath/fireflypath/internal/leaving"
 	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/order"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
@@ -73,6 +74,7 @@
 	peerPort net.Listener
 	exchange *exchange.Exchange
 	board    *leaving.Board
+	orders   *order.Orders
 
 	scope    tally.Scope
 	reports  io.Closer
@@ -106,8 +108,9 @@
 		configuration{},
 		peers{},
 		scheduling{},
-		membership{},
 		backends{},
+		orders{},
+		membership{},
 		claims{},
 		records{},
 		theRoute{},
--- a/order.go
+++ b/order.go
@@ -1,6 +1,13 @@
 package fireflypath
 
-import "context"
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrFenced means that a target has seen a higher fencing number than the order's.
+var ErrFenced = errors.New("target refuses the fencing number as old")
 
 // Orderer sends orders to targets, or has the holder of the order lease do so.
 type Orderer interface {
