--- a/internal/route/records_test.go
+++ b/internal/route/records_test.go
@@ -8,11 +8,13 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/sched"
 	"github.com/fireflypath/fireflypath/internal/record"
 	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 	"github.com/fireflypath/fireflypath/internal/testkit"
@@ -62,7 +64,7 @@
 	})
 	p.Apply(cfg)
 	return route.New(route.Deps{
-		Name: "d0", Clock: clock, Configs: fixed{cfg}, Pools: p, Recorder: to,
+		Name: "d0", Clock: clock, Configs: fixed{cfg}, Pools: p, Recorder: to, Meter: meter.New(tally.NoopScope),
 		Backends: map[fireflypath.Kind]fireflypath.Backend{fireflypath.KindService: instant{}},
 	})
 }
