--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -23,6 +23,8 @@
 		b = fmt.Appendf(b, "service%-4d http://%s\n", i+1, s.Addr())
 	}
 	addr := d.daemons[len(d.daemons)-1].CallerAddr()
+	b = fmt.Appendf(b, "\n# commands and queries\nexport FIREFLYPATH_AT=%s FIREFLYPATH_KEY=%s\nfireflypath ask top\n",
+		d.daemons[len(d.daemons)-1].OperatorAddr(), OperatorToken)
 	b = fmt.Appendf(b, "\n# a stream, as it comes\ncurl -N http://%s/v1/completions -H 'Authorization: Bearer %s' "+
 		"-H 'Fireflypath-Tier: %s' -H 'Fireflypath-Deadline: 5s' -d '{\"model\":%q,\"prompt\":\"hello\",\"max_tokens\":16,\"stream\":true}'\n",
 		addr, mix.Token(team.Name), team.Tiers[0], mix.Model)
--- a/internal/query/eval/tables.go
+++ b/internal/query/eval/tables.go
@@ -152,7 +152,7 @@
 	return table.Row{
 		table.Str(v.State), table.Num(v.Window), table.Num(v.Part), table.Num(v.Held),
 		table.Num(v.Requests), table.Num(v.PrefillRate), table.Num(v.DecodeRate),
-		{Number: v.Age.Seconds(), Empty: v.Age < 0},
+		table.Age(v.Age),
 	}
 }
 
--- a/internal/query/table/table.go
+++ b/internal/query/table/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -68,6 +69,18 @@
 	return Cell{Number: d.Seconds()}
 }
 
+// never is above the age of any report: a daemon that has none measures its age
+// from the zero time.
+const never = 365 * 24 * time.Hour
+
+// Age makes the age of a report, empty if none ever came.
+func Age(d time.Duration) Cell {
+	if d < 0 || d > never {
+		return Cell{Empty: true}
+	}
+	return Dur(d)
+}
+
 // Between makes the duration between two times, empty if one is missing.
 func Between(from, to time.Time) Cell {
 	if from.IsZero() || to.IsZero() {
@@ -111,7 +124,7 @@
 	}
 	switch k {
 	case Number:
-		return strconv.FormatFloat(c.Number, 'f', -1, 64)
+		return number(c.Number)
 	case Duration:
 		return seconds(c.Number).String()
 	case Time:
@@ -123,6 +136,14 @@
 	}
 }
 
+// number prints whole numbers whole, and others with two decimals.
+func number(n float64) string {
+	if n == math.Trunc(n) {
+		return strconv.FormatFloat(n, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(n, 'f', 2, 64)
+}
+
 // seconds rounds to what people read: three digits or so.
 func seconds(s float64) time.Duration {
 	d := time.Duration(s * float64(time.Second))
--- a/internal/query/why/why.go
+++ b/internal/query/why/why.go
@@ -106,7 +106,7 @@
 		s.add("it was sent to a target, so it may have run")
 	}
 	if ref.RetryAfter > 0 {
-		s.add("the caller was told to come back after %s", ref.RetryAfter)
+		s.add("the caller was told to come back after %s", table.Dur(ref.RetryAfter).String(table.Duration))
 	}
 }
 
@@ -128,9 +128,9 @@
 	}}
 	for _, c := range r.Considered {
 		t.Rows = append(t.Rows, table.Row{
-			table.Str(c.Target), table.Flag(c.Target == r.Target),
-			table.Num(c.Held), reported(c), age(c.Age),
-			table.Num(c.Window), table.Num(c.Hit), table.Num(c.Score), table.Str(c.Skip),
+			table.Str(c.Target), table.Flag(c.Target == r.Target), table.Num(c.Held),
+			reported(c), table.Age(c.Age), table.Num(c.Window), table.Num(c.Hit),
+			table.Num(c.Score), table.Str(c.Skip),
 		})
 	}
 	return t
@@ -138,20 +138,12 @@
 
 // reported is empty for a target that has not reported yet.
 func reported(c fireflypath.Candidate) table.Cell {
-	if c.Age < 0 {
+	if table.Age(c.Age).Empty {
 		return table.Cell{Empty: true}
 	}
 	return table.Num(c.Reported)
 }
 
-// age is empty for a report that never came.
-func age(d time.Duration) table.Cell {
-	if d < 0 {
-		return table.Cell{Empty: true}
-	}
-	return table.Dur(d)
-}
-
 func or(name string) string {
 	if name == "" {
 		return "(unknown)"
