--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,13 @@
 	"github.com/fireflypath/fireflypath/internal/caller/departures"
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 	"github.com/fireflypath/fireflypath/internal/claim"
+	registry "github.com/fireflypath/fireflypath/internal/configuration"
 	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/exchange"
+	"github.com/fireflypath/fireflypath/internal/leaving"
+	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/order"
+	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -38,9 +44,11 @@
 	Members   fireflypath.Members
 	Relief    fireflypath.Relief
 	Recorder  fireflypath.Recorder
-	Scheduler func(fireflypath.Pool) fireflypath.Scheduler
-	Clock     clockwork.Clock
-	Log       *zap.Logger
+	// Unrecorded leaves the recorder out, to measure what it costs.
+	Unrecorded bool
+	Scheduler  func(fireflypath.Pool) fireflypath.Scheduler
+	Clock      clockwork.Clock
+	Log        *zap.Logger
 	// Operator adds calls to the operators' endpoint.
 	Operator []func(*fiber.App)
 	// Leaving and Back spread first-hand evidence of targets to peers.
@@ -62,6 +70,14 @@
 	cancel context.CancelFunc
 	work   conc.WaitGroup
 
+	registry *registry.Registry
+	members  *member.Membership
+	peers    *peer.Endpoint
+	peerPort net.Listener
+	exchange *exchange.Exchange
+	board    *leaving.Board
+	orders   *order.Orders
+
 	scope    tally.Scope
 	reports  io.Closer
 	pools    *pools.Pools
@@ -92,15 +108,18 @@
 		metrics{},
 		platformClient{},
 		configuration{},
+		peers{},
 		scheduling{},
-		membership{},
 		backends{},
+		orders{},
+		membership{},
 		claims{},
 		records{},
 		theRoute{},
 		polling{},
 		operators{},
 		operatorEndpoint{},
+		firstConfiguration{},
 		callerListener{},
 		readiness{},
 	}
@@ -149,6 +168,9 @@
 	d.cancel()
 	_ = d.front.Kill()
 	_ = d.back.Kill()
+	if d.peers != nil {
+		d.peers.Close()
+	}
 	dead, cancel := context.WithCancel(context.Background())
 	cancel()
 	d.claims.Close(dead)
