--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -31,6 +31,8 @@
 	first    time.Time
 	last     fireflypath.State
 	fresh    int
+	// prefilled is true once a target has prefilled the prompt.
+	prefilled bool
 }
 
 // daemon is one entry host with its own scheduler.
@@ -41,8 +43,11 @@
 	place  fireflypath.Placement
 	wake   time.Time
 	waits  map[*fireflypath.Work]*request
-	heard  [daemons]share.Line
-	ledger share.Ledger
+	// flights are kept for the policy that cancels.
+	flights   []flight
+	cancelled time.Time
+	heard     [daemons]share.Line
+	ledger    share.Ledger
 }
 
 // line is the daemon's demand as it tells it to the others.
@@ -87,6 +92,7 @@
 		}
 	}
 	d.handle(d.sched.Expire(d.now(), nil))
+	d.cancel()
 	at := d.sched.Wake(d.now())
 	if at.IsZero() || (at.Equal(d.wake) && at.After(d.now())) {
 		return
@@ -106,7 +112,9 @@
 	e := d.fleet.names[target]
 	sent := d.now()
 	j := &job{work: w, output: r.output}
+	d.flights = append(d.flights, flight{request: r, job: j, engine: e})
 	j.first = func(cached int) {
+		r.prefilled = true
 		r.fresh = w.Cost.Prompt - cached
 		d.fleet.tally.prefilled(r, w.Cost.Prompt, r.fresh)
 		d.fleet.loop.after(hop, func() {
@@ -116,6 +124,7 @@
 	}
 	j.done = func() {
 		d.fleet.loop.after(hop, func() {
+			d.land(j)
 			w.Life.Move(fireflypath.StateDispatched, fireflypath.StateAnswered)
 			d.fleet.tally.answered(r, d.now())
 			d.observe(fireflypath.Event{
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -118,9 +118,13 @@
 	e.stored = append(e.stored, stored...)
 	e.dropped = append(e.dropped, dropped...)
 	e.held -= j.work.Cost.Prompt
-	j.end = e.virtual + float64(max(j.output-1, 0))
-	heap.Push(&e.running, j)
 	j.first(j.hit)
+	if j.cut {
+		e.held -= j.output
+	} else {
+		j.end = e.virtual + float64(max(j.output-1, 0))
+		heap.Push(&e.running, j)
+	}
 	e.fill()
 	e.schedule()
 }
@@ -162,9 +166,7 @@
 	for len(e.running) > 0 && e.running[0].end <= e.virtual+1e-6 {
 		j := heap.Pop(&e.running).(*job)
 		e.held -= j.output
-		if !j.cut {
-			j.done()
-		}
+		j.done()
 	}
 	e.fill()
 	e.schedule()
--- a/internal/trial/policy.go
+++ b/internal/trial/policy.go
@@ -16,6 +16,8 @@
 	make func(seed uint64, lowest int, targets []fireflypath.Target) fireflypath.Scheduler
 	// shares is true if windows are split by demand instead of evenly.
 	shares bool
+	// cancel is true if running work of lower tiers is cancelled for higher work.
+	cancel bool
 }
 
 // Policies lists the names of the policies in the order of the tables. The
@@ -35,6 +37,7 @@
 		{name: "rr", make: newRoundRobin},
 		{name: "least", make: newLeast},
 		{name: "bound"},
+		{name: "cancel", make: placed(place.Scored), shares: true, cancel: true},
 		{name: "static", make: placed(place.Scored)},
 		{name: "place-rr", make: placed(place.RoundRobin), shares: true},
 		{name: "place-least", make: placed(place.Least), shares: true},
--- a/internal/trial/tally.go
+++ b/internal/trial/tally.go
@@ -100,6 +100,13 @@
 	})
 }
 
+// cut counts the prefill of work that was cancelled.
+func (t *tally) cut(r *request) {
+	if r.prefilled {
+		t.each(r, func(g *group) { g.wasted += r.fresh })
+	}
+}
+
 func (t *tally) answered(r *request, now time.Time) {
 	t.each(r, func(g *group) {
 		g.whole = append(g.whole, now.Sub(r.started))
