--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -31,6 +31,8 @@
 	first    time.Time
 	last     fireflypath.State
 	fresh    int
+	// patient is true if the last attempt came at the time that was told.
+	patient bool
 	// prefilled is true once a target has prefilled the prompt.
 	prefilled bool
 }
@@ -196,8 +198,10 @@
 // retry brings a refused caller back, mostly before its time.
 func (d *daemon) retry(r *request, after time.Duration) {
 	early := false
+	r.patient = true
 	if r.rnd.Float64() < impatient {
 		early = true
+		r.patient = false
 		after = min(after, time.Duration(r.rnd.Int64N(int64(hasty))))
 	}
 	at := d.now().Add(after)
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -42,7 +42,7 @@
 		{name: "long-short", rate: 0.8, change: longShort, split: bySize},
 		{name: "overload-1.5", rate: calm, bursts: everyone(1.5/calm, 0, 1)},
 		{name: "overload-3", rate: calm, bursts: everyone(3/calm, 0, 1)},
-		{name: "retry-storm", rate: calm, bursts: everyone(1.5/calm, 0.2, 0.3), retries: true},
+		{name: "retry-storm", rate: calm, bursts: everyone(3/calm, 0.2, 0.4), retries: true},
 	}
 }
 
--- a/internal/trial/tally.go
+++ b/internal/trial/tally.go
@@ -17,6 +17,9 @@
 	load   load
 	mix    mix.Mix
 	groups []*group
+	// returned counts the answers to callers that came back when they were told
+	// to, welcome those that were let in.
+	returned, welcome int
 }
 
 type group struct {
@@ -69,6 +72,9 @@
 }
 
 func (t *tally) refused(r *request, to fireflypath.State, inverted bool) {
+	if r.patient {
+		t.returned++
+	}
 	t.each(r, func(g *group) {
 		if to == fireflypath.StateExpired {
 			g.expired++
@@ -108,6 +114,10 @@
 }
 
 func (t *tally) answered(r *request, now time.Time) {
+	if r.patient {
+		t.returned++
+		t.welcome++
+	}
 	t.each(r, func(g *group) {
 		g.whole = append(g.whole, now.Sub(r.started))
 		g.first = append(g.first, r.first.Sub(r.started))
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath/internal/mix"
 )
 
 // brief is the span of the runs below: the warm-up and as much again.
@@ -155,6 +157,23 @@
 	})
 }
 
+// A caller is told when room is expected and comes back then. If the time were
+// made up it would be refused again.
+func TestRetryAfterIsHonest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	o := Options{Load: "retry-storm", Mix: "meelwerk", Policy: "shipped", Seed: 3, Span: 2 * brief}
+	l, err := findLoad(o.Load)
+	is.NoErr(err)
+	p, err := findPolicy(o.Policy)
+	is.NoErr(err)
+	m := models(mix.Meelwerk())
+	f := newFleet(l, m, p, o)
+	f.run(generate(l, m, o))
+	is.True(f.tally.returned > 20)
+	is.True(f.tally.welcome*10 >= f.tally.returned*9)
+}
+
 // With a moderate load no tier is worse off than under a plain gateway.
 func TestSteady(t *testing.T) {
 	each(t, func(t *testing.T, mix string, seed uint64) {
