--- a/internal/daemon/records_test.go
+++ b/internal/daemon/records_test.go
@@ -44,15 +44,15 @@
 		var req fasthttp.Request
 		req.Header.Set("Authorization", "Bearer "+testkit.Token)
 		req.SetRequestURI("http://" + d.CallerAddr() + "/services/packets/x")
-		b.Run(fmt.Sprintf("service/records=%v", on), func(b *testing.B) { call(b, &req) })
+		b.Run(fmt.Sprintf("service/records=%v", on), func(b *testing.B) { repeat(b, &req) })
 		req.SetRequestURI("http://" + d.CallerAddr() + "/v1/completions")
 		req.Header.SetMethod("POST")
 		req.SetBodyString(`{"model":"m","prompt":"Summarise the casing log.","max_tokens":64}`)
-		b.Run(fmt.Sprintf("engine/records=%v", on), func(b *testing.B) { call(b, &req) })
+		b.Run(fmt.Sprintf("engine/records=%v", on), func(b *testing.B) { repeat(b, &req) })
 	}
 }
 
-func call(b *testing.B, req *fasthttp.Request) {
+func repeat(b *testing.B, req *fasthttp.Request) {
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		var res fasthttp.Response
--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -25,6 +25,8 @@
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/term"
 	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
 	_ "gonum.org/v1/plot/vg/vgimg"
 	_ "pgregory.net/rapid"
 )
