feat(query): open requests, so that why also tells of one that has not ended

A pool keeps what it dispatched until its end, under the lock it holds anyway, and answers with what no longer changes: work, state, target and time. What stands before a waiting request is counted by tier and arrival.

--- a/internal/query/eval/eval.go
+++ b/internal/query/eval/eval.go
@@ -44,7 +44,9 @@
 	// Views and Demands read all pools of this daemon.
 	Views   func() []fireflypath.TargetView
 	Demands func() []fireflypath.Demand
-	Clock   clockwork.Clock
+	// Open reads the requests that wait or run now and that match; nil has none.
+	Open  func(match func(*fireflypath.Work) bool) []fireflypath.Record
+	Clock clockwork.Clock
 }
 
 // Section is a table with its title, empty if it stands alone.
@@ -103,18 +105,58 @@
 	return a, nil
 }
 
+func explain(rec *fireflypath.Record, a *Answer) {
+	s := why.New(rec)
+	a.Record, a.Lines = rec, s.Lines
+	if s.Considered != nil {
+		a.Sections = []Section{{Title: "targets considered, as known at that moment", Table: s.Considered}}
+	}
+}
+
+// open finds a request that has not ended, or returns nil. What stands before a
+// waiting one is counted by tier and arrival; among the teams of its tier the
+// fair order may differ.
+func (e *Evaluator) open(id string) *fireflypath.Record {
+	if e.src.Open == nil {
+		return nil
+	}
+	found := e.src.Open(func(w *fireflypath.Work) bool { return w.ID == id })
+	if len(found) == 0 {
+		return nil
+	}
+	rec := &found[0]
+	if rec.State != fireflypath.StateWaiting.String() {
+		return rec
+	}
+	rank := e.rank(rec.Tier)
+	rec.Ahead = len(e.src.Open(func(w *fireflypath.Work) bool {
+		before := w.Rank < rank || w.Rank == rank && w.Arrived.Before(rec.Arrived)
+		return w.Pool == rec.Pool && before && w.Life.State() == fireflypath.StateWaiting
+	}))
+	return rec
+}
+
+func (e *Evaluator) rank(tier string) int {
+	for _, t := range e.src.Configs.Current().Tiers {
+		if t.Name == tier {
+			return t.Rank
+		}
+	}
+	return 0
+}
+
 func (e *Evaluator) why(id string, a *Answer) error {
 	if rec := e.src.Recorder.Find(id); rec != nil {
-		s := why.New(rec)
-		a.Record, a.Lines = rec, s.Lines
-		if s.Considered != nil {
-			a.Sections = []Section{{Title: "targets considered, as known at that moment", Table: s.Considered}}
-		}
+		explain(rec, a)
+		return nil
+	}
+	if rec := e.open(id); rec != nil {
+		explain(rec, a)
 		return nil
 	}
 	daemon, _, ok := strings.Cut(id, ".")
 	if ok && daemon != e.src.Name {
 		return &Elsewhere{Daemon: daemon}
 	}
-	return errors.Wrapf(ErrNotKept, "request %s: it never came here, still runs, or made room for newer ones; a refusal itself says why", id)
+	return errors.Wrapf(ErrNotKept, "request %s: it never came here or made room for newer ones; a refusal itself says why", id)
 }
--- a/internal/query/eval/tables.go
+++ b/internal/query/eval/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -52,6 +53,8 @@
 		return e.daemons(), nil
 	case "requests":
 		return e.requests(q)
+	case "open":
+		return e.openNow(), nil
 	case "changes":
 		return e.changes(ctx)
 	default:
@@ -207,11 +210,33 @@
 	return t
 }
 
-func (e *Evaluator) requests(q *query.Query) (*table.Table, error) {
-	t := columns(text("id"), text("team"), text("tier"), text("pool"), text("state"), text("reason"),
+// requestColumns are those of ended and of open requests.
+func requestColumns() *table.Table {
+	return columns(text("id"), text("team"), text("tier"), text("pool"), text("state"), text("reason"),
 		text("target"), moment("arrived"), duration("wait"), duration("first"), duration("total"),
 		number("prompt"), number("output"), number("tokens"), number("ahead"), number("resumes"),
 		text("rule"), number("generation"))
+}
+
+// openNow lists the requests that wait or run, oldest first; their times go on.
+func (e *Evaluator) openNow() *table.Table {
+	t := requestColumns()
+	var open []fireflypath.Record
+	if e.src.Open != nil {
+		open = e.src.Open(func(*fireflypath.Work) bool { return true })
+	}
+	slices.SortFunc(open, func(a, b fireflypath.Record) int { return a.Arrived.Compare(b.Arrived) })
+	now := e.src.Clock.Now()
+	for i := range open {
+		open[i].Ended = now
+		t.Rows = append(t.Rows, request(&open[i]))
+	}
+	t.Notes = []string{"waiting or running now at daemon " + e.src.Name}
+	return t
+}
+
+func (e *Evaluator) requests(q *query.Query) (*table.Table, error) {
+	t := requestColumns()
 	// Rows are filtered as they are read: all of them at once would be several
 	// times the memory of the records themselves.
 	match, err := e.matcher(q, t)
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -15,14 +15,14 @@
 	}
 
 	list struct {
-		Noun  string       `parser:"@( 'tiers' | 'teams' | 'pools' | 'targets' | 'rules' | 'operators' | 'keys' | 'daemons' | 'requests' | 'changes' )"`
+		Noun  string       `parser:"@( 'tiers' | 'teams' | 'pools' | 'targets' | 'rules' | 'operators' | 'keys' | 'daemons' | 'requests' | 'open' | 'changes' )"`
 		Where *disjunction `parser:"( 'where' @@ )?"`
 		Order *order       `parser:"( 'order' 'by' @@ )?"`
 		Limit *syntax.Word `parser:"( 'limit' @@ )?"`
 	}
 
 	count struct {
-		Noun  string       `parser:"@( 'tiers' | 'teams' | 'pools' | 'targets' | 'rules' | 'operators' | 'keys' | 'daemons' | 'requests' | 'changes' )"`
+		Noun  string       `parser:"@( 'tiers' | 'teams' | 'pools' | 'targets' | 'rules' | 'operators' | 'keys' | 'daemons' | 'requests' | 'open' | 'changes' )"`
 		Where *disjunction `parser:"( 'where' @@ )?"`
 		By    *syntax.Word `parser:"( 'by' @@ )?"`
 	}
--- a/internal/query/why/why.go
+++ b/internal/query/why/why.go
@@ -62,6 +62,9 @@
 }
 
 func (s *Story) placement(r *fireflypath.Record) {
+	if r.Target == "" && r.Ended.IsZero() {
+		return
+	}
 	if r.Target == "" {
 		s.add("sent to no target")
 		return
@@ -94,6 +97,9 @@
 	if !r.Ended.IsZero() {
 		s.add("ended as %s %s after it came, %d output tokens", r.State, span(r.Arrived, r.Ended), r.Tokens)
 	}
+	if r.Ended.IsZero() {
+		s.add("it has not ended: %s", r.State)
+	}
 	ref := r.Refusal
 	if ref == nil {
 		return
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -9,6 +9,9 @@
 func (p *Pool) Observe(e fireflypath.Event) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if e.Work != nil && ends(e.Kind) {
+		delete(p.running, e.Work)
+	}
 	p.sched.Observe(p.clock.Now(), e)
 	p.pump()
 }
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
 	waiting map[*fireflypath.Work]*request.Request
+	running map[*fireflypath.Work]running
 	targets map[string]fireflypath.Target
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
@@ -44,6 +45,7 @@
 	return &Pool{
 		name: name, clock: clock, relief: relief, sched: sched,
 		waiting: map[*fireflypath.Work]*request.Request{},
+		running: map[*fireflypath.Work]running{},
 		targets: map[string]fireflypath.Target{},
 		ctx:     ctx, cancel: cancel,
 	}
@@ -63,6 +65,7 @@
 	r.Draft.Unsent()
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
+	delete(p.running, &r.Work)
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
 		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
 	})
@@ -144,6 +147,7 @@
 	}
 	delete(p.waiting, w)
 	r.Sent = now
+	p.running[w] = running{r: r, target: p.place.Target}
 	r.Draft.Placed(now, &p.place)
 	r.Turn <- request.Turn{Target: p.targets[p.place.Target]}
 }
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -135,6 +135,16 @@
 	return out
 }
 
+// Open is what is known of the requests that wait or run now and that the filter
+// lets through.
+func (p *Pools) Open(match func(*fireflypath.Work) bool) []fireflypath.Record {
+	var out []fireflypath.Record
+	for _, n := range *p.byName.Load() {
+		out = n.Open(match, out)
+	}
+	return out
+}
+
 // Demands summarises all pools.
 func (p *Pools) Demands() []fireflypath.Demand {
 	all := *p.byName.Load()
