perf(long): count long prefills instead of their seconds

A prompt of four seconds at a slow target closed the gate for all other targets. A daemon now has at most its part of 1.5 long prefills for each target in flight.

--- a/internal/decide/long/gate.go
+++ b/internal/decide/long/gate.go
@@ -7,41 +7,38 @@
 package long
 
 const (
-	// Least is the prefill time in seconds from which work is long: most of the
+	// least is the prefill time in seconds from which work is long: most of the
 	// 0.49 s in which a first token is due (docs/DEVELOPERS.md).
-	Least = 0.4
-	// depth is how many seconds of long prefill all daemons together may have in
-	// flight for each target: with more, short work waits for it, with less, fast
-	// targets run out of it between two answers.
-	depth = 1.0
+	least = 0.4
+	// depth is how many long prefills all daemons together may have in flight
+	// for each target: one that runs, and every other target a next one, so that
+	// the target does not run out between an answer and the next dispatch.
+	depth = 1.5
 )
 
 // Gate counts one daemon's long prefills in flight over all targets. The zero
 // value has none.
 type Gate struct {
-	seconds float64
-	n       int
+	n int
 }
 
 // Long is true for a prefill of so many seconds that counts.
 func (g *Gate) Long(seconds float64) bool {
-	return seconds > Least
+	return seconds > least
 }
 
-// Open is true if one more long prefill may start: if there is none, or if the
-// sum is below this daemon's part of the targets.
+// Open is true if one more long prefill may start: if there is none, or if
+// there are fewer than this daemon's part of the targets allows.
 func (g *Gate) Open(parts float64) bool {
-	return g.n == 0 || g.seconds < depth*parts
+	return g.n == 0 || float64(g.n) < depth*parts
 }
 
 // Start counts a long prefill.
-func (g *Gate) Start(seconds float64) {
-	g.seconds += seconds
+func (g *Gate) Start() {
 	g.n++
 }
 
 // End takes one out.
-func (g *Gate) End(seconds float64) {
-	g.seconds -= seconds
+func (g *Gate) End() {
 	g.n--
 }
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -300,10 +300,9 @@
 	it.phase = phaseFlight
 	it.target, it.sent, it.first = s.pick.Target, now, time.Time{}
 	it.fresh, it.before = max(w.Cost.Prompt-s.hit(it.target), 0), t.prefill
-	it.expected, it.long = s.expected(), 0
-	if sec := s.prefill(w); s.long.Long(sec) {
-		it.long = sec
-		s.long.Start(sec)
+	it.expected, it.long = s.expected(), s.long.Long(s.prefill(w))
+	if it.long {
+		s.long.Start()
 	}
 	t.requests++
 	t.tokens += w.Cost.Tokens()
@@ -324,8 +323,8 @@
 func (s *Sched) filled(it *item, t *target) {
 	t.prefill -= it.fresh
 	t.filling--
-	if it.long > 0 {
-		s.long.End(it.long)
+	if it.long {
+		s.long.End()
 	}
 }
 
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -137,8 +137,8 @@
 	first  time.Time
 	fresh  int
 	before int
-	// long is the prefill in seconds if it counts as long, else 0.
-	long     float64
+	// long is true if the prefill counts as long.
+	long     bool
 	expected time.Duration
 }
 
