feat(trial): charts of the policies

--plot writes goodput, wasted prefill and the first token's p99 for each mix, loads side by side and a bar for each policy; a mean over seeds. The table and JSON are as before.

--- a/cmd/fireflypath/trial.go
+++ b/cmd/fireflypath/trial.go
@@ -7,10 +7,12 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/iter"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflypath/fireflypath/internal/trial"
+	"github.com/fireflypath/fireflypath/internal/trial/chart"
 )
 
 // atOnce is how many runs go on together, so that a trial leaves the machine
@@ -33,6 +35,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals and decisions"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to try, from seed on"},
 			&cli.DurationFlag{Name: "span", Value: trial.Span, Usage: "how long requests arrive"},
+			&cli.StringFlag{Name: "plot", Usage: "directory to write PNG charts to"},
 			&cli.StringFlag{Name: "o", Usage: "json for one object a line"},
 		},
 		Action: runTrial,
@@ -49,6 +52,11 @@
 	for _, r := range results {
 		rows = append(rows, r...)
 	}
+	if dir := c.String("plot"); dir != "" {
+		if err := chart.Write(dir, rows); err != nil {
+			return errors.Wrapf(err, "write charts to %s", dir)
+		}
+	}
 	if c.String("o") == "json" {
 		return printRows(c.Root().Writer, rows)
 	}
