fix(route): relief goes rank by rank, and the refusal follows at once

The route asked peers for a request's own number of tokens of all lower tiers together, and refused while lower work still waited at this daemon, or without peers asked nobody. A peer without work of the lowest tier then gave up the middle one while others still held the lowest, and a refusal came before lower work had gone. It now asks the lowest tier's neighbour first, itself too, relieves itself, then refuses; work past its time is asked for again without a pause. The test fails before the change: the lower requests still wait.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -28,9 +28,10 @@
 	// Under overload the target's time is what is short, and others use it
 	// meanwhile.
 	patience = 4
-	// again is how long after a relief round work past its time is returned
-	// once more: a few round trips between daemons.
-	again = 20 * time.Millisecond
+	// again is how long after a relief round work past its time is returned once
+	// more, if the owner has not decided by then: a peer that does not answer is
+	// out of the membership after seconds, and each return starts a round.
+	again = 250 * time.Millisecond
 	// press is how long after a relief round lower work is not let in to wait: a
 	// few round trips, until the daemon that asked has decided.
 	press = 50 * time.Millisecond
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -16,6 +16,11 @@
 // minWake keeps a scheduler that asks to be woken at once from spinning.
 const minWake = time.Millisecond
 
+// rounds bounds how often peers are asked again for work that is past its time.
+// A daemon that was asked lets no lower work wait for a while, so the second
+// round finds none unless a peer came up or was slow.
+const rounds = 3
+
 // Pool holds one lock around its scheduler. All moves of a waiting request's
 // Life are made under that lock.
 type Pool struct {
@@ -187,14 +192,29 @@
 // shed refuses what the scheduler gave up. The lock is held.
 func (p *Pool) shed() {
 	for _, s := range p.sheds {
-		if s.Relief && p.relief != nil {
+		switch {
+		case !s.Relief:
+			p.give(s)
+		case p.relief == nil:
+			p.yield(s)
+		default:
 			p.ask(s)
-			continue
 		}
-		p.give(s)
 	}
 }
 
+// yield refuses work of a higher tier, and before it what lower work waits here.
+// The lock is held.
+func (p *Pool) yield(s fireflypath.Shed) {
+	if r := p.waiting[s.Work]; r == nil {
+		return
+	}
+	for _, own := range p.sched.Relieve(p.clock.Now(), s.Work.Rank, s.Tokens, nil) {
+		p.give(own)
+	}
+	p.give(s)
+}
+
 // give refuses one piece of work that still waits.
 func (p *Pool) give(s fireflypath.Shed) {
 	state := fireflypath.StateShed
@@ -217,10 +237,18 @@
 	}
 }
 
-// ask lets the work wait while peers are asked for room.
+// ask lets the work wait while peers are asked for room. Work that is past its
+// time has nothing to wait for: it is refused once nobody holds lower work.
 func (p *Pool) ask(s fireflypath.Shed) {
+	lowest := len(p.sched.Demand(p.clock.Now()).Requests) - 1
 	p.asks.Go(func() {
-		freed, err := p.relief.Ask(p.ctx, p.name, s.Work.Rank, s.Work.Cost.Tokens())
+		freed, err := p.round(s, lowest)
+		for range rounds {
+			if err != nil || freed == 0 || s.Reason != fireflypath.ReasonDeadline {
+				break
+			}
+			freed, err = p.round(s, lowest)
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		r := p.waiting[s.Work]
@@ -233,10 +261,29 @@
 			return
 		}
 		r.Draft.Relief("no peer held lower work")
-		p.give(s)
+		p.yield(s)
 	})
 }
 
+// round asks all daemons, this one too, for their work of the lowest tier, then
+// of the next, up to the one below the work's. Asked for all lower work at once,
+// a daemon that holds none of the lowest tier would give up a higher one while
+// another still holds the lowest: the very thing the round is to prevent.
+func (p *Pool) round(s fireflypath.Shed, lowest int) (int, error) {
+	sum := 0
+	for rank := lowest - 1; rank >= s.Work.Rank; rank-- {
+		freed, err := p.relief.Ask(p.ctx, p.name, rank, s.Tokens)
+		if err != nil {
+			return 0, err
+		}
+		sum += freed
+		if rank > s.Work.Rank {
+			sum += p.Relieve(rank, s.Tokens)
+		}
+	}
+	return sum, nil
+}
+
 // refuseIfClosed refuses the request if the pool takes no more. The lock is held.
 func (p *Pool) refuseIfClosed(r *request.Request) bool {
 	if p.closed == nil {
--- /dev/null
+++ b/internal/route/pool/relief_test.go
@@ -0,0 +1,76 @@
+package pool_test
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/sched"
+	"github.com/fireflypath/fireflypath/internal/route/pool"
+	"github.com/fireflypath/fireflypath/internal/route/request"
+)
+
+// peers notes the ranks that were asked for and frees once what it is given.
+type peers struct {
+	mu    sync.Mutex
+	ranks []int
+	holds int
+}
+
+func (p *peers) Ask(_ context.Context, _ string, rank, _ int) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranks = append(p.ranks, rank)
+	freed := p.holds
+	p.holds = 0
+	return freed, nil
+}
+
+// A request of the highest tier runs out of time while requests of both lower
+// tiers wait, here and at peers. Its caller must not read a refusal before the
+// lower ones have given way, the lowest first, and it must read it at once.
+func TestHigherWorkIsRefusedLast(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		is := is.New(t)
+		clock := clockwork.NewFakeClock()
+		asked := &peers{holds: 100}
+		var relief fireflypath.Relief = asked
+		if alone {
+			relief = nil
+		}
+		p := pool.New("chat", clock, sched.New(sched.Config{Pool: fireflypath.Pool{Name: "chat"}, Lowest: 2}), relief)
+		var works [3]*fireflypath.Work
+		var wg sync.WaitGroup
+		for _, rank := range []int{2, 1, 0} {
+			r := &request.Request{Config: &fireflypath.Config{}, Turn: make(chan request.Turn, 1)}
+			r.Work.ID, r.Work.Pool, r.Work.Rank, r.Work.Arrived = "d1", "chat", rank, clock.Now()
+			r.Work.Deadline = clock.Now().Add(time.Hour)
+			works[rank] = &r.Work
+			if rank > 0 {
+				wg.Go(func() { is.True(p.Wait(t.Context(), r) != nil) })
+				continue
+			}
+			r.Work.Deadline = clock.Now().Add(time.Second)
+			wg.Go(func() {
+				is.True(p.Wait(t.Context(), r) != nil)
+				is.Equal(works[1].Life.State(), fireflypath.StateShed)
+				is.Equal(works[2].Life.State(), fireflypath.StateShed)
+			})
+		}
+		for len(p.Open(func(*fireflypath.Work) bool { return true }, nil)) < 3 && t.Context().Err() == nil {
+			runtime.Gosched() // the offers are on their way
+		}
+		clock.Advance(2 * time.Second)
+		wg.Wait()
+		is.Equal(works[0].Life.State(), fireflypath.StateExpired)
+		if !alone {
+			is.Equal(asked.ranks, []int{1, 0, 1, 0})
+		}
+	}
+}
--- a/internal/trial/daemon.go
+++ b/internal/trial/daemon.go
@@ -167,6 +167,10 @@
 				d.ask(s, rank-1, freed)
 				return
 			}
+			if freed && s.Reason == fireflypath.ReasonDeadline {
+				d.ask(s, len(d.fleet.mix.Tiers)-2, false)
+				return
+			}
 			if !freed {
 				d.handle(d.sched.Relieve(d.now(), rank, s.Tokens, nil))
 				d.refuse(s)
--- a/scheduler.go
+++ b/scheduler.go
@@ -54,8 +54,8 @@
 	// neighbour first, then each rank up to the work's own, so that no tier gives
 	// way before all daemons have given up the ones below it. If peers freed
 	// nothing, the owner relieves its own Scheduler for the work's rank, and then
-	// refuses and withdraws the work; else it leaves it, and the Scheduler returns
-	// it again if it must.
+	// refuses and withdraws the work. Else it leaves work that was shed as full,
+	// and asks again for work that is past its time.
 	Relief bool
 	// Tokens is how much lower work the owner asks the peers to give up, if Relief.
 	Tokens int
