perf(decide): step aside before weighing; told times spread by what goes first

With 2,700 targets, work whose prompt is cached at a full target weighed 12 open ones before it stepped aside, up to eight times a decision. Callers given up together were all told the same time; each is now told what goes before it too.

--- a/internal/decide/sched/bench_test.go
+++ b/internal/decide/sched/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/place"
 )
 
 // bench is a scheduler in steady state: every team has work waiting, and each
@@ -21,6 +22,8 @@
 	place  fireflypath.Placement
 	sheds  []fireflypath.Shed
 	teams  []string
+	// prompts are the block hashes of the texts that prompts begin with.
+	prompts [][]uint64
 }
 
 func newBench(targets, teams int) *bench {
@@ -33,6 +36,13 @@
 	for i := range teams {
 		b.teams = append(b.teams, fmt.Sprintf("team%05d", i))
 	}
+	for i := range 100 {
+		hashes := make([]uint64, 32)
+		for j := range hashes {
+			hashes[j] = place.Mix(uint64(i*len(hashes) + j + 1))
+		}
+		b.prompts = append(b.prompts, hashes)
+	}
 	works := make([]fireflypath.Work, teams+64*targets)
 	for i := range works {
 		b.free = append(b.free, &works[i])
@@ -59,6 +69,7 @@
 		ID: "d.1", Team: b.teams[b.next%len(b.teams)], Weight: 1, Rank: b.next % 3, Pool: "llm",
 		Arrived: b.now, Deadline: b.now.Add(24 * time.Hour),
 		Cost: fireflypath.Cost{Prompt: 200 + b.next%1000, Output: 50}, Bytes: 1000,
+		Prefix: b.prompts[b.next%len(b.prompts)][:(200+b.next%1000)/block],
 	}
 	b.next++
 	b.sheds = b.s.Offer(b.now, w, b.sheds[:0])
@@ -97,17 +108,46 @@
 	b.end()
 }
 
-func BenchmarkDecision(b *testing.B) {
+// sizes runs a benchmark at today's size, at that of the letter's daemons, and
+// at that of its targets and teams.
+func sizes(b *testing.B, fn func(b *testing.B, x *bench)) {
 	for _, targets := range []int{15, 385, 2700} {
 		for _, teams := range []int{5, 1000, 29000} {
 			b.Run(fmt.Sprintf("targets=%d/teams=%d", targets, teams), func(b *testing.B) {
 				x := newBench(targets, teams)
 				b.ReportAllocs()
 				b.ResetTimer()
-				for range b.N {
-					x.step()
-				}
+				fn(b, x)
 			})
 		}
 	}
 }
+
+// BenchmarkDecision is the way of a request until it is dispatched: enqueue,
+// pick, place. The answers are learned from off the clock, 16 at a time.
+func BenchmarkDecision(b *testing.B) {
+	sizes(b, func(b *testing.B, x *bench) {
+		for i := range b.N {
+			x.now = x.now.Add(time.Millisecond)
+			x.offer()
+			x.dispatch()
+			if i%16 != 15 {
+				continue
+			}
+			b.StopTimer()
+			for range 16 {
+				x.end()
+			}
+			b.StartTimer()
+		}
+	})
+}
+
+// BenchmarkRequest is the whole way of a request, its answer included.
+func BenchmarkRequest(b *testing.B) {
+	sizes(b, func(b *testing.B, x *bench) {
+		for range b.N {
+			x.step()
+		}
+	})
+}
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -82,11 +82,13 @@
 		if s.drop(now, slot) {
 			continue
 		}
-		if !s.choose(now, slot, p) {
+		s.find(s.items[slot].work)
+		wait := s.elsewhere(now, slot, s.openDepth())
+		if !wait && !s.choose(now, slot, p) {
 			s.park(slot)
 			continue
 		}
-		if s.elsewhere(now, slot) {
+		if wait || s.elsewhere(now, slot, s.hit(s.pick.Target)/block) {
 			if patient == none {
 				patient = slot
 			}
@@ -99,11 +101,15 @@
 	for i := len(s.parked) - 1; i >= 0; i-- {
 		s.queue.Return(s.parked[i], s.items[s.parked[i]].work)
 	}
-	if !found && patient != none && s.choose(now, patient, p) {
-		s.send(now, patient, p)
-		found = true
+	if found || patient == none {
+		return found
+	}
+	s.find(s.items[patient].work)
+	if !s.choose(now, patient, p) {
+		return false
 	}
-	return found
+	s.send(now, patient, p)
+	return true
 }
 
 // drop takes work out that was withdrawn elsewhere or that is too late.
@@ -127,24 +133,42 @@
 	s.parked = append(s.parked, slot)
 }
 
-// elsewhere is true if much more of the prompt is cached at another target than
-// at the chosen one, for as long as is worth waiting for it.
-func (s *Sched) elsewhere(now time.Time, slot int32) bool {
+// elsewhere is true if much more of the prompt is cached at some target than the
+// given number of blocks, for as long as is worth waiting for it. It is asked
+// before the open targets are weighed, since stepping aside is to cost little,
+// and again for the chosen one.
+func (s *Sched) elsewhere(now time.Time, slot int32, blocks int) bool {
 	it := &s.items[slot]
 	if len(s.depths) == 0 || s.urgent(now, it) {
 		return false
 	}
-	saved := s.depths[0]*block - s.hit(s.pick.Target)
+	saved := (s.depths[0] - blocks) * block
 	if saved < worth {
 		return false
 	}
 	if it.aside.IsZero() {
 		it.aside = now
 	}
-	sec := float64(saved) / s.prefillRate(&s.targets[s.pick.Target])
+	sec := float64(saved) / s.prefillRate(&s.targets[s.holders[0]])
 	return now.Sub(it.aside).Seconds() < patience*sec
 }
 
+// openDepth is how many blocks of the prompt the best open target holds.
+func (s *Sched) openDepth() int {
+	n := 0
+	for k, i := range s.holders {
+		if s.targets[i].at != none {
+			n = max(n, s.depths[k])
+		}
+	}
+	return n
+}
+
+// find looks up which targets hold the beginning of the prompt.
+func (s *Sched) find(w *fireflypath.Work) {
+	s.holders, s.depths = s.index.Find(w.Prefix, s.holders[:0], s.depths[:0])
+}
+
 // doom sets work aside for Expire, which returns it.
 func (s *Sched) doom(slot int32) {
 	s.unqueue(slot)
@@ -202,12 +226,11 @@
 	p.Ahead = it.ahead
 }
 
-// weigh fills the options and the candidates: the holders of the prefix, and
-// all open targets or a random sample of many.
+// weigh fills the options and the candidates: the holders found last, and all
+// open targets or a random sample of many.
 func (s *Sched) weigh(now time.Time, w *fireflypath.Work, p *fireflypath.Placement) {
 	s.options = s.options[:0]
 	p.Considered = p.Considered[:0]
-	s.holders, s.depths = s.index.Find(w.Prefix, s.holders[:0], s.depths[:0])
 	for _, i := range s.holders {
 		if s.targets[i].at != none {
 			s.consider(now, i, w, p)
@@ -409,7 +432,7 @@
 		out = append(out, fireflypath.Shed{
 			Work:       w,
 			Reason:     fireflypath.ReasonFull,
-			RetryAfter: s.retryAfter(now, w),
+			RetryAfter: s.retryAfter(now, w, freed),
 			Detail:     fmt.Sprintf("gave way to work of rank %d", rank),
 		})
 		s.release(slot)
--- a/internal/decide/sched/offer.go
+++ b/internal/decide/sched/offer.go
@@ -123,18 +123,19 @@
 	if s.lower(rank(w)) >= 0 {
 		return false
 	}
-	wait, ok := s.wait(w)
+	wait, ok := s.wait(w, 0)
 	return ok && now.Add(wait).After(latest)
 }
 
-// wait is the time until w's turn, were it pushed now.
-func (s *Sched) wait(w *fireflypath.Work) (time.Duration, bool) {
+// wait is the time until w's turn, were it pushed now, with so many tokens more
+// before it.
+func (s *Sched) wait(w *fireflypath.Work, more int) (time.Duration, bool) {
 	drain := s.drain.Rate()
 	if drain == 0 {
 		return 0, false
 	}
 	r := rank(w)
-	ahead, free := float64(s.queue.Ahead(w)), drain
+	ahead, free := float64(s.queue.Ahead(w)+more), drain
 	for i := range r {
 		ahead += float64(s.queue.Tokens(i))
 		free -= s.arrivals[i].Rate()
@@ -143,9 +144,11 @@
 	return time.Duration(ahead / free * float64(time.Second)), true
 }
 
-// retryAfter is when what waits now will have been served.
-func (s *Sched) retryAfter(now time.Time, w *fireflypath.Work) time.Duration {
-	d, ok := s.wait(w)
+// retryAfter is when what waits now will have been served, and with it what was
+// given up together with w before it: callers that are refused together would
+// else be told the same time, and find each other when they come back.
+func (s *Sched) retryAfter(now time.Time, w *fireflypath.Work, before int) time.Duration {
+	d, ok := s.wait(w, before)
 	if !ok {
 		d = shortest
 	}
@@ -187,7 +190,7 @@
 }
 
 func (s *Sched) lateShed(now time.Time, w *fireflypath.Work) fireflypath.Shed {
-	wait, _ := s.wait(w)
+	wait, _ := s.wait(w, 0)
 	reason := fireflypath.ReasonDeadline
 	if w.Early {
 		reason = fireflypath.ReasonEarly
@@ -195,7 +198,7 @@
 	return fireflypath.Shed{
 		Work:       w,
 		Reason:     reason,
-		RetryAfter: s.retryAfter(now, w),
+		RetryAfter: s.retryAfter(now, w, 0),
 		Detail:     fmt.Sprintf("turn expected in %v, too late for the deadline", wait.Round(time.Millisecond)),
 		Relief:     rank(w) < s.cfg.Lowest,
 		Tokens:     everything,
@@ -227,7 +230,7 @@
 	return fireflypath.Shed{
 		Work:       w,
 		Reason:     fireflypath.ReasonFull,
-		RetryAfter: s.retryAfter(now, w),
+		RetryAfter: s.retryAfter(now, w, 0),
 		Detail: fmt.Sprintf("%d requests and %d bytes wait of %d and %d",
 			s.queue.Len(), s.queue.Bytes(), s.cfg.Pool.Requests, s.cfg.Pool.Bytes),
 		Relief: relief,
