perf(deadline): a last chance before a refusal that costs all lower work

One expired request of tier 0 makes all waiting lower work give way. In the last quarter of its time work above the lowest tier now keeps no margin and may exceed a window by two. Wider windows for all work were tried and left.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -197,6 +197,9 @@
 	if s.urgent(now, it) {
 		factor = s.margin.Tight()
 	}
+	if s.last(now, it) {
+		factor = 1
+	}
 	if s.targets[s.pick.Target].known() && deadline.Latest(w.Deadline, s.expected(), factor).Before(now) {
 		return false
 	}
@@ -271,6 +274,13 @@
 	return 2*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
 }
 
+// last is true for work above the lowest tier that has waited for three quarters
+// of its time: the next to come is its refusal, and before it that of all lower
+// work.
+func (s *Sched) last(now time.Time, it *item) bool {
+	return rank(it.work) < s.cfg.Lowest && 4*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
+}
+
 // exceed offers targets beyond their windows to work whose time is running out,
 // unless it is of the lowest tier. The slots of a window that lower work took in
 // a quiet moment come back too late for it; one request more in the target's own
@@ -285,7 +295,11 @@
 	at := s.rnd.IntN(n)
 	for range min(n, sample) {
 		t := &s.targets[at]
-		if t.usable() && t.slow.State() == slow.Ready && t.requests <= t.limit() && t.filling == 0 {
+		spare := t.requests <= t.limit() && t.filling == 0
+		if s.last(now, it) {
+			spare = t.requests <= t.limit()+1
+		}
+		if t.usable() && t.slow.State() == slow.Ready && spare {
 			s.consider(now, int32(at), it.work, p)
 		}
 		at = (at + 1) % n
