perf(slow): a first token that is overdue counts as slowness

Answers of a target that turned slow come late themselves, and until then it got its part of the work. A target that owes a first token for three times the expected time now weighs as a slow one.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -28,6 +28,9 @@
 	// Under overload the target's time is what is short, and others use it
 	// meanwhile.
 	patience = 4
+	// overdueAfter is how many times longer than expected a first token may take
+	// before its target is taken for slow; others' work moves it by about two.
+	overdueAfter = 3
 	// again is how long after a relief round work past its time is returned once
 	// more, if the owner has not decided by then: a peer that does not answer is
 	// out of the membership after seconds, and each return starts a round.
@@ -313,7 +316,7 @@
 	}
 	hit := s.hit(i)
 	score := s.expect(now, t, w, hit)
-	if t.slow.State() == slow.Slow {
+	if t.slow.State() == slow.Slow || (t.filling > 0 && now.After(t.due)) {
 		score *= slowPenalty
 	}
 	s.options = append(s.options, place.Option{Target: i, Hash: t.hash, Requests: t.requests, Score: score})
@@ -346,6 +349,9 @@
 	t.tokens += w.Cost.Tokens()
 	t.prefill += it.fresh
 	t.filling++
+	if t.filling == 1 {
+		t.due = now.Add(s.overdue(now, t))
+	}
 	s.prompt += blend * (float64(it.fresh) - s.prompt)
 	s.flights++
 	s.reserve.Start(rank(w))
@@ -357,10 +363,19 @@
 	s.refresh(it.target)
 }
 
+// overdue is how long a target with prefills in flight may send no first token
+// before it is taken for slow: the answers that would tell come too late, as
+// they are slow themselves.
+func (s *Sched) overdue(now time.Time, t *target) time.Duration {
+	sec := t.speed.Delay(now).Seconds() + float64(t.prefill)/s.prefillRate(t)
+	return max(time.Duration(overdueAfter*sec*float64(time.Second)), 2*brief)
+}
+
 // filled ends the prefill of work in flight.
-func (s *Sched) filled(it *item, t *target) {
+func (s *Sched) filled(now time.Time, it *item, t *target) {
 	t.prefill -= it.fresh
 	t.filling--
+	t.due = now.Add(s.overdue(now, t))
 	if it.long {
 		s.long.End()
 	}
@@ -373,7 +388,7 @@
 	t.requests--
 	t.tokens -= it.work.Cost.Tokens()
 	if it.first.IsZero() {
-		s.filled(it, t)
+		s.filled(now, it, t)
 	}
 	s.flights--
 	s.reserve.End(rank(it.work), now.Sub(it.sent))
--- a/internal/decide/sched/observe.go
+++ b/internal/decide/sched/observe.go
@@ -71,7 +71,7 @@
 	}
 	it, t := &s.items[slot], &s.targets[i]
 	it.first = now
-	s.filled(it, t)
+	s.filled(now, it, t)
 	fresh := it.fresh
 	if e.Cached >= 0 {
 		fresh = max(it.work.Cost.Prompt-e.Cached, 0)
--- a/internal/decide/sched/target.go
+++ b/internal/decide/sched/target.go
@@ -50,6 +50,8 @@
 	slots, busy int
 	// counted is what the target counts for in the sum of parts.
 	counted float64
+	// due is when the next first token is overdue.
+	due time.Time
 	// at is the position in the list of open targets, or -1.
 	at int32
 }
