--- a/internal/caller/departures/departures.go
+++ b/internal/caller/departures/departures.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// All treats all callers as gone.
+func (d *Departures) All() {
+	d.mu.Lock()
+	held := make([]*Held, 0, len(d.held))
+	for h := range d.held {
+		held = append(held, h)
+	}
+	clear(d.held)
+	d.mu.Unlock()
+	for _, h := range held {
+		h.left()
+	}
+}
+
 func (h *Held) closed() bool {
 	closed := false
 	err := h.raw.Control(func(fd uintptr) {
--- a/internal/caller/door/door.go
+++ b/internal/caller/door/door.go
@@ -69,6 +69,9 @@
 // Kill closes the listener and all connections at once.
 func (d *Door) Kill() error {
 	err := d.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
 	d.mu.Lock()
 	d.killed = true
 	conns := make([]*conn, 0, len(d.conns))
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -105,6 +105,11 @@
 	c.submit(&op{hash: hash(team, key), nonce: id, release: true, done: make(chan error, 1)})
 }
 
+// Abort ends the wait of all claims that the store has not confirmed.
+func (c *Claims) Abort() {
+	c.cancel()
+}
+
 // Close waits for what is under way until the context ends.
 func (c *Claims) Close(ctx context.Context) {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,6 +148,7 @@
 func (d *Daemon) Kill() {
 	d.cancel()
 	_ = d.front.Kill()
+	d.gone.All()
 	_ = d.back.Kill()
 	dead, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -40,11 +40,13 @@
 	window  int
 	silence time.Duration
 	deps    daemon.Deps
+	// body, header, connections and waiting are limits.
+	body, header, connections, waiting int
 }
 
 func newRig(t *testing.T, s setup) *rig {
 	is := is.New(t)
-	r := &rig{t: t, records: make(chan *fireflypath.Record, 64)}
+	r := &rig{t: t, records: make(chan *fireflypath.Record, 1024)}
 	s.engine.Addr = testkit.Loopback() + ":0"
 	s.service.Addr = s.engine.Addr
 	var engines, services []string
@@ -67,6 +69,8 @@
 	}
 	set := testkit.Settings(cfg)
 	set.Limits.Silence = fireflypath.Duration(s.silence)
+	set.Limits.Body, set.Limits.Header = s.body, s.header
+	set.Limits.Connections, set.Limits.Waiting = s.connections, s.waiting
 	s.deps.Recorder = r
 	r.Daemon, err = daemon.New(set, s.deps)
 	is.NoErr(err)
@@ -103,6 +107,10 @@
 func (r *rig) post(path, body string, header ...string) result {
 	resp, err := http.DefaultClient.Do(r.request(r.t.Context(), path, body, header...))
 	is.New(r.t).NoErr(err)
+	return read(resp)
+}
+
+func read(resp *http.Response) result {
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	return result{status: resp.StatusCode, header: resp.Header, text: string(text), err: err}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -313,17 +313,24 @@
 // Stop finishes the requests held. What still waits when the context ends is
 // refused, and what still runs is cut, so that its caller sees the cut.
 func (callerListener) Stop(ctx context.Context, d *Daemon) error {
-	err := d.callers.Shutdown(ctx)
-	if err == nil {
-		return nil
+	done := make(chan error, 1)
+	go func() { done <- d.callers.Shutdown(context.WithoutCancel(ctx)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
 	}
+	d.deps.Log.Info("planned stop at its limit", zap.Int("connections", d.front.Open()))
 	d.pools.Stop(stopping)
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), flush)
-	defer cancel()
-	if d.callers.Shutdown(last) == nil {
+	d.claims.Abort()
+	select {
+	case <-done:
 		return nil
+	case <-d.deps.Clock.After(flush):
 	}
-	return d.front.Kill()
+	err := d.front.Kill()
+	d.gone.All()
+	return err
 }
 
 // readiness is the last thing up and the first down.
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,65 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath/internal/fake/engine"
+)
+
+// An operator stops a daemon while answers are under way and requests wait.
+// None of them is cut; new connections are refused and readiness says no, so
+// that the balancer sends nobody here.
+func TestPlannedStopFinishesAll(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 20, Batch: 1}, window: 1})
+	running, err := http.DefaultClient.Do(r.request(t.Context(), "/v1/completions", completion(10)))
+	is.NoErr(err)
+	defer running.Body.Close()
+	waited := make(chan result, 1)
+	go func() { waited <- r.stream(2) }()
+	r.waiting("engines", 1)
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.Stop(t.Context()) }()
+	for r.Ready() {
+	}
+	text, err := io.ReadAll(running.Body)
+	r.isWhole(result{status: running.StatusCode, header: running.Header, text: string(text), err: err}, 10)
+	r.isWhole(<-waited, 2)
+	is.NoErr(<-stopped)
+	_, err = net.Dial("tcp", r.CallerAddr())
+	is.True(err != nil)
+}
+
+// The limit of a planned stop passes while a request still waits. It did not
+// run, and its caller reads just that; the answer that runs on is cut where
+// the caller can see it.
+func TestPlannedStopAtItsLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 5, Batch: 1}, window: 1})
+	running, err := http.DefaultClient.Do(r.request(t.Context(), "/v1/completions", completion(500)))
+	is.NoErr(err)
+	defer running.Body.Close()
+	waited := make(chan result, 1)
+	go func() { waited <- r.stream(2) }()
+	r.waiting("engines", 1)
+
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.NoErr(r.Stop(over))
+	got := <-waited
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.text, `"code":"stopping"`))
+	is.True(strings.Contains(got.text, `"run":"no"`))
+	text, err := io.ReadAll(bufio.NewReader(running.Body))
+	is.True(err != nil)
+	is.True(!strings.Contains(string(text), "[DONE]"))
+}
