feat(route): the memory of waiting requests is bounded over all pools

Nothing bounded the bodies of waiting requests together. A request that does not fit displaces waiting work of lower tiers in any pool, the lowest first, and is refused as full only if there is none. Refusals of unreadable requests carry an id, too.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -42,6 +42,8 @@
 // Route runs a request and sets its reply.
 type Route interface {
 	Serve(ctx context.Context, r *request.Request)
+	// ID makes the id of a refusal that never becomes a request.
+	ID() string
 }
 
 // Server is the callers' front door.
@@ -62,7 +64,7 @@
 	app.Use(s.unknown)
 	s.server = &fasthttp.Server{
 		Handler:                       app.Handler(),
-		ErrorHandler:                  unreadable,
+		ErrorHandler:                  s.unreadable,
 		Name:                          "fireflypath",
 		ReadBufferSize:                orDefault(limits.Header, defaultHeader),
 		MaxRequestBodySize:            orDefault(limits.Body, defaultBody),
@@ -118,8 +120,10 @@
 }
 
 func (s *Server) unknown(c fiber.Ctx) error {
+	id := s.route.ID()
+	c.RequestCtx().Response.Header.Set(headerID, id)
 	write(c.RequestCtx(), refuse.Reply(&fireflypath.Refusal{
-		Code: fireflypath.ReasonNoPool, Detail: "no call has this path and method", Run: fireflypath.RunNo,
+		Code: fireflypath.ReasonNoPool, Detail: "no call has this path and method", Run: fireflypath.RunNo, ID: id,
 	}))
 	return nil
 }
@@ -199,8 +203,8 @@
 }
 
 // unreadable answers what the library could not parse.
-func unreadable(c *fasthttp.RequestCtx, err error) {
-	ref := &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: "the request is not HTTP", Run: fireflypath.RunNo}
+func (s *Server) unreadable(c *fasthttp.RequestCtx, err error) {
+	ref := &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: "the request is not HTTP", Run: fireflypath.RunNo, ID: s.route.ID()}
 	reply := refuse.Reply(ref)
 	var small *fasthttp.ErrSmallBuffer
 	switch {
@@ -212,6 +216,7 @@
 		ref.Code, ref.Detail = fireflypath.ReasonTooLarge, "the body is above the limit"
 		reply = refuse.Reply(ref)
 	}
+	c.Response.Header.Set(headerID, ref.ID)
 	write(c, reply)
 	c.SetConnectionClose()
 }
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -291,32 +291,38 @@
 	defer first.Body.Close()
 
 	ctx, cancel := context.WithCancel(t.Context())
+	done := r.background(r.request(ctx, "/v1/completions", completion(1)))
+	r.untilOneWaits()
+	cancel()
+	is.True(<-done != nil)
+	rec := <-r.records
+	is.Equal(rec.State, "withdrawn")
+	is.Equal(rec.Target, "")
+	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+}
+
+// background sends a request whose answer is of no interest.
+func (r *rig) background(req *http.Request) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		resp, err := http.DefaultClient.Do(r.request(ctx, "/v1/completions", completion(1)))
+		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			resp.Body.Close()
 		}
 		done <- err
 	}()
-	r.waiting("engines", 1)
-	cancel()
-	is.True(<-done != nil)
-	rec := <-r.records
-	is.Equal(rec.State, "withdrawn")
-	is.Equal(rec.Target, "")
-	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+	return done
 }
 
-// waiting blocks until so many requests wait in the pool.
-func (r *rig) waiting(pool string, n int) {
+// untilOneWaits blocks until one request waits for engines.
+func (r *rig) untilOneWaits() {
 	for r.t.Context().Err() == nil {
 		for _, d := range r.Demands() {
 			sum := 0
 			for _, k := range d.Requests {
 				sum += k
 			}
-			if d.Pool == pool && sum == n {
+			if d.Pool == "engines" && sum == 1 {
 				return
 			}
 		}
@@ -369,14 +375,7 @@
 	is := is.New(t)
 	store := memory.New()
 	first := newRig(t, setup{deps: daemon.Deps{Store: store}, service: service.Config{Delay: time.Minute}})
-	done := make(chan error, 1)
-	go func() {
-		resp, err := http.DefaultClient.Do(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
-		if err == nil {
-			resp.Body.Close()
-		}
-		done <- err
-	}()
+	done := first.background(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
 	for len(first.services[0].Counts().Keys) == 0 {
 		runtime.Gosched()
 	}
--- a/internal/daemon/input_test.go
+++ b/internal/daemon/input_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
@@ -104,3 +105,26 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(got.text, `"code":"full"`))
 }
+
+// Large requests of a low tier wait and take up all memory allowed. One of a
+// higher tier takes their place; another of the low tier is refused.
+func TestWaitingBytes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Decode: 10, Batch: 1}, window: 1, waiting: 2000})
+	running, err := http.DefaultClient.Do(r.request(t.Context(), "/v1/completions", completion(1000)))
+	is.NoErr(err)
+	defer running.Body.Close()
+
+	large := `{"model":"m","stream":true,"max_tokens":1,"prompt":"` + strings.Repeat("x", 1500) + `"}`
+	low := make(chan result, 1)
+	go func() { low <- r.post("/v1/completions", large, "Fireflypath-Tier", "bronze") }()
+	r.untilOneWaits()
+	got := r.post("/v1/completions", large, "Fireflypath-Tier", "bronze")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.text, `"code":"full"`))
+
+	done := r.background(r.request(t.Context(), "/v1/completions", large, "Fireflypath-Tier", "gold"))
+	is.Equal((<-low).status, http.StatusServiceUnavailable)
+	r.Kill()
+	<-done
+}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -39,6 +39,9 @@
 	// defaultConnections is about the connections of a balancer's pools at 100
 	// times today's rate for one entry host.
 	defaultConnections = 8192
+	// defaultWaiting is a minute of the peak's 57 requests a second and daemon at
+	// 32 KB each, an eighth of a small host's memory.
+	defaultWaiting = 128 << 20
 	// flush is for writing the refusals at the end of a planned stop.
 	flush = time.Second
 )
@@ -106,7 +109,11 @@
 	if d.deps.Scheduler == nil {
 		d.deps.Scheduler = d.scheduler
 	}
-	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
+	waiting := d.cfg.Limits.Waiting
+	if waiting == 0 {
+		waiting = defaultWaiting
+	}
+	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler, waiting)
 	d.evidence = evidence.New(d.heardLeaving, d.heardBack)
 	d.pools.Apply(d.deps.Configs.Current())
 	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
@@ -324,8 +331,8 @@
 	d.pools.Stop(stopping)
 	d.claims.Abort()
 	select {
-	case <-done:
-		return nil
+	case err := <-done:
+		return err
 	case <-d.deps.Clock.After(flush):
 	}
 	err := d.front.Kill()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -25,7 +25,7 @@
 	defer running.Body.Close()
 	waited := make(chan result, 1)
 	go func() { waited <- r.stream(2) }()
-	r.waiting("engines", 1)
+	r.untilOneWaits()
 
 	stopped := make(chan error, 1)
 	go func() { stopped <- r.Stop(t.Context()) }()
@@ -50,7 +50,7 @@
 	defer running.Body.Close()
 	waited := make(chan result, 1)
 	go func() { waited <- r.stream(2) }()
-	r.waiting("engines", 1)
+	r.untilOneWaits()
 
 	over, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +23,8 @@
 	name   string
 	clock  clockwork.Clock
 	relief fireflypath.Relief
+	// bytes counts the memory of waiting requests over all pools.
+	bytes *atomic.Int64
 
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
@@ -39,10 +42,14 @@
 }
 
 // New returns a pool without targets. A nil relief stands for a daemon alone.
-func New(name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief) *Pool {
+// A request offered has been added to bytes; the pool subtracts it when its
+// wait ends.
+func New(
+	name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief, bytes *atomic.Int64,
+) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		name: name, clock: clock, relief: relief, sched: sched,
+		name: name, clock: clock, relief: relief, sched: sched, bytes: bytes,
 		waiting: map[*fireflypath.Work]*request.Request{},
 		targets: map[string]fireflypath.Target{},
 		ctx:     ctx, cancel: cancel,
@@ -63,6 +70,7 @@
 	r.Draft.Unsent()
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
+	p.bytes.Add(int64(r.Work.Bytes))
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
 		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
 	})
@@ -111,13 +119,19 @@
 		return nil
 	}
 	p.sched.Withdraw(p.clock.Now(), &r.Work)
-	delete(p.waiting, &r.Work)
+	p.forget(r)
 	p.pump()
 	return p.refusal(r, fireflypath.Shed{
 		Reason: fireflypath.ReasonWithdrawn, Detail: "the caller left while the request waited",
 	})
 }
 
+// forget ends a request's wait. The lock is held.
+func (p *Pool) forget(r *request.Request) {
+	delete(p.waiting, &r.Work)
+	p.bytes.Add(-int64(r.Work.Bytes))
+}
+
 func (p *Pool) take(r *request.Request, t request.Turn) error {
 	if t.Refusal != nil {
 		return t.Refusal
@@ -142,7 +156,7 @@
 		p.sched.Observe(now, fireflypath.Event{Kind: fireflypath.EventUnsent, Target: p.place.Target, Work: w, Cached: -1})
 		return
 	}
-	delete(p.waiting, w)
+	p.forget(r)
 	r.Sent = now
 	r.Draft.Placed(now, &p.place)
 	r.Turn <- request.Turn{Target: p.targets[p.place.Target]}
@@ -202,7 +216,7 @@
 		return
 	}
 	p.sched.Withdraw(p.clock.Now(), s.Work)
-	delete(p.waiting, s.Work)
+	p.forget(r)
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -13,11 +13,17 @@
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 )
 
+// maxRank is the lowest tier's rank at most (fireflypath.Tier).
+const maxRank = 15
+
 // Pools implements fireflypath.Cluster.
 type Pools struct {
 	clock  clockwork.Clock
 	relief fireflypath.Relief
 	sched  func(fireflypath.Pool) fireflypath.Scheduler
+	// bytes is the memory of waiting requests, limit its bound.
+	bytes atomic.Int64
+	limit int64
 
 	mu      sync.Mutex
 	applied *fireflypath.Config
@@ -27,9 +33,12 @@
 	home atomic.Pointer[map[string]*pool.Pool]
 }
 
-// New returns Pools without any; sched makes the scheduler of a pool.
-func New(clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler) *Pools {
-	p := &Pools{clock: clock, relief: relief, sched: sched}
+// New returns Pools without any; sched makes the scheduler of a pool, and
+// limit bounds the bytes of all waiting requests.
+func New(
+	clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler, limit int,
+) *Pools {
+	p := &Pools{clock: clock, relief: relief, sched: sched, limit: int64(limit)}
 	p.byName.Store(&map[string]*pool.Pool{})
 	p.home.Store(&map[string]*pool.Pool{})
 	return p
@@ -75,7 +84,7 @@
 }
 
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
-	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
+	n := pool.New(c.Name, p.clock, p.sched(c), p.relief, &p.bytes)
 	if p.stopped != nil {
 		n.Close(*p.stopped)
 	}
@@ -108,6 +117,33 @@
 	return (*p.byName.Load())[name]
 }
 
+// Reserve counts a request that is about to wait. It reports false if there is
+// no memory for it, after lower work of any pool has given way.
+//
+// The bound is over all pools, so the newcomer can be of a higher tier than
+// what waits in another pool. Refusing it there would shed a higher tier while
+// a lower one holds work.
+func (p *Pools) Reserve(w *fireflypath.Work) bool {
+	n := int64(w.Bytes)
+	if p.bytes.Add(n) <= p.limit || p.displace(w.Rank) {
+		return true
+	}
+	p.bytes.Add(-n)
+	return false
+}
+
+// displace refuses waiting work of lower tiers, the lowest first, until the
+// bound is met.
+func (p *Pools) displace(rank int) bool {
+	for below := maxRank - 1; below >= rank; below-- {
+		for _, n := range *p.byName.Load() {
+			for p.bytes.Load() > p.limit && n.Relieve(below, 1) > 0 {
+			}
+		}
+	}
+	return p.bytes.Load() <= p.limit
+}
+
 // Observe passes an event to the pool of its target.
 func (p *Pools) Observe(e fireflypath.Event) {
 	if n := (*p.home.Load())[e.Target]; n != nil {
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -3,12 +3,17 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
 
+// retry is given for want of memory, which running requests free within
+// seconds.
+const retry = time.Second
+
 // Queue is the step that ends with a target or a refusal as not run.
 type Queue struct {
 	pools *pools.Pools
@@ -30,6 +35,13 @@
 	if p == nil {
 		return &fireflypath.Refusal{Code: fireflypath.ReasonNoPool, Detail: "the pool was removed", Run: fireflypath.RunNo}
 	}
+	if !q.pools.Reserve(&r.Work) {
+		r.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateShed)
+		return &fireflypath.Refusal{
+			Code: fireflypath.ReasonFull, Detail: "the waiting requests take up all memory allowed",
+			Run: fireflypath.RunNo, RetryAfter: retry,
+		}
+	}
 	r.Owner = p
 	return p.Wait(ctx, r)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -88,13 +88,14 @@
 }
 
 func (rt *Route) begin(r *request.Request) {
-	r.Work.ID = rt.id()
+	r.Work.ID = rt.ID()
 	r.Turn = make(chan request.Turn, 1)
 	r.Config = rt.deps.Configs.Current()
 	r.Catalog = rt.catalogs.For(r.Config)
 }
 
-func (rt *Route) id() string {
+// ID is unique over all daemons.
+func (rt *Route) ID() string {
 	u := ulid.MustNew(ulid.Timestamp(rt.deps.Clock.Now()), ulid.DefaultEntropy())
 	return rt.deps.Name + "." + u.String()
 }
