--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,6 +167,7 @@
 func (d *Daemon) Kill() {
 	d.cancel()
 	_ = d.front.Kill()
+	d.gone.All()
 	_ = d.back.Kill()
 	if d.peers != nil {
 		d.peers.Close()
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -39,11 +39,13 @@
 	window  int
 	silence time.Duration
 	deps    daemon.Deps
+	// body, header, connections and waiting are limits.
+	body, header, connections, waiting int
 }
 
 func newRig(t *testing.T, s setup) *rig {
 	is := is.New(t)
-	r := &rig{t: t, records: make(chan *fireflypath.Record, 64)}
+	r := &rig{t: t, records: make(chan *fireflypath.Record, 1024)}
 	s.engine.Addr = testkit.Loopback() + ":0"
 	s.service.Addr = s.engine.Addr
 	var engines, services []string
@@ -66,6 +68,8 @@
 	}
 	set := testkit.Settings(cfg)
 	set.Limits.Silence = fireflypath.Duration(s.silence)
+	set.Limits.Body, set.Limits.Header = s.body, s.header
+	set.Limits.Connections, set.Limits.Waiting = s.connections, s.waiting
 	s.deps.Recorder = r
 	r.Daemon, err = daemon.New(set, s.deps)
 	is.NoErr(err)
@@ -102,6 +106,10 @@
 func (r *rig) post(path, body string, header ...string) result {
 	resp, err := http.DefaultClient.Do(r.request(r.t.Context(), path, body, header...))
 	is.New(r.t).NoErr(err)
+	return read(resp)
+}
+
+func read(resp *http.Response) result {
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	return result{status: resp.StatusCode, header: resp.Header, text: string(text), err: err}
@@ -282,32 +290,38 @@
 	defer first.Body.Close()
 
 	ctx, cancel := context.WithCancel(t.Context())
+	done := r.background(r.request(ctx, "/v1/completions", completion(1)))
+	r.untilOneWaits()
+	cancel()
+	is.True(<-done != nil)
+	rec := <-r.records
+	is.Equal(rec.State, "withdrawn")
+	is.Equal(rec.Target, "")
+	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+}
+
+// background sends a request whose answer is of no interest.
+func (r *rig) background(req *http.Request) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		resp, err := http.DefaultClient.Do(r.request(ctx, "/v1/completions", completion(1)))
+		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			resp.Body.Close()
 		}
 		done <- err
 	}()
-	r.waiting("engines", 1)
-	cancel()
-	is.True(<-done != nil)
-	rec := <-r.records
-	is.Equal(rec.State, "withdrawn")
-	is.Equal(rec.Target, "")
-	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+	return done
 }
 
-// waiting blocks until so many requests wait in the pool.
-func (r *rig) waiting(pool string, n int) {
+// untilOneWaits blocks until one request waits for engines.
+func (r *rig) untilOneWaits() {
 	for r.t.Context().Err() == nil {
 		for _, d := range r.Demands() {
 			sum := 0
 			for _, k := range d.Requests {
 				sum += k
 			}
-			if d.Pool == pool && sum == n {
+			if d.Pool == "engines" && sum == 1 {
 				return
 			}
 		}
@@ -360,14 +374,7 @@
 	is := is.New(t)
 	store := testkit.NewMapStore(clockwork.NewRealClock())
 	first := newRig(t, setup{deps: daemon.Deps{Store: store}, service: service.Config{Delay: time.Minute}})
-	done := make(chan error, 1)
-	go func() {
-		resp, err := http.DefaultClient.Do(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
-		if err == nil {
-			resp.Body.Close()
-		}
-		done <- err
-	}()
+	done := first.background(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
 	for len(first.services[0].Counts().Keys) == 0 {
 		runtime.Gosched()
 	}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -38,6 +38,9 @@
 	// defaultConnections is about the connections of a balancer's pools at 100
 	// times today's rate for one entry host.
 	defaultConnections = 8192
+	// defaultWaiting is a minute of the peak's 57 requests a second and daemon at
+	// 32 KB each, an eighth of a small host's memory.
+	defaultWaiting = 128 << 20
 	// flush is for writing the refusals at the end of a planned stop.
 	flush = time.Second
 )
@@ -87,7 +90,11 @@
 	if d.deps.Scheduler == nil {
 		d.deps.Scheduler = d.scheduler
 	}
-	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
+	waiting := d.cfg.Limits.Waiting
+	if waiting == 0 {
+		waiting = defaultWaiting
+	}
+	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler, waiting)
 	d.evidence = evidence.New(d.heardLeaving, d.heardBack)
 	d.pools.Apply(d.deps.Configs.Current())
 	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
@@ -285,17 +292,24 @@
 // Stop finishes the requests held. What still waits when the context ends is
 // refused, and what still runs is cut, so that its caller sees the cut.
 func (callerListener) Stop(ctx context.Context, d *Daemon) error {
-	err := d.callers.Shutdown(ctx)
-	if err == nil {
-		return nil
+	done := make(chan error, 1)
+	go func() { done <- d.callers.Shutdown(context.WithoutCancel(ctx)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
 	}
+	d.deps.Log.Info("planned stop at its limit", zap.Int("connections", d.front.Open()))
 	d.pools.Stop(stopping)
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), flush)
-	defer cancel()
-	if d.callers.Shutdown(last) == nil {
-		return nil
+	d.claims.Abort()
+	select {
+	case err := <-done:
+		return err
+	case <-d.deps.Clock.After(flush):
 	}
-	return d.front.Kill()
+	err := d.front.Kill()
+	d.gone.All()
+	return err
 }
 
 // readiness is the last thing up and the first down.
