--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
 	waiting map[*fireflypath.Work]*request.Request
+	running map[*fireflypath.Work]running
 	targets map[string]fireflypath.Target
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
@@ -42,20 +43,23 @@
 }
 
 // New returns a pool without targets. A nil relief stands for a daemon alone.
-// A request offered has been added to bytes; the pool subtracts it when its
-// wait ends.
-func New(
-	name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief, bytes *atomic.Int64,
-) *Pool {
+func New(name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		name: name, clock: clock, relief: relief, sched: sched, bytes: bytes,
+		name: name, clock: clock, relief: relief, sched: sched, bytes: &atomic.Int64{},
 		waiting: map[*fireflypath.Work]*request.Request{},
+		running: map[*fireflypath.Work]running{},
 		targets: map[string]fireflypath.Target{},
 		ctx:     ctx, cancel: cancel,
 	}
 }
 
+// Count makes the pool subtract from n the bytes of requests whose wait ends;
+// whoever offers one has added them. It is called before the pool is used.
+func (p *Pool) Count(n *atomic.Int64) {
+	p.bytes = n
+}
+
 // Wait offers the request and returns when it has a target, with its Life in
 // StateDispatched, or the refusal that ended its wait. If the caller leaves
 // first, the error is a refusal as withdrawn.
@@ -71,6 +75,7 @@
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
 	p.bytes.Add(int64(r.Work.Bytes))
+	delete(p.running, &r.Work)
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
 		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
 	})
@@ -158,6 +163,7 @@
 	}
 	p.forget(r)
 	r.Sent = now
+	p.running[w] = running{r: r, target: p.place.Target}
 	r.Draft.Placed(now, &p.place)
 	r.Turn <- request.Turn{Target: p.targets[p.place.Target]}
 }
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -33,12 +34,9 @@
 	home atomic.Pointer[map[string]*pool.Pool]
 }
 
-// New returns Pools without any; sched makes the scheduler of a pool, and
-// limit bounds the bytes of all waiting requests.
-func New(
-	clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler, limit int,
-) *Pools {
-	p := &Pools{clock: clock, relief: relief, sched: sched, limit: int64(limit)}
+// New returns Pools without any; sched makes the scheduler of a pool.
+func New(clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler) *Pools {
+	p := &Pools{clock: clock, relief: relief, sched: sched, limit: math.MaxInt64}
 	p.byName.Store(&map[string]*pool.Pool{})
 	p.home.Store(&map[string]*pool.Pool{})
 	return p
@@ -84,7 +82,8 @@
 }
 
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
-	n := pool.New(c.Name, p.clock, p.sched(c), p.relief, &p.bytes)
+	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
+	n.Count(&p.bytes)
 	if p.stopped != nil {
 		n.Close(*p.stopped)
 	}
@@ -117,6 +116,12 @@
 	return (*p.byName.Load())[name]
 }
 
+// Bound limits the bytes of all waiting requests. It is called before the
+// first request.
+func (p *Pools) Bound(bytes int) {
+	p.limit = int64(bytes)
+}
+
 // Reserve counts a request that is about to wait. It reports false if there is
 // no memory for it, after lower work of any pool has given way.
 //
@@ -171,6 +176,16 @@
 	return out
 }
 
+// Open is what is known of the requests that wait or run now and that the filter
+// lets through.
+func (p *Pools) Open(match func(*fireflypath.Work) bool) []fireflypath.Record {
+	var out []fireflypath.Record
+	for _, n := range *p.byName.Load() {
+		out = n.Open(match, out)
+	}
+	return out
+}
+
 // Demands summarises all pools.
 func (p *Pools) Demands() []fireflypath.Demand {
 	all := *p.byName.Load()
