test(script): settings, planned stop and a retry after a kill with real processes

The runner can now start processes by name, send signals, send requests in the background and fill addresses into settings. Three scripts: check lists all faults and exits with 2; a stop finishes a running and a waiting answer, and a second signal refuses what waits and cuts what runs; a keyed delivery whose daemon is killed is made once by the service's own count, also with a slow platform and after an outage. A signal during the start now ends it; before, a daemon that waited for a configuration ignored it.

--- a/cmd/fireflypathd/run.go
+++ b/cmd/fireflypathd/run.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return input{err}
 	}
-	if err := d.Start(ctx); err != nil {
+	if err := start(ctx, d, signals); err != nil {
 		return err
 	}
 	s := <-signals
@@ -55,6 +55,25 @@
 	return stop(ctx, d, cfg.Stop.Limit.Std(), signals)
 }
 
+// start gives up at a signal: a daemon without a configuration waits for one
+// as long as the platform's service and all peers are away.
+func start(ctx context.Context, d *daemon.Daemon, signals chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := make(chan struct{})
+	defer close(started)
+	go func() {
+		select {
+		case s := <-signals:
+			cancel()
+			// If the start was done all the same, the signal is still due.
+			signals <- s
+		case <-started:
+		}
+	}()
+	return d.Start(ctx)
+}
+
 // stop gives requests in progress until the limit or a second signal.
 func stop(ctx context.Context, d *daemon.Daemon, limit time.Duration, signals <-chan os.Signal) error {
 	if limit == 0 {
--- a/test/script/script_test.go
+++ b/test/script/script_test.go
@@ -48,6 +48,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", bin+string(filepath.ListSeparator)+env.Getenv("PATH"))
+			env.Values[processesKey] = processes{}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -56,6 +57,15 @@
 			"flood":   flood,
 			"capture": capture,
 			"soon":    soon,
+			"start":   start,
+			"signal":  signal,
+			"ended":   ended,
+			"expand":  expand,
+			"later":   later,
+			"answer":  answer,
+			"get":     get,
+			"page":    page,
+			"either":  either,
 		},
 	})
 }
@@ -67,22 +77,34 @@
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: up LAST PROGRAM ARGS")
 	}
+	launch(ts, args)
+}
+
+func launch(ts *testscript.TestScript, args []string) *process {
 	cmd := exec.Command(filepath.Join(bin, args[1]), args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
 	out, err := cmd.StdoutPipe()
 	ts.Check(err)
 	cmd.Stderr = cmd.Stdout
 	ts.Check(cmd.Start())
 	lines := make(chan string)
-	drained := make(chan struct{})
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	awaited := make(chan struct{})
 	go func() {
-		defer close(drained)
-		defer close(lines)
+		defer close(p.done)
 		for s := bufio.NewScanner(out); s.Scan(); {
-			lines <- s.Text()
+			select {
+			case lines <- s.Text():
+			case <-awaited:
+			}
 		}
+		close(lines)
+		p.err = cmd.Wait()
 	}()
-	ts.Defer(func() { end(ts, cmd, lines, drained) })
+	ts.Defer(func() { end(ts, p) })
 	await(ts, lines, regexp.MustCompile(args[0]))
+	close(awaited)
+	return p
 }
 
 func await(ts *testscript.TestScript, lines <-chan string, last *regexp.Regexp) {
@@ -133,15 +155,13 @@
 	return m != nil
 }
 
-func end(ts *testscript.TestScript, cmd *exec.Cmd, lines <-chan string, drained <-chan struct{}) {
-	_ = cmd.Process.Signal(syscall.SIGTERM)
-	kill := time.AfterFunc(patience, func() { _ = cmd.Process.Kill() })
+func end(ts *testscript.TestScript, p *process) {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	kill := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() })
 	defer kill.Stop()
-	for range lines {
-	}
-	<-drained
-	if err := cmd.Wait(); err != nil {
-		ts.Logf("%s: %v", cmd.Path, err)
+	<-p.done
+	if p.err != nil {
+		ts.Logf("%s: %v", p.cmd.Path, p.err)
 	}
 }
 
@@ -168,6 +188,10 @@
 		return reply{}, err
 	}
 	defer res.Body.Close()
+	return drain(res)
+}
+
+func drain(res *http.Response) (reply, error) {
 	text, err := io.ReadAll(res.Body)
 	return reply{status: res.StatusCode, id: res.Header.Get("Fireflypath-Request"), body: text}, err
 }
