--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/send"
 )
 
 // Errors of events; the answer is read again on a new connection.
@@ -32,9 +31,17 @@
 // readers hold the bytes read ahead of the caller, so they are small.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
 
+// source is a body being read.
+type source interface {
+	io.Reader
+	// Done gives up a body whose content is complete, Close any other.
+	Done()
+	Close()
+}
+
 // stream is an answer as server-sent events.
 type stream struct {
-	x      *send.Exchange
+	x      source
 	r      *bufio.Reader
 	id     string
 	prefix []byte
@@ -46,7 +53,7 @@
 	done   bool
 }
 
-func newStream(x *send.Exchange, id string, offset, limit int, head fireflypath.Head) *stream {
+func newStream(x source, id string, offset, limit int, head fireflypath.Head) *stream {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(x)
 	return &stream{
