--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -272,6 +273,70 @@
 	is.Equal(sum, 1)
 }
 
+// The same before the first token: the work waits in the engine's queue for
+// longer than a connection may be silent, and then the connection is lost.
+func TestConnectionGoesSilentBeforeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Prefill: 4}, silence: 100 * time.Millisecond})
+	got := make(chan result, 1)
+	go func() { got <- r.stream(3) }()
+	for sum, _ := r.dispatches(); sum == 0; sum, _ = r.dispatches() {
+		runtime.Gosched()
+	}
+	r.fault(fault.Fault{Name: fault.Silent})
+	r.isWhole(<-got, 3)
+	sum, _ := r.dispatches()
+	is.Equal(sum, 1)
+	is.True((<-r.records).Resumes > 0)
+}
+
+// A plain service's connection goes silent. Its answer cannot be asked for
+// again, so after a longer wait the caller reads that the call may have run.
+func TestServiceGoesSilent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{service: service.Config{Delay: time.Minute}, silence: 20 * time.Millisecond})
+	got := make(chan result, 1)
+	go func() { got <- r.post("/services/packets/a", "x") }()
+	for len(r.services[0].Counts().Runs) == 0 {
+		runtime.Gosched()
+	}
+	is.NoErr(r.services[0].Fault(fault.Fault{Name: fault.Silent}))
+	answer := <-got
+	is.Equal(answer.status, http.StatusBadGateway)
+	is.True(strings.Contains(answer.text, `"run":"unknown"`))
+	is.Equal(len(r.services[0].Counts().Dispatches), 1)
+}
+
+// A caller leaves while a service works on a call that may not be repeated.
+// Cut off, nobody would know whether it was made; it runs to its end.
+func TestCallerLeavesWhileServiceRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{service: service.Config{Delay: 200 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := r.background(r.request(ctx, "/services/packets/a", "x"))
+	for len(r.services[0].Counts().Runs) == 0 {
+		runtime.Gosched()
+	}
+	cancel()
+	is.True(<-done != nil)
+	is.Equal((<-r.records).State, "answered")
+}
+
+// An answer for a caller that wants no stream breaks off on the way. The rest
+// is read on a new connection, and the caller gets one whole text.
+func TestWholeAnswerResumed(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{})
+	r.fault(fault.Fault{Name: fault.Break, After: 2, Count: 1})
+	got := r.post("/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":5}`)
+	is.Equal(got.status, http.StatusOK)
+	var m struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	is.NoErr(json.Unmarshal([]byte(got.text), &m))
+	is.Equal(m.Choices[0].Message.Content, engine.Text("hello", 5))
+}
+
 // A target needs longer than the caller's deadline. After the dispatch the
 // work is done anyway, so the caller still gets its whole answer.
 func TestLateAnswerIsDelivered(t *testing.T) {
