fix(route): pieces of a service's answer are not held back

Answers of unknown length were collected up to 64 KiB before a byte went out, so a caller that follows a slow export saw nothing; a test with a service that waits for its reader showed it. They are passed on piece by piece now. Chats whose content is a list of parts are read, targets that this daemon serves no share of are not polled, and Kill on a daemon that did not start does nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,10 @@
 // Kill ends the daemon like a crash: nothing is finished and nobody is told.
 func (d *Daemon) Kill() {
 	d.cancel()
+	if d.started < len(d.steps) {
+		// It did not start, or has stopped: nothing is left to kill.
+		return
+	}
 	_ = d.front.Kill()
 	d.gone.All()
 	_ = d.back.Kill()
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -466,3 +467,34 @@
 	is.Equal(r.post("/services/packets/a", "x", "Idempotency-Key", "k").status, http.StatusConflict)
 	is.Equal(r.services[0].Counts().Keys["k"], 1)
 }
+
+// A service writes its answer bit by bit. Held back until the end, a caller
+// that follows a long export would take the connection for dead.
+func TestServicePiecesAreNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	read := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = io.WriteString(w, "first\n")
+		w.(http.Flusher).Flush()
+		<-read
+		_, _ = io.WriteString(w, "second\n")
+	}))
+	defer s.Close()
+	d, err := daemon.New(testkit.Settings(testkit.Config(nil, []string{s.Listener.Addr().String()})), daemon.Deps{})
+	is.NoErr(err)
+	is.NoErr(d.Start(t.Context()))
+	defer d.Kill()
+	r := &rig{t: t, Daemon: d}
+	resp, err := http.DefaultClient.Do(r.request(t.Context(), "/services/packets/a", ""))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body := bufio.NewReader(resp.Body)
+	line, err := body.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "first\n")
+	close(read)
+	rest, err := io.ReadAll(body)
+	is.NoErr(err)
+	is.Equal(string(rest), "second\n")
+}
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -220,6 +220,7 @@
 			fireflypath.KindService: d.service,
 		},
 		Hosts:    d.deps.Hosts,
+		Serves:   d.pools.Serves,
 		Observe:  d.pools.Observe,
 		Evidence: d.evidence,
 	})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -190,6 +190,11 @@
 	return fireflypath.Chunk{Data: n.body}, nil
 }
 
+// Length is the length of the body.
+func (n *notice) Length() int {
+	return len(n.body)
+}
+
 // Close does nothing: the connection was given up.
 func (n *notice) Close() error {
 	return nil
--- a/internal/route/classify/classify.go
+++ b/internal/route/classify/classify.go
@@ -69,7 +69,30 @@
 }
 
 type message struct {
-	Content string `json:"content"`
+	Content content `json:"content"`
+}
+
+// content is a text, or a list of parts of which those with a text count.
+type content string
+
+// UnmarshalJSON reads either form.
+func (c *content) UnmarshalJSON(b []byte) error {
+	if b[0] == '"' {
+		var s string
+		err := json.Unmarshal(b, &s)
+		*c = content(s)
+		return err
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return err
+	}
+	for _, p := range parts {
+		*c += content(p.Text)
+	}
+	return nil
 }
 
 func engine(r *request.Request) error {
--- a/internal/route/classify/prompt.go
+++ b/internal/route/classify/prompt.go
@@ -21,7 +21,7 @@
 	}
 	var out strings.Builder
 	for _, m := range b.Messages {
-		out.WriteString(m.Content)
+		out.WriteString(string(m.Content))
 	}
 	return out.String(), len(b.Messages) > 0
 }
--- a/internal/route/poll/poll.go
+++ b/internal/route/poll/poll.go
@@ -31,6 +31,8 @@
 	Watchers map[fireflypath.Kind]fireflypath.Watcher
 	// Hosts may be nil.
 	Hosts fireflypath.Hosts
+	// Serves reports whether this daemon sends work to a target; others are not polled.
+	Serves func(fireflypath.Target) bool
 	// Observe takes load reports and cache events.
 	Observe func(fireflypath.Event)
 	// Evidence takes what each source says of a target's leaving.
@@ -78,7 +80,7 @@
 	}
 	for _, t := range cfg.Targets {
 		w := p.deps.Watchers[kinds[t.Pool]]
-		if w == nil || !p.enter(t.Name) {
+		if w == nil || !p.deps.Serves(t) || !p.enter(t.Name) {
 			continue
 		}
 		reads.Go(func() {
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -26,6 +26,9 @@
 	bytes atomic.Int64
 	limit int64
 
+	// shares holds the last fireflypath.Share of each pool, by its name.
+	shares sync.Map
+
 	mu      sync.Mutex
 	applied *fireflypath.Config
 	stopped *fireflypath.Refusal
@@ -206,11 +209,27 @@
 
 // ApplyShare puts a share in force.
 func (p *Pools) ApplyShare(name string, s fireflypath.Share) {
+	p.shares.Store(name, s)
 	if n := (*p.byName.Load())[name]; n != nil {
 		n.SetShare(s)
 	}
 }
 
+// Serves reports whether this daemon may send work to the target. At the size
+// of the letter a daemon serves a part of the targets; asking all 2,700 for
+// their load each second would take many times what control may cost.
+func (p *Pools) Serves(t fireflypath.Target) bool {
+	v, ok := p.shares.Load(t.Pool)
+	if !ok {
+		return true
+	}
+	s := v.(fireflypath.Share)
+	if part, named := s.Part[t.Name]; named {
+		return part > 0
+	}
+	return s.Default > 0
+}
+
 // TargetLeaving ends new work to the target.
 func (p *Pools) TargetLeaving(target, why string) {
 	p.Observe(fireflypath.Event{Kind: fireflypath.EventLeaving, Target: target, Cached: -1})
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// small is the largest answer of a service that is read whole before a
-	// byte is passed on, so that a cut one still gets a refusal with a status.
+	// small is the largest answer that is read whole before a byte is passed
+	// on, so that a cut one still gets a refusal with a status.
 	small = 64 << 10
 	// maxWhole bounds an answer assembled for a caller that wants no stream.
 	maxWhole = 16 << 20
@@ -84,27 +84,23 @@
 	if n, ok := f.answer.(interface{ Length() int }); ok {
 		r.Reply.Length = n.Length()
 	}
-	if r.Reply.Length > small {
+	if r.Reply.Length > small || r.Reply.Length < 0 && err == nil {
+		// An answer of unknown length may come slowly; its pieces are not held back.
 		r.Reply.Stream = newBody(l, f, first, err, false)
 		return nil
 	}
 	body := append([]byte(nil), first.Data...)
-	for err == nil && len(body) <= small {
+	for err == nil {
 		var c fireflypath.Chunk
 		c, err = f.next()
 		body = append(body, c.Data...)
 	}
-	switch {
-	case err == nil:
-		r.Reply.Stream = newBody(l, f, fireflypath.Chunk{Data: body}, nil, false)
-		return nil
-	case errors.Is(err, io.EOF):
-		r.Reply.Body = body
-		l.whole(f)
-		return nil
-	default:
+	if !errors.Is(err, io.EOF) {
 		return l.fail(f, err)
 	}
+	r.Reply.Body = body
+	l.whole(f)
+	return nil
 }
 
 func (l *Relay) whole(f *follower) {
