feat(route): callers that come back early are marked for the scheduler

Work.Early was never set, so the damping of retry storms had no input. Refusals that give a time are remembered by team, path and body in two bounded maps.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -16,6 +16,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/claim"
 	"github.com/fireflypath/fireflypath/internal/route/classify"
 	"github.com/fireflypath/fireflypath/internal/route/dispatch"
+	"github.com/fireflypath/fireflypath/internal/route/early"
 	"github.com/fireflypath/fireflypath/internal/route/identify"
 	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/parse"
@@ -56,17 +57,19 @@
 type Route struct {
 	deps     Deps
 	catalogs catalog.Cache
+	early    *early.Early
 	steps    []Step
 }
 
 // New returns a route.
 func New(deps Deps) *Route {
-	rt := &Route{deps: deps}
+	rt := &Route{deps: deps, early: early.New(deps.Clock)}
 	rt.steps = []Step{
 		parse.New(deps.Clock),
 		identify.New(),
 		classify.New(),
 		record.New(deps.Recorder),
+		rt.early,
 		admit.New(deps.Clock, deps.Members),
 		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
@@ -128,6 +131,9 @@
 		return
 	}
 	r.Ended = true
+	if ref != nil {
+		rt.early.Refused(r, ref)
+	}
 	if r.Claimed && ref != nil && ref.Run == fireflypath.RunNo {
 		rt.deps.Claims.Release(r.Work.Team, r.Inbound.Key, r.Work.ID)
 	}
