--- a/internal/caller/departures/departures.go
+++ b/internal/caller/departures/departures.go
@@ -28,6 +28,11 @@
 	held  map[*Held]struct{}
 }
 
+// Socket is a connection that knows the socket below it.
+type Socket interface {
+	Raw() syscall.RawConn
+}
+
 // Held is one request whose caller is watched.
 type Held struct {
 	raw  syscall.RawConn
@@ -39,24 +44,13 @@
 	return &Departures{clock: clock, held: map[*Held]struct{}{}}
 }
 
-// Add watches the connection and calls left once if the caller closes it.
+// Add watches the connection, if it is a Socket, and calls left once if the caller closes it.
 func (d *Departures) Add(c net.Conn, left func()) *Held {
-	for {
-		inner, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = inner.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	s, ok := c.(Socket)
+	if !ok || s.Raw() == nil {
 		return nil
 	}
-	h := &Held{raw: raw, left: left}
+	h := &Held{raw: s.Raw(), left: left}
 	d.mu.Lock()
 	d.held[h] = struct{}{}
 	d.mu.Unlock()
--- a/internal/caller/door/door.go
+++ b/internal/caller/door/door.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,11 +55,33 @@
 		go d.refuse(c)
 		return nil, false
 	}
-	t := &conn{Conn: c, door: d}
+	t := &conn{Conn: c, door: d, raw: socket(c)}
 	d.conns[t] = struct{}{}
 	return t, true
 }
 
+// socket finds the socket below TLS, or nil. Without it a caller's leaving is
+// noticed later, at a write.
+func socket(c net.Conn) syscall.RawConn {
+	s, ok := below(c).(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// below is the connection that TLS runs over, or the connection itself.
+func below(c net.Conn) net.Conn {
+	if l, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return l.NetConn()
+	}
+	return c
+}
+
 // Open is the number of open connections.
 func (d *Door) Open() int {
 	d.mu.Lock()
@@ -96,12 +119,13 @@
 	net.Conn
 	door  *Door
 	once  sync.Once
+	raw   syscall.RawConn
 	armed time.Time
 }
 
-// NetConn is the connection below.
-func (c *conn) NetConn() net.Conn {
-	return c.Conn
+// Raw is the socket.
+func (c *conn) Raw() syscall.RawConn {
+	return c.raw
 }
 
 // Write fails if the other side takes nothing for long. The deadline is moved
@@ -125,7 +149,7 @@
 // abort ends the connection without sending what is buffered, like a process
 // that died.
 func (c *conn) abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := below(c.Conn).(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -20,6 +20,9 @@
 func (e *Engine) Poll(ctx context.Context, t fireflypath.Target) ([]fireflypath.Event, error) {
 	out, err := e.reports.Load(ctx, t, nil)
 	if err != nil {
+		// An engine that restarted numbers its events from 1 again. Asked for
+		// those behind the old number, it would have none for a long time.
+		e.setCursor(t.Name, 0)
 		return nil, err
 	}
 	after := e.cursor(t.Name)
--- a/internal/route/relay/follower.go
+++ b/internal/route/relay/follower.go
@@ -42,6 +42,7 @@
 	broken int
 	silent int
 	begun  bool
+	told   bool
 	closed bool
 }
 
@@ -75,6 +76,9 @@
 
 // next returns the next piece, or io.EOF after the whole answer.
 func (f *follower) next() (fireflypath.Chunk, error) {
+	if f.begun && !f.told && !f.ready() {
+		f.tell()
+	}
 	for {
 		c, err := f.answer.Next(f.ctx)
 		if err == nil {
@@ -106,6 +110,12 @@
 	}
 	f.begun = true
 	f.r.Draft.First(f.clock.Now())
+}
+
+// tell reports the first token, when the first piece is on its way to the
+// caller. An answer that came all at once is only reported as done.
+func (f *follower) tell() {
+	f.told = true
 	f.r.Owner.Ended(f.r, fireflypath.EventFirst, f.cached())
 }
 
--- a/internal/send/sender.go
+++ b/internal/send/sender.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	idle = 4 * time.Second
 	// conns bounds the connections to one target; the scheduler's window is far below.
 	conns = 1 << 14
+	// maxHosts is when addresses without connections are forgotten; it is above
+	// the 2,700 targets of the letter, of which 160 change their address a day.
+	maxHosts = 4096
 	// writeTimeout bounds a write that makes no progress.
 	writeTimeout = 30 * time.Second
 	// header bounds an answer's header.
@@ -93,6 +97,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.hosts) >= maxHosts {
+		maps.DeleteFunc(s.hosts, func(_ string, h *fasthttp.HostClient) bool { return h.ConnsCount() == 0 })
+	}
 	if h = s.hosts[addr]; h == nil {
 		h = newHost(addr, s.silence)
 		s.hosts[addr] = h
