--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -94,7 +94,8 @@
 	if waiting == 0 {
 		waiting = defaultWaiting
 	}
-	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler, waiting)
+	d.pools = pools.New(d.deps.Clock, d.deps.Relief, d.deps.Scheduler)
+	d.pools.Bound(waiting)
 	d.evidence = evidence.New(d.heardLeaving, d.heardBack)
 	d.pools.Apply(d.deps.Configs.Current())
 	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
@@ -219,6 +220,7 @@
 			fireflypath.KindService: d.service,
 		},
 		Hosts:    d.deps.Hosts,
+		Serves:   d.pools.Serves,
 		Observe:  d.pools.Observe,
 		Evidence: d.evidence,
 	})
