test(demo): overhead of whole and streamed answers apart

A small request without a stream is the harder case: the daemon reads a stream from the engine and assembles it.

--- a/internal/demo/overhead_test.go
+++ b/internal/demo/overhead_test.go
@@ -35,12 +35,14 @@
 	return pair{client.New(e.Addr()), client.New(d.CallerAddr())}
 }
 
-func small(b *testing.B, c *client.Client) {
-	a, err := c.Do(b.Context(), &client.Request{
-		Path: "/v1/completions", Token: testkit.Token,
-		Body: []byte(`{"model":"m","prompt":"which truck comes on Monday?","max_tokens":4,"stream":true}`),
-	})
-	if err != nil || a.Refusal != nil || a.Tokens != 4 {
+// small is a co-op's question with an answer of a few tokens.
+func small(b *testing.B, c *client.Client, stream bool) {
+	body := `{"model":"m","prompt":"which truck comes on Monday?","max_tokens":4,"stream":false}`
+	if stream {
+		body = `{"model":"m","prompt":"which truck comes on Monday?","max_tokens":4,"stream":true}`
+	}
+	a, err := c.Do(b.Context(), &client.Request{Path: "/v1/completions", Token: testkit.Token, Body: []byte(body)})
+	if err != nil || a.Status != 200 || a.Refusal != nil || (stream && a.Tokens != 4) {
 		b.Error("no whole answer: ", err, a)
 	}
 }
@@ -56,6 +58,11 @@
 // BenchmarkOverhead sends small requests at 1,000 a second, half a second
 // straight to the engine and half a second through the daemon by turns.
 func BenchmarkOverhead(b *testing.B) {
+	b.Run("whole", func(b *testing.B) { overhead(b, false) })
+	b.Run("stream", func(b *testing.B) { overhead(b, true) })
+}
+
+func overhead(b *testing.B, stream bool) {
 	const rate, slice = 1000, 500
 	p := newPair(b)
 	var mu sync.Mutex
@@ -71,7 +78,7 @@
 		}
 		wg.Go(func() {
 			sent := time.Now()
-			small(b, c)
+			small(b, c, stream)
 			d := time.Since(sent)
 			mu.Lock()
 			defer mu.Unlock()
@@ -103,7 +110,7 @@
 			for range callers {
 				wg.Go(func() {
 					for i := n.Add(1); i <= int64(b.N); i = n.Add(1) {
-						small(b, bb.c)
+						small(b, bb.c, true)
 						switch i {
 						case int64(b.N / 10):
 							early.Store(heap())
