--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -119,7 +119,7 @@
 func (r Report) lines() []byte {
 	var b []byte
 	for _, c := range r.Load.Codes {
-		b = fmt.Appendf(b, "refused as %s, run %s: %d\n", c.Code, c.Run, c.Count)
+		b = fmt.Appendf(b, "refused as %s, run %s: %d (%s)\n", c.Code, c.Run, c.Count, c.Example)
 	}
 	for _, e := range r.Load.Errors {
 		b = fmt.Appendf(b, "lost: %s\n", e)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -26,7 +26,7 @@
 	case 1:
 		time.Sleep(time.Minute)
 	case 2:
-		return &fireflypath.Refusal{Code: fireflypath.ReasonFull, Run: fireflypath.RunNo}, nil
+		return &fireflypath.Refusal{Code: fireflypath.ReasonFull, Run: fireflypath.RunNo, Detail: "no room"}, nil
 	case 3:
 		return nil, errors.New("gone")
 	}
@@ -49,7 +49,7 @@
 		is.Equal(top.Goodput, 1.0)
 		is.True(top.First.Max >= 1000 && top.First.Max < 1002) // none waited for another
 		is.True(top.Answer.P50 < 1002 && top.Answer.Max > 60_000)
-		is.Equal(r.Codes, []load.CodeCount{{Code: fireflypath.ReasonFull, Run: fireflypath.RunNo, Count: 2}})
+		is.Equal(r.Codes, []load.CodeCount{{Code: fireflypath.ReasonFull, Run: fireflypath.RunNo, Count: 2, Example: "no room"}})
 		is.Equal(r.Errors, []string{"gone", "gone"})
 	})
 }
--- a/internal/load/print.go
+++ b/internal/load/print.go
@@ -25,7 +25,7 @@
 	}
 	var rest []byte
 	for _, c := range r.Codes {
-		rest = fmt.Appendf(rest, "refused as %s, run %s: %d\n", c.Code, c.Run, c.Count)
+		rest = fmt.Appendf(rest, "refused as %s, run %s: %d (%s)\n", c.Code, c.Run, c.Count, c.Example)
 	}
 	for _, e := range r.Errors {
 		rest = fmt.Appendf(rest, "failed: %s\n", e)
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -66,6 +66,8 @@
 	Code  fireflypath.Reason `json:"code"`
 	Run   fireflypath.Run    `json:"run"`
 	Count int                `json:"count"`
+	// Example is one of their details.
+	Example string `json:"example"`
 }
 
 type code struct {
@@ -77,7 +79,7 @@
 type Tally struct {
 	mu     sync.Mutex
 	tiers  map[int]*tier
-	codes  map[code]int
+	codes  map[code]*CodeCount
 	errors []string
 }
 
@@ -89,7 +91,7 @@
 
 // NewTally makes an empty tally for a mix.
 func NewTally(m mix.Mix) *Tally {
-	t := &Tally{tiers: make(map[int]*tier), codes: make(map[code]int)}
+	t := &Tally{tiers: make(map[int]*tier), codes: make(map[code]*CodeCount)}
 	for _, x := range m.Tiers {
 		t.tiers[x.Rank] = &tier{
 			report: TierReport{Tier: x.Name, Rank: x.Rank},
@@ -111,7 +113,7 @@
 		x.whole(o)
 	case o.Refusal != nil:
 		x.report.Refused++
-		t.codes[code{o.Refusal.Code, o.Refusal.Run}]++
+		t.refused(o.Refusal)
 	default:
 		x.report.Failed++
 		if len(t.errors) < maxErrors {
@@ -120,6 +122,14 @@
 	}
 }
 
+func (t *Tally) refused(f *fireflypath.Refusal) {
+	k := code{f.Code, f.Run}
+	if t.codes[k] == nil {
+		t.codes[k] = &CodeCount{Code: f.Code, Run: f.Run, Example: f.Detail}
+	}
+	t.codes[k].Count++
+}
+
 func (x *tier) whole(o Outcome) {
 	x.report.Whole++
 	if o.Took <= o.Arrival.Deadline {
@@ -147,8 +157,8 @@
 		r.Failed += line.Failed
 	}
 	slices.SortFunc(r.Tiers, func(a, b TierReport) int { return cmp.Compare(a.Rank, b.Rank) })
-	for c, n := range t.codes {
-		r.Codes = append(r.Codes, CodeCount{Code: c.code, Run: c.run, Count: n})
+	for _, c := range t.codes {
+		r.Codes = append(r.Codes, *c)
 	}
 	slices.SortFunc(r.Codes, func(a, b CodeCount) int {
 		return cmp.Or(cmp.Compare(a.Code, b.Code), cmp.Compare(a.Run, b.Run))
