--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -64,6 +64,10 @@
 		// A service reads a delivery and closes: nobody can tell whether it ran.
 		{0.25, show(d.services[0], fault.Fault{Name: fault.ReadClose, Count: 1})},
 		{0.30, show(d.services[1], fault.Fault{Name: fault.Break, Count: 1})},
+		// A claim is written and its answer is lost; then the platform is down.
+		{0.10, show(d.platform, fault.Fault{Name: fault.Lost, Count: 2})},
+		{0.60, show(d.platform, fault.Fault{Name: fault.Outage})},
+		{0.75, show(d.platform, fault.Fault{Name: fault.Outage, Off: true})},
 		{0.35, show(d.engines[0], fault.Fault{Name: fault.Die})},
 		{0.40, show(d.engines[5], fault.Fault{Name: fault.Slow, Factor: 8})},
 		{0.70, show(d.engines[5], fault.Fault{Name: fault.Slow, Off: true})},
@@ -76,7 +80,7 @@
 		}})
 	}
 	d.leaving.target = d.engines[6]
-	all = append(all, blow{0.65, show(d.engines[6], fault.Fault{Name: fault.Draining})})
+	all = append(all, blow{0.50, show(d.engines[6], fault.Fault{Name: fault.Draining})})
 	slices.SortStableFunc(all, func(a, b blow) int { return cmp.Compare(a.at, b.at) })
 	return all
 }
