--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -27,6 +28,8 @@
 	name   string
 	clock  clockwork.Clock
 	relief fireflypath.Relief
+	// bytes counts the memory of waiting requests over all pools.
+	bytes *atomic.Int64
 
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
@@ -48,7 +51,7 @@
 func New(name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		name: name, clock: clock, relief: relief, sched: sched,
+		name: name, clock: clock, relief: relief, sched: sched, bytes: &atomic.Int64{},
 		waiting: map[*fireflypath.Work]*request.Request{},
 		running: map[*fireflypath.Work]running{},
 		targets: map[string]fireflypath.Target{},
@@ -56,6 +59,12 @@
 	}
 }
 
+// Count makes the pool subtract from n the bytes of requests whose wait ends;
+// whoever offers one has added them. It is called before the pool is used.
+func (p *Pool) Count(n *atomic.Int64) {
+	p.bytes = n
+}
+
 // Wait offers the request and returns when it has a target, with its Life in
 // StateDispatched, or the refusal that ended its wait. If the caller leaves
 // first, the error is a refusal as withdrawn.
@@ -70,6 +79,7 @@
 	r.Draft.Unsent()
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
+	p.bytes.Add(int64(r.Work.Bytes))
 	delete(p.running, &r.Work)
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
 		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
@@ -119,13 +129,19 @@
 		return nil
 	}
 	p.sched.Withdraw(p.clock.Now(), &r.Work)
-	delete(p.waiting, &r.Work)
+	p.forget(r)
 	p.pump()
 	return p.refusal(r, fireflypath.Shed{
 		Reason: fireflypath.ReasonWithdrawn, Detail: "the caller left while the request waited",
 	})
 }
 
+// forget ends a request's wait. The lock is held.
+func (p *Pool) forget(r *request.Request) {
+	delete(p.waiting, &r.Work)
+	p.bytes.Add(-int64(r.Work.Bytes))
+}
+
 func (p *Pool) take(r *request.Request, t request.Turn) error {
 	if t.Refusal != nil {
 		return t.Refusal
@@ -150,7 +166,7 @@
 		p.sched.Observe(now, fireflypath.Event{Kind: fireflypath.EventUnsent, Target: p.place.Target, Work: w, Cached: -1})
 		return
 	}
-	delete(p.waiting, w)
+	p.forget(r)
 	r.Sent = now
 	p.running[w] = running{r: r, target: p.place.Target}
 	r.Draft.Placed(now, &p.place)
@@ -226,7 +242,7 @@
 		return
 	}
 	p.sched.Withdraw(p.clock.Now(), s.Work)
-	delete(p.waiting, s.Work)
+	p.forget(r)
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
@@ -271,7 +287,7 @@
 // another still holds the lowest: the very thing the round is to prevent.
 func (p *Pool) round(s fireflypath.Shed, lowest int) (int, error) {
 	sum := 0
-	for rank := lowest - 1; rank >= s.Work.Rank; rank-- {
+	for rank := max(lowest-1, s.Work.Rank); rank >= s.Work.Rank; rank-- {
 		freed, err := p.relief.Ask(p.ctx, p.name, rank, s.Tokens)
 		if err != nil {
 			return 0, err
