perf(long): a team without a long prefill in flight may start one

Under hot-team the long prompts of a cold team waited for one of the hot team's to end, each time. One above the bound is let in now if its team has none in flight.

--- a/internal/decide/long/gate.go
+++ b/internal/decide/long/gate.go
@@ -16,10 +16,16 @@
 	depth = 1.5
 )
 
-// Gate counts one daemon's long prefills in flight over all targets. The zero
-// value has none.
+// Gate counts one daemon's long prefills in flight over all targets.
 type Gate struct {
 	n int
+	// teams counts them by team, for those that have any.
+	teams map[string]int
+}
+
+// New makes a Gate without work.
+func New() *Gate {
+	return &Gate{teams: make(map[string]int)}
 }
 
 // Long is true for a prefill of so many seconds that counts.
@@ -27,18 +33,30 @@
 	return seconds > least
 }
 
-// Open is true if one more long prefill may start: if there is none, or if
-// there are fewer than this daemon's part of the targets allows.
-func (g *Gate) Open(parts float64) bool {
-	return g.n == 0 || float64(g.n) < depth*parts
+// Open is true if one more long prefill of a team may start: if there is none, or
+// if there are fewer than this daemon's part of the targets allows. A team that
+// has none in flight may have one above that: the long prefills of a hot team
+// end one by one and are followed by its next, and a team that comes now and
+// then would wait for one of them each time.
+func (g *Gate) Open(parts float64, team string) bool {
+	n := g.n
+	if g.teams[team] == 0 {
+		n--
+	}
+	return n <= 0 || float64(n) < depth*parts
 }
 
 // Start counts a long prefill.
-func (g *Gate) Start() {
+func (g *Gate) Start(team string) {
 	g.n++
+	g.teams[team]++
 }
 
 // End takes one out.
-func (g *Gate) End() {
+func (g *Gate) End(team string) {
 	g.n--
+	g.teams[team]--
+	if g.teams[team] == 0 {
+		delete(g.teams, team)
+	}
 }
--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -206,7 +206,7 @@
 	if s.targets[s.pick.Target].known() && deadline.Latest(w.Deadline, s.expected(), factor).Before(now) {
 		return false
 	}
-	return !s.long.Long(s.prefill(w)) || s.long.Open(s.parts)
+	return !s.long.Long(s.prefill(w)) || s.long.Open(s.parts, w.Team)
 }
 
 // expected is how long the work chosen for last takes.
@@ -343,7 +343,7 @@
 	it.fresh, it.before = max(w.Cost.Prompt-s.hit(it.target), 0), t.prefill
 	it.expected, it.long = s.expected(), s.long.Long(s.prefill(w))
 	if it.long {
-		s.long.Start()
+		s.long.Start(w.Team)
 	}
 	t.requests++
 	t.tokens += w.Cost.Tokens()
@@ -377,7 +377,7 @@
 	t.filling--
 	t.due = now.Add(s.overdue(now, t))
 	if it.long {
-		s.long.End()
+		s.long.End(it.work.Team)
 	}
 }
 
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -92,7 +92,7 @@
 	// pressed is until when work of ranks below pressure may not wait.
 	pressed  time.Time
 	pressure int
-	long     long.Gate
+	long     *long.Gate
 	// parts is the sum of this daemon's parts of the usable targets.
 	parts float64
 	// keep is true while fast targets are kept for tiers above the one in turn.
@@ -157,6 +157,7 @@
 		index:   prefix.New(),
 		damper:  retry.New(),
 		reserve: reserve.New(),
+		long:    long.New(),
 		rnd:     rand.New(rand.NewPCG(cfg.Seed, 2)),
 		slots:   make(map[*fireflypath.Work]int32),
 		names:   make(map[string]int32),
