--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -447,7 +447,13 @@
 // Relieve gives up waiting work of lower tiers than rank, lowest first, until
 // tokens are freed.
 func (s *Sched) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
-	s.pressed, s.pressure = now.Add(press), rank
+	if now.Before(s.pressed) {
+		// another round's work may be of a higher tier than this one's
+		s.pressure = min(s.pressure, rank)
+	} else {
+		s.pressure = rank
+	}
+	s.pressed = now.Add(press)
 	freed := 0
 	for freed < tokens {
 		r := s.lower(rank)
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -74,3 +74,20 @@
 	is.Equal(p.Work, first)
 	is.True(p.Target != failed)
 }
+
+// Two daemons ask for relief at the same time, the second for work of a lower
+// tier. Work that is below the first one's must still not be let in to wait, or
+// the first is refused while it waits.
+func TestSecondRoundKeepsTheFirstOnesBar(t *testing.T) {
+	is := is.New(t)
+	s := newSched(0)
+	s.Relieve(t0, 0, everything, nil)
+	s.Relieve(t0.Add(time.Millisecond), 1, everything, nil)
+	now := t0.Add(2 * time.Millisecond)
+	out := s.Offer(now, work(1, "mid"), nil)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Relief, false)
+	is.Equal(len(s.Offer(now, work(0, "high"), nil)), 0)
+	later := now.Add(press)
+	is.Equal(len(s.Offer(later, work(1, "mid"), nil)), 0)
+}
