--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -147,11 +147,17 @@
 
 // pump carries out what the scheduler decides now. The lock is held.
 func (p *Pool) pump() {
+	if len(p.waiting) == 0 {
+		// Nothing to place, and nothing that a timer could change.
+		return
+	}
 	now := p.clock.Now()
-	for p.sched.Next(now, &p.place) {
+	for len(p.waiting) > 0 && p.sched.Next(now, &p.place) {
 		p.dispatch(now)
 	}
-	p.arm(now)
+	if len(p.waiting) > 0 {
+		p.arm(now)
+	}
 }
 
 func (p *Pool) dispatch(now time.Time) {
