--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 )
@@ -63,3 +64,28 @@
 	is.True(err != nil)
 	is.True(!strings.Contains(string(text), "[DONE]"))
 }
+
+// A daemon that was stopped leaves no goroutine behind. In a process with
+// several of them, as in tests and the demo, each would keep polling targets.
+func TestStopLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	before := goleak.IgnoreCurrent()
+	r := newRig(t, setup{})
+	r.isWhole(r.stream(3), 3)
+	is.NoErr(r.Stop(t.Context()))
+	for _, e := range r.engines {
+		is.NoErr(e.Close())
+	}
+	for _, s := range r.services {
+		is.NoErr(s.Close())
+	}
+	http.DefaultClient.CloseIdleConnections()
+	const library = "github.com/valyala/fasthttp."
+	is.NoErr(goleak.Find(
+		before,
+		// These sleep for up to ten seconds and then end by themselves.
+		goleak.IgnoreAnyFunction(library+"(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction(library+"(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction(library+"updateServerDate.func1"),
+	))
+}
