refactor(daemon): a file for each start step

What the relay tells the pool is no longer called Ended, since the first token is told the same way.

--- /dev/null
+++ b/internal/daemon/targets.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
+	"github.com/fireflypath/fireflypath/internal/route/poll"
+	"github.com/fireflypath/fireflypath/internal/service"
+)
+
+const (
+	// defaultSilence is many times the pause between two tokens and short
+	// against a minute, the usual patience of callers.
+	defaultSilence = 10 * time.Second
+	// serviceSilence is how many times longer a plain service may be silent: it
+	// cannot be asked again, so a wrong guess loses an answer.
+	serviceSilence = 12
+	// defaultBuffer holds the largest event seen in completions APIs many times.
+	defaultBuffer = 256 << 10
+)
+
+// backends makes the clients towards targets.
+type backends struct{}
+
+func (backends) String() string { return "backends" }
+
+func (backends) Run(ctx context.Context, d *Daemon) error {
+	silence := d.cfg.Limits.Silence.Std()
+	if silence == 0 {
+		silence = defaultSilence
+	}
+	buffer := d.cfg.Limits.Buffer
+	if buffer == 0 {
+		buffer = defaultBuffer
+	}
+	d.engine = engine.New(d.deps.Clock, silence, buffer)
+	d.service = service.New(d.deps.Clock, serviceSilence*silence)
+	return nil
+}
+
+func (backends) Stop(ctx context.Context, d *Daemon) error {
+	d.engine.Close()
+	d.service.Close()
+	return nil
+}
+
+// heardLeaving ends new work to a target here and tells the peers.
+func (d *Daemon) heardLeaving(target, why string) {
+	d.deps.Log.Info("target leaves", zap.String("target", target), zap.String("why", why))
+	d.pools.TargetLeaving(target, why)
+	if d.deps.Leaving != nil && why != string(evidence.SourcePeers) {
+		d.deps.Leaving(target, why)
+	}
+}
+
+func (d *Daemon) heardBack(target string) {
+	d.deps.Log.Info("target is back", zap.String("target", target))
+	d.pools.TargetBack(target)
+	if d.deps.Back != nil {
+		d.deps.Back(target)
+	}
+}
+
+// polling reads the state of targets and hosts.
+type polling struct{}
+
+func (polling) String() string { return "polling" }
+
+func (polling) Run(ctx context.Context, d *Daemon) error {
+	p := poll.New(poll.Deps{
+		Clock:   d.deps.Clock,
+		Configs: d.deps.Configs,
+		Watchers: map[fireflypath.Kind]fireflypath.Watcher{
+			fireflypath.KindEngine:  d.engine,
+			fireflypath.KindService: d.service,
+		},
+		Hosts:    d.deps.Hosts,
+		Serves:   d.pools.Serves,
+		Observe:  d.pools.Observe,
+		Evidence: d.evidence,
+	})
+	d.work.Go(func() { p.Run(d.ctx) })
+	return nil
+}
+
+func (polling) Stop(context.Context, *Daemon) error { return nil }
--- /dev/null
+++ b/internal/daemon/way.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/claim"
+	"github.com/fireflypath/fireflypath/internal/claim/memory"
+	"github.com/fireflypath/fireflypath/internal/route"
+	"github.com/fireflypath/fireflypath/internal/route/evidence"
+	"github.com/fireflypath/fireflypath/internal/route/meter"
+)
+
+// claims keeps idempotency keys in the platform's service.
+type claims struct{}
+
+func (claims) String() string { return "claims" }
+
+func (claims) Run(ctx context.Context, d *Daemon) error {
+	store := d.deps.Store
+	if store == nil {
+		store = memory.New()
+	}
+	d.claims = claim.New(store, d.deps.Clock)
+	return nil
+}
+
+func (claims) Stop(ctx context.Context, d *Daemon) error {
+	d.claims.Close(ctx)
+	return nil
+}
+
+// theRoute puts the request's steps together.
+type theRoute struct{}
+
+func (theRoute) String() string { return "route" }
+
+func (theRoute) Run(ctx context.Context, d *Daemon) error {
+	d.route = route.New(route.Deps{
+		Name:    d.cfg.Name,
+		Clock:   d.deps.Clock,
+		Configs: d.deps.Configs,
+		Pools:   d.pools,
+		Backends: map[fireflypath.Kind]fireflypath.Backend{
+			fireflypath.KindEngine:  d.engine,
+			fireflypath.KindService: d.service,
+		},
+		Claims:   d.claims,
+		Meter:    meter.New(d.scope),
+		Members:  d.deps.Members,
+		Recorder: d.deps.Recorder,
+		Leaving: func(target string) {
+			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
+		},
+	})
+	return nil
+}
+
+func (theRoute) Stop(context.Context, *Daemon) error { return nil }
--- a/internal/route/dispatch/dispatch.go
+++ b/internal/route/dispatch/dispatch.go
@@ -68,7 +68,7 @@
 
 func (d *Dispatch) refused(r *request.Request, err error) error {
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
-	r.Owner.Ended(r, fireflypath.EventRefused, -1)
+	r.Owner.Tell(r, fireflypath.EventRefused, -1)
 	if errors.Is(err, fireflypath.ErrDraining) {
 		d.leaving(r.Target.Name)
 	}
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -16,8 +16,8 @@
 	p.pump()
 }
 
-// Ended tells of the end of a dispatched request.
-func (p *Pool) Ended(r *request.Request, kind fireflypath.EventKind, cached int) {
+// Tell passes on an event of a dispatched request.
+func (p *Pool) Tell(r *request.Request, kind fireflypath.EventKind, cached int) {
 	p.Observe(fireflypath.Event{
 		Kind: kind, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Tokens: r.Tokens, Cached: cached,
 	})
--- a/internal/route/pool/open_test.go
+++ b/internal/route/pool/open_test.go
@@ -43,6 +43,6 @@
 	is.Equal(got[0].Target, "e1")
 	is.Equal(got[0].Generation, uint64(3))
 	is.Equal(len(p.Open(func(w *fireflypath.Work) bool { return w.ID == "d1.Y" }, nil)), 0)
-	p.Ended(r, fireflypath.EventDone, -1)
+	p.Tell(r, fireflypath.EventDone, -1)
 	is.Equal(len(p.Open(all, nil)), 0)
 }
--- a/internal/route/relay/body_test.go
+++ b/internal/route/relay/body_test.go
@@ -25,8 +25,8 @@
 
 type owner struct{}
 
-func (owner) Again(context.Context, *request.Request) error      { return nil }
-func (owner) Ended(*request.Request, fireflypath.EventKind, int) {}
+func (owner) Again(context.Context, *request.Request) error     { return nil }
+func (owner) Tell(*request.Request, fireflypath.EventKind, int) {}
 
 // A caller reads slowly, or not at all, while its engine is fast. What the
 // daemon took from the engine beyond the caller's reads stays in memory, for
--- a/internal/route/relay/follower.go
+++ b/internal/route/relay/follower.go
@@ -116,7 +116,7 @@
 // caller. An answer that came all at once is only reported as done.
 func (f *follower) tell() {
 	f.told = true
-	f.r.Owner.Ended(f.r, fireflypath.EventFirst, f.cached())
+	f.r.Owner.Tell(f.r, fireflypath.EventFirst, f.cached())
 }
 
 // resume asks for the rest until a connection answers, or returns why not.
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -106,7 +106,7 @@
 func (l *Relay) whole(f *follower) {
 	r := f.r
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateAnswered)
-	r.Owner.Ended(r, fireflypath.EventDone, f.cached())
+	r.Owner.Tell(r, fireflypath.EventDone, f.cached())
 	f.close()
 	l.ended(r, nil)
 }
@@ -120,7 +120,7 @@
 		return l.left(f)
 	}
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
-	r.Owner.Ended(r, fireflypath.EventFailed, f.cached())
+	r.Owner.Tell(r, fireflypath.EventFailed, f.cached())
 	f.close()
 	ref := &fireflypath.Refusal{
 		Code: fireflypath.ReasonTarget, Tier: r.Work.Tier, Run: fireflypath.RunUnknown,
@@ -153,7 +153,7 @@
 func (l *Relay) left(f *follower) error {
 	r := f.r
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed)
-	r.Owner.Ended(r, fireflypath.EventFailed, f.cached())
+	r.Owner.Tell(r, fireflypath.EventFailed, f.cached())
 	ref := &fireflypath.Refusal{
 		Code: fireflypath.ReasonWithdrawn, Tier: r.Work.Tier, Run: fireflypath.RunUnknown,
 		Detail: "the caller left while the request ran", ID: r.Work.ID, Generation: r.Config.Generation,
--- a/internal/route/request/request.go
+++ b/internal/route/request/request.go
@@ -21,8 +21,8 @@
 type Owner interface {
 	// Again lets a request wait once more of whose dispatch no byte left.
 	Again(ctx context.Context, r *Request) error
-	// Ended tells of an event of a dispatched request.
-	Ended(r *Request, kind fireflypath.EventKind, cached int)
+	// Tell passes on an event of a dispatched request.
+	Tell(r *Request, kind fireflypath.EventKind, cached int)
 }
 
 // Request is used by one goroutine at a time: the caller's, and while it waits
