fix(pools): changed bounds of a pool are put in force

A pool's scheduler kept the bounds and the lowest tier it was made with, so an operator's change of requests or bytes, or a new lower tier, had no effect until the daemon started anew; with a tier added later, a request above it could be shed without asking the peers.

--- a/internal/daemon/scheduling.go
+++ b/internal/daemon/scheduling.go
@@ -39,11 +39,7 @@
 // scheduler is the shipped one. The seed differs between daemons, so that
 // equal views do not send everything to the same target.
 func (d *Daemon) scheduler(p fireflypath.Pool) fireflypath.Scheduler {
-	lowest := 0
-	for _, t := range d.deps.Configs.Current().Tiers {
-		lowest = max(lowest, t.Rank)
-	}
-	return sched.New(sched.Config{Pool: p, Lowest: lowest, Seed: xxhash.Sum64String(d.cfg.Name + "/" + p.Name)})
+	return sched.New(sched.Config{Pool: p, Seed: xxhash.Sum64String(d.cfg.Name + "/" + p.Name)})
 }
 
 func (scheduling) Stop(ctx context.Context, d *Daemon) error {
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -144,12 +144,7 @@
 
 // New makes a Sched.
 func New(cfg Config) *Sched {
-	if cfg.Pool.Requests == 0 {
-		cfg.Pool.Requests = defaultRequests
-	}
-	if cfg.Pool.Bytes == 0 {
-		cfg.Pool.Bytes = defaultBytes
-	}
+	cfg.Pool = bounded(cfg.Pool)
 	s := &Sched{
 		cfg:     cfg,
 		queue:   fair.New(),
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -35,6 +35,19 @@
 	p.pump()
 }
 
+// SetPool puts changed bounds of the pool in force, and the rank of the lowest
+// configured tier, if the scheduler has a use for them.
+func (p *Pool) SetPool(pool fireflypath.Pool, lowest int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.sched.(interface {
+		SetPool(pool fireflypath.Pool, lowest int)
+	}); ok {
+		s.SetPool(pool, lowest)
+	}
+	p.pump()
+}
+
 // SetShare puts a share of the targets' windows in force.
 func (p *Pool) SetShare(s fireflypath.Share) {
 	p.mu.Lock()
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -74,6 +74,7 @@
 		if next[c.Name] == nil {
 			next[c.Name] = p.make(c)
 		}
+		next[c.Name].SetPool(c, lowest(cfg))
 	}
 	p.assign(cfg, next)
 	p.byName.Store(&next)
@@ -84,6 +85,15 @@
 	}
 }
 
+// lowest is the rank of the lowest tier.
+func lowest(cfg *fireflypath.Config) int {
+	n := 0
+	for _, t := range cfg.Tiers {
+		n = max(n, t.Rank)
+	}
+	return n
+}
+
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
 	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
 	n.Count(&p.bytes)
