--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -498,3 +498,22 @@
 	is.NoErr(err)
 	is.Equal(string(rest), "second\n")
 }
+
+// Two programs of a team send the same delivery at the same moment. One is
+// made; the other caller reads who holds the key.
+func TestTwoCallersWithOneKey(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{})
+	answers := make(chan result, 2)
+	for range 2 {
+		go func() { answers <- r.post("/services/packets/a", "x", "Idempotency-Key", "k") }()
+	}
+	one, other := <-answers, <-answers
+	if one.status != http.StatusOK {
+		one, other = other, one
+	}
+	is.Equal(one.status, http.StatusOK)
+	is.Equal(other.status, http.StatusConflict)
+	is.True(strings.Contains(other.text, one.header.Get("Fireflypath-Request")))
+	is.Equal(r.services[0].Counts().Keys["k"], 1)
+}
