perf(engine): cache events are read with every fourth report

The scheduler counts what it sent as cached by itself, so the events only tell what was dropped: every fourth poll, about 5.3 KB. A test shows that numbering starts anew after an engine could not be read.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,8 +40,8 @@
 	event int
 
 	mu sync.Mutex
-	// seen is the number of the last cache event read, by target.
-	seen map[string]uint64
+	// seen is by the target's name.
+	seen map[string]watched
 }
 
 // New returns an Engine. An answer that brings nothing for silence is an
@@ -52,7 +52,7 @@
 		notices: send.New(noticeSilence),
 		reports: report.New(clock),
 		event:   event,
-		seen:    map[string]uint64{},
+		seen:    map[string]watched{},
 	}
 }
 
--- /dev/null
+++ b/internal/engine/watch_test.go
@@ -0,0 +1,55 @@
+package engine_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/engine"
+)
+
+// An engine is restarted and numbers its cache events from 1 again. Asked only
+// for later ones, the daemon would take dropped prompts for cached for hours.
+func TestCacheEventsAfterARestart(t *testing.T) {
+	is := is.New(t)
+	var asked []string
+	down := false
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case r.URL.Path == "/load":
+			_, _ = w.Write([]byte(`{"at":1,"running":2,"batch":8,"draining":true}`))
+		default:
+			asked = append(asked, r.URL.Query().Get("after"))
+			_, _ = w.Write([]byte(`{"events":[{"seq":7,"op":"dropped","blocks":["ff"]}]}`))
+		}
+	}))
+	defer s.Close()
+	e := engine.New(clockwork.NewRealClock(), 0, 1<<10)
+	defer e.Close()
+	target := fireflypath.Target{Name: "e", Addr: s.Listener.Addr().String()}
+
+	events, err := e.Poll(t.Context(), target)
+	is.NoErr(err)
+	is.Equal(len(events), 3)
+	is.Equal(events[0].Report.Running, 2)
+	is.Equal(events[1].Kind, fireflypath.EventLeaving)
+	is.Equal(events[2].Blocks, []uint64{255})
+	for range 7 {
+		_, err = e.Poll(t.Context(), target)
+		is.NoErr(err)
+	}
+	is.Equal(asked, []string{"0", "7"})
+	down = true
+	_, err = e.Poll(t.Context(), target)
+	is.True(err != nil)
+	down = false
+	_, err = e.Poll(t.Context(), target)
+	is.NoErr(err)
+	is.Equal(asked, []string{"0", "7", "0"})
+}
