feat(daemon): a stop can give notice before it closes the port

A balancer that looks every few seconds sends callers to a port that is closed already. stop.notice keeps taking requests for that long after readiness has turned false; the default is none.

--- a/internal/daemon/endpoint.go
+++ b/internal/daemon/endpoint.go
@@ -60,5 +60,11 @@
 	if d.members != nil {
 		d.members.SetLeaving()
 	}
+	if notice := d.cfg.Stop.Notice.Std(); notice > 0 {
+		select {
+		case <-d.deps.Clock.After(notice):
+		case <-ctx.Done():
+		}
+	}
 	return nil
 }
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -43,6 +43,7 @@
 	deps    daemon.Deps
 	// body, header, connections and waiting are limits.
 	body, header, connections, waiting int
+	notice                             time.Duration
 }
 
 func newRig(t *testing.T, s setup) *rig {
@@ -70,6 +71,7 @@
 	}
 	set := testkit.Settings(cfg)
 	set.Limits.Silence = fireflypath.Duration(s.silence)
+	set.Stop.Notice = fireflypath.Duration(s.notice)
 	set.Limits.Body, set.Limits.Header = s.body, s.header
 	set.Limits.Connections, set.Limits.Waiting = s.connections, s.waiting
 	s.deps.Recorder = r
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -89,3 +90,18 @@
 		goleak.IgnoreAnyFunction(library+"updateServerDate.func1"),
 	))
 }
+
+// A planned stop begins, and the balancer has not noticed yet: what it still
+// sends is served until the notice is over.
+func TestPlannedStopGivesNotice(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{notice: time.Hour})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.Stop(ctx) }()
+	for r.Ready() {
+	}
+	r.isWhole(r.stream(3), 3)
+	cancel()
+	is.NoErr(<-stopped)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -89,6 +89,9 @@
 type Stop struct {
 	// Limit is how long running requests are waited for; 0 takes the default.
 	Limit fireflypath.Duration `json:"limit,omitempty" validate:"min=0"`
+	// Notice is how long requests are still taken after readiness has turned
+	// false, so that the balancer sends nobody to a closed port; 0 is not at all.
+	Notice fireflypath.Duration `json:"notice,omitempty" validate:"min=0"`
 }
 
 // Records bounds what is kept for "why".
