feat(route): a panic ends one request, not the daemon

The server library lets a panic end the process, with all requests it holds, and again at each retry. The route now answers the one request, as not run if it still waited and else as unknown, frees its place at the target and logs the stack.

--- a/internal/daemon/way.go
+++ b/internal/daemon/way.go
@@ -47,6 +47,7 @@
 		},
 		Claims:   d.claims,
 		Meter:    meter.New(d.scope),
+		Log:      d.deps.Log,
 		Members:  d.deps.Members,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -43,7 +43,7 @@
 func (l *Relay) Run(ctx context.Context, r *request.Request) error {
 	f := newFollower(ctx, l.clock, r)
 	first, err := f.begin()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && (f.answer == nil || !errors.Is(err, io.EOF)) {
 		return l.fail(f, err)
 	}
 	head := f.head()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	claims "github.com/fireflypath/fireflypath/internal/claim"
@@ -49,6 +50,8 @@
 	Members fireflypath.Members
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
+	// Log may be nil.
+	Log *zap.Logger
 	// Leaving spreads what a target says of itself.
 	Leaving func(target string)
 }
@@ -81,15 +84,39 @@
 
 // Serve sets the request's reply. The context ends when the caller leaves.
 func (rt *Route) Serve(ctx context.Context, r *request.Request) {
+	defer rt.recover(r)
 	rt.begin(r)
 	for _, s := range rt.steps {
 		if err := s.Run(ctx, r); err != nil {
-			rt.refuse(r, s, err)
+			rt.refuse(r, s.String(), err)
 			return
 		}
 	}
 }
 
+// recover answers a request whose step panicked.
+//
+// The server library lets a panic end the process: one request that meets a
+// mistake in the code would take all others of the daemon with it, and again
+// at each retry. Here it ends alone, counted and logged with its stack.
+func (rt *Route) recover(r *request.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if rt.deps.Log != nil {
+		rt.deps.Log.Error("request panicked", zap.String("request", r.Work.ID), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+	ref := &fireflypath.Refusal{Code: fireflypath.ReasonTarget, Detail: "a fault of the daemon", Run: fireflypath.RunNo}
+	if !r.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateWithdrawn) {
+		ref.Run = rt.ran(r)
+	}
+	if r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateFailed) {
+		r.Owner.Tell(r, fireflypath.EventFailed, -1)
+	}
+	rt.refuse(r, "", ref)
+}
+
 func (rt *Route) begin(r *request.Request) {
 	r.Work.ID = rt.ID()
 	r.Turn = make(chan request.Turn, 1)
@@ -104,10 +131,10 @@
 }
 
 // refuse makes a refusal of the error that ended the route.
-func (rt *Route) refuse(r *request.Request, s Step, err error) {
+func (rt *Route) refuse(r *request.Request, step string, err error) {
 	var ref *fireflypath.Refusal
 	if !errors.As(err, &ref) {
-		ref = &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: s.String() + ": " + err.Error(), Run: rt.ran(r)}
+		ref = &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: step + ": " + err.Error(), Run: rt.ran(r)}
 	}
 	ref.ID = r.Work.ID
 	ref.Tier = r.Work.Tier
