fix(demo): a caller that sends again goes round the daemons

With 6 or 8 of 9 daemons killed the demo lost 1 and 44 requests: callers shared one turn, so a busy balancer could give one caller dead daemons only. Each goes on from its own turn now; the number of tries is the same.

--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -46,9 +46,10 @@
 	r := c.format.Request(a)
 	r.First = first
 	var err error
-	for range 2 * len(c.clients) {
+	start := c.turn()
+	for n := range 2 * len(c.clients) {
 		var got *client.Answer
-		got, err = c.turn().Do(ctx, r)
+		got, err = c.clients[(start+n)%len(c.clients)].Do(ctx, r)
 		c.note(a, got)
 		if err == nil {
 			return got.Refusal, check(a, r, got)
@@ -61,11 +62,14 @@
 	return nil, err
 }
 
-func (c *callers) turn() *client.Client {
+// turn is the daemon that the balancer gives to the next request. A caller that
+// sends again goes on from there: were the turns shared, a busy balancer could
+// send one caller to dead daemons only.
+func (c *callers) turn() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
-	return c.clients[c.next%len(c.clients)]
+	return c.next
 }
 
 // note keeps what a caller learned, for the audit.
