--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,10 @@
 	Join time.Duration `json:"join"`
 }
 
+// startEvery is the pause between two starts: all daemons share one machine,
+// whose processors a start of hundreds at once would take for a minute.
+const startEvery = 50 * time.Millisecond
+
 // limit bounds each wait; what takes longer is an error.
 const limit = 2 * time.Minute
 
@@ -130,6 +134,9 @@
 		}
 		f.sites = append(f.sites, s)
 		s.run()
+		if err := f.sleep(ctx, startEvery); err != nil {
+			return err
+		}
 	}
 	began := f.clock.Now()
 	err := f.await(ctx, "all see all", func(s *site) bool {
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -54,7 +54,7 @@
 		return
 	}
 	m.count.synced.Inc(1)
-	m.spread(r.News, len(r.News) <= passAtMost)
+	m.spread("", r.News, len(r.News) <= passAtMost)
 }
 
 func (m *Membership) answerSync(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -125,6 +125,6 @@
 	if err := json.Unmarshal(params, &ask); err != nil {
 		return nil, errors.Wrap(err, "decode leave")
 	}
-	m.spread([]peer.News{{State: peer.Left, Member: ask.Member}}, true)
+	m.spread("", []peer.News{{State: peer.Left, Member: ask.Member}}, true)
 	return struct{}{}, nil
 }
--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -27,8 +27,12 @@
 	// asked; a silent connection is replaced before that.
 	proofBeats = 3
 	// suspectBeats is how long a suspect has to speak up: news and its answer
-	// cross a fleet of 370 in well under a second.
+	// cross a fleet of 370 in well under a second. Only its neighbours, who have
+	// missed its beats themselves, declare it dead then; the others hear of it,
+	// or do so after suspectFar times as long. If all did, one slow second of an
+	// overloaded fleet would be the death of most of it.
 	suspectBeats = 2
+	suspectFar   = 5
 	// missingFor is how long a dead daemon counts as missing, after which its
 	// part is taken over even by a minority; a failure domain that is cut off
 	// for a minute comes back before.
@@ -71,24 +75,38 @@
 	mu   sync.Mutex
 	ctx  context.Context
 	self fireflypath.Member
+	// dirty is true while the view lacks a change; a mere suspicion is none.
+	dirty bool
 	// gone is true once this daemon has taken its leave.
 	gone    bool
 	entries map[string]*entry
 	changed chan struct{}
 	// news are numbered from first; cursors says how far each peer was told.
-	news    []peer.News
+	news    []told
 	first   uint64
 	cursors map[string]uint64
 	// again holds news for one peer alone.
 	again map[string][]peer.News
 	// differs is since when a peer's view is another, synced when it was asked.
 	differs, synced map[string]time.Time
+	lastSync        time.Time
 	lastStep        time.Time
 	lastSearch      time.Time
 	neighbours      []string
+	// mates are the daemons of the same cell, ordered by hash.
+	mates []string
 	turn            int
 }
 
+// told is news for the peers. Those that a daemon of the same cell told it are
+// not for the cell: all of it are connected with each other. Passed on to all,
+// each join would reach every daemon a dozen times, and a fleet of 370 that
+// starts at once would be kept busy with nothing else.
+type told struct {
+	peer.News
+	notCell bool
+}
+
 type counters struct {
 	suspected, died, refuted, joined, left, synced, rescued, clashes tally.Counter
 	live                                                             tally.Gauge
@@ -167,8 +185,9 @@
 
 // publish makes the current entries visible. The caller holds mu, or is New.
 func (m *Membership) publish() {
+	m.dirty = false
 	now := m.clock.Now()
-	live := []fireflypath.Member{m.self}
+	live := append(make([]fireflypath.Member, 0, len(m.entries)+1), m.self)
 	missing := 0
 	for _, e := range m.entries {
 		switch {
@@ -189,6 +208,7 @@
 		l := cell.New(names)
 		m.layout.Store(l)
 		m.neighbours = l.Links(m.self.Name)
+		m.mates = l.Mates(m.self.Name)
 		if m.peers != nil {
 			m.peers.Keep(m.neighbours)
 		}
@@ -270,6 +290,7 @@
 		e.proof = now
 	}
 	e.state, e.since = n.State, now
+	m.dirty = m.dirty || was != e.live() || e.live() && n.State == peer.Alive
 	m.report(e, was)
 	return true
 }
@@ -306,13 +327,16 @@
 		m.log.Warn("another daemon uses this name", zap.String("peer", n.Member.Peer))
 	}
 	m.self.Incarnation = n.Member.Incarnation + 1
+	m.dirty = true
 	m.count.refuted.Inc(1)
 	m.add(peer.News{State: peer.Alive, Member: m.self})
 	return true
 }
 
 // add queues news for all peers. The caller holds mu.
-func (m *Membership) add(n peer.News) {
+func (m *Membership) add(n peer.News) { m.queue(told{News: n}) }
+
+func (m *Membership) queue(n told) {
 	m.news = append(m.news, n)
 	if drop := len(m.news) - keptNews; drop > 0 {
 		m.news = slices.Delete(m.news, 0, drop)
@@ -320,20 +344,25 @@
 	}
 }
 
-// spread merges news, publishes and passes on what changed.
-func (m *Membership) spread(news []peer.News, pass bool) {
+// spread merges news from a peer, publishes and passes on what changed.
+func (m *Membership) spread(from string, news []peer.News, pass bool) {
 	m.mu.Lock()
 	changed := false
+	mate := m.mate(from)
 	for _, n := range news {
+		// Suspicions and what answers them go all ways: the daemon concerned
+		// may be out of the teller's reach.
+		e := m.entries[n.Member.Name]
+		plain := n.State == peer.Alive && (e == nil || e.state == peer.Alive)
 		if !m.merge(n) {
 			continue
 		}
 		changed = true
 		if pass && n.Member.Name != m.self.Name {
-			m.add(n)
+			m.queue(told{News: n, notCell: plain && mate})
 		}
 	}
-	if changed {
+	if m.dirty {
 		m.publish()
 	}
 	m.mu.Unlock()
@@ -342,6 +371,11 @@
 	}
 }
 
+// mate reports a daemon of the same cell. The caller holds mu.
+func (m *Membership) mate(name string) bool {
+	return slices.Contains(m.mates, name)
+}
+
 // tell fills in the membership's part of a beat.
 func (m *Membership) tell(to string, b *peer.Beat) {
 	m.mu.Lock()
@@ -352,14 +386,19 @@
 	delete(m.again, to)
 	from := max(m.cursors[to], m.first)
 	until := min(from+newsPerBeat, m.first+uint64(len(m.news)))
-	b.News = append(b.News, m.news[from-m.first:until-m.first]...)
+	mate := m.mate(to)
+	for _, n := range m.news[from-m.first : until-m.first] {
+		if (!mate || !n.notCell) && n.Member.Name != to {
+			b.News = append(b.News, n.News)
+		}
+	}
 	m.cursors[to] = until
 }
 
 // hear takes the membership's part of a beat.
 func (m *Membership) hear(from string, b *peer.Beat) {
 	if len(b.News) > 0 {
-		m.spread(b.News, true)
+		m.spread(from, b.News, true)
 	}
 	now := m.clock.Now()
 	m.mu.Lock()
@@ -390,5 +429,5 @@
 	m.differs[o.Name] = m.clock.Now().Add(-syncAfter)
 	delete(m.synced, o.Name)
 	m.mu.Unlock()
-	m.spread([]peer.News{{State: peer.Alive, Member: o}}, true)
+	m.spread("", []peer.News{{State: peer.Alive, Member: o}}, true)
 }
--- a/internal/member/step.go
+++ b/internal/member/step.go
@@ -61,7 +61,7 @@
 	}
 	for name, e := range m.entries {
 		switch {
-		case e.state == peer.Suspect && now.Sub(e.since) >= suspectBeats*m.beat:
+		case e.state == peer.Suspect && now.Sub(e.since) >= m.patience(name):
 			dead = append(dead, peer.News{State: peer.Dead, Member: e.member})
 		case !e.live() && now.Sub(e.since) > forgetAfter:
 			delete(m.entries, name)
@@ -75,13 +75,21 @@
 	search := now.Sub(m.lastSearch) >= searchEvery || len(m.neighbours) == 0 && now.Sub(m.lastSearch) >= time.Second
 	m.mu.Unlock()
 	if len(dead) > 0 {
-		m.spread(dead, true)
+		m.spread("", dead, true)
 	}
 	if search {
 		m.search(ctx)
 	}
 }
 
+// patience is how long a suspect may stay one. The caller holds mu.
+func (m *Membership) patience(name string) time.Duration {
+	if slices.Contains(m.neighbours, name) {
+		return suspectBeats * m.beat
+	}
+	return suspectFar * suspectBeats * m.beat
+}
+
 // publishMissing lets old deaths cease to count. The caller holds mu.
 func (m *Membership) publishMissing() {
 	now, n := m.clock.Now(), 0
@@ -161,7 +169,7 @@
 		late := m.clock.Since(e.proof) < proofBeats*m.beat && e.fails < 2
 		m.mu.Unlock()
 		if !alive && !late && ctx.Err() != context.Canceled {
-			m.spread([]peer.News{{State: peer.Suspect, Member: o}}, true)
+			m.spread("", []peer.News{{State: peer.Suspect, Member: o}}, true)
 		}
 	})
 }
@@ -207,8 +215,16 @@
 	return false
 }
 
-// compare asks neighbours whose view stays another one. The caller holds mu.
+// syncEvery bounds the comparisons of one daemon. While many daemons join, all
+// views differ all the time, and each comparison brings up to 50 KB at 370
+// daemons; unbounded they kept such a fleet from ever finding itself.
+const syncEvery = time.Second
+
+// compare asks a neighbour whose view stays another one. The caller holds mu.
 func (m *Membership) compare(ctx context.Context, now time.Time) {
+	if now.Sub(m.lastSync) < syncEvery {
+		return
+	}
 	for name, since := range m.differs {
 		if now.Sub(since) < syncAfter || now.Sub(m.synced[name]) < syncAfter {
 			continue
@@ -223,9 +239,10 @@
 			delete(m.synced, name)
 			continue
 		}
-		m.synced[name] = now
+		m.synced[name], m.lastSync = now, now
 		o := e.member
 		m.wg.Go(func() { m.sync(ctx, o) })
+		return
 	}
 }
 
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -85,6 +85,9 @@
 	links    map[string][]*link
 	keep     map[string]bool
 	accepted int
+	// flushed is when all connections were woken, flushing that they will be.
+	flushed  time.Time
+	flushing bool
 }
 
 // New makes an endpoint. A nil trust means plain connections. self is asked
@@ -348,10 +351,35 @@
 	return l.call(ctx, method, params, result)
 }
 
-// Flush sends a beat on every connection now, for news that should not wait.
+// flushPause is the least time between two flushes. News cross a fleet of 370
+// in at most seven steps; without a pause each of many news at once would send
+// a beat of its own on every connection.
+const flushPause = 50 * time.Millisecond
+
+// Flush sends a beat on every connection soon, for news that should not wait.
 func (e *Endpoint) Flush() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.flushing || e.closed {
+		return
+	}
+	wait := flushPause - e.clock.Since(e.flushed)
+	if wait <= 0 {
+		e.wakeAll()
+		return
+	}
+	e.flushing = true
+	e.clock.AfterFunc(wait, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.flushing = false
+		e.wakeAll()
+	})
+}
+
+// wakeAll has every connection send a beat. The caller holds mu.
+func (e *Endpoint) wakeAll() {
+	e.flushed = e.clock.Now()
 	for _, ls := range e.links {
 		for _, l := range ls {
 			l.wake()
