--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -95,7 +95,7 @@
 	neighbours      []string
 	// mates are the daemons of the same cell, ordered by hash.
 	mates []string
-	turn            int
+	turn  int
 }
 
 // told is news for the peers. Those that a daemon of the same cell told it are
