--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,9 +44,11 @@
 	Members   fireflypath.Members
 	Relief    fireflypath.Relief
 	Recorder  fireflypath.Recorder
-	Scheduler func(fireflypath.Pool) fireflypath.Scheduler
-	Clock     clockwork.Clock
-	Log       *zap.Logger
+	// Unrecorded leaves the recorder out, to measure what it costs.
+	Unrecorded bool
+	Scheduler  func(fireflypath.Pool) fireflypath.Scheduler
+	Clock      clockwork.Clock
+	Log        *zap.Logger
 	// Operator adds calls to the operators' endpoint.
 	Operator []func(*fiber.App)
 	// Leaving and Back spread first-hand evidence of targets to peers.
@@ -164,7 +166,12 @@
 // Kill ends the daemon like a crash: nothing is finished and nobody is told.
 func (d *Daemon) Kill() {
 	d.cancel()
+	if d.started < len(d.steps) {
+		// It did not start, or has stopped: nothing is left to kill.
+		return
+	}
 	_ = d.front.Kill()
+	d.gone.All()
 	_ = d.back.Kill()
 	if d.peers != nil {
 		d.peers.Close()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -19,7 +19,7 @@
 func (records) String() string { return "records" }
 
 func (records) Run(ctx context.Context, d *Daemon) error {
-	if d.deps.Recorder == nil {
+	if d.deps.Recorder == nil && !d.deps.Unrecorded {
 		d.deps.Recorder = record.New(d.cfg.Records.Bytes)
 	}
 	return nil
@@ -49,7 +49,7 @@
 		Sources: eval.Sources{
 			Name: d.cfg.Name, Configs: d.deps.Configs, Members: members,
 			Recorder: d.deps.Recorder, Committer: committer,
-			Views: d.pools.Views, Demands: d.pools.Demands, Clock: d.deps.Clock,
+			Views: d.pools.Views, Demands: d.pools.Demands, Open: d.pools.Open, Clock: d.deps.Clock,
 		},
 		Orderer: d.deps.Orderer,
 		Forward: forward.New(secure),
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/send"
 )
 
 // Errors of events; the answer is read again on a new connection.
@@ -26,14 +25,23 @@
 	fieldID   = []byte("id:")
 	fieldData = []byte("data:")
 	dataDone  = []byte("[DONE]")
+	eventEnd  = []byte("\n\n")
 )
 
 // readers hold the bytes read ahead of the caller, so they are small.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
 
+// source is a body being read.
+type source interface {
+	io.Reader
+	// Done gives up a body whose content is complete, Close any other.
+	Done()
+	Close()
+}
+
 // stream is an answer as server-sent events.
 type stream struct {
-	x      *send.Exchange
+	x      source
 	r      *bufio.Reader
 	id     string
 	prefix []byte
@@ -45,7 +53,7 @@
 	done   bool
 }
 
-func newStream(x *send.Exchange, id string, offset, limit int, head fireflypath.Head) *stream {
+func newStream(x source, id string, offset, limit int, head fireflypath.Head) *stream {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(x)
 	return &stream{
@@ -94,16 +102,26 @@
 	if s.r == nil {
 		return nil
 	}
-	if s.done {
-		s.x.Drain()
-	}
 	s.r.Reset(nil)
 	readers.Put(s.r)
 	s.r = nil
+	if s.done {
+		s.x.Done()
+		return nil
+	}
 	s.x.Close()
 	return nil
 }
 
+// Ready reports whether Next returns without waiting for the engine.
+func (s *stream) Ready() bool {
+	if s.done || s.r.Buffered() == 0 {
+		return s.done
+	}
+	b, err := s.r.Peek(s.r.Buffered())
+	return err == nil && bytes.Contains(b, eventEnd)
+}
+
 // mine checks the id in an event's data.
 //
 // A proxy or an engine under fault can put one request's events on another's
--- a/internal/query/eval/tables.go
+++ b/internal/query/eval/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -51,7 +52,9 @@
 	case "daemons":
 		return e.daemons(), nil
 	case "requests":
-		return e.requests(), nil
+		return e.requests(q)
+	case "open":
+		return e.openNow(), nil
 	case "changes":
 		return e.changes(ctx)
 	default:
@@ -152,7 +155,7 @@
 	return table.Row{
 		table.Str(v.State), table.Num(v.Window), table.Num(v.Part), table.Num(v.Held),
 		table.Num(v.Requests), table.Num(v.PrefillRate), table.Num(v.DecodeRate),
-		{Number: v.Age.Seconds(), Empty: v.Age < 0},
+		table.Age(v.Age),
 	}
 }
 
@@ -207,17 +210,49 @@
 	return t
 }
 
-func (e *Evaluator) requests() *table.Table {
-	t := columns(text("id"), text("team"), text("tier"), text("pool"), text("state"), text("reason"),
+// requestColumns are those of ended and of open requests.
+func requestColumns() *table.Table {
+	return columns(text("id"), text("team"), text("tier"), text("pool"), text("state"), text("reason"),
 		text("target"), moment("arrived"), duration("wait"), duration("first"), duration("total"),
 		number("prompt"), number("output"), number("tokens"), number("ahead"), number("resumes"),
 		text("rule"), number("generation"))
+}
+
+// openNow lists the requests that wait or run, oldest first; their times go on.
+func (e *Evaluator) openNow() *table.Table {
+	t := requestColumns()
+	var open []fireflypath.Record
+	if e.src.Open != nil {
+		open = e.src.Open(func(*fireflypath.Work) bool { return true })
+	}
+	slices.SortFunc(open, func(a, b fireflypath.Record) int { return a.Arrived.Compare(b.Arrived) })
+	now := e.src.Clock.Now()
+	for i := range open {
+		open[i].Ended = now
+		t.Rows = append(t.Rows, request(&open[i]))
+	}
+	t.Notes = []string{"waiting or running now at daemon " + e.src.Name}
+	return t
+}
+
+func (e *Evaluator) requests(q *query.Query) (*table.Table, error) {
+	t := requestColumns()
+	// Rows are filtered as they are read: all of them at once would be several
+	// times the memory of the records themselves.
+	match, err := e.matcher(q, t)
+	if err != nil {
+		return nil, err
+	}
+	kept := 0
 	e.src.Recorder.Each(func(r *fireflypath.Record) bool {
-		t.Rows = append(t.Rows, request(r))
+		kept++
+		if row := request(r); match(row) {
+			t.Rows = append(t.Rows, row)
+		}
 		return true
 	})
-	t.Notes = []string{fmt.Sprintf("%d ended requests are kept at daemon %s", len(t.Rows), e.src.Name)}
-	return t
+	t.Notes = []string{fmt.Sprintf("%d ended requests are kept at daemon %s", kept, e.src.Name)}
+	return t, nil
 }
 
 func request(r *fireflypath.Record) table.Row {
