--- a/cmd/fireflypath/ask.go
+++ b/cmd/fireflypath/ask.go
@@ -28,8 +28,9 @@
 func askCommand() *cli.Command {
 	return &cli.Command{
 		Name: "ask", Usage: "ask what is configured, what happens, and why",
-		ArgsUsage: "'QUERY'",
-		Flags:     operatorFlags(fileFlag),
+		ArgsUsage:    "'QUERY'",
+		Flags:        operatorFlags(fileFlag),
+		OnUsageError: usageError,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			text, err := words(cmd)
 			if err != nil {
--- a/cmd/fireflypath/do.go
+++ b/cmd/fireflypath/do.go
@@ -28,6 +28,7 @@
 			&cli.Uint64Flag{Name: "base", Usage: "refuse it unless generation `N` is in force"},
 			&cli.StringFlag{Name: "id", Usage: "repeat the command with this `ID`; a repetition does nothing twice"},
 		),
+		OnUsageError: usageError,
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			text, err := words(cmd)
 			if err != nil {
--- a/cmd/fireflypath/operate.go
+++ b/cmd/fireflypath/operate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/x509"
 	"encoding/json"
 	"io"
@@ -84,6 +85,11 @@
 
 var fileFlag = &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "read the words from `FILE`, - for the standard input"}
 
+// usageError gives wrong flags their exit code.
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return coded{err, exitInput}
+}
+
 // inputError gives syntax errors their exit code.
 func inputError(err error) error {
 	var at *syntax.Error
--- a/cmd/fireflypath/shell.go
+++ b/cmd/fireflypath/shell.go
@@ -25,7 +25,8 @@
 func shellCommand() *cli.Command {
 	return &cli.Command{
 		Name: "shell", Usage: "commands and queries line by line, with history and completion",
-		Flags: operatorFlags(),
+		Flags:        operatorFlags(),
+		OnUsageError: usageError,
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			c, err := newClient(cmd)
 			if err != nil {
