--- a/cmd/fireflypath/ask.go
+++ b/cmd/fireflypath/ask.go
@@ -28,8 +28,11 @@
 func askCommand() *cli.Command {
 	return &cli.Command{
 		Name: "ask", Usage: "ask what is configured, what happens, and why",
-		ArgsUsage:    "'QUERY'",
-		Flags:        operatorFlags(fileFlag),
+		ArgsUsage: "'QUERY'",
+		Flags: operatorFlags(
+			fileFlag,
+			&cli.BoolFlag{Name: "each", Usage: "ask every live daemon; counts are added up"},
+		),
 		OnUsageError: usageError,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			text, err := words(cmd)
@@ -40,7 +43,7 @@
 			if err != nil {
 				return err
 			}
-			a := asker{client: c, json: cmd.String("output") == "json"}
+			a := asker{client: c, json: cmd.String("output") == "json", each: cmd.Bool("each")}
 			if a.living(text) {
 				return a.watch(ctx, os.Stdout, text)
 			}
@@ -53,10 +56,15 @@
 type asker struct {
 	client *client.Client
 	json   bool
+	each   bool
 }
 
 func (a asker) run(w io.Writer, text string) error {
-	answer, err := a.client.Ask(text)
+	ask := a.client.Ask
+	if a.each {
+		ask = a.client.Each
+	}
+	answer, err := ask(text)
 	if err != nil {
 		return inputError(err)
 	}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -54,7 +54,12 @@
 // New returns a client.
 func New(opts Options) *Client {
 	c := &Client{opts: opts}
-	c.http.TLSConfig = &tls.Config{RootCAs: opts.Roots, MinVersion: tls.VersionTLS12}
+	c.connect()
+	return c
+}
+
+func (c *Client) connect() {
+	c.http.TLSConfig = &tls.Config{RootCAs: c.opts.Roots, MinVersion: tls.VersionTLS12}
 	c.http.MaxResponseBodySize = maxAnswer
 	c.http.Dial = func(addr string) (net.Conn, error) {
 		conn, err := fasthttp.DialTimeout(addr, dialTimeout)
@@ -63,7 +68,6 @@
 		}
 		return conn, nil
 	}
-	return c
 }
 
 // reply is a daemon's answer.
--- a/internal/command/script_test.go
+++ b/internal/command/script_test.go
@@ -87,15 +87,17 @@
 		"unknown field": {"set tier gold\n  rnk 3", `line 2, column 3: found "rnk", expected rank, deadline or ;
     rnk 3
     ^`},
-		"missing value":  {"set tier gold rank", "found end of the text, expected a rank from 0 to 15"},
-		"wrong number":   {"set tier gold rank high", `column 20: expected a whole number`},
-		"wrong duration": {"set tier gold deadline 2", "column 24: expected a duration such as 2s"},
-		"field twice":    {"set tier gold rank 0 rank 1", "column 27: this field is given twice"},
-		"bad character":  {"set tier gold $", "column 15: this character has no meaning here"},
-		"no command":     {" ; ", "no command is given"},
-		"order with set": {"load target e1 model m; set tier a rank 1", "an order to a target stands alone"},
-		"key unhashed":   {"key team traders", "the key's hash is missing"},
-		"short hash":     {"revoke key abc", "at least 8 hexadecimal digits"},
+		"second command":       {"plan set tier a rank 1; plan x", `column 25: found "plan", expected set, delete, drain, restore, key, revoke, load, unload, adapter, version, role or ;`},
+		"far from a separator": {"set team a tiers " + strings.Repeat("b,", 600) + ";", `column 1218: ";" cannot stand here`},
+		"missing value":        {"set tier gold rank", "found end of the text, expected a rank from 0 to 15"},
+		"wrong number":         {"set tier gold rank high", `column 20: expected a whole number`},
+		"wrong duration":       {"set tier gold deadline 2", "column 24: expected a duration such as 2s"},
+		"field twice":          {"set tier gold rank 0 rank 1", "column 27: this field is given twice"},
+		"bad character":        {"set tier gold $", "column 15: this character has no meaning here"},
+		"no command":           {" ; ", "no command is given"},
+		"order with set":       {"load target e1 model m; set tier a rank 1", "an order to a target stands alone"},
+		"key unhashed":         {"key team traders", "the key's hash is missing"},
+		"short hash":           {"revoke key abc", "at least 8 hexadecimal digits"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -305,3 +306,32 @@
 	one.peers.list = append(one.peers.list, fireflypath.Member{Name: "d3", Operator: two.addr})
 	is.True(strings.Contains(ask(t, c, "why d3.X"), "daemon d3 is gone"))
 }
+
+// Each daemon keeps the records of its own requests. A count over all of them
+// must not pass for the whole when one daemon cannot be asked.
+func TestEachAddsUpAndNamesTheMissing(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := newLedger(clock)
+	one, two := start(t, "d1", l, clock, nil), start(t, "d2", l, clock, nil)
+	one.peers.list = append(one.peers.list, two.peers.list...)
+	for i, ring := range []*record.Ring{one.ring, two.ring, two.ring} {
+		ring.Keep(&fireflypath.Record{ID: fmt.Sprint("d.", i), Tier: "gold", State: "answered"})
+	}
+	two.ring.Keep(&fireflypath.Record{ID: "d2.b", Tier: "bronze", State: "shed"})
+	c := dial(one.addr)
+	show := func(text string) string {
+		a, err := c.Each(text)
+		is.NoErr(err)
+		var b strings.Builder
+		is.NoErr(a.Sections[0].Table.Write(&b))
+		return strings.Join(strings.Fields(b.String()), " ")
+	}
+	is.Equal(show("count requests by tier"), "TIER COUNT bronze 1 gold 3")
+	is.Equal(show("count requests where state = answered"), "COUNT 3")
+	is.True(strings.HasPrefix(show("p50 requests of tokens by tier"), "DAEMON TIER COUNT P50 d1 gold 1 0 d2 bronze 1 0 d2 gold 2 0"))
+	one.peers.list = append(one.peers.list, fireflypath.Member{Name: "d3", Operator: "127.0.0.1:1"})
+	is.True(strings.Contains(show("count requests"), "COUNT 4 # daemon d3 is missing: call http://127.0.0.1:1"))
+	_, err := c.Each("why d1.X")
+	is.True(err != nil)
+}
--- a/internal/query/why/why.go
+++ b/internal/query/why/why.go
@@ -50,7 +50,10 @@
 }
 
 func (s *Story) waiting(r *fireflypath.Record) {
-	if r.Ahead > 0 {
+	switch {
+	case r.Ahead > 0 && r.Target == "" && !r.Ended.IsZero():
+		s.add("%d requests waited in its pool when it came", r.Ahead)
+	case r.Ahead > 0:
 		s.add("%d requests stood before it in the queue", r.Ahead)
 	}
 	if len(r.Unsent) > 0 {
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -83,6 +83,8 @@
 func (p *Pool) offer(r *request.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A placement brings the scheduler's own count; a refused request keeps this.
+	r.Draft.Ahead(len(p.waiting))
 	p.waiting[&r.Work] = r
 	if p.refuseIfClosed(r) {
 		return
--- a/internal/syntax/language.go
+++ b/internal/syntax/language.go
@@ -17,6 +17,13 @@
 // more are split into several changes.
 const MaxText = 16 << 10
 
+// maxProbe bounds the text that is parsed again for each keyword to explain an
+// error. Without it, 16 KiB of semicolons and one wrong word took 3 s of a core.
+const maxProbe = 1 << 10
+
+// separator is a token behind which every language here begins anew.
+const separator = ";"
+
 // probe stands for a word that is no keyword of any language here.
 const probe = "0probe0"
 
@@ -95,10 +102,24 @@
 		return e
 	}
 	e.Found = unexpected.Unexpected.Value
-	e.Expected = l.expected(text[:min(pos.Offset, len(text))])
+	prefix, ok := recent(text[:min(pos.Offset, len(text))])
+	if !ok {
+		e.Detail = fmt.Sprintf("%q cannot stand here", e.Found)
+		return e
+	}
+	e.Expected = l.expected(prefix)
 	return e
 }
 
+// recent is the end of the prefix that decides what may follow, and whether it
+// is short enough to be tried.
+func recent(prefix string) (string, bool) {
+	if i := strings.LastIndex(prefix, separator); i >= 0 && !strings.ContainsAny(prefix[i:], "\"#") {
+		prefix = prefix[i:]
+	}
+	return prefix, len(prefix) <= maxProbe
+}
+
 // expected tries every literal, and a plain word, behind the prefix: those that
 // the parser gets past could have stood there.
 func (l *Language[G]) expected(prefix string) []string {
--- a/record.go
+++ b/record.go
@@ -12,7 +12,8 @@
 	Deadline   time.Time `json:"deadline"`
 	Cost       Cost      `json:"cost"`
 	Generation uint64    `json:"generation"`
-	// Ahead is the number of requests that stood before it on arrival.
+	// Ahead is the number of requests that stood before it on arrival; for one
+	// that was refused, the number that waited in its pool.
 	Ahead int `json:"ahead"`
 	// Rule names the operator's rule that decided, if one did.
 	Rule string `json:"rule,omitempty"`
