--- a/internal/configuration/collect.go
+++ b/internal/configuration/collect.go
@@ -116,7 +116,7 @@
 	}
 	named := map[string]bool{}
 	next := m.Trail
-	for depth := 0; next != "" && depth < keptPages; depth++ {
+	for depth := 0; next != "" && depth < r.pages; depth++ {
 		p, err := r.page(ctx, next)
 		if errors.Is(err, fireflypath.ErrNotFound) {
 			break
--- a/internal/configuration/registry.go
+++ b/internal/configuration/registry.go
@@ -39,6 +39,9 @@
 	// duty says what this daemon does for the others; nil means all of it.
 	duty atomic.Pointer[func() Duty]
 
+	// pages is how many chunks of the trail are kept and read.
+	pages int
+
 	current atomic.Pointer[state]
 
 	// mu guards what follows; it is not on a request's path.
@@ -75,6 +78,7 @@
 	scope = scope.SubScope("configuration")
 	r := &Registry{
 		store: store, initial: initial, name: name, clock: clock, log: log,
+		pages:    keptPages,
 		changed:  make(chan struct{}),
 		trail:    map[digest]*page{},
 		suspects: map[string]suspect{},
--- /dev/null
+++ b/internal/configuration/retain_test.go
@@ -0,0 +1,31 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// An operator sets how long the trail is kept. At least that many lines are
+// read, the oldest ones go, and ids are still found as far back as ever.
+func TestRetain(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry("d1", newStore())
+	r.Retain(500)
+	const n = 800
+	for i := range n {
+		is.NoErr(r.Note(t.Context(), fireflypath.AuditLine{ID: fmt.Sprint("n", i), Words: "order"}))
+	}
+	lines, err := r.Trail(t.Context(), 2*n)
+	is.NoErr(err)
+	is.True(len(lines) >= 500)
+	is.True(len(lines) <= 500+tailLines+pageLines)
+	is.Equal(lines[0].ID, "n799")
+	_, err = r.Settle(t.Context(), "n500")
+	is.NoErr(err)
+	r.Retain(1)
+	is.Equal(r.pages, idPages) // an id must stay known for as long as it may be repeated
+}
--- a/internal/configuration/trail.go
+++ b/internal/configuration/trail.go
@@ -19,7 +19,8 @@
 	// idPages bounds how far back an id is looked for: with the tail at least
 	// 400 changes, two hours at the letter's 4,200 a day, far above any retry.
 	idPages = 8
-	// keptPages bounds the trail: about 10,000 lines, two days at that rate.
+	// keptPages bounds the trail where no setting does: about 10,000 lines, two
+	// days at that rate.
 	keptPages = 208
 	// maxWords bounds one line; a longer command is refused, not cut.
 	maxWords = 16 << 10
@@ -31,6 +32,13 @@
 	Lines    []fireflypath.AuditLine `json:"lines"`
 }
 
+// Retain sets how many lines of the trail are kept at least; it must be called
+// before Run. Daemons with different settings keep what the one that collects
+// is told. Ids are looked up in the newest pages whatever is kept.
+func (r *Registry) Retain(lines int) {
+	r.pages = max(idPages, (lines+pageLines-1)/pageLines)
+}
+
 // Trail reads the audit trail, newest first. While the service is down it
 // returns what this daemon has together with the error.
 func (r *Registry) Trail(ctx context.Context, n int) ([]fireflypath.AuditLine, error) {
@@ -40,7 +48,7 @@
 	}
 	out := appendNewest(nil, m.Tail, n)
 	next := m.Trail
-	for depth := 0; next != "" && len(out) < n && depth < keptPages; depth++ {
+	for depth := 0; next != "" && len(out) < n && depth < r.pages; depth++ {
 		p, perr := r.page(ctx, next)
 		if errors.Is(perr, fireflypath.ErrNotFound) {
 			break
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -36,6 +36,9 @@
 		return errors.New("neither a platform service nor an initial configuration is set")
 	}
 	d.registry = registry.New(d.deps.Store, d.cfg.Initial, d.cfg.Name, d.deps.Clock, d.scope, d.deps.Log)
+	if n := d.cfg.Records.Trail; n > 0 {
+		d.registry.Retain(n)
+	}
 	d.deps.Configs = d.registry
 	if d.deps.Committer == nil {
 		d.deps.Committer = d.registry
--- a/internal/query/eval/tables.go
+++ b/internal/query/eval/tables.go
@@ -14,8 +14,8 @@
 
 const (
 	// trailLines bounds what a query on changes reads: two days at the letter's
-	// 4,200 changes a day.
-	trailLines = 8_400
+	// 4,200 changes a day, some 3 MB.
+	trailLines = 10_000
 	// hashShown is as much of a key's hash as "revoke key" needs.
 	hashShown = 12
 )
@@ -285,6 +285,9 @@
 			table.Str(l.Result), table.Str(l.Words),
 		})
 	}
+	if len(lines) == trailLines {
+		t.Notes = append(t.Notes, fmt.Sprintf("only the newest %d lines were read", trailLines))
+	}
 	if err != nil {
 		t.Notes = append(t.Notes, "the platform's service cannot be read now, later changes may be missing: "+err.Error())
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -91,8 +91,11 @@
 	Limit fireflypath.Duration `json:"limit,omitempty" validate:"min=0"`
 }
 
-// Records bounds what is kept for "why".
+// Records bounds what is kept for "why" and of the audit trail.
 type Records struct {
 	// Bytes bounds the memory of kept records; 0 takes the default.
 	Bytes int `json:"bytes,omitempty" validate:"min=0"`
+	// Trail is how many lines of the audit trail are kept in the platform's
+	// service; 0 takes the default. Give all daemons the same.
+	Trail int `json:"trail,omitempty" validate:"min=0,max=1000000"`
 }
