fix(operator): an id used for two commands is refused; bounds on the operators' listener

A script that used one id for two commands read that the second was done. The words in the trail are compared now. Bodies are bounded to 128 KiB, reads to 10 s. The shell takes do and ask in front, and help.

--- a/cmd/fireflypath/operate_test.go
+++ b/cmd/fireflypath/operate_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypath/fireflypath/internal/client"
 )
 
 // call runs a command line in this process.
@@ -97,3 +99,28 @@
 		})
 	}
 }
+
+// Operators type into the shell what they type on the command line.
+func TestShellTellsCommandsFromQueries(t *testing.T) {
+	var b bytes.Buffer
+	c := client.New(client.Options{Addrs: []string{nobody(t)}})
+	s := shell{ask: asker{client: c}, do: doer{client: c}, w: &b}
+	for line, want := range map[string]string{
+		"tiers":             "call http",
+		"ask tiers":         "call http",
+		"drain target e1":   "nothing was changed",
+		"do drain target a": "nothing was changed",
+		"drain e1":          "expected target",
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			err := s.line(line)
+			is.True(err != nil)
+			if !strings.Contains(err.Error(), want) {
+				t.Fatalf("got %v, want %s", err, want)
+			}
+		})
+	}
+	is.New(t).NoErr(s.line("help"))
+	is.New(t).True(strings.Contains(b.String(), "drain"))
+}
--- a/cmd/fireflypath/shell.go
+++ b/cmd/fireflypath/shell.go
@@ -81,9 +81,17 @@
 }
 
 // line runs a query or a command, told apart by the first word; no word begins
-// both.
+// both. "ask" and "do" in front, as on the command line, do no harm.
 func (s shell) line(text string) error {
-	first, _, _ := strings.Cut(text, " ")
+	first, rest, _ := strings.Cut(text, " ")
+	switch first {
+	case "ask":
+		return s.ask.run(s.w, rest)
+	case "do":
+		return s.do.run(s.w, wire.Do{Words: rest})
+	case "help":
+		return s.help()
+	}
 	for _, word := range query.Complete("") {
 		if first == word {
 			return s.ask.run(s.w, text)
@@ -92,6 +100,13 @@
 	return s.do.run(s.w, wire.Do{Words: text})
 }
 
+// help lists the words that begin a line.
+func (s shell) help() error {
+	_, err := fmt.Fprintf(s.w, "commands: %s\nqueries:  %s\ntab completes, exit leaves\n",
+		strings.Join(command.Complete(""), " "), strings.Join(query.Complete(""), " "))
+	return err
+}
+
 // complete offers what either grammar takes after the words so far.
 func complete(line string) []string {
 	i := strings.LastIndexAny(line, " ;,") + 1
--- a/internal/daemon/steps.go
+++ b/internal/daemon/steps.go
@@ -38,6 +38,12 @@
 	// defaultConnections is about the connections of a balancer's pools at 100
 	// times today's rate for one entry host.
 	defaultConnections = 8192
+	// operatorBody holds the longest command, 16 KiB, with every byte escaped in JSON.
+	operatorBody = 128 << 10
+	// operatorRead ends a call that trickles in; operatorIdle is above the
+	// seconds between two calls of a living view or a scraper.
+	operatorRead = 10 * time.Second
+	operatorIdle = time.Minute
 	// flush is for writing the refusals at the end of a planned stop.
 	flush = time.Second
 )
@@ -232,7 +238,9 @@
 		return err
 	}
 	d.back = door.New(ln, 0, nil)
-	d.operator = fiber.New(fiber.Config{})
+	d.operator = fiber.New(fiber.Config{
+		BodyLimit: operatorBody, ReadTimeout: operatorRead, IdleTimeout: operatorIdle,
+	})
 	d.operator.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	d.operator.Get("/readyz", d.readyz)
 	for _, add := range d.deps.Operator {
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -118,6 +118,9 @@
 	again := c.Do(wire.Do{ID: done.ID, Words: pool})
 	is.True(again.Repeated)
 	is.Equal(l.Current().Generation, uint64(2)) // nothing was done twice
+	other := c.Do(wire.Do{ID: done.ID, Words: "drain target e1"})
+	is.Equal(other.Outcome, wire.OutcomeRefused) // the id is another command's
+	is.True(strings.Contains(other.Detail, pool))
 	is.Equal(ask(t, c, "settle "+done.ID), "done: in force from generation 2")
 
 	refused := do(c, "set tier silver rank 0; set team t tiers nope")
--- a/internal/operator/do.go
+++ b/internal/operator/do.go
@@ -116,8 +116,7 @@
 	done := wire.Done{ID: req.ID, Generation: commit.Generation, Repeated: commit.Repeated, Lost: commit.Lost}
 	switch {
 	case err == nil && commit.Lost == "":
-		done.Outcome = wire.OutcomeDone
-		return done
+		return a.committed(ctx, done, req.Words)
 	case commit.Lost != "":
 		done = a.lost(ctx, done, s.Base)
 	case errors.Is(err, fireflypath.ErrUnknown):
@@ -134,6 +133,28 @@
 	return a.noteRefusal(ctx, who, req, done)
 }
 
+// committed checks that a repeated command is the one that its id was made for.
+// A script that uses an id twice for two commands would otherwise read that the
+// second was done.
+func (a *API) committed(ctx context.Context, done wire.Done, words string) wire.Done {
+	done.Outcome = wire.OutcomeDone
+	if !done.Repeated {
+		return done
+	}
+	lines, _ := a.deps.Committer.Trail(ctx, repeatLines)
+	for _, l := range lines {
+		if l.ID == done.ID && l.Words != words {
+			done.Outcome = wire.OutcomeRefused
+			done.Detail = "the id was used before, for another command: " + l.Words
+		}
+	}
+	return done
+}
+
+// repeatLines bounds where a repeated command's words are looked for: an hour
+// at the letter's 4,200 changes a day.
+const repeatLines = 175
+
 func (a *API) noteRefusal(ctx context.Context, who string, req wire.Do, done wire.Done) wire.Done {
 	done.Unnoted = a.note(ctx, eval.RefusedID(req.ID), who, req.Words, "refused: "+done.Detail) != nil
 	return done
