feat(record): a refused request keeps what its targets held at that moment

Why a request was shed could only be read from the refusal's own figures. The pool now notes how many waited on arrival and each target's load, window and state when the work was given up.

--- a/internal/query/eval/eval.go
+++ b/internal/query/eval/eval.go
@@ -109,7 +109,7 @@
 	s := why.New(rec)
 	a.Record, a.Lines = rec, s.Lines
 	if s.Considered != nil {
-		a.Sections = []Section{{Title: "targets considered, as known at that moment", Table: s.Considered}}
+		a.Sections = []Section{{Title: "targets, as known at that moment", Table: s.Considered}}
 	}
 }
 
--- a/internal/record/draft/draft.go
+++ b/internal/record/draft/draft.go
@@ -61,11 +61,44 @@
 	d.rec.Target = p.Target
 	d.rec.Ahead = p.Ahead
 	d.rec.Dispatched = now
+	d.borrow()
+	*d.copy = append(*d.copy, p.Considered...)
+	d.rec.Considered = *d.copy
+}
+
+// Refused copies what was known of the targets when the request was given up.
+func (d *Draft) Refused(views []fireflypath.TargetView) {
+	if d == nil {
+		return
+	}
+	d.borrow()
+	for i := range views {
+		*d.copy = append(*d.copy, candidate(&views[i], d.rec.Cost.Tokens()))
+	}
+	d.rec.Considered = *d.copy
+}
+
+// candidate is a target as a refused request of so many tokens met it.
+func candidate(v *fireflypath.TargetView, tokens int) fireflypath.Candidate {
+	c := fireflypath.Candidate{Target: v.Target, Held: v.Held, Age: v.Age, Window: int(float64(v.Window) * v.Part)}
+	switch {
+	case v.State != ready:
+		c.Skip = v.State
+	case v.Held > 0 && v.Held+tokens > c.Window:
+		c.Skip = "window full"
+	}
+	return c
+}
+
+// ready is the state of a target that takes work.
+const ready = "ready"
+
+// borrow empties the copy, or takes one from the pool.
+func (d *Draft) borrow() {
 	if d.copy == nil {
 		d.copy = copies.Get().(*[]fireflypath.Candidate)
 	}
-	*d.copy = append((*d.copy)[:0], p.Considered...)
-	d.rec.Considered = *d.copy
+	*d.copy = (*d.copy)[:0]
 }
 
 // Unsent takes the last placement back: no byte of it left.
--- a/internal/record/ring_test.go
+++ b/internal/record/ring_test.go
@@ -169,6 +169,28 @@
 	is.Equal(got.State, "answered")
 }
 
+// A refused request was sent nowhere. What its targets held at that moment is
+// the only way to tell a full pool from one whose targets were all gone.
+func TestDraftOfARefusedRequest(t *testing.T) {
+	is := is.New(t)
+	r := record.New(0)
+	d := draft.New(r, &fireflypath.Work{ID: "d1.x", Cost: fireflypath.Cost{Prompt: 100}}, 9)
+	d.Ahead(4)
+	d.Refused([]fireflypath.TargetView{
+		{Target: "e1", State: "ready", Window: 1000, Part: 0.5, Held: 450},
+		{Target: "e2", State: "leaving", Window: 1000, Part: 0.5},
+		{Target: "e3", State: "ready", Window: 1000, Part: 0.5, Held: 300},
+	})
+	d.End(time.Unix(1000, 0), fireflypath.StateShed, 0, &fireflypath.Refusal{Code: fireflypath.ReasonFull})
+	got := r.Find("d1.x")
+	is.Equal(got.Ahead, 4)
+	is.Equal(got.Considered, []fireflypath.Candidate{
+		{Target: "e1", Held: 450, Window: 500, Skip: "window full"},
+		{Target: "e2", Window: 500, Skip: "leaving"},
+		{Target: "e3", Held: 300, Window: 500},
+	})
+}
+
 // Records of 12 considered targets are kept at a steady rate; the test prints
 // how long one lives, and fails if a figure in OPERATORS.md is no longer held.
 func TestRetention(t *testing.T) {
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -31,8 +31,10 @@
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
 	sheds   []fireflypath.Shed
-	timer   clockwork.Timer
-	wakeAt  time.Time
+	// views is used again for each refusal's record.
+	views  []fireflypath.TargetView
+	timer  clockwork.Timer
+	wakeAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -207,8 +209,13 @@
 	if r == nil || !s.Work.Life.Move(fireflypath.StateWaiting, state) {
 		return
 	}
-	p.sched.Withdraw(p.clock.Now(), s.Work)
+	now := p.clock.Now()
+	p.sched.Withdraw(now, s.Work)
 	delete(p.waiting, s.Work)
+	if r.Draft != nil {
+		p.views = p.sched.Views(now, p.views[:0])
+		r.Draft.Refused(p.views)
+	}
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
