perf(pool): a flood of refusals reads the targets' state 100 times a second at most

Each refusal read the views of all targets under the pool's lock, for its record: with many targets and thousands of refusals a second that is lock time when the pool is busiest. Refusals within 10 ms now share one reading.

--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -16,6 +16,10 @@
 // minWake keeps a scheduler that asks to be woken at once from spinning.
 const minWake = time.Millisecond
 
+// viewLife bounds how often a flood of refusals reads all targets under the
+// pool's lock; what operators read of them is at most this much older.
+const viewLife = 10 * time.Millisecond
+
 // Pool holds one lock around its scheduler. All moves of a waiting request's
 // Life are made under that lock.
 type Pool struct {
@@ -31,8 +35,9 @@
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
 	sheds   []fireflypath.Shed
-	// views is used again for each refusal's record.
+	// views is what refusals' records show of the targets, as of viewed.
 	views  []fireflypath.TargetView
+	viewed time.Time
 	timer  clockwork.Timer
 	wakeAt time.Time
 
@@ -213,12 +218,19 @@
 	p.sched.Withdraw(now, s.Work)
 	delete(p.waiting, s.Work)
 	if r.Draft != nil {
-		p.views = p.sched.Views(now, p.views[:0])
-		r.Draft.Refused(p.views)
+		r.Draft.Refused(p.seen(now))
 	}
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
+// seen is what is known of the targets, read again after viewLife. The lock is held.
+func (p *Pool) seen(now time.Time) []fireflypath.TargetView {
+	if p.viewed.IsZero() || now.Sub(p.viewed) >= viewLife {
+		p.views, p.viewed = p.sched.Views(now, p.views[:0]), now
+	}
+	return p.views
+}
+
 func (p *Pool) refusal(r *request.Request, s fireflypath.Shed) *fireflypath.Refusal {
 	return &fireflypath.Refusal{
 		Code: s.Reason, Tier: r.Work.Tier, Detail: s.Detail, Run: fireflypath.RunNo,
