--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -2,7 +2,10 @@
 package pool
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +23,10 @@
 // pool's lock; what operators read of them is at most this much older.
 const viewLife = 10 * time.Millisecond
 
+// shownTargets is how many of the least loaded targets a refusal's record shows:
+// if those were full, so were the others.
+const shownTargets = 16
+
 // Pool holds one lock around its scheduler. All moves of a waiting request's
 // Life are made under that lock.
 type Pool struct {
@@ -227,8 +234,18 @@
 func (p *Pool) seen(now time.Time) []fireflypath.TargetView {
 	if p.viewed.IsZero() || now.Sub(p.viewed) >= viewLife {
 		p.views, p.viewed = p.sched.Views(now, p.views[:0]), now
+		slices.SortStableFunc(p.views, func(a, b fireflypath.TargetView) int { return cmp.Compare(load(&a), load(&b)) })
+	}
+	return p.views[:min(len(p.views), shownTargets)]
+}
+
+// load is the part of a target's window that is taken; a target that takes no
+// work comes behind all others.
+func load(v *fireflypath.TargetView) float64 {
+	if v.State != "ready" || v.Window == 0 || v.Part == 0 {
+		return math.Inf(1)
 	}
-	return p.views
+	return float64(v.Held) / (float64(v.Window) * v.Part)
 }
 
 func (p *Pool) refusal(r *request.Request, s fireflypath.Shed) *fireflypath.Refusal {
