--- a/internal/query/eval/eval_test.go
+++ b/internal/query/eval/eval_test.go
@@ -26,7 +26,7 @@
 
 func (m members) Live() []fireflypath.Member { return m }
 
-func stand() (*eval.Evaluator, *testkit.Ledger) {
+func newEvaluator() (*eval.Evaluator, *testkit.Ledger) {
 	clock := clockwork.NewFakeClockAt(start)
 	ledger := testkit.NewLedger(&fireflypath.Config{
 		Generation: 4,
@@ -124,7 +124,7 @@
 }
 
 func TestAsk(t *testing.T) {
-	e, _ := stand()
+	e, _ := newEvaluator()
 	for text, want := range map[string]string{
 		"teams where tier = gold order by weight desc limit 1":    "NAME TIER POOL WEIGHT KEYS\nbakers gold chat 7 0\n# 1 of 2 rows",
 		"teams where weight < 3 or name = bakers and pool = chat": "NAME TIER POOL WEIGHT KEYS\nmillers bronze - 1 1\nbakers gold chat 7 0",
@@ -158,7 +158,7 @@
 
 func TestWhyExplains(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	shed := show(t, e, "why d1.C")
 	for _, want := range []string{
 		"of team traders, tier gold, pool chat", "came 2026-12-02T19:59:55.000Z, deadline 1.5s later",
@@ -178,7 +178,7 @@
 
 func TestWhyOfAnOpenRequest(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	bronze := show(t, e, "why d1.W")
 	is.True(strings.Contains(bronze, "1 requests stood before it"))
 	is.True(strings.Contains(bronze, "it has not ended: waiting"))
@@ -188,7 +188,7 @@
 
 func TestTopShowsTiers(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	is.True(strings.Contains(show(t, e, "top"), "gold 0 10 5 2 1 1 1 2s\nbronze 2 30 0 0 0 0 0 -"))
 }
 
@@ -196,7 +196,7 @@
 // trail, of which it holds nothing, is said to be out of reach.
 func TestAskWithoutService(t *testing.T) {
 	is := is.New(t)
-	e, ledger := stand()
+	e, ledger := newEvaluator()
 	ledger.Down(fireflypath.ErrUnavailable, 0)
 	is.Equal(show(t, e, "count teams"), "COUNT\n3")
 	q, err := query.Parse("changes")
@@ -207,7 +207,7 @@
 
 func TestTableOverTheWire(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	q, err := query.Parse("requests")
 	is.NoErr(err)
 	a, err := e.Ask(context.Background(), q)
@@ -229,7 +229,7 @@
 	} {
 		f.Add(seed)
 	}
-	e, _ := stand()
+	e, _ := newEvaluator()
 	f.Fuzz(func(t *testing.T, text string) {
 		q, err := query.Parse(text)
 		if err != nil {
--- a/internal/query/eval/shape.go
+++ b/internal/query/eval/shape.go
@@ -24,16 +24,16 @@
 
 // matcher turns the query's conditions into a test of the table's rows.
 func (e *Evaluator) matcher(q *query.Query, t *table.Table) (func(table.Row) bool, error) {
-	var any []conjunction
+	var or []conjunction
 	for _, conditions := range q.Where {
 		all, err := e.compile(q, t, conditions)
 		if err != nil {
 			return nil, err
 		}
-		any = append(any, all)
+		or = append(or, all)
 	}
 	return func(r table.Row) bool {
-		return len(any) == 0 || slices.ContainsFunc(any, func(all conjunction) bool { return all.match(r) })
+		return len(or) == 0 || slices.ContainsFunc(or, func(all conjunction) bool { return all.match(r) })
 	}, nil
 }
 
