fix(keys): one script with an old key no longer shuts out everybody at its address

Three failed keys made every operator at that address wait, up to a minute for as long as the script went on. An operator who has shown a valid key from there passes now; a right key that is new there still waits, so that a guesser does not learn which guess is right.

--- a/internal/keys/tries/tries.go
+++ b/internal/keys/tries/tries.go
@@ -33,6 +33,14 @@
 	byAddr map[netip.Prefix]*list.Element
 	order  *list.List
 	failed uint64
+	// known holds who has shown a valid key from where.
+	known map[visit]struct{}
+}
+
+// visit is an operator at a source.
+type visit struct {
+	addr netip.Prefix
+	name string
 }
 
 type source struct {
@@ -43,7 +51,7 @@
 
 // New returns an empty Tries.
 func New(clock clockwork.Clock) *Tries {
-	return &Tries{clock: clock, byAddr: make(map[netip.Prefix]*list.Element), order: list.New()}
+	return &Tries{clock: clock, byAddr: make(map[netip.Prefix]*list.Element), order: list.New(), known: make(map[visit]struct{})}
 }
 
 // Wait is how long an address must wait before its next try is looked at.
@@ -63,6 +71,27 @@
 	return max(0, pause(s.n)-age)
 }
 
+// Passed notes a valid key. Its operator need not wait at this address any more:
+// without this, one script with an old key would shut everybody out who works
+// from the same host. Somebody who guesses is not known there, so that a right
+// guess gets the same answer as a wrong one.
+func (t *Tries) Passed(addr netip.Addr, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.known) >= maxSources {
+		clear(t.known)
+	}
+	t.known[visit{group(addr), name}] = struct{}{}
+}
+
+// Known tells whether the operator has shown a valid key from this address.
+func (t *Tries) Known(addr netip.Addr, name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.known[visit{group(addr), name}]
+	return ok
+}
+
 // Fail counts a failed try.
 func (t *Tries) Fail(addr netip.Addr) {
 	t.mu.Lock()
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -31,16 +32,19 @@
 		}
 		return nil, a.deny(c, "no operator is configured: create the first one from the daemon's host")
 	}
-	if wait := a.tries.Wait(addr); wait > 0 {
+	key := keys.Bearer(c.Get(fiber.HeaderAuthorization))
+	who := a.ring.Operator(key, a.deps.Clock.Now())
+	wait := a.tries.Wait(addr)
+	if who != nil && (wait == 0 || a.tries.Known(addr, who.Name)) {
+		a.tries.Passed(addr, who.Name)
+		return who, nil
+	}
+	if wait > 0 {
 		a.count.denied.Inc(1)
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(wait.Seconds()))))
-		detail := fmt.Sprintf("too many failed keys from %s: wait %s", addr, wait)
+		detail := fmt.Sprintf("too many failed keys from %s: wait %s", addr, wait.Round(time.Millisecond))
 		return nil, failure(c, fiber.StatusTooManyRequests, wire.Failure{Detail: detail})
 	}
-	key := keys.Bearer(c.Get(fiber.HeaderAuthorization))
-	if who := a.ring.Operator(key, a.deps.Clock.Now()); who != nil {
-		return who, nil
-	}
 	a.tries.Fail(addr)
 	return nil, a.deny(c, "the operator's key is missing, unknown or ended")
 }
