--- a/test/script/script_test.go
+++ b/test/script/script_test.go
@@ -4,12 +4,14 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -56,6 +58,7 @@
 			"flood":   flood,
 			"capture": capture,
 			"soon":    soon,
+			"both":    both,
 		},
 	})
 }
@@ -215,17 +218,49 @@
 	ts.Fatalf("none of %d answers matches %s; the first: %s", n, want, replies[0].body)
 }
 
-// capture PATTERN sets a variable for each named group found in the last
-// program's output.
+// capture PATTERN FILE sets a variable for each named group found in a file, or
+// in the last program's output if none is named.
 func capture(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 1 {
-		ts.Fatalf("usage: capture PATTERN")
+	if neg || len(args) < 1 || len(args) > 2 {
+		ts.Fatalf("usage: capture PATTERN [FILE]")
 	}
-	if !learn(ts, regexp.MustCompile(args[0]), ts.ReadFile("stdout")) {
+	file := "stdout"
+	if len(args) == 2 {
+		file = args[1]
+	}
+	if !learn(ts, regexp.MustCompile(args[0]), ts.ReadFile(file)) {
 		ts.Fatalf("no match for %s", args[0])
 	}
 }
 
+// both FLAGS -- FLAGS runs the client twice at once. The files "out" and "err"
+// hold what the two print, and the file "codes" their exit codes in order.
+func both(ts *testscript.TestScript, neg bool, args []string) {
+	i := slices.Index(args, "--")
+	if neg || i < 0 {
+		ts.Fatalf("usage: both FLAGS -- FLAGS")
+	}
+	var out, errs [2]bytes.Buffer
+	var codes [2]int
+	var wg sync.WaitGroup
+	for n, flags := range [][]string{args[:i], args[i+1:]} {
+		cmd := exec.Command(filepath.Join(bin, "fireflypath"), flags...)
+		cmd.Env = append(os.Environ(),
+			"FIREFLYPATH_AT="+ts.Getenv("FIREFLYPATH_AT"), "FIREFLYPATH_KEY="+ts.Getenv("FIREFLYPATH_KEY"))
+		cmd.Stdout, cmd.Stderr = &out[n], &errs[n]
+		wg.Go(func() {
+			// The exit code is what counts; it is -1 if the program did not run.
+			_ = cmd.Run()
+			codes[n] = cmd.ProcessState.ExitCode()
+		})
+	}
+	wg.Wait()
+	slices.Sort(codes[:])
+	ts.Check(os.WriteFile(ts.MkAbs("out"), append(out[0].Bytes(), out[1].Bytes()...), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs("err"), append(errs[0].Bytes(), errs[1].Bytes()...), 0o600))
+	ts.Check(os.WriteFile(ts.MkAbs("codes"), fmt.Appendln(nil, codes[0], codes[1]), 0o600))
+}
+
 // pause is the time between two tries of soon.
 const pause = 50 * time.Millisecond
 
