--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -39,11 +41,13 @@
 	window  int
 	silence time.Duration
 	deps    daemon.Deps
+	// body, header, connections and waiting are limits.
+	body, header, connections, waiting int
 }
 
 func newRig(t *testing.T, s setup) *rig {
 	is := is.New(t)
-	r := &rig{t: t, records: make(chan *fireflypath.Record, 64)}
+	r := &rig{t: t, records: make(chan *fireflypath.Record, 1024)}
 	s.engine.Addr = testkit.Loopback() + ":0"
 	s.service.Addr = s.engine.Addr
 	var engines, services []string
@@ -66,6 +70,8 @@
 	}
 	set := testkit.Settings(cfg)
 	set.Limits.Silence = fireflypath.Duration(s.silence)
+	set.Limits.Body, set.Limits.Header = s.body, s.header
+	set.Limits.Connections, set.Limits.Waiting = s.connections, s.waiting
 	s.deps.Recorder = r
 	r.Daemon, err = daemon.New(set, s.deps)
 	is.NoErr(err)
@@ -102,6 +108,10 @@
 func (r *rig) post(path, body string, header ...string) result {
 	resp, err := http.DefaultClient.Do(r.request(r.t.Context(), path, body, header...))
 	is.New(r.t).NoErr(err)
+	return read(resp)
+}
+
+func read(resp *http.Response) result {
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	return result{status: resp.StatusCode, header: resp.Header, text: string(text), err: err}
@@ -264,6 +274,70 @@
 	is.Equal(sum, 1)
 }
 
+// The same before the first token: the work waits in the engine's queue for
+// longer than a connection may be silent, and then the connection is lost.
+func TestConnectionGoesSilentBeforeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{engine: engine.Config{Prefill: 4}, silence: 100 * time.Millisecond})
+	got := make(chan result, 1)
+	go func() { got <- r.stream(3) }()
+	for sum, _ := r.dispatches(); sum == 0; sum, _ = r.dispatches() {
+		runtime.Gosched()
+	}
+	r.fault(fault.Fault{Name: fault.Silent})
+	r.isWhole(<-got, 3)
+	sum, _ := r.dispatches()
+	is.Equal(sum, 1)
+	is.True((<-r.records).Resumes > 0)
+}
+
+// A plain service's connection goes silent. Its answer cannot be asked for
+// again, so after a longer wait the caller reads that the call may have run.
+func TestServiceGoesSilent(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{service: service.Config{Delay: time.Minute}, silence: 20 * time.Millisecond})
+	got := make(chan result, 1)
+	go func() { got <- r.post("/services/packets/a", "x") }()
+	for len(r.services[0].Counts().Runs) == 0 {
+		runtime.Gosched()
+	}
+	is.NoErr(r.services[0].Fault(fault.Fault{Name: fault.Silent}))
+	answer := <-got
+	is.Equal(answer.status, http.StatusBadGateway)
+	is.True(strings.Contains(answer.text, `"run":"unknown"`))
+	is.Equal(len(r.services[0].Counts().Dispatches), 1)
+}
+
+// A caller leaves while a service works on a call that may not be repeated.
+// Cut off, nobody would know whether it was made; it runs to its end.
+func TestCallerLeavesWhileServiceRuns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{service: service.Config{Delay: 200 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := r.background(r.request(ctx, "/services/packets/a", "x"))
+	for len(r.services[0].Counts().Runs) == 0 {
+		runtime.Gosched()
+	}
+	cancel()
+	is.True(<-done != nil)
+	is.Equal((<-r.records).State, "answered")
+}
+
+// An answer for a caller that wants no stream breaks off on the way. The rest
+// is read on a new connection, and the caller gets one whole text.
+func TestWholeAnswerResumed(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{})
+	r.fault(fault.Fault{Name: fault.Break, After: 2, Count: 1})
+	got := r.post("/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":5}`)
+	is.Equal(got.status, http.StatusOK)
+	var m struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	is.NoErr(json.Unmarshal([]byte(got.text), &m))
+	is.Equal(m.Choices[0].Message.Content, engine.Text("hello", 5))
+}
+
 // A target needs longer than the caller's deadline. After the dispatch the
 // work is done anyway, so the caller still gets its whole answer.
 func TestLateAnswerIsDelivered(t *testing.T) {
@@ -282,32 +356,38 @@
 	defer first.Body.Close()
 
 	ctx, cancel := context.WithCancel(t.Context())
+	done := r.background(r.request(ctx, "/v1/completions", completion(1)))
+	r.untilOneWaits()
+	cancel()
+	is.True(<-done != nil)
+	rec := <-r.records
+	is.Equal(rec.State, "withdrawn")
+	is.Equal(rec.Target, "")
+	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+}
+
+// background sends a request whose answer is of no interest.
+func (r *rig) background(req *http.Request) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		resp, err := http.DefaultClient.Do(r.request(ctx, "/v1/completions", completion(1)))
+		resp, err := http.DefaultClient.Do(req)
 		if err == nil {
 			resp.Body.Close()
 		}
 		done <- err
 	}()
-	r.waiting("engines", 1)
-	cancel()
-	is.True(<-done != nil)
-	rec := <-r.records
-	is.Equal(rec.State, "withdrawn")
-	is.Equal(rec.Target, "")
-	is.Equal(r.engines[0].Counts().Dispatches[rec.ID], 0)
+	return done
 }
 
-// waiting blocks until so many requests wait in the pool.
-func (r *rig) waiting(pool string, n int) {
+// untilOneWaits blocks until one request waits for engines.
+func (r *rig) untilOneWaits() {
 	for r.t.Context().Err() == nil {
 		for _, d := range r.Demands() {
 			sum := 0
 			for _, k := range d.Requests {
 				sum += k
 			}
-			if d.Pool == pool && sum == n {
+			if d.Pool == "engines" && sum == 1 {
 				return
 			}
 		}
@@ -360,14 +440,7 @@
 	is := is.New(t)
 	store := testkit.NewMapStore(clockwork.NewRealClock())
 	first := newRig(t, setup{deps: daemon.Deps{Store: store}, service: service.Config{Delay: time.Minute}})
-	done := make(chan error, 1)
-	go func() {
-		resp, err := http.DefaultClient.Do(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
-		if err == nil {
-			resp.Body.Close()
-		}
-		done <- err
-	}()
+	done := first.background(first.request(t.Context(), "/services/packets/a", "x", "Idempotency-Key", "k"))
 	for len(first.services[0].Counts().Keys) == 0 {
 		runtime.Gosched()
 	}
@@ -394,3 +467,34 @@
 	is.Equal(r.post("/services/packets/a", "x", "Idempotency-Key", "k").status, http.StatusConflict)
 	is.Equal(r.services[0].Counts().Keys["k"], 1)
 }
+
+// A service writes its answer bit by bit. Held back until the end, a caller
+// that follows a long export would take the connection for dead.
+func TestServicePiecesAreNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	read := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = io.WriteString(w, "first\n")
+		w.(http.Flusher).Flush()
+		<-read
+		_, _ = io.WriteString(w, "second\n")
+	}))
+	defer s.Close()
+	d, err := daemon.New(testkit.Settings(testkit.Config(nil, []string{s.Listener.Addr().String()})), daemon.Deps{})
+	is.NoErr(err)
+	is.NoErr(d.Start(t.Context()))
+	defer d.Kill()
+	r := &rig{t: t, Daemon: d}
+	resp, err := http.DefaultClient.Do(r.request(t.Context(), "/services/packets/a", ""))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body := bufio.NewReader(resp.Body)
+	line, err := body.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "first\n")
+	close(read)
+	rest, err := io.ReadAll(body)
+	is.NoErr(err)
+	is.Equal(string(rest), "second\n")
+}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,6 +34,8 @@
 	name   string
 	clock  clockwork.Clock
 	relief fireflypath.Relief
+	// bytes counts the memory of waiting requests over all pools.
+	bytes *atomic.Int64
 
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
@@ -57,7 +60,7 @@
 func New(name string, clock clockwork.Clock, sched fireflypath.Scheduler, relief fireflypath.Relief) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		name: name, clock: clock, relief: relief, sched: sched,
+		name: name, clock: clock, relief: relief, sched: sched, bytes: &atomic.Int64{},
 		waiting: map[*fireflypath.Work]*request.Request{},
 		running: map[*fireflypath.Work]running{},
 		targets: map[string]fireflypath.Target{},
@@ -65,6 +68,12 @@
 	}
 }
 
+// Count makes the pool subtract from n the bytes of requests whose wait ends;
+// whoever offers one has added them. It is called before the pool is used.
+func (p *Pool) Count(n *atomic.Int64) {
+	p.bytes = n
+}
+
 // Wait offers the request and returns when it has a target, with its Life in
 // StateDispatched, or the refusal that ended its wait. If the caller leaves
 // first, the error is a refusal as withdrawn.
@@ -79,6 +88,7 @@
 	r.Draft.Unsent()
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
+	p.bytes.Add(int64(r.Work.Bytes))
 	delete(p.running, &r.Work)
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
 		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
@@ -130,13 +140,19 @@
 		return nil
 	}
 	p.sched.Withdraw(p.clock.Now(), &r.Work)
-	delete(p.waiting, &r.Work)
+	p.forget(r)
 	p.pump()
 	return p.refusal(r, fireflypath.Shed{
 		Reason: fireflypath.ReasonWithdrawn, Detail: "the caller left while the request waited",
 	})
 }
 
+// forget ends a request's wait. The lock is held.
+func (p *Pool) forget(r *request.Request) {
+	delete(p.waiting, &r.Work)
+	p.bytes.Add(-int64(r.Work.Bytes))
+}
+
 func (p *Pool) take(r *request.Request, t request.Turn) error {
 	if t.Refusal != nil {
 		return t.Refusal
@@ -161,7 +177,7 @@
 		p.sched.Observe(now, fireflypath.Event{Kind: fireflypath.EventUnsent, Target: p.place.Target, Work: w, Cached: -1})
 		return
 	}
-	delete(p.waiting, w)
+	p.forget(r)
 	r.Sent = now
 	p.running[w] = running{r: r, target: p.place.Target}
 	r.Draft.Placed(now, &p.place)
@@ -223,7 +239,7 @@
 	}
 	now := p.clock.Now()
 	p.sched.Withdraw(now, s.Work)
-	delete(p.waiting, s.Work)
+	p.forget(r)
 	if r.Draft != nil {
 		r.Draft.Refused(p.seen(now))
 	}
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -13,11 +14,20 @@
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 )
 
+// maxRank is the lowest tier's rank at most (fireflypath.Tier).
+const maxRank = 15
+
 // Pools implements fireflypath.Cluster.
 type Pools struct {
 	clock  clockwork.Clock
 	relief fireflypath.Relief
 	sched  func(fireflypath.Pool) fireflypath.Scheduler
+	// bytes is the memory of waiting requests, limit its bound.
+	bytes atomic.Int64
+	limit int64
+
+	// shares holds the last fireflypath.Share of each pool, by its name.
+	shares sync.Map
 
 	mu      sync.Mutex
 	applied *fireflypath.Config
@@ -29,7 +39,7 @@
 
 // New returns Pools without any; sched makes the scheduler of a pool.
 func New(clock clockwork.Clock, relief fireflypath.Relief, sched func(fireflypath.Pool) fireflypath.Scheduler) *Pools {
-	p := &Pools{clock: clock, relief: relief, sched: sched}
+	p := &Pools{clock: clock, relief: relief, sched: sched, limit: math.MaxInt64}
 	p.byName.Store(&map[string]*pool.Pool{})
 	p.home.Store(&map[string]*pool.Pool{})
 	return p
@@ -76,6 +86,7 @@
 
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
 	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
+	n.Count(&p.bytes)
 	if p.stopped != nil {
 		n.Close(*p.stopped)
 	}
@@ -108,6 +119,39 @@
 	return (*p.byName.Load())[name]
 }
 
+// Bound limits the bytes of all waiting requests. It is called before the
+// first request.
+func (p *Pools) Bound(bytes int) {
+	p.limit = int64(bytes)
+}
+
+// Reserve counts a request that is about to wait. It reports false if there is
+// no memory for it, after lower work of any pool has given way.
+//
+// The bound is over all pools, so the newcomer can be of a higher tier than
+// what waits in another pool. Refusing it there would shed a higher tier while
+// a lower one holds work.
+func (p *Pools) Reserve(w *fireflypath.Work) bool {
+	n := int64(w.Bytes)
+	if p.bytes.Add(n) <= p.limit || p.displace(w.Rank) {
+		return true
+	}
+	p.bytes.Add(-n)
+	return false
+}
+
+// displace refuses waiting work of lower tiers, the lowest first, until the
+// bound is met.
+func (p *Pools) displace(rank int) bool {
+	for below := maxRank - 1; below >= rank; below-- {
+		for _, n := range *p.byName.Load() {
+			for p.bytes.Load() > p.limit && n.Relieve(below, 1) > 0 {
+			}
+		}
+	}
+	return p.bytes.Load() <= p.limit
+}
+
 // Observe passes an event to the pool of its target.
 func (p *Pools) Observe(e fireflypath.Event) {
 	if n := (*p.home.Load())[e.Target]; n != nil {
@@ -165,11 +209,27 @@
 
 // ApplyShare puts a share in force.
 func (p *Pools) ApplyShare(name string, s fireflypath.Share) {
+	p.shares.Store(name, s)
 	if n := (*p.byName.Load())[name]; n != nil {
 		n.SetShare(s)
 	}
 }
 
+// Serves reports whether this daemon may send work to the target. At the size
+// of the letter a daemon serves a part of the targets; asking all 2,700 for
+// their load each second would take many times what control may cost.
+func (p *Pools) Serves(t fireflypath.Target) bool {
+	v, ok := p.shares.Load(t.Pool)
+	if !ok {
+		return true
+	}
+	s := v.(fireflypath.Share)
+	if part, named := s.Part[t.Name]; named {
+		return part > 0
+	}
+	return s.Default > 0
+}
+
 // TargetLeaving ends new work to the target.
 func (p *Pools) TargetLeaving(target, why string) {
 	p.Observe(fireflypath.Event{Kind: fireflypath.EventLeaving, Target: target, Cached: -1})
