--- a/cmd/fireflypath/page_test.go
+++ b/cmd/fireflypath/page_test.go
@@ -36,9 +36,10 @@
 
 // fence matches an example, comment one of the test's own instructions.
 var (
-	fence  = regexp.MustCompile("(?ms)^```console\n(.*?)^```|^<!-- (.*?) -->")
-	shown  = regexp.MustCompile(`key of (\w+) (\w+), shown only now: (fp_\S+)`)
-	quoted = regexp.MustCompile(`'([^']*)'|(\S+)`)
+	fence    = regexp.MustCompile("(?ms)^```console\n(.*?)^```|^<!-- (.*?) -->")
+	shown    = regexp.MustCompile(`key of (\w+) (\w+), shown only now: (fp_\S+)`)
+	finished = regexp.MustCompile(`^done (\w+)`)
+	quoted   = regexp.MustCompile(`'([^']*)'|(\S+)`)
 )
 
 func TestOperatorsPage(t *testing.T) {
@@ -161,7 +162,8 @@
 	return string(body)
 }
 
-// learn keeps the keys that are shown, and the hash of the first one in a list.
+// learn keeps the keys that are shown, the hash of the first one in a list, and
+// the id of the last command done.
 func (p *page) learn(got string) {
 	for _, m := range shown.FindAllStringSubmatch(got, -1) {
 		p.keys[m[2]] = m[3]
@@ -169,6 +171,9 @@
 			p.vars["TEAM"] = m[3]
 		}
 	}
+	if m := finished.FindStringSubmatch(got); m != nil {
+		p.vars["DONE"] = m[1]
+	}
 	if strings.HasPrefix(got, "HASH") {
 		p.vars["OLD"] = strings.Fields(strings.Split(got, "\n")[1])[0]
 	}
