--- a/internal/decide/rules/rules.go
+++ b/internal/decide/rules/rules.go
@@ -55,9 +55,10 @@
 // given number of daemons: the balancer spreads callers, and counting together
 // would cost messages for each request.
 func (r *Rules) Decide(now time.Time, cfg *fireflypath.Config, daemons int, w *fireflypath.Work) Verdict {
-	for _, rule := range r.current(cfg).rules {
-		if matches(&rule.Rule, w) {
-			return rule.decide(now, daemons, w)
+	list := r.current(cfg).rules
+	for i := range list {
+		if matches(&list[i].Rule, w) {
+			return list[i].decide(now, daemons, w)
 		}
 	}
 	return Verdict{}
--- a/internal/decide/rules/rules_test.go
+++ b/internal/decide/rules/rules_test.go
@@ -1,6 +1,7 @@
 package rules_test
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,3 +113,22 @@
 	wg.Wait()
 	is.Equal(passed.Load(), int64(1000))
 }
+
+// BenchmarkDecide measures a request that no rule matches.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{0, 16, 256} {
+		b.Run(fmt.Sprintf("rules=%d", n), func(b *testing.B) {
+			cfg := &fireflypath.Config{}
+			for i := range n {
+				cfg.Rules = append(cfg.Rules, fireflypath.Rule{
+					Name: fmt.Sprint("r", i), Act: fireflypath.RuleRefuse, Team: fmt.Sprint("team", i),
+				})
+			}
+			var r rules.Rules
+			w := work("traders", "gold", 10)
+			for b.Loop() {
+				r.Decide(start, cfg, 9, w)
+			}
+		})
+	}
+}
