fix(operator): the first operator can be created where the listener is bound to the host's address

The examples bind the operators' listener to the host's own IP number. A client on that host then comes from that number and not from loopback, so a new system could get no first operator. A connection from the address that it was made to counts as local now; another host is refused, which a test holds. The client's default address has the examples' port.

--- a/cmd/fireflypath/operate.go
+++ b/cmd/fireflypath/operate.go
@@ -15,8 +15,8 @@
 	"github.com/fireflypath/fireflypath/internal/syntax"
 )
 
-// defaultAt is the operators' address in settings/example.jsonc.
-const defaultAt = "127.0.0.1:7081"
+// defaultAt has the port of the operators' listener in settings/.
+const defaultAt = "127.0.0.1:9090"
 
 // operatorFlags are shared by do, ask and shell.
 func operatorFlags(more ...cli.Flag) []cli.Flag {
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/oklog/ulid/v2"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/client"
@@ -56,16 +57,8 @@
 	}
 	d := daemon{addr: ln.Addr().String(), ring: record.New(1 << 20), peers: &members{}}
 	d.peers.list = []fireflypath.Member{{Name: name, Operator: d.addr}}
-	api := operator.New(operator.Deps{
-		Sources: eval.Sources{
-			Name: name, Configs: l, Committer: l, Members: d.peers, Recorder: d.ring, Clock: clock,
-			Views:   func() []fireflypath.TargetView { return nil },
-			Demands: func() []fireflypath.Demand { return nil },
-		},
-		Orderer: o, Forward: forward.New(nil), Scope: tally.NoopScope,
-	})
 	app := fiber.New()
-	api.Register(app)
+	newAPI(name, l, clock, o, &d).Register(app)
 	done := make(chan error, 1)
 	go func() { done <- app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true}) }()
 	t.Cleanup(func() {
@@ -77,6 +70,17 @@
 	return d
 }
 
+func newAPI(name string, l *testkit.Ledger, clock clockwork.Clock, o fireflypath.Orderer, d *daemon) *operator.API {
+	return operator.New(operator.Deps{
+		Sources: eval.Sources{
+			Name: name, Configs: l, Committer: l, Members: d.peers, Recorder: d.ring, Clock: clock,
+			Views:   func() []fireflypath.TargetView { return nil },
+			Demands: func() []fireflypath.Demand { return nil },
+		},
+		Orderer: o, Forward: forward.New(nil), Scope: tally.NoopScope,
+	})
+}
+
 func newLedger(clock clockwork.Clock) *testkit.Ledger {
 	return testkit.NewLedger(&fireflypath.Config{Generation: 1}, clock.Now)
 }
@@ -342,3 +346,40 @@
 	_, err := c.Each("why d1.X")
 	is.True(err != nil)
 }
+
+// A new system has no operator, and its listener is open to the network. The
+// first operator is created from the host itself; from anywhere else whoever
+// came first would own the system.
+func TestFirstOperatorComesFromTheHost(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	for name, tc := range map[string]struct {
+		from, to net.IP
+		status   int
+	}{
+		"loopback":     {net.IPv4(127, 0, 0, 1), net.IPv4(127, 0, 0, 1), fiber.StatusOK},
+		"own address":  {net.IPv4(10, 0, 0, 7), net.IPv4(10, 0, 0, 7), fiber.StatusOK},
+		"another host": {net.IPv4(10, 0, 0, 8), net.IPv4(10, 0, 0, 7), fiber.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			app := fiber.New()
+			newAPI("d1", newLedger(clock), clock, nil, &daemon{ring: record.New(0), peers: &members{}}).Register(app)
+			var c fasthttp.RequestCtx
+			c.Init2(&addrs{from: tc.from, to: tc.to}, nil, false)
+			c.Request.SetRequestURI(wire.PathAsk)
+			c.Request.Header.SetMethod(fiber.MethodPost)
+			c.Request.SetBodyString(`{"words":"tiers"}`)
+			app.Handler()(&c)
+			is.Equal(c.Response.StatusCode(), tc.status)
+		})
+	}
+}
+
+// addrs is a connection of which only the ends are asked.
+type addrs struct {
+	net.Conn
+	from, to net.IP
+}
+
+func (a *addrs) RemoteAddr() net.Addr { return &net.TCPAddr{IP: a.from, Port: 1} }
+func (a *addrs) LocalAddr() net.Addr  { return &net.TCPAddr{IP: a.to, Port: 2} }
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -21,13 +21,13 @@
 // operator returns who asks, or writes the answer to somebody without a key
 // and returns nil.
 //
-// With no operator in the configuration, callers from a loopback address may do
-// everything: somebody must create the first operator, and whoever has a shell
-// on the host could read its settings anyway. Other addresses are refused.
+// With no operator in the configuration, callers from the daemon's own host may
+// do everything: somebody must create the first operator, and whoever has a
+// shell on the host could read its settings anyway. Others are refused.
 func (a *API) operator(c fiber.Ctx) (*fireflypath.Operator, error) {
 	addr := source(c)
 	if len(a.deps.Configs.Current().Operators) == 0 {
-		if addr.IsLoopback() {
+		if own(c, addr) {
 			return &fireflypath.Operator{Name: local, Role: fireflypath.RoleOrder}, nil
 		}
 		return nil, a.deny(c, "no operator is configured: create the first one from the daemon's host")
@@ -54,6 +54,13 @@
 	return failure(c, fiber.StatusUnauthorized, wire.Failure{Detail: detail})
 }
 
+// own is true for a connection from the daemon's host: over loopback, or from
+// the address that it was made to, which the kernel takes from no wire.
+func own(c fiber.Ctx, addr netip.Addr) bool {
+	tcp, ok := c.RequestCtx().LocalAddr().(*net.TCPAddr)
+	return addr.IsLoopback() || ok && tcp.AddrPort().Addr().Unmap() == addr
+}
+
 // source is the address of the connection; headers that claim another one are
 // not believed.
 func source(c fiber.Ctx) netip.Addr {
