fix(query): why finds a request that ends while it is asked for

The records were looked through before the open requests, so one that ended in between was found in neither. Open ones come first now. The answer for an unknown id also names a restart of the daemon. Race tests of query and operator pass.

--- a/internal/query/eval/eval.go
+++ b/internal/query/eval/eval.go
@@ -146,11 +146,12 @@
 }
 
 func (e *Evaluator) why(id string, a *Answer) error {
-	if rec := e.src.Recorder.Find(id); rec != nil {
-		explain(rec, a)
-		return nil
+	// Open ones first: a request that ends between the two looks is then found.
+	rec := e.open(id)
+	if rec == nil {
+		rec = e.src.Recorder.Find(id)
 	}
-	if rec := e.open(id); rec != nil {
+	if rec != nil {
 		explain(rec, a)
 		return nil
 	}
@@ -158,5 +159,5 @@
 	if ok && daemon != e.src.Name {
 		return &Elsewhere{Daemon: daemon}
 	}
-	return errors.Wrapf(ErrNotKept, "request %s: it never came here or made room for newer ones; a refusal itself says why", id)
+	return errors.Wrapf(ErrNotKept, "request %s: it never came here, came before this daemon's last start, or made room for newer ones; a refusal itself says why", id)
 }
