fix(operator): an id older than the trail's reach is neither settled as not done nor repeated

A command's fate is looked up in the newest few hundred lines of the trail. Of an older id settle said not done, which could be untrue, and a repetition would have been done twice. The id tells when it was made: settle says unknown now and the repetition is refused.

--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -383,3 +383,21 @@
 
 func (a *addrs) RemoteAddr() net.Addr { return &net.TCPAddr{IP: a.from, Port: 1} }
 func (a *addrs) LocalAddr() net.Addr  { return &net.TCPAddr{IP: a.to, Port: 2} }
+
+// An operator repeats a command by its id after days. The trail that is looked
+// through no longer reaches back to it, so that it would be done a second time.
+func TestOldIDIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	l := newLedger(clock)
+	c := dial(start(t, "d1", l, clock, nil).addr)
+	old := ulid.MustNew(ulid.Timestamp(clock.Now().Add(-48*time.Hour)), ulid.DefaultEntropy()).String()
+	is.Equal(c.Do(wire.Do{ID: old, Words: pool}).Outcome, wire.OutcomeDone)
+	for i := range eval.SettleLines {
+		is.NoErr(l.Note(t.Context(), fireflypath.AuditLine{ID: fmt.Sprint("n", i), At: clock.Now()}))
+	}
+	done := c.Do(wire.Do{ID: old, Words: pool})
+	is.Equal(done.Outcome, wire.OutcomeRefused)
+	is.True(strings.Contains(done.Detail, "older than the trail"))
+	is.Equal(l.Current().Generation, uint64(2))
+}
--- a/internal/operator/do.go
+++ b/internal/operator/do.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
@@ -38,7 +39,8 @@
 		return a.finish(c, bad(wire.Done{}, "the body is no command: "+err.Error()))
 	}
 	done := wire.Done{ID: req.ID}
-	if _, err := ulid.ParseStrict(req.ID); err != nil {
+	id, err := ulid.ParseStrict(req.ID)
+	if err != nil {
 		return a.finish(c, bad(done, "the command's id is not a ULID"))
 	}
 	script, err := command.Parse(req.Words)
@@ -55,9 +57,30 @@
 		done.Detail = fmt.Sprintf("operator %s has the role %s; this needs %s", who.Name, who.Role, need)
 		return a.finish(c, a.noteRefusal(ctx, who.Name, req, done))
 	}
+	if a.stale(ctx, id) {
+		done.Outcome = wire.OutcomeRefused
+		done.Detail = "the id is older than the trail that is looked through, so the command may have been done: look, and give it anew"
+		return a.finish(c, done)
+	}
 	return a.finish(c, a.run(ctx, who.Name, req, script))
 }
 
+// fresh is the age up to which an id is certainly within reach of the trail.
+const fresh = time.Minute
+
+// stale is true for an id that was made before the oldest line a committer looks
+// through. Repeating such a command could do it twice.
+func (a *API) stale(ctx context.Context, id ulid.ULID) bool {
+	made := ulid.Time(id.Time())
+	if a.deps.Clock.Now().Sub(made) < fresh {
+		return false
+	}
+	// Without the trail nothing is committed either.
+	lines, _ := a.deps.Committer.Trail(ctx, eval.SettleLines)
+	n := len(lines)
+	return n == eval.SettleLines && made.Before(lines[n-1].At)
+}
+
 func needed(s *command.Script) fireflypath.Role {
 	switch {
 	case s.Order != nil:
--- a/internal/query/eval/eval_test.go
+++ b/internal/query/eval/eval_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/query"
@@ -240,3 +242,20 @@
 		}
 	})
 }
+
+// An operator comes back to a lost answer after days. By then the trail that is
+// looked through is all of later changes; that the command is not in it does
+// not mean that it was not done.
+func TestSettleOfAnOldCommandIsUnknown(t *testing.T) {
+	is := is.New(t)
+	e, ledger := newEvaluator()
+	at := func(d time.Duration) string {
+		return ulid.MustNew(ulid.Timestamp(start.Add(d)), ulid.DefaultEntropy()).String()
+	}
+	is.Equal(show(t, e, "settle "+at(-time.Hour))[:8], "not done")
+	for i := range 384 {
+		is.NoErr(ledger.Note(t.Context(), fireflypath.AuditLine{ID: fmt.Sprint("n", i), At: start}))
+	}
+	is.Equal(show(t, e, "settle "+at(-time.Hour))[:7], "unknown")
+	is.Equal(show(t, e, "settle "+at(time.Hour))[:8], "not done")
+}
--- a/internal/query/eval/settle.go
+++ b/internal/query/eval/settle.go
@@ -4,16 +4,21 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/fireflypath/fireflypath"
 )
 
-// settleLines bounds where the line of a refusal or an order is looked for: an
-// hour at the letter's 4,200 changes a day. Changes themselves are found by
-// the Committer, however old.
-const settleLines = 175
+const (
+	// SettleLines is how far back a command is looked for: two hours at the
+	// letter's 4,200 changes a day, and no further than a Committer looks.
+	SettleLines = 384
+	// settleSkew is how much the clock of the client that made an id may be off.
+	settleSkew = 5 * time.Minute
+)
 
 // Ordered is the result in an order's first line, written before it is sent.
 const Ordered = "ordered"
@@ -36,12 +41,12 @@
 	if err != nil && !missing {
 		return errors.Wrapf(ErrTrail, "command %s: %v", id, err)
 	}
-	lines, terr := e.src.Committer.Trail(ctx, settleLines)
+	lines, terr := e.src.Committer.Trail(ctx, SettleLines)
 	if terr != nil {
 		return errors.Wrapf(ErrTrail, "command %s: %v", id, terr)
 	}
 	if missing {
-		a.Lines = []string{"not done: " + result(lines, RefusedID(id), "the trail holds no command "+id)}
+		a.Lines = []string{undone(lines, id)}
 		return nil
 	}
 	if result(lines, id, "") == Ordered {
@@ -53,6 +58,22 @@
 	return nil
 }
 
+// undone tells of a command that was not found. One made before the oldest line
+// that was looked at may have been done: saying that it was not would be untrue.
+func undone(lines []fireflypath.AuditLine, id string) string {
+	if why := result(lines, RefusedID(id), ""); why != "" {
+		return "not done: " + why
+	}
+	made, err := ulid.ParseStrict(id)
+	if err != nil {
+		return "not done: the trail holds no command " + id
+	}
+	if n := len(lines); n == SettleLines && ulid.Time(made.Time()).Before(lines[n-1].At.Add(settleSkew)) {
+		return fmt.Sprintf("unknown: command %s is older than the %d newest lines of the trail", id, n)
+	}
+	return "not done: the trail holds no command " + id
+}
+
 // result is the result in the line with an id, or the words for none.
 func result(lines []fireflypath.AuditLine, id, none string) string {
 	i := slices.IndexFunc(lines, func(l fireflypath.AuditLine) bool { return l.ID == id })
