fix(query): a request that was given up shows no score and no reported load

Its record holds what the targets held, not a weighing; zeros in those columns read like figures. Tests of query, the page and the scripts pass.

--- a/internal/query/why/why.go
+++ b/internal/query/why/why.go
@@ -135,22 +135,27 @@
 		{Name: "score", Kind: table.Duration},
 		{Name: "skip", Kind: table.Text},
 	}}
-	for _, c := range r.Considered {
-		t.Rows = append(t.Rows, table.Row{
-			table.Str(c.Target), table.Flag(c.Target == r.Target), table.Num(c.Held),
-			reported(c), table.Age(c.Age), table.Num(c.Window), table.Num(c.Hit),
-			table.Num(c.Score), table.Str(c.Skip),
-		})
+	for i := range r.Considered {
+		t.Rows = append(t.Rows, row(r, &r.Considered[i]))
 	}
 	return t
 }
 
-// reported is empty for a target that has not reported yet.
-func reported(c fireflypath.Candidate) table.Cell {
+// row shows a candidate. A request that was given up was not weighed: it has no
+// hit and no score. A target that has not reported has no load.
+func row(r *fireflypath.Record, c *fireflypath.Candidate) table.Row {
+	none := table.Cell{Empty: true}
+	reported, hit, score := table.Num(c.Reported), table.Num(c.Hit), table.Num(c.Score)
+	if r.Target == "" {
+		reported, hit, score = none, none, none
+	}
 	if table.Age(c.Age).Empty {
-		return table.Cell{Empty: true}
+		reported = none
+	}
+	return table.Row{
+		table.Str(c.Target), table.Flag(c.Target == r.Target), table.Num(c.Held),
+		reported, table.Age(c.Age), table.Num(c.Window), hit, score, table.Str(c.Skip),
 	}
-	return table.Num(c.Reported)
 }
 
 func or(name string) string {
