--- a/internal/query/eval/shape.go
+++ b/internal/query/eval/shape.go
@@ -88,16 +88,35 @@
 func (e *Evaluator) shape(q *query.Query, t *table.Table) (*table.Table, error) {
 	switch q.Kind {
 	case query.KindCount:
-		return group(q, t, table.Column{Name: "count", Kind: table.Number}, func(rows []table.Row) table.Cell {
-			return table.Num(len(rows))
-		})
+		return group(q, t, counted)
 	case query.KindMeasure:
-		return measure(q, t)
+		return group(q, t, counted, measured(q, t))
 	default:
 		return t, list(q, t)
 	}
 }
 
+// aggregate is a column made of a group of rows.
+type aggregate struct {
+	column table.Column
+	of     func([]table.Row) table.Cell
+}
+
+// counted is the number of rows.
+var counted = aggregate{
+	column: number("count"),
+	of:     func(rows []table.Row) table.Cell { return table.Num(len(rows)) },
+}
+
+// measured is the query's percentile of the column that it names.
+func measured(q *query.Query, t *table.Table) aggregate {
+	i := t.Index(q.Of)
+	return aggregate{
+		column: table.Column{Name: fmt.Sprintf("p%d", q.Percentile), Kind: t.Columns[i].Kind},
+		of:     func(rows []table.Row) table.Cell { return percentile(rows, i, q.Percentile) },
+	}
+}
+
 func list(q *query.Query, t *table.Table) error {
 	if q.Order.Name != "" {
 		i, err := find(q, t, q.Order)
@@ -123,15 +142,6 @@
 	return nil
 }
 
-func measure(q *query.Query, t *table.Table) (*table.Table, error) {
-	i := t.Index(q.Of)
-	name := fmt.Sprintf("p%d", q.Percentile)
-	out, err := group(q, t, table.Column{Name: name, Kind: t.Columns[i].Kind}, func(rows []table.Row) table.Cell {
-		return percentile(rows, i, q.Percentile)
-	})
-	return out, err
-}
-
 // percentile is the nearest-rank percentile of the rows that have a value.
 func percentile(rows []table.Row, column, p int) table.Cell {
 	var values []float64
@@ -148,43 +158,51 @@
 	return table.Num(values[max(rank, 1)-1])
 }
 
-// group gives one row for each value of the query's column, with the number of
-// rows and what sum makes of them.
-func group(q *query.Query, t *table.Table, column table.Column, sum func([]table.Row) table.Cell) (*table.Table, error) {
+// group gives one row for each value of the query's column, or one for all rows
+// if it names none.
+func group(q *query.Query, t *table.Table, aggregates ...aggregate) (*table.Table, error) {
 	out := &table.Table{Notes: t.Notes}
-	counted := column.Name != "count"
-	if q.By.Name == "" {
-		out.Columns, out.Rows = sums(nil, column, counted), []table.Row{summed(nil, t.Rows, sum, counted)}
-		return out, nil
+	by := -1
+	if q.By.Name != "" {
+		i, err := find(q, t, q.By)
+		if err != nil {
+			return nil, err
+		}
+		by = i
+		out.Columns = append(out.Columns, t.Columns[by])
 	}
-	i, err := find(q, t, q.By)
-	if err != nil {
-		return nil, err
+	for _, a := range aggregates {
+		out.Columns = append(out.Columns, a.column)
 	}
-	kind := t.Columns[i].Kind
-	out.Columns = sums([]table.Column{t.Columns[i]}, column, counted)
-	slices.SortStableFunc(t.Rows, func(a, b table.Row) int { return table.Compare(kind, a[i], b[i]) })
-	for from := 0; from < len(t.Rows); {
-		to := from
-		for to < len(t.Rows) && table.Compare(kind, t.Rows[from][i], t.Rows[to][i]) == 0 {
-			to++
+	for _, rows := range split(t, by) {
+		var row table.Row
+		if by >= 0 {
+			row = append(row, rows[0][by])
 		}
-		out.Rows = append(out.Rows, summed(table.Row{t.Rows[from][i]}, t.Rows[from:to], sum, counted))
-		from = to
+		for _, a := range aggregates {
+			row = append(row, a.of(rows))
+		}
+		out.Rows = append(out.Rows, row)
 	}
 	return out, nil
 }
 
-func sums(by []table.Column, column table.Column, counted bool) []table.Column {
-	if counted {
-		by = append(by, table.Column{Name: "count", Kind: table.Number})
+// split sorts the rows by a column and cuts them where its value changes. A
+// negative column gives all rows as one group, also if there are none.
+func split(t *table.Table, by int) [][]table.Row {
+	if by < 0 {
+		return [][]table.Row{t.Rows}
 	}
-	return append(by, column)
-}
-
-func summed(row table.Row, rows []table.Row, sum func([]table.Row) table.Cell, counted bool) table.Row {
-	if counted {
-		row = append(row, table.Num(len(rows)))
+	kind := t.Columns[by].Kind
+	slices.SortStableFunc(t.Rows, func(a, b table.Row) int { return table.Compare(kind, a[by], b[by]) })
+	var out [][]table.Row
+	for from := 0; from < len(t.Rows); {
+		to := from
+		for to < len(t.Rows) && table.Compare(kind, t.Rows[from][by], t.Rows[to][by]) == 0 {
+			to++
+		}
+		out = append(out, t.Rows[from:to])
+		from = to
 	}
-	return append(row, sum(rows))
+	return out
 }
