--- a/internal/daemon/endpoint.go
+++ b/internal/daemon/endpoint.go
@@ -2,12 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 )
 
+const (
+	// operatorBody holds the longest command, 16 KiB, with every byte escaped in JSON.
+	operatorBody = 128 << 10
+	// operatorRead ends a call that trickles in; operatorIdle is above the
+	// seconds between two calls of a living view or a scraper.
+	operatorRead = 10 * time.Second
+	operatorIdle = time.Minute
+)
+
 // operatorEndpoint serves health, metrics, queries and commands.
 type operatorEndpoint struct{}
 
@@ -19,7 +29,9 @@
 		return err
 	}
 	d.back = door.New(ln, 0, nil)
-	d.operator = fiber.New(fiber.Config{})
+	d.operator = fiber.New(fiber.Config{
+		BodyLimit: operatorBody, ReadTimeout: operatorRead, IdleTimeout: operatorIdle,
+	})
 	d.operator.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	d.operator.Get("/readyz", d.readyz)
 	for _, add := range d.deps.Operator {
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -2,7 +2,10 @@
 package pool
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +25,14 @@
 // round finds none unless a peer came up or was slow.
 const rounds = 3
 
+// viewLife bounds how often a flood of refusals reads all targets under the
+// pool's lock; what operators read of them is at most this much older.
+const viewLife = 10 * time.Millisecond
+
+// shownTargets is how many of the least loaded targets a refusal's record shows:
+// if those were full, so were the others.
+const shownTargets = 16
+
 // Pool holds one lock around its scheduler. All moves of a waiting request's
 // Life are made under that lock.
 type Pool struct {
@@ -39,8 +50,11 @@
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
 	sheds   []fireflypath.Shed
-	timer   clockwork.Timer
-	wakeAt  time.Time
+	// views is what refusals' records show of the targets, as of viewed.
+	views  []fireflypath.TargetView
+	viewed time.Time
+	timer  clockwork.Timer
+	wakeAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -98,6 +112,8 @@
 func (p *Pool) offer(r *request.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A placement brings the scheduler's own count; a refused request keeps this.
+	r.Draft.Ahead(len(p.waiting))
 	p.waiting[&r.Work] = r
 	if p.refuseIfClosed(r) {
 		return
@@ -247,11 +263,33 @@
 	if r == nil || !s.Work.Life.Move(fireflypath.StateWaiting, state) {
 		return
 	}
-	p.sched.Withdraw(p.clock.Now(), s.Work)
+	now := p.clock.Now()
+	p.sched.Withdraw(now, s.Work)
 	p.forget(r)
+	if r.Draft != nil {
+		r.Draft.Refused(p.seen(now))
+	}
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
+// seen is what is known of the targets, read again after viewLife. The lock is held.
+func (p *Pool) seen(now time.Time) []fireflypath.TargetView {
+	if p.viewed.IsZero() || now.Sub(p.viewed) >= viewLife {
+		p.views, p.viewed = p.sched.Views(now, p.views[:0]), now
+		slices.SortStableFunc(p.views, func(a, b fireflypath.TargetView) int { return cmp.Compare(load(&a), load(&b)) })
+	}
+	return p.views[:min(len(p.views), shownTargets)]
+}
+
+// load is the part of a target's window that is taken; a target that takes no
+// work comes behind all others.
+func load(v *fireflypath.TargetView) float64 {
+	if v.State != "ready" || v.Window == 0 || v.Part == 0 {
+		return math.Inf(1)
+	}
+	return float64(v.Held) / (float64(v.Window) * v.Part)
+}
+
 func (p *Pool) refusal(r *request.Request, s fireflypath.Shed) *fireflypath.Refusal {
 	return &fireflypath.Refusal{
 		Code: s.Reason, Tier: r.Work.Tier, Detail: s.Detail, Run: fireflypath.RunNo,
