--- a/internal/decide/long/gate.go
+++ b/internal/decide/long/gate.go
@@ -7,41 +7,56 @@
 package long
 
 const (
-	// Least is the prefill time in seconds from which work is long: most of the
+	// least is the prefill time in seconds from which work is long: most of the
 	// 0.49 s in which a first token is due (docs/DEVELOPERS.md).
-	Least = 0.4
-	// depth is how many seconds of long prefill all daemons together may have in
-	// flight for each target: with more, short work waits for it, with less, fast
-	// targets run out of it between two answers.
-	depth = 1.0
+	least = 0.4
+	// depth is how many long prefills all daemons together may have in flight
+	// for each target: one that runs, and every other target a next one, so that
+	// the target does not run out between an answer and the next dispatch.
+	depth = 1.5
 )
 
-// Gate counts one daemon's long prefills in flight over all targets. The zero
-// value has none.
+// Gate counts one daemon's long prefills in flight over all targets.
 type Gate struct {
-	seconds float64
-	n       int
+	n int
+	// teams counts them by team, for those that have any.
+	teams map[string]int
+}
+
+// New makes a Gate without work.
+func New() *Gate {
+	return &Gate{teams: make(map[string]int)}
 }
 
 // Long is true for a prefill of so many seconds that counts.
 func (g *Gate) Long(seconds float64) bool {
-	return seconds > Least
+	return seconds > least
 }
 
-// Open is true if one more long prefill may start: if there is none, or if the
-// sum is below this daemon's part of the targets.
-func (g *Gate) Open(parts float64) bool {
-	return g.n == 0 || g.seconds < depth*parts
+// Open is true if one more long prefill of a team may start: if there is none, or
+// if there are fewer than this daemon's part of the targets allows. A team that
+// has none in flight may have one above that: the long prefills of a hot team
+// end one by one and are followed by its next, and a team that comes now and
+// then would wait for one of them each time.
+func (g *Gate) Open(parts float64, team string) bool {
+	n := g.n
+	if g.teams[team] == 0 {
+		n--
+	}
+	return n <= 0 || float64(n) < depth*parts
 }
 
 // Start counts a long prefill.
-func (g *Gate) Start(seconds float64) {
-	g.seconds += seconds
+func (g *Gate) Start(team string) {
 	g.n++
+	g.teams[team]++
 }
 
 // End takes one out.
-func (g *Gate) End(seconds float64) {
-	g.seconds -= seconds
+func (g *Gate) End(team string) {
 	g.n--
+	g.teams[team]--
+	if g.teams[team] == 0 {
+		delete(g.teams, team)
+	}
 }
