--- a/internal/decide/cell/layout.go
+++ b/internal/decide/cell/layout.go
@@ -97,7 +97,7 @@
 // farLinks is the mean number of far links of a daemon in the largest fleet of
 // a number of cells. Half of it in the smallest still joins each cell to most
 // others, so that news cross the fleet in three or four steps.
-const farLinks = 3
+const farLinks = 2
 
 // Links are the daemons that self keeps a connection with: its mates, and a few
 // others, by which news cross all cells in few steps. Links are mutual.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -139,18 +139,15 @@
 func (x *Exchange) round() {
 	x.refresh()
 	x.mu.Lock()
-	changed := false
 	for _, p := range x.pools {
 		if matters(p.told, p.fresh) {
-			p.told, changed = p.fresh, true
+			p.told = p.fresh
 		}
 	}
 	x.computeAll()
 	x.mu.Unlock()
 	x.count.rounds.Inc(1)
-	if changed {
-		x.peers.Flush()
-	}
+	x.peers.Flush() // takes the place of the connections' own beats
 }
 
 // refresh reads the newest demands of the pools.
--- a/internal/exchange/line.go
+++ b/internal/exchange/line.go
@@ -36,10 +36,10 @@
 	return (v + unit/2) / unit * unit
 }
 
-// Changes below a twentieth of the slots, or below a fifth of the count itself,
-// are not told: they move a part by less than the rounding to whole requests.
+// Changes below a tenth of the slots, or below a fifth of the count itself, are
+// not told, to stay within the letter's 3 KB/s; a part is off by a tenth at most.
 const (
-	slotsPart = 20
+	slotsPart = 10
 	countPart = 5
 )
 
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -24,9 +24,9 @@
 const (
 	// Heartbeat is the default time between heartbeats on a connection.
 	Heartbeat = time.Second
-	// silentBeats is how many beats may fail to come. With a check every half
-	// beat, a silent connection is closed at most 2.5 s after the last message,
-	// which leaves half a second of the 3 s for the new one.
+	// silentBeats is how many beats may fail to come. With a check every quarter
+	// of a beat, a silent connection is closed at most 2.25 s after the last
+	// message, which leaves three quarters of a second of the 3 s for the new one.
 	silentBeats = 2
 	// helloTimeout bounds handshake and introduction, so that a stranger that
 	// says nothing does not hold a place.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -200,7 +200,7 @@
 func (l *link) run() {
 	defer l.e.drop(l)
 	defer l.close()
-	t := l.e.clock.NewTicker(l.e.beat / 2)
+	t := l.e.clock.NewTicker(l.e.beat / 4)
 	defer t.Stop()
 	var sent time.Time
 	for {
@@ -214,8 +214,9 @@
 				return
 			}
 			// Flushed beats count: a daemon that shares its demand every second
-			// does not send another beat for the connection's sake.
-			due = l.e.clock.Since(sent) > l.e.beat*3/4
+			// does not send another beat for the connection's sake. With less
+			// slack, a beat would often go out right before the flushed one.
+			due = l.e.clock.Since(sent) > l.e.beat*9/8
 		}
 		if !due {
 			continue
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -9,7 +9,7 @@
 
 const (
 	methodHello = "hello"
-	methodBeat  = "beat"
+	methodBeat  = "b"
 )
 
 // hello introduces the daemons of a new connection to each other.
