--- a/cmd/fireflypath/operate.go
+++ b/cmd/fireflypath/operate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/x509"
 	"encoding/json"
 	"io"
@@ -14,8 +15,8 @@
 	"github.com/fireflypath/fireflypath/internal/syntax"
 )
 
-// defaultAt is the operators' address in settings/example.jsonc.
-const defaultAt = "127.0.0.1:7081"
+// defaultAt has the port of the operators' listener in settings/.
+const defaultAt = "127.0.0.1:9090"
 
 // operatorFlags are shared by do, ask and shell.
 func operatorFlags(more ...cli.Flag) []cli.Flag {
@@ -84,6 +85,11 @@
 
 var fileFlag = &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "read the words from `FILE`, - for the standard input"}
 
+// usageError gives wrong flags their exit code.
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return coded{err, exitInput}
+}
+
 // inputError gives syntax errors their exit code.
 func inputError(err error) error {
 	var at *syntax.Error
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -43,6 +43,7 @@
 	deps    daemon.Deps
 	// body, header, connections and waiting are limits.
 	body, header, connections, waiting int
+	notice                             time.Duration
 }
 
 func newRig(t *testing.T, s setup) *rig {
@@ -70,6 +71,7 @@
 	}
 	set := testkit.Settings(cfg)
 	set.Limits.Silence = fireflypath.Duration(s.silence)
+	set.Stop.Notice = fireflypath.Duration(s.notice)
 	set.Limits.Body, set.Limits.Header = s.body, s.header
 	set.Limits.Connections, set.Limits.Waiting = s.connections, s.waiting
 	s.deps.Recorder = r
@@ -498,3 +500,22 @@
 	is.NoErr(err)
 	is.Equal(string(rest), "second\n")
 }
+
+// Two programs of a team send the same delivery at the same moment. One is
+// made; the other caller reads who holds the key.
+func TestTwoCallersWithOneKey(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, setup{})
+	answers := make(chan result, 2)
+	for range 2 {
+		go func() { answers <- r.post("/services/packets/a", "x", "Idempotency-Key", "k") }()
+	}
+	one, other := <-answers, <-answers
+	if one.status != http.StatusOK {
+		one, other = other, one
+	}
+	is.Equal(one.status, http.StatusOK)
+	is.Equal(other.status, http.StatusConflict)
+	is.True(strings.Contains(other.text, one.header.Get("Fireflypath-Request")))
+	is.Equal(r.services[0].Counts().Keys["k"], 1)
+}
