--- a/internal/decide/sched/burst_test.go
+++ b/internal/decide/sched/burst_test.go
@@ -28,7 +28,7 @@
 	waiting := s.queue.Requests(0)
 	is.True(waiting > 100)
 	patient := work(2, "patient")
-	patient.Arrived, patient.Deadline = now, now.Add(2 * time.Minute)
+	patient.Arrived, patient.Deadline = now, now.Add(2*time.Minute)
 	for _, sh := range s.Offer(now, patient, nil) {
 		is.True(sh.Work != patient)
 	}
