feat(trial): loads above the capacity with warm caches

Cause: the overload loads are multiples of the capacity with cold caches. Good placement doubles or trebles that, so overload-1.5 and most of overload-3 were no overload for the shipped policy and flattered it. Change: flood-1.5 and flood-3 are multiples of the capacity with all that is shared cached. The old loads stay as they are.

--- a/internal/trial/bound.go
+++ b/internal/trial/bound.go
@@ -40,15 +40,27 @@
 //
 // Loads are multiples of it, so that a plain gateway can carry the steady load.
 func capacity(m mix.Mix) float64 {
-	var mean need
+	return rate(m, func(a mix.Arrival) need {
+		return need{prefill: float64(a.Cost.Prompt), decode: least(a).decode}
+	})
+}
+
+// warmCapacity is the same with all that is shared cached.
+func warmCapacity(m mix.Mix) float64 {
+	return rate(m, least)
+}
+
+// rate is at how many requests a second of the mix the supply is used up.
+func rate(m mix.Mix, of func(mix.Arrival) need) float64 {
+	var sum need
 	n := 0
 	for a := range m.Arrivals(mix.Options{Seed: 1, Rate: samples, For: time.Second}) {
-		mean.prefill += float64(a.Cost.Prompt)
-		mean.decode += least(a).decode
+		sum.prefill += of(a).prefill
+		sum.decode += of(a).decode
 		n++
 	}
 	s := supply()
-	return min(s.prefill*float64(n)/mean.prefill, s.decode*float64(n)/mean.decode)
+	return min(s.prefill*float64(n)/sum.prefill, s.decode*float64(n)/sum.decode)
 }
 
 // bound is more than any policy with strict tiers can reach. For each tier, from
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -42,6 +42,8 @@
 		{name: "long-short", rate: 0.8, change: longShort, split: bySize},
 		{name: "overload-1.5", rate: calm, bursts: everyone(1.5/calm, 0, 1)},
 		{name: "overload-3", rate: calm, bursts: everyone(3/calm, 0, 1)},
+		{name: "flood-1.5", rate: calm, bursts: flood(1.5)},
+		{name: "flood-3", rate: calm, bursts: flood(3)},
 		{name: "retry-storm", rate: calm, bursts: everyone(3/calm, 0.2, 0.4), retries: true},
 	}
 }
@@ -66,6 +68,16 @@
 	return "traders"
 }
 
+// flood makes all teams send so many times what the fleet can do with all that
+// is shared cached. The overload loads are multiples of the capacity with cold
+// caches, which good placement doubles or trebles: they overwhelm a plain gateway,
+// and these overwhelm everybody.
+func flood(times float64) func(m mix.Mix, span time.Duration) []mix.Burst {
+	return func(m mix.Mix, span time.Duration) []mix.Burst {
+		return everyone(times*warmCapacity(m)/(calm*capacity(m)), 0, 1)(m, span)
+	}
+}
+
 // hot makes one team send twelve times as much, which is above capacity.
 func hot(m mix.Mix, span time.Duration) []mix.Burst {
 	return []mix.Burst{{At: warm, For: span - warm, Team: hotTeam(m), Factor: 12}}
