--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,8 @@
 		d.started++
 	}
 	d.deps.Log.Info("started",
-		zap.String("name", d.cfg.Name), zap.String("callers", d.CallerAddr()), zap.String("operators", d.OperatorAddr()))
+		zap.String("name", d.cfg.Name), zap.String("callers", d.CallerAddr()), zap.String("operators", d.OperatorAddr()),
+		zap.String("peers", d.peerAddr()))
 	return nil
 }
 
@@ -199,6 +200,14 @@
 	return addr(d.back)
 }
 
+// peerAddr is the address that other daemons use, empty without any.
+func (d *Daemon) peerAddr() string {
+	if d.peerPort == nil {
+		return ""
+	}
+	return d.peerPort.Addr().String()
+}
+
 func addr(ln net.Listener) string {
 	if dr, ok := ln.(*door.Door); ok && dr == nil {
 		return ""
