perf(deadline): no risk in a tier that is overloaded alone

Cause: work whose time runs out keeps a third of the margin and may exceed a window by one. Change: the risk is taken while lower work waits, or while no more of the tier waits than the fast targets take at once. TestFlood fails before and passes after.

--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -197,7 +197,7 @@
 	}
 	s.pick = s.options[s.chosen.Choose(key, s.options)]
 	factor := s.margin.Factor()
-	if s.urgent(now, it) {
+	if s.urgent(now, it) && s.risky(w) {
 		factor = s.margin.Tight()
 	}
 	if s.last(now, it) {
@@ -281,7 +281,17 @@
 // of its time: the next to come is its refusal, and before it that of all lower
 // work.
 func (s *Sched) last(now time.Time, it *item) bool {
-	return rank(it.work) < s.cfg.Lowest && 4*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
+	return rank(it.work) < s.cfg.Lowest && s.risky(it.work) && 4*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
+}
+
+// risky is true while work whose time runs out may be sent with a smaller margin
+// or beyond a window. Its refusal would cost lower work that waits, or the tier is
+// short of targets for a moment only. When more of its tier waits than the fast
+// targets take at once, the refusal costs nothing: other work of the tier uses the
+// place and ends in time, where the risk would turn into prefill thrown away.
+func (s *Sched) risky(w *fireflypath.Work) bool {
+	r := rank(w)
+	return s.lower(r) >= 0 || s.queue.Requests(r) <= s.capacity
 }
 
 // exceed offers targets beyond their windows to work whose time is running out,
@@ -291,7 +301,7 @@
 // nine times as often as this one sees.
 func (s *Sched) exceed(now time.Time, slot int32, p *fireflypath.Placement) {
 	it := &s.items[slot]
-	if rank(it.work) >= s.cfg.Lowest || !s.urgent(now, it) {
+	if rank(it.work) >= s.cfg.Lowest || !s.risky(it.work) || !s.urgent(now, it) {
 		return
 	}
 	n := len(s.targets)
