fix(exchange): a daemon that starts alone has a floor at once

A daemon that heard nobody held no part of the windows for its first three seconds, so its callers waited that long; it now begins with a tenth. Nine that start at once then hold nine tenths; the tests bound it by one.

--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -61,7 +61,7 @@
 		sum := 0.0
 		for i, p := range parts {
 			sum += p
-			if p < floorPart/float64(n)-1e-9 {
+			if p < FloorPart/float64(n)-1e-9 {
 				rt.Fatalf("daemon %d got %f, below its floor", i, p)
 			}
 		}
@@ -74,7 +74,7 @@
 		}
 		for i, p := range parts {
 			top := float64(max(0, lines[i].Running[0]) + max(0, lines[i].Waiting[0]))
-			if short && 100*p > max(top, float64(lines[i].running()), 100*floorPart/float64(n))+1e-6 && sum > 1-1e-6 {
+			if short && 100*p > max(top, float64(lines[i].running()), 100*FloorPart/float64(n))+1e-6 && sum > 1-1e-6 {
 				rt.Fatalf("daemon %d got %f for lower work while top work elsewhere is short", i, p)
 			}
 		}
--- a/internal/decide/share/split.go
+++ b/internal/decide/share/split.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// floorPart is the part of each window that is split evenly whatever the
+	// FloorPart is the part of each window that is split evenly whatever the
 	// demand, so that a burst at any daemon starts at once: with twelve engines
 	// of eight places and nine daemons it is one place each. Half of it would
 	// leave 1.7 idle places less (TestUnevenBalancer) and a daemon without one.
-	floorPart = 0.1
+	FloorPart = 0.1
 	// keepPart is what is left of the floor when a daemon lends. With all load
 	// on one daemon, a floor of 0.2 and keepPart 0.1 leave 12.6 of 96 places
 	// idle; these two leave 5.8 (TestUnevenBalancer).
@@ -51,7 +51,7 @@
 		return nil
 	}
 	total := capacity(lines)
-	floor := floorPart * total / float64(n)
+	floor := FloorPart * total / float64(n)
 	got := make([]float64, n)
 	need := make([][]float64, n)
 	ranks := 0
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -180,7 +180,7 @@
 		p := x.pools[c.Name]
 		if p == nil {
 			p = &pool{heard: map[string]peer.Demand{}, told: peer.Demand{Pool: c.Name}, fresh: peer.Demand{Pool: c.Name}}
-			p.ledger.Start(0)
+			p.ledger.Start(share.FloorPart) // until others are heard, or joinGrace is over
 		}
 		p.targets, p.group = layout.Serves(self, targets[c.Name])
 		p.cell = p.group
