--- a/internal/decide/sched/next.go
+++ b/internal/decide/sched/next.go
@@ -28,9 +28,13 @@
 	// Under overload the target's time is what is short, and others use it
 	// meanwhile.
 	patience = 4
-	// again is how long after a relief round work past its time is returned
-	// once more: a few round trips between daemons.
-	again = 20 * time.Millisecond
+	// overdueAfter is how many times longer than expected a first token may take
+	// before its target is taken for slow; others' work moves it by about two.
+	overdueAfter = 3
+	// again is how long after a relief round work past its time is returned once
+	// more, if the owner has not decided by then: a peer that does not answer is
+	// out of the membership after seconds, and each return starts a round.
+	again = 250 * time.Millisecond
 	// press is how long after a relief round lower work is not let in to wait: a
 	// few round trips, until the daemon that asked has decided.
 	press = 50 * time.Millisecond
@@ -81,11 +85,13 @@
 		if s.drop(now, slot) {
 			continue
 		}
-		if !s.choose(now, slot, p) {
+		s.find(s.items[slot].work)
+		wait := s.elsewhere(now, slot, s.openDepth())
+		if !wait && !s.choose(now, slot, p) {
 			s.park(slot)
 			continue
 		}
-		if s.elsewhere(now, slot) {
+		if wait || s.elsewhere(now, slot, s.hit(s.pick.Target)/block) {
 			if patient == none {
 				patient = slot
 			}
@@ -98,11 +104,15 @@
 	for i := len(s.parked) - 1; i >= 0; i-- {
 		s.queue.Return(s.parked[i], s.items[s.parked[i]].work)
 	}
-	if !found && patient != none && s.choose(now, patient, p) {
-		s.send(now, patient, p)
-		found = true
+	if found || patient == none {
+		return found
+	}
+	s.find(s.items[patient].work)
+	if !s.choose(now, patient, p) {
+		return false
 	}
-	return found
+	s.send(now, patient, p)
+	return true
 }
 
 // drop takes work out that was withdrawn elsewhere or that is too late.
@@ -126,24 +136,42 @@
 	s.parked = append(s.parked, slot)
 }
 
-// elsewhere is true if much more of the prompt is cached at another target than
-// at the chosen one, for as long as is worth waiting for it.
-func (s *Sched) elsewhere(now time.Time, slot int32) bool {
+// elsewhere is true if much more of the prompt is cached at some target than the
+// given number of blocks, for as long as is worth waiting for it. It is asked
+// before the open targets are weighed, since stepping aside is to cost little,
+// and again for the chosen one.
+func (s *Sched) elsewhere(now time.Time, slot int32, blocks int) bool {
 	it := &s.items[slot]
 	if len(s.depths) == 0 || s.urgent(now, it) {
 		return false
 	}
-	saved := s.depths[0]*block - s.hit(s.pick.Target)
+	saved := (s.depths[0] - blocks) * block
 	if saved < worth {
 		return false
 	}
 	if it.aside.IsZero() {
 		it.aside = now
 	}
-	sec := float64(saved) / s.prefillRate(&s.targets[s.pick.Target])
+	sec := float64(saved) / s.prefillRate(&s.targets[s.holders[0]])
 	return now.Sub(it.aside).Seconds() < patience*sec
 }
 
+// openDepth is how many blocks of the prompt the best open target holds.
+func (s *Sched) openDepth() int {
+	n := 0
+	for k, i := range s.holders {
+		if s.targets[i].at != none {
+			n = max(n, s.depths[k])
+		}
+	}
+	return n
+}
+
+// find looks up which targets hold the beginning of the prompt.
+func (s *Sched) find(w *fireflypath.Work) {
+	s.holders, s.depths = s.index.Find(w.Prefix, s.holders[:0], s.depths[:0])
+}
+
 // doom sets work aside for Expire, which returns it.
 func (s *Sched) doom(slot int32) {
 	s.unqueue(slot)
@@ -172,10 +200,13 @@
 	if s.urgent(now, it) {
 		factor = s.margin.Tight()
 	}
+	if s.last(now, it) {
+		factor = 1
+	}
 	if s.targets[s.pick.Target].known() && deadline.Latest(w.Deadline, s.expected(), factor).Before(now) {
 		return false
 	}
-	return !s.long.Long(s.prefill(w)) || s.long.Open(s.parts)
+	return !s.long.Long(s.prefill(w)) || s.long.Open(s.parts, w.Team)
 }
 
 // expected is how long the work chosen for last takes.
@@ -201,12 +232,11 @@
 	p.Ahead = it.ahead
 }
 
-// weigh fills the options and the candidates: the holders of the prefix, and
-// all open targets or a random sample of many.
+// weigh fills the options and the candidates: the holders found last, and all
+// open targets or a random sample of many.
 func (s *Sched) weigh(now time.Time, w *fireflypath.Work, p *fireflypath.Placement) {
 	s.options = s.options[:0]
 	p.Considered = p.Considered[:0]
-	s.holders, s.depths = s.index.Find(w.Prefix, s.holders[:0], s.depths[:0])
 	for _, i := range s.holders {
 		if s.targets[i].at != none {
 			s.consider(now, i, w, p)
@@ -247,6 +277,13 @@
 	return 2*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
 }
 
+// last is true for work above the lowest tier that has waited for three quarters
+// of its time: the next to come is its refusal, and before it that of all lower
+// work.
+func (s *Sched) last(now time.Time, it *item) bool {
+	return rank(it.work) < s.cfg.Lowest && 4*it.latest.Sub(now) <= it.latest.Sub(it.work.Arrived)
+}
+
 // exceed offers targets beyond their windows to work whose time is running out,
 // unless it is of the lowest tier. The slots of a window that lower work took in
 // a quiet moment come back too late for it; one request more in the target's own
@@ -261,7 +298,11 @@
 	at := s.rnd.IntN(n)
 	for range min(n, sample) {
 		t := &s.targets[at]
-		if t.usable() && t.slow.State() == slow.Ready && t.requests <= t.limit() && t.filling == 0 {
+		spare := t.requests <= t.limit() && t.filling == 0
+		if s.last(now, it) {
+			spare = t.requests <= t.limit()+1
+		}
+		if t.usable() && t.slow.State() == slow.Ready && spare {
 			s.consider(now, int32(at), it.work, p)
 		}
 		at = (at + 1) % n
@@ -275,7 +316,7 @@
 	}
 	hit := s.hit(i)
 	score := s.expect(now, t, w, hit)
-	if t.slow.State() == slow.Slow {
+	if t.slow.State() == slow.Slow || (t.filling > 0 && now.After(t.due)) {
 		score *= slowPenalty
 	}
 	s.options = append(s.options, place.Option{Target: i, Hash: t.hash, Requests: t.requests, Score: score})
@@ -300,15 +341,17 @@
 	it.phase = phaseFlight
 	it.target, it.sent, it.first = s.pick.Target, now, time.Time{}
 	it.fresh, it.before = max(w.Cost.Prompt-s.hit(it.target), 0), t.prefill
-	it.expected, it.long = s.expected(), 0
-	if sec := s.prefill(w); s.long.Long(sec) {
-		it.long = sec
-		s.long.Start(sec)
+	it.expected, it.long = s.expected(), s.long.Long(s.prefill(w))
+	if it.long {
+		s.long.Start(w.Team)
 	}
 	t.requests++
 	t.tokens += w.Cost.Tokens()
 	t.prefill += it.fresh
 	t.filling++
+	if t.filling == 1 {
+		t.due = now.Add(s.overdue(now, t))
+	}
 	s.prompt += blend * (float64(it.fresh) - s.prompt)
 	s.flights++
 	s.reserve.Start(rank(w))
@@ -320,12 +363,21 @@
 	s.refresh(it.target)
 }
 
+// overdue is how long a target with prefills in flight may send no first token
+// before it is taken for slow: the answers that would tell come too late, as
+// they are slow themselves.
+func (s *Sched) overdue(now time.Time, t *target) time.Duration {
+	sec := t.speed.Delay(now).Seconds() + float64(t.prefill)/s.prefillRate(t)
+	return max(time.Duration(overdueAfter*sec*float64(time.Second)), 2*brief)
+}
+
 // filled ends the prefill of work in flight.
-func (s *Sched) filled(it *item, t *target) {
+func (s *Sched) filled(now time.Time, it *item, t *target) {
 	t.prefill -= it.fresh
 	t.filling--
-	if it.long > 0 {
-		s.long.End(it.long)
+	t.due = now.Add(s.overdue(now, t))
+	if it.long {
+		s.long.End(it.work.Team)
 	}
 }
 
@@ -336,7 +388,7 @@
 	t.requests--
 	t.tokens -= it.work.Cost.Tokens()
 	if it.first.IsZero() {
-		s.filled(it, t)
+		s.filled(now, it, t)
 	}
 	s.flights--
 	s.reserve.End(rank(it.work), now.Sub(it.sent))
@@ -395,7 +447,13 @@
 // Relieve gives up waiting work of lower tiers than rank, lowest first, until
 // tokens are freed.
 func (s *Sched) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
-	s.pressed, s.pressure = now.Add(press), rank
+	if now.Before(s.pressed) {
+		// another round's work may be of a higher tier than this one's
+		s.pressure = min(s.pressure, rank)
+	} else {
+		s.pressure = rank
+	}
+	s.pressed = now.Add(press)
 	freed := 0
 	for freed < tokens {
 		r := s.lower(rank)
@@ -409,7 +467,7 @@
 		out = append(out, fireflypath.Shed{
 			Work:       w,
 			Reason:     fireflypath.ReasonFull,
-			RetryAfter: s.retryAfter(now, w),
+			RetryAfter: s.retryAfter(now, w, freed),
 			Detail:     fmt.Sprintf("gave way to work of rank %d", rank),
 		})
 		s.release(slot)
--- a/internal/query/eval/eval_test.go
+++ b/internal/query/eval/eval_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/query"
@@ -26,7 +28,7 @@
 
 func (m members) Live() []fireflypath.Member { return m }
 
-func stand() (*eval.Evaluator, *testkit.Ledger) {
+func newEvaluator() (*eval.Evaluator, *testkit.Ledger) {
 	clock := clockwork.NewFakeClockAt(start)
 	ledger := testkit.NewLedger(&fireflypath.Config{
 		Generation: 4,
@@ -124,7 +126,7 @@
 }
 
 func TestAsk(t *testing.T) {
-	e, _ := stand()
+	e, _ := newEvaluator()
 	for text, want := range map[string]string{
 		"teams where tier = gold order by weight desc limit 1":    "NAME TIER POOL WEIGHT KEYS\nbakers gold chat 7 0\n# 1 of 2 rows",
 		"teams where weight < 3 or name = bakers and pool = chat": "NAME TIER POOL WEIGHT KEYS\nmillers bronze - 1 1\nbakers gold chat 7 0",
@@ -142,7 +144,7 @@
 		"keys":                                                    "HASH KIND OWNER UNTIL\naaaaaaaaaaaa team millers 2026-12-02T20:00:00.000Z",
 		"settle nobody":                                           "not done: the trail holds no command nobody",
 		"rules":                                                   "NAME ACT TEAM TIER POOL ABOVE LIMIT",
-		"why d1.Z":                                                "request d1.Z: it never came here or made room for newer ones; a refusal itself says why: no record of the request is kept",
+		"why d1.Z":                                                "request d1.Z: it never came here, came before this daemon's last start, or made room for newer ones; a refusal itself says why: no record of the request is kept",
 		"why d2.Z":                                                "the request was taken by daemon d2",
 		"teams where wight = 3":                                   "line 1, column 13: found \"wight\", expected name, tier, pool, weight or keys\n  teams where wight = 3\n              ^",
 		"teams where weight = heavy":                              "line 1, column 22: expected a number\n  teams where weight = heavy\n                       ^",
@@ -158,7 +160,7 @@
 
 func TestWhyExplains(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	shed := show(t, e, "why d1.C")
 	for _, want := range []string{
 		"of team traders, tier gold, pool chat", "came 2026-12-02T19:59:55.000Z, deadline 1.5s later",
@@ -178,7 +180,7 @@
 
 func TestWhyOfAnOpenRequest(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	bronze := show(t, e, "why d1.W")
 	is.True(strings.Contains(bronze, "1 requests stood before it"))
 	is.True(strings.Contains(bronze, "it has not ended: waiting"))
@@ -188,7 +190,7 @@
 
 func TestTopShowsTiers(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	is.True(strings.Contains(show(t, e, "top"), "gold 0 10 5 2 1 1 1 2s\nbronze 2 30 0 0 0 0 0 -"))
 }
 
@@ -196,7 +198,7 @@
 // trail, of which it holds nothing, is said to be out of reach.
 func TestAskWithoutService(t *testing.T) {
 	is := is.New(t)
-	e, ledger := stand()
+	e, ledger := newEvaluator()
 	ledger.Down(fireflypath.ErrUnavailable, 0)
 	is.Equal(show(t, e, "count teams"), "COUNT\n3")
 	q, err := query.Parse("changes")
@@ -207,7 +209,7 @@
 
 func TestTableOverTheWire(t *testing.T) {
 	is := is.New(t)
-	e, _ := stand()
+	e, _ := newEvaluator()
 	q, err := query.Parse("requests")
 	is.NoErr(err)
 	a, err := e.Ask(context.Background(), q)
@@ -229,7 +231,7 @@
 	} {
 		f.Add(seed)
 	}
-	e, _ := stand()
+	e, _ := newEvaluator()
 	f.Fuzz(func(t *testing.T, text string) {
 		q, err := query.Parse(text)
 		if err != nil {
@@ -240,3 +242,20 @@
 		}
 	})
 }
+
+// An operator comes back to a lost answer after days. By then the trail that is
+// looked through is all of later changes; that the command is not in it does
+// not mean that it was not done.
+func TestSettleOfAnOldCommandIsUnknown(t *testing.T) {
+	is := is.New(t)
+	e, ledger := newEvaluator()
+	at := func(d time.Duration) string {
+		return ulid.MustNew(ulid.Timestamp(start.Add(d)), ulid.DefaultEntropy()).String()
+	}
+	is.Equal(show(t, e, "settle "+at(-time.Hour))[:8], "not done")
+	for i := range 384 {
+		is.NoErr(ledger.Note(t.Context(), fireflypath.AuditLine{ID: fmt.Sprint("n", i), At: start}))
+	}
+	is.Equal(show(t, e, "settle "+at(-time.Hour))[:7], "unknown")
+	is.Equal(show(t, e, "settle "+at(time.Hour))[:8], "not done")
+}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -2,7 +2,10 @@
 package pool
 
 import (
+	"cmp"
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +20,19 @@
 // minWake keeps a scheduler that asks to be woken at once from spinning.
 const minWake = time.Millisecond
 
+// rounds bounds how often peers are asked again for work that is past its time.
+// A daemon that was asked lets no lower work wait for a while, so the second
+// round finds none unless a peer came up or was slow.
+const rounds = 3
+
+// viewLife bounds how often a flood of refusals reads all targets under the
+// pool's lock; what operators read of them is at most this much older.
+const viewLife = 10 * time.Millisecond
+
+// shownTargets is how many of the least loaded targets a refusal's record shows:
+// if those were full, so were the others.
+const shownTargets = 16
+
 // Pool holds one lock around its scheduler. All moves of a waiting request's
 // Life are made under that lock.
 type Pool struct {
@@ -34,8 +50,11 @@
 	closed  *fireflypath.Refusal
 	place   fireflypath.Placement
 	sheds   []fireflypath.Shed
-	timer   clockwork.Timer
-	wakeAt  time.Time
+	// views is what refusals' records show of the targets, as of viewed.
+	views  []fireflypath.TargetView
+	viewed time.Time
+	timer  clockwork.Timer
+	wakeAt time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -93,6 +112,8 @@
 func (p *Pool) offer(r *request.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A placement brings the scheduler's own count; a refused request keeps this.
+	r.Draft.Ahead(len(p.waiting))
 	p.waiting[&r.Work] = r
 	if p.refuseIfClosed(r) {
 		return
@@ -147,11 +168,17 @@
 
 // pump carries out what the scheduler decides now. The lock is held.
 func (p *Pool) pump() {
+	if len(p.waiting) == 0 {
+		// Nothing to place, and nothing that a timer could change.
+		return
+	}
 	now := p.clock.Now()
-	for p.sched.Next(now, &p.place) {
+	for len(p.waiting) > 0 && p.sched.Next(now, &p.place) {
 		p.dispatch(now)
 	}
-	p.arm(now)
+	if len(p.waiting) > 0 {
+		p.arm(now)
+	}
 }
 
 func (p *Pool) dispatch(now time.Time) {
@@ -203,14 +230,29 @@
 // shed refuses what the scheduler gave up. The lock is held.
 func (p *Pool) shed() {
 	for _, s := range p.sheds {
-		if s.Relief && p.relief != nil {
+		switch {
+		case !s.Relief:
+			p.give(s)
+		case p.relief == nil:
+			p.yield(s)
+		default:
 			p.ask(s)
-			continue
 		}
-		p.give(s)
 	}
 }
 
+// yield refuses work of a higher tier, and before it what lower work waits here.
+// The lock is held.
+func (p *Pool) yield(s fireflypath.Shed) {
+	if r := p.waiting[s.Work]; r == nil {
+		return
+	}
+	for _, own := range p.sched.Relieve(p.clock.Now(), s.Work.Rank, s.Tokens, nil) {
+		p.give(own)
+	}
+	p.give(s)
+}
+
 // give refuses one piece of work that still waits.
 func (p *Pool) give(s fireflypath.Shed) {
 	state := fireflypath.StateShed
@@ -221,11 +263,33 @@
 	if r == nil || !s.Work.Life.Move(fireflypath.StateWaiting, state) {
 		return
 	}
-	p.sched.Withdraw(p.clock.Now(), s.Work)
+	now := p.clock.Now()
+	p.sched.Withdraw(now, s.Work)
 	p.forget(r)
+	if r.Draft != nil {
+		r.Draft.Refused(p.seen(now))
+	}
 	r.Turn <- request.Turn{Refusal: p.refusal(r, s)}
 }
 
+// seen is what is known of the targets, read again after viewLife. The lock is held.
+func (p *Pool) seen(now time.Time) []fireflypath.TargetView {
+	if p.viewed.IsZero() || now.Sub(p.viewed) >= viewLife {
+		p.views, p.viewed = p.sched.Views(now, p.views[:0]), now
+		slices.SortStableFunc(p.views, func(a, b fireflypath.TargetView) int { return cmp.Compare(load(&a), load(&b)) })
+	}
+	return p.views[:min(len(p.views), shownTargets)]
+}
+
+// load is the part of a target's window that is taken; a target that takes no
+// work comes behind all others.
+func load(v *fireflypath.TargetView) float64 {
+	if v.State != "ready" || v.Window == 0 || v.Part == 0 {
+		return math.Inf(1)
+	}
+	return float64(v.Held) / (float64(v.Window) * v.Part)
+}
+
 func (p *Pool) refusal(r *request.Request, s fireflypath.Shed) *fireflypath.Refusal {
 	return &fireflypath.Refusal{
 		Code: s.Reason, Tier: r.Work.Tier, Detail: s.Detail, Run: fireflypath.RunNo,
@@ -233,10 +297,18 @@
 	}
 }
 
-// ask lets the work wait while peers are asked for room.
+// ask lets the work wait while peers are asked for room. Work that is past its
+// time has nothing to wait for: it is refused once nobody holds lower work.
 func (p *Pool) ask(s fireflypath.Shed) {
+	lowest := len(p.sched.Demand(p.clock.Now()).Requests) - 1
 	p.asks.Go(func() {
-		freed, err := p.relief.Ask(p.ctx, p.name, s.Work.Rank, s.Work.Cost.Tokens())
+		freed, err := p.round(s, lowest)
+		for range rounds {
+			if err != nil || freed == 0 || s.Reason != fireflypath.ReasonDeadline {
+				break
+			}
+			freed, err = p.round(s, lowest)
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		r := p.waiting[s.Work]
@@ -249,10 +321,29 @@
 			return
 		}
 		r.Draft.Relief("no peer held lower work")
-		p.give(s)
+		p.yield(s)
 	})
 }
 
+// round asks all daemons, this one too, for their work of the lowest tier, then
+// of the next, up to the one below the work's. Asked for all lower work at once,
+// a daemon that holds none of the lowest tier would give up a higher one while
+// another still holds the lowest: the very thing the round is to prevent.
+func (p *Pool) round(s fireflypath.Shed, lowest int) (int, error) {
+	sum := 0
+	for rank := max(lowest-1, s.Work.Rank); rank >= s.Work.Rank; rank-- {
+		freed, err := p.relief.Ask(p.ctx, p.name, rank, s.Tokens)
+		if err != nil {
+			return 0, err
+		}
+		sum += freed
+		if rank > s.Work.Rank {
+			sum += p.Relieve(rank, s.Tokens)
+		}
+	}
+	return sum, nil
+}
+
 // refuseIfClosed refuses the request if the pool takes no more. The lock is held.
 func (p *Pool) refuseIfClosed(r *request.Request) bool {
 	if p.closed == nil {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -89,10 +89,16 @@
 type Stop struct {
 	// Limit is how long running requests are waited for; 0 takes the default.
 	Limit fireflypath.Duration `json:"limit,omitempty" validate:"min=0"`
+	// Notice is how long requests are still taken after readiness has turned
+	// false, so that the balancer sends nobody to a closed port; 0 is not at all.
+	Notice fireflypath.Duration `json:"notice,omitempty" validate:"min=0"`
 }
 
-// Records bounds what is kept for "why".
+// Records bounds what is kept for "why" and of the audit trail.
 type Records struct {
 	// Bytes bounds the memory of kept records; 0 takes the default.
 	Bytes int `json:"bytes,omitempty" validate:"min=0"`
+	// Trail is how many lines of the audit trail are kept in the platform's
+	// service; 0 takes the default. Give all daemons the same.
+	Trail int `json:"trail,omitempty" validate:"min=0,max=1000000"`
 }
