fix(leaving): targets that take no connection are told to all daemons

Cause: Board.Dead had tests but no caller. Each daemon learned of a killed target by its own lost placements. Change: the sender marks refused, unroutable and late dials as ErrUnreached, not want of descriptors or ports at the daemon. The looks at targets each second and dispatches report it; the next answered look takes it back and leaves a target's own word alone. A silent host with a kept connection open needs up to 5.5 s, worked out and not measured; the dispatch's own call has no test of its own.

--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// sawDead tells the peers that a target took no connection. Here the scheduler
+// keeps away from it by its own failures.
+func (d *Daemon) sawDead(target string) {
+	if d.board != nil {
+		d.board.Dead(target, "takes no connection")
+	}
+}
+
+func (d *Daemon) sawAnswer(target string) {
+	if d.board != nil {
+		d.board.Answers(target)
+	}
+}
+
 // polling reads the state of targets and hosts.
 type polling struct{}
 
@@ -83,6 +97,8 @@
 		Serves:   d.pools.Serves,
 		Observe:  d.pools.Observe,
 		Evidence: d.evidence,
+		Dead:     d.sawDead,
+		Answers:  d.sawAnswer,
 	})
 	d.work.Go(func() { p.Run(d.ctx) })
 	return nil
--- a/internal/daemon/way.go
+++ b/internal/daemon/way.go
@@ -53,6 +53,7 @@
 		Leaving: func(target string) {
 			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
 		},
+		Dead: d.sawDead,
 	})
 	return nil
 }
--- a/internal/leaving/board.go
+++ b/internal/leaving/board.go
@@ -85,6 +85,8 @@
 type sight struct {
 	kind, why string
 	told      time.Time
+	// seen is when this daemon saw it last.
+	seen time.Time
 }
 
 // voice is evidence with the time it came here.
@@ -141,9 +143,23 @@
 // Leaving spreads that this daemon learned first-hand that a target leaves.
 func (b *Board) Leaving(target, why string) { b.see(target, kindLeaving, why) }
 
-// Dead spreads that a target does not answer this daemon.
+// Dead spreads that a target does not answer this daemon. It is called for each
+// time that this was seen, and lapses if it is not seen again: a daemon that no
+// longer uses the target would speak against it for ever.
 func (b *Board) Dead(target, why string) { b.see(target, kindDead, why) }
 
+// Answers takes back that a target did not answer this daemon; that it leaves
+// stands.
+func (b *Board) Answers(target string) {
+	b.mu.Lock()
+	s := b.own[target]
+	dead := s != nil && s.kind == kindDead
+	b.mu.Unlock()
+	if dead {
+		b.Back(target)
+	}
+}
+
 // Back takes back what this daemon said of a target.
 func (b *Board) Back(target string) {
 	b.mu.Lock()
@@ -159,10 +175,16 @@
 func (b *Board) see(target, kind, why string) {
 	b.mu.Lock()
 	s := b.own[target]
-	if s == nil || s.kind != kind {
+	if s == nil || s.kind == kindDead && kind == kindLeaving {
 		s = &sight{kind: kind, why: why}
 		b.own[target] = s
 	}
+	if s.kind != kind {
+		// A target that drains is gone soon; its own word says more.
+		b.mu.Unlock()
+		return
+	}
+	s.seen = b.clock.Now()
 	said := b.repeat(target, s)
 	b.mu.Unlock()
 	if said {
@@ -274,6 +296,10 @@
 	now := b.clock.Now()
 	said := false
 	for target, s := range b.own {
+		if s.kind == kindDead && now.Sub(s.seen) >= deadLasts {
+			delete(b.own, target)
+			continue
+		}
 		said = b.repeat(target, s) || said
 	}
 	var look []string
--- a/internal/leaving/board_test.go
+++ b/internal/leaving/board_test.go
@@ -123,6 +123,64 @@
 	is.Equal(m.out(), 0)
 }
 
+// A target's process is killed. Each daemon looks at it once a second and finds
+// no connection; all must have taken it out within three seconds. It is started
+// again, and must be used again as soon.
+func TestKilledTargetIsOutAndBack(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	look := func(b *Board, up bool) {
+		if up {
+			b.Answers("t")
+			return
+		}
+		b.Dead("t", "takes no connection")
+	}
+	for s := range 60 {
+		up := s < 10 || s >= 40
+		for _, b := range m.boards {
+			look(b, up)
+		}
+		m.pass()
+		switch {
+		case s >= 12 && s < 40:
+			is.Equal(m.out(), 9)
+		case s < 10 || s >= 42:
+			is.Equal(m.out(), 0)
+		}
+	}
+}
+
+// A target that drains is gone a little later, and its host answers again
+// before the target is ready. It must stay out by its own word.
+func TestAnswersDoNotUndoLeaving(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	m.boards[3].Leaving("t", "drains")
+	m.boards[3].Dead("t", "takes no connection")
+	m.boards[3].Answers("t")
+	m.pass()
+	is.Equal(m.out(), 8)
+}
+
+// Daemons found a target dead, and then an operator moved it away from them, so
+// that they look at it no more. What they said last must not keep a healthy
+// target from the daemons that use it now.
+func TestDeadLapsesUnlessSeenAgain(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	for _, b := range m.boards[:4] {
+		b.Dead("t", "takes no connection")
+	}
+	m.pass()
+	is.Equal(m.out(), 9)
+	for range int(2 * deadLasts / time.Second) {
+		m.pass()
+	}
+	is.Equal(m.out(), 0)
+	is.Equal(len(m.boards[0].own), 0)
+}
+
 // A daemon saw a target drain and died. What it said must not stand for ever,
 // or the target would be lost to all after its return.
 func TestWordOfTheDeadLapses(t *testing.T) {
--- a/internal/route/dispatch/dispatch.go
+++ b/internal/route/dispatch/dispatch.go
@@ -19,11 +19,12 @@
 type Dispatch struct {
 	backends map[fireflypath.Kind]fireflypath.Backend
 	leaving  func(target string)
+	dead     func(target string)
 }
 
 // New returns the step; leaving spreads what a target says of itself.
-func New(backends map[fireflypath.Kind]fireflypath.Backend, leaving func(target string)) *Dispatch {
-	return &Dispatch{backends: backends, leaving: leaving}
+func New(backends map[fireflypath.Kind]fireflypath.Backend, leaving, dead func(target string)) *Dispatch {
+	return &Dispatch{backends: backends, leaving: leaving, dead: dead}
 }
 
 // String names the step.
@@ -40,6 +41,9 @@
 		case err == nil:
 			return nil
 		case errors.Is(err, fireflypath.ErrUnsent):
+			if errors.Is(err, fireflypath.ErrUnreached) {
+				d.dead(r.Target.Name)
+			}
 			if err := r.Owner.Again(ctx, r); err != nil {
 				return err
 			}
--- a/internal/route/poll/poll.go
+++ b/internal/route/poll/poll.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
@@ -37,6 +38,10 @@
 	Observe func(fireflypath.Event)
 	// Evidence takes what each source says of a target's leaving.
 	Evidence *evidence.Evidence
+	// Dead takes that a target took no connection, Answers that it did. Both
+	// may be nil.
+	Dead    func(target string)
+	Answers func(target string)
 }
 
 // Poller runs until its context ends.
@@ -113,7 +118,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	// A target that cannot be read brings no event; its reports age.
-	events, _ := w.Poll(ctx, t)
+	events, err := w.Poll(ctx, t)
+	p.reached(t.Name, err)
 	for _, e := range events {
 		switch e.Kind {
 		case fireflypath.EventLeaving:
@@ -126,6 +132,20 @@
 	}
 }
 
+// reached tells whether the target took a connection. A late answer tells
+// neither: an overloaded target would be taken from all daemons, and its load
+// would fall on the next one.
+func (p *Poller) reached(target string, err error) {
+	switch {
+	case errors.Is(err, fireflypath.ErrUnreached):
+		if p.deps.Dead != nil {
+			p.deps.Dead(target)
+		}
+	case err == nil && p.deps.Answers != nil:
+		p.deps.Answers(target)
+	}
+}
+
 // hosts compares the platform's list with the targets. A host that is not on
 // the list says nothing: the list lags, and new hosts are missing at first.
 func (p *Poller) hosts(ctx context.Context, cfg *fireflypath.Config) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -54,6 +54,8 @@
 	Log *zap.Logger
 	// Leaving spreads what a target says of itself.
 	Leaving func(target string)
+	// Dead spreads that a target took no connection.
+	Dead func(target string)
 }
 
 // Route runs requests.
@@ -76,7 +78,7 @@
 		admit.New(deps.Clock, deps.Members),
 		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
-		dispatch.New(deps.Backends, deps.Leaving),
+		dispatch.New(deps.Backends, deps.Leaving, deps.Dead),
 		relay.New(deps.Clock, rt.ended),
 	}
 	return rt
--- a/internal/send/sender.go
+++ b/internal/send/sender.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/fireflypath/fireflypath"
 )
@@ -88,6 +89,16 @@
 	return errors.Mark(err, fireflypath.ErrUnsent)
 }
 
+// unreached marks errors of a dial that tell of the target or the way to it.
+func unreached(err error) error {
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() ||
+		errors.IsAny(err, unix.ECONNREFUSED, unix.ECONNRESET, unix.EHOSTUNREACH, unix.ENETUNREACH) {
+		return errors.Mark(err, fireflypath.ErrUnreached)
+	}
+	return err
+}
+
 func (s *Sender) host(addr string) *fasthttp.HostClient {
 	s.mu.RLock()
 	h := s.hosts[addr]
@@ -128,7 +139,7 @@
 	}}
 	c, err := d.Dial("tcp", addr)
 	if err != nil {
-		return nil, err
+		return nil, unreached(err)
 	}
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
--- /dev/null
+++ b/internal/send/unreached_test.go
@@ -0,0 +1,32 @@
+package send_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/send"
+	"github.com/fireflypath/fireflypath/internal/testkit"
+)
+
+// A target's process is gone and its host refuses the connection. If the sender
+// did not tell this from other failures, the daemons would go on losing a
+// second for each request that they place there.
+func TestRefusedConnectionIsUnreached(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", testkit.Loopback()+":0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	s := send.New(0)
+	defer s.Close()
+	for _, fresh := range []bool{false, true} {
+		_, err = s.Send(t.Context(), addr, &fasthttp.Request{}, fresh)
+		is.True(errors.Is(err, fireflypath.ErrUnreached))
+		is.True(errors.Is(err, fireflypath.ErrUnsent))
+	}
+}
--- a/target.go
+++ b/target.go
@@ -11,6 +11,10 @@
 var (
 	// ErrUnsent means that no byte of the request left this host.
 	ErrUnsent = errors.New("request was not sent")
+	// ErrUnreached means that the target took no connection; ErrUnsent marks
+	// the same error. Want of descriptors or ports on this host is not meant:
+	// it would make all targets look dead to a daemon under load.
+	ErrUnreached = errors.New("target takes no connection")
 	// ErrNotRun means that the target said that it did not run the request.
 	ErrNotRun = errors.New("target did not run the request")
 	// ErrDraining means that the target said so because it is leaving; it wraps ErrNotRun.
