test(exchange): the sum of parts is held to 1.001 again

Change: all bounds of the test are 1.001, as while joining; the page says so. Conclusion: nothing to mend in the code; the old bound could not see the old fault.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -121,8 +121,8 @@
 }
 
 // All load comes to one daemon of nine, then to another one. The part must
-// follow within seconds, and at no time may the parts sum to much more than the
-// windows; a tenth is one stale line of one daemon.
+// follow within seconds, and at no time may the parts sum to more than the
+// windows: targets would get more than they can do. No line is late here.
 func TestPartsFollowTheLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -135,14 +135,14 @@
 		all.pass(t, 10*time.Second, 1.001) // also while they join
 		is.True(all.sum() > 0.99)
 		all[3].set(500, 11)
-		all.pass(t, 600*time.Millisecond, 1.1)
+		all.pass(t, 600*time.Millisecond, 1.001)
 		is.True(all[3].inUse() > 0.3) // by loans, or by an exchange that came just then
-		all.pass(t, 3*time.Second, 1.1)
+		all.pass(t, 3*time.Second, 1.001)
 		is.True(all[3].inUse() > 0.85)
 		is.True(all[7].inUse() > 0.001) // the others keep something to start with
 		all[3].set(0, 0)
 		all[7].set(500, 2)
-		all.pass(t, 5*time.Second, 1.1)
+		all.pass(t, 5*time.Second, 1.001)
 		is.True(all[7].inUse() > 0.85)
 	})
 }
