fix(relief): late work does not take the room of requests that can still run

Cause: in one round the first waiter of a rank took all tokens freed. Work past its time asks for MaxInt32, so a request that found the pool full beside it heard 0 and was refused although lower work was given up for both. Change: the smallest needs of a rank are served first. Conclusion: 0 with a complete round means that no peer holds lower work, since an unbounded need made all peers give it up.

--- a/internal/relief/rounds.go
+++ b/internal/relief/rounds.go
@@ -2,8 +2,10 @@
 package relief
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,6 +195,10 @@
 	defer cancel()
 	needs := join(batch)
 	freed, complete := r.askAll(ctx, question{Pool: pool, Needs: needs})
+	// Work that is past its time wants all that anybody holds. Served first, it
+	// would take what was given up for requests that can still run, and those
+	// would hear "none" and be refused.
+	slices.SortStableFunc(batch, func(a, b *waiter) int { return cmp.Compare(a.tokens, b.tokens) })
 	var rest []*waiter
 	for _, w := range batch {
 		if w.ctx.Err() != nil {
