fix(exchange): an added pool starts at the floor and never at whole windows

Cause: a pool that an operator adds had whole windows until the exchange's next step, then 0 for the 300 ms that a part settles; work waited before idle targets and small pools shed it as full. A line that a peer told before the pool was known here was dropped, and a share applied before the pool was made was lost. Change: share.Floor is the start at a daemon that had a configuration before; early lines are kept; a new pool asks the exchange for its share. Conclusion: no gap and no overshoot for an added pool. A daemon that has just started still begins at 0, because the others may not know of it.

--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -171,6 +171,7 @@
 	}
 	single := d.deps.Store == nil && len(d.cfg.Peers.Seeds) == 0
 	d.exchange = exchange.New(d.members, d.peers, d.deps.Configs, d.pools, single, clock, d.scope)
+	d.pools.Begin(d.exchange.Begin)
 	d.board = leaving.New(d.cfg.Name, d.mates, d.peers, d.peersLeaving, d.peersBack, clock, d.scope)
 	if d.deps.Leaving == nil {
 		d.deps.Leaving, d.deps.Back = d.board.Leaving, d.board.Back
--- a/internal/decide/share/split.go
+++ b/internal/decide/share/split.go
@@ -78,6 +78,21 @@
 	return got
 }
 
+// Floor is the least part that Split gives each of n daemons, whatever the
+// demand, while missing others are out of reach.
+//
+// A pool that an operator adds starts with it at once: a part of 0 would hold
+// work back before idle targets for the time that a part settles. No daemon that
+// knows the same members has taken the others' floors, so the parts still sum
+// up to 1 at most, however much later than the others a daemon hears of the pool.
+func Floor(n, missing int) float64 {
+	part := floorPart / float64(max(1, n))
+	if missing > n {
+		part *= float64(n) / float64(n+missing)
+	}
+	return part
+}
+
 // withhold takes the running work above daemons' parts from the room of the others.
 func withhold(got []float64, lines []Line, floor float64) {
 	excess, room := 0.0, 0.0
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -53,6 +53,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	early early
 	// sent holds what each peer was told last.
 	sent map[string]map[string]peer.Demand
 	plan plan
@@ -102,7 +103,7 @@
 	scope = scope.SubScope("share")
 	x := &Exchange{
 		members: members, peers: peers, configs: configs, cluster: cluster, clock: clock,
-		started: clock.Now(), alone: alone, pools: map[string]*pool{}, sent: map[string]map[string]peer.Demand{},
+		started: clock.Now(), alone: alone, pools: map[string]*pool{}, early: early{}, sent: map[string]map[string]peer.Demand{},
 		count: counters{
 			rounds: scope.Counter("rounds"), applied: scope.Counter("applied"),
 			asked: scope.Counter("asked"), borrowed: scope.Counter("borrowed"), lent: scope.Counter("lent"),
@@ -169,6 +170,7 @@
 	if x.plan == (plan{layout, cfg.Generation}) {
 		return
 	}
+	started := x.plan.generation > 0
 	x.plan = plan{layout, cfg.Generation}
 	self := x.members.Self().Name
 	targets := map[string][]string{}
@@ -180,13 +182,17 @@
 		p := x.pools[c.Name]
 		if p == nil {
 			p = &pool{heard: map[string]peer.Demand{}, told: peer.Demand{Pool: c.Name}, fresh: peer.Demand{Pool: c.Name}}
-			p.ledger.Start(0)
+			x.early.take(c.Name, p.heard)
 		}
+		added := x.pools[c.Name] == nil
 		p.targets, p.group = layout.Serves(self, targets[c.Name])
 		p.cell = p.group
 		if mates := layout.Mates(self); len(mates) < len(p.group) {
 			p.cell = mates
 		}
+		if added && started && len(p.group) > 1 {
+			p.ledger.Start(share.Floor(len(p.group), x.members.Missing()))
+		}
 		for name := range p.heard {
 			if !slices.Contains(p.cell, name) {
 				delete(p.heard, name)
@@ -246,6 +252,19 @@
 	x.ask(ctx, asks)
 }
 
+// Begin is the share that a pool starts with here. Without it a pool that the
+// operator adds would have whole windows until the next step, at each daemon.
+func (x *Exchange) Begin(name string) fireflypath.Share {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.arrange()
+	p := x.pools[name]
+	if p == nil {
+		return fireflypath.Share{}
+	}
+	return x.shareOf(p, p.ledger.InUse(x.clock.Now()))
+}
+
 // apply puts parts in force that changed.
 func (x *Exchange) apply() {
 	x.applying.Lock()
@@ -327,7 +346,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, d := range b.Demands {
-		if p := x.pools[d.Pool]; p != nil && slices.Contains(p.cell, from) {
+		p := x.pools[d.Pool]
+		switch {
+		case p == nil:
+			x.early.keep(from, d)
+		case slices.Contains(p.cell, from):
 			p.heard[from] = d
 			x.compute(p)
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -31,12 +31,16 @@
 	demand  fireflypath.Demand
 	part    float64
 	targets int
+	// cfg takes the place of config; added is the demand and part of a pool in it.
+	cfg    *fireflypath.Config
+	added  fireflypath.Demand
+	beside float64
 }
 
 func (s *site) Demands() []fireflypath.Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return []fireflypath.Demand{s.demand}
+	return []fireflypath.Demand{s.demand, s.added}
 }
 
 func (s *site) set(waiting, busy int) {
@@ -45,9 +49,13 @@
 	s.demand = fireflypath.Demand{Pool: "chat", Slots: 96, Requests: []int{waiting}, Busy: []int{busy}}
 }
 
-func (s *site) ApplyShare(_ string, sh fireflypath.Share) {
+func (s *site) ApplyShare(pool string, sh fireflypath.Share) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pool == "added" {
+		s.beside = sh.Default
+		return
+	}
 	s.part, s.targets = sh.Default, len(sh.Part)
 	for _, p := range sh.Part {
 		s.part = p
@@ -60,10 +68,18 @@
 	return s.part
 }
 
-func (*site) Relieve(string, int, int) int   { return 0 }
-func (*site) TargetLeaving(string, string)   {}
-func (*site) TargetBack(string)              {}
-func (*site) Current() *fireflypath.Config   { return config }
+func (*site) Relieve(string, int, int) int { return 0 }
+func (*site) TargetLeaving(string, string) {}
+func (*site) TargetBack(string)            {}
+func (s *site) Current() *fireflypath.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg != nil {
+		return s.cfg
+	}
+	return config
+}
+
 func (*site) Changed(uint64) <-chan struct{} { return nil }
 
 var config = &fireflypath.Config{
@@ -176,3 +192,64 @@
 		})
 	}
 }
+
+// add lets the daemon know of one more pool, with work that waits.
+func (s *site) add(waiting int) {
+	cfg := *config
+	cfg.Generation++
+	cfg.Pools = append([]fireflypath.Pool{{Name: "added"}}, cfg.Pools...)
+	cfg.Targets = append([]fireflypath.Target{{Name: "t3", Pool: "added"}}, cfg.Targets...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg = &cfg
+	s.added = fireflypath.Demand{Pool: "added", Slots: 8, Requests: []int{waiting}, Busy: []int{0}}
+}
+
+func (s *site) partOfAdded() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beside
+}
+
+// An operator adds a pool, and the daemons get to know it one after the other.
+// A daemon that starts such a pool with nothing sheds the first requests as
+// "full" before idle targets; one that starts it with more than the others left
+// it overfills them, and so does one that forgets what it heard too early.
+func TestAddedPoolStartsAtTheFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := start(t, testkit.NewNetwork(), 3)
+		defer func() {
+			for _, s := range all {
+				s.stop()
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		watch := func(d time.Duration, known int) {
+			for ; d > 0; d -= 20 * time.Millisecond {
+				time.Sleep(20 * time.Millisecond)
+				sum := 0.0
+				for i, s := range all {
+					sum += s.partOfAdded()
+					if i < known && s.partOfAdded() < 0.033 {
+						t.Fatalf("daemon %d has %.3f of the new pool", i, s.partOfAdded())
+					}
+				}
+				if sum > 1.001 {
+					t.Fatalf("parts in use sum to %.3f", sum)
+				}
+			}
+		}
+		first := func(known, waiting int) {
+			all[known-1].add(waiting)
+			is.True(all[known-1].x.Begin("added").Default > 0.033)
+			time.Sleep(100 * time.Millisecond) // the next step
+			watch(4*time.Second, known)
+		}
+		first(1, 500)
+		is.True(all[0].partOfAdded() > 0.9)
+		first(2, 0)
+		first(3, 0)
+		is.True(all[0].partOfAdded() > 0.9)
+	})
+}
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -28,6 +28,11 @@
 
 	// shares holds the last fireflypath.Share of each pool, by its name.
 	shares sync.Map
+	// sharing is held while a share is put in force, so that a pool which is
+	// made meanwhile does not keep an older one.
+	sharing sync.Mutex
+	// begin gives the share of a new pool; nil for a daemon without peers.
+	begin atomic.Pointer[func(string) fireflypath.Share]
 
 	mu      sync.Mutex
 	applied *fireflypath.Config
@@ -78,6 +83,11 @@
 	}
 	p.assign(cfg, next)
 	p.byName.Store(&next)
+	for name, n := range next {
+		if old[name] == nil {
+			p.share(name, n)
+		}
+	}
 	for name, gone := range old {
 		if next[name] == nil {
 			gone.Close(fireflypath.Refusal{Code: fireflypath.ReasonNoPool, Detail: "the pool was removed"})
@@ -97,12 +107,30 @@
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
 	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
 	n.Count(&p.bytes)
+	p.share(c.Name, n)
 	if p.stopped != nil {
 		n.Close(*p.stopped)
 	}
 	return n
 }
 
+// Begin sets where the share of a new pool comes from.
+func (p *Pools) Begin(share func(pool string) fireflypath.Share) {
+	p.begin.Store(&share)
+}
+
+// share gives a new pool its share. It is called before the pool gets requests,
+// and again once ApplyShare finds the pool: one that came between is not lost.
+func (p *Pools) share(name string, n *pool.Pool) {
+	begin := p.begin.Load()
+	if begin == nil {
+		return
+	}
+	p.sharing.Lock()
+	defer p.sharing.Unlock()
+	n.SetShare((*begin)(name))
+}
+
 func (p *Pools) assign(cfg *fireflypath.Config, pools map[string]*pool.Pool) {
 	targets := make(map[string][]fireflypath.Target, len(pools))
 	home := make(map[string]*pool.Pool, len(cfg.Targets))
@@ -219,6 +247,8 @@
 
 // ApplyShare puts a share in force.
 func (p *Pools) ApplyShare(name string, s fireflypath.Share) {
+	p.sharing.Lock()
+	defer p.sharing.Unlock()
 	p.shares.Store(name, s)
 	if n := (*p.byName.Load())[name]; n != nil {
 		n.SetShare(s)
--- a/internal/route/pools/pools_test.go
+++ b/internal/route/pools/pools_test.go
@@ -73,3 +73,35 @@
 	is.Equal((<-kept).Code, fireflypath.ReasonStopping)
 	is.Equal((<-c).Code, fireflypath.ReasonStopping)
 }
+
+// shares is a scheduler that notes the shares put in force.
+type shares struct {
+	fireflypath.Scheduler
+	got *[]float64
+}
+
+func (s shares) SetShare(now time.Time, sh fireflypath.Share) {
+	*s.got = append(*s.got, sh.Default)
+	s.Scheduler.SetShare(now, sh)
+}
+
+// A pool is added while other daemons send work to the same targets, and the
+// exchange is ahead of the pools. The pool may at no time have whole windows,
+// and must not lose the share that was put in force before it was made: each
+// daemon would fill the targets as if it were alone.
+func TestNewPoolTakesItsShare(t *testing.T) {
+	is := is.New(t)
+	var got []float64
+	p := pools.New(clockwork.NewFakeClock(), nil, func(c fireflypath.Pool) fireflypath.Scheduler {
+		return shares{sched.New(sched.Config{Pool: c}), &got}
+	})
+	part := 0.1
+	p.Begin(func(string) fireflypath.Share { return fireflypath.Share{Default: part} })
+	part = 0.3
+	p.ApplyShare("chat", fireflypath.Share{Default: part})
+	p.Apply(&fireflypath.Config{Generation: 1, Pools: []fireflypath.Pool{{Name: "chat", Kind: fireflypath.KindEngine}}})
+	is.True(len(got) > 0)
+	for _, v := range got {
+		is.Equal(v, 0.3)
+	}
+}
