perf(poll): reads of load reports are bounded for each daemon

Cause: every target was asked each second, 3.6 KB a second for 15 idle targets (239 B a poll counted on a connection), above the 3 KB allowed for control, and growing with the targets. Change: targets with work of this daemon are asked every second, others every 3 s, in the long run 8 reads a second, the most overdue first. Few daemons read more, so that some mate sees each target every second: one that leaves may tell it in its report only. One daemon alone still reads all every second.

--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -69,6 +69,14 @@
 // polling reads the state of targets and hosts.
 type polling struct{}
 
+// readers is the number of daemons that read the same targets, with this one.
+func (d *Daemon) readers() int {
+	if d.members == nil {
+		return 1
+	}
+	return d.mates()
+}
+
 func (polling) String() string { return "polling" }
 
 func (polling) Run(ctx context.Context, d *Daemon) error {
@@ -81,6 +89,8 @@
 		},
 		Hosts:    d.deps.Hosts,
 		Serves:   d.pools.Serves,
+		Holds:    d.pools.Holds,
+		Mates:    d.readers,
 		Observe:  d.pools.Observe,
 		Evidence: d.evidence,
 	})
--- a/internal/route/poll/poll.go
+++ b/internal/route/poll/poll.go
@@ -1,4 +1,4 @@
-// Package poll asks targets and the host list for their state at a fixed rate.
+// Package poll asks targets and the host list for their state at a bounded rate.
 package poll
 
 import (
@@ -14,9 +14,9 @@
 )
 
 const (
-	// Every is the time between two reports of a target. A target that leaves
-	// may get no new work after 3 s: one period, the report's own lag and the
-	// read fit in. It is a fixed rate, so that load on the system adds none.
+	// Every is the time between two rounds, and between two reports of a target
+	// that holds work. A target that leaves may get no new work after 3 s: one
+	// period, the report's own lag and the read fit in.
 	Every = time.Second
 	// width bounds the reads under way at once.
 	width = 16
@@ -33,6 +33,11 @@
 	Hosts fireflypath.Hosts
 	// Serves reports whether this daemon sends work to a target; others are not polled.
 	Serves func(fireflypath.Target) bool
+	// Holds names the targets at which this daemon has work; may be nil.
+	Holds func() map[string]bool
+	// Mates is how many daemons read the same targets and tell each other of
+	// those that leave, with this one; nil for a daemon alone.
+	Mates func() int
 	// Observe takes load reports and cache events.
 	Observe func(fireflypath.Event)
 	// Evidence takes what each source says of a target's leaving.
@@ -45,14 +50,16 @@
 
 	mu   sync.Mutex
 	busy map[string]bool
+
+	schedule *schedule
 }
 
 // New returns a poller.
 func New(deps Deps) *Poller {
-	return &Poller{deps: deps, busy: map[string]bool{}}
+	return &Poller{deps: deps, busy: map[string]bool{}, schedule: newSchedule()}
 }
 
-// Run polls at once and then at the fixed rate.
+// Run polls at once and then round by round.
 func (p *Poller) Run(ctx context.Context) {
 	t := p.deps.Clock.NewTicker(Every)
 	defer t.Stop()
@@ -78,19 +85,40 @@
 	if p.deps.Hosts != nil && p.enter("hosts list") {
 		reads.Go(func() { p.hosts(ctx, cfg) })
 	}
-	for _, t := range cfg.Targets {
-		w := p.deps.Watchers[kinds[t.Pool]]
-		if w == nil || !p.deps.Serves(t) || !p.enter(t.Name) {
+	for _, c := range p.schedule.choose(p.deps.Clock.Now(), p.candidates(cfg, kinds), p.mates()) {
+		if !p.enter(c.Name) {
 			continue
 		}
 		reads.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			p.target(ctx, w, t)
+			p.target(ctx, c.watcher, c.Target)
 		})
 	}
 }
 
+// candidates are the targets that this daemon serves.
+func (p *Poller) candidates(cfg *fireflypath.Config, kinds map[string]fireflypath.Kind) []candidate {
+	var held map[string]bool
+	if p.deps.Holds != nil {
+		held = p.deps.Holds()
+	}
+	out := make([]candidate, 0, len(cfg.Targets))
+	for _, t := range cfg.Targets {
+		if w := p.deps.Watchers[kinds[t.Pool]]; w != nil && p.deps.Serves(t) {
+			out = append(out, candidate{Target: t, watcher: w, held: held[t.Name]})
+		}
+	}
+	return out
+}
+
+func (p *Poller) mates() int {
+	if p.deps.Mates == nil {
+		return 1
+	}
+	return p.deps.Mates()
+}
+
 // enter reports whether nothing is being read under the name.
 func (p *Poller) enter(name string) bool {
 	p.mu.Lock()
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -217,6 +217,17 @@
 	return out
 }
 
+// Holds names the targets at which this daemon has work.
+func (p *Pools) Holds() map[string]bool {
+	out := map[string]bool{}
+	for _, v := range p.Views() {
+		if v.Requests > 0 {
+			out[v.Target] = true
+		}
+	}
+	return out
+}
+
 // Open is what is known of the requests that wait or run now and that the filter
 // lets through.
 func (p *Pools) Open(match func(*fireflypath.Work) bool) []fireflypath.Record {
