feat(rules): limits are split by what comes at each daemon

Cause: a limit was split evenly by the live daemons, so that a team that comes through one daemon of nine was refused at a ninth of what it was granted. Change: the first eight limits are split by the exchange like the windows of a pool, by what comes in tokens a second, refused or not. They start at the even part, which also holds until the daemons have told each other, for later limits in the list, and between the cells of a large fleet. Conclusion: the first eight limits hold over all daemons of a cell.

--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -170,7 +170,8 @@
 		d.work.Go(func() { _ = s.Run(d.ctx) })
 	}
 	single := d.deps.Store == nil && len(d.cfg.Peers.Seeds) == 0
-	d.exchange = exchange.New(d.members, d.peers, d.deps.Configs, d.pools, single, clock, d.scope)
+	d.exchange = exchange.New(d.members, d.peers, d.deps.Configs,
+		&limits{d.pools, &d.rules, d.deps.Configs, clock}, single, clock, d.scope)
 	d.pools.Begin(d.exchange.Begin)
 	d.board = leaving.New(d.cfg.Name, d.mates, d.peers, d.peersLeaving, d.peersBack, clock, d.scope)
 	if d.deps.Leaving == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/fireflypath/fireflypath/internal/caller/door"
 	"github.com/fireflypath/fireflypath/internal/claim"
 	registry "github.com/fireflypath/fireflypath/internal/configuration"
+	"github.com/fireflypath/fireflypath/internal/decide/rules"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/exchange"
 	"github.com/fireflypath/fireflypath/internal/leaving"
@@ -81,6 +82,7 @@
 	scope    tally.Scope
 	reports  io.Closer
 	pools    *pools.Pools
+	rules    rules.Rules
 	evidence *evidence.Evidence
 	claims   *claim.Claims
 	engine   *engine.Engine
--- a/internal/daemon/way.go
+++ b/internal/daemon/way.go
@@ -49,6 +49,7 @@
 		Meter:    meter.New(d.scope),
 		Log:      d.deps.Log,
 		Members:  d.deps.Members,
+		Rules:    &d.rules,
 		Recorder: d.deps.Recorder,
 		Leaving: func(target string) {
 			d.evidence.Leaving(target, evidence.SourceTarget, d.deps.Clock.Now())
--- a/internal/decide/rules/rules.go
+++ b/internal/decide/rules/rules.go
@@ -51,8 +51,8 @@
 	limit *limit
 }
 
-// Decide applies the first rule that matches. A limit is shared evenly by the
-// given number of daemons: the balancer spreads callers, and counting together
+// Decide applies the first rule that matches. A limit is shared by the given
+// number of daemons, evenly unless Apply gave another part: counting together
 // would cost messages for each request.
 func (r *Rules) Decide(now time.Time, cfg *fireflypath.Config, daemons int, w *fireflypath.Work) Verdict {
 	list := r.current(cfg).rules
@@ -78,7 +78,8 @@
 		v.Refused = true
 		v.Detail = fmt.Sprintf("rule %s refuses this work of %d estimated tokens", r.Name, w.Cost.Tokens())
 	case fireflypath.RuleLimit:
-		v.RetryAfter = r.limit.take(now, perToken(r.Limit, daemons), w.Cost.Tokens())
+		r.limit.offered.Add(int64(w.Cost.Tokens()))
+		v.RetryAfter = r.limit.take(now, perToken(r.Limit, r.limit.share(daemons)), w.Cost.Tokens())
 		v.Refused = v.RetryAfter > 0
 		if v.Refused {
 			v.Detail = fmt.Sprintf("rule %s allows %d tokens a second over %d daemons", r.Name, r.Limit, max(daemons, 1))
@@ -88,8 +89,8 @@
 }
 
 // perToken is the time that one token takes at this daemon's part of a limit.
-func perToken(tokens, daemons int) float64 {
-	return float64(time.Second) * float64(max(daemons, 1)) / float64(max(tokens, 1))
+func perToken(tokens int, part float64) float64 {
+	return float64(time.Second) / part / float64(max(tokens, 1))
 }
 
 // current is the compiled list of the configuration; limits that stay keep
@@ -138,6 +139,16 @@
 type limit struct {
 	// clock is in Unix nanoseconds.
 	clock atomic.Int64
+	// part is this daemon's part of the limit as the bits of a float64; 0 if the
+	// daemons did not tell each other yet.
+	part atomic.Uint64
+	// offered counts the tokens that came, let in or not.
+	offered atomic.Int64
+	// rate is the mean of the tokens that come in a second, as of measured; both
+	// and counted are used under Rules.mu.
+	rate     float64
+	counted  int64
+	measured time.Time
 }
 
 // take books the tokens and returns 0, or returns how long there is no room.
--- a/internal/decide/rules/rules_test.go
+++ b/internal/decide/rules/rules_test.go
@@ -132,3 +132,35 @@
 		})
 	}
 }
+
+// A team's requests come here only. What comes is measured, also what the even
+// part refuses, or else the part could never grow; once it has grown, the team
+// gets what it was granted. A part of 0 means that nobody told any.
+func TestPartOfALimit(t *testing.T) {
+	is := is.New(t)
+	cfg := &fireflypath.Config{Rules: []fireflypath.Rule{
+		{Name: "ours", Act: fireflypath.RuleLimit, Team: "traders", Limit: 900},
+	}}
+	var r rules.Rules
+	now := start
+	let := func(seconds int) (in int) {
+		for range 10 * seconds {
+			now = now.Add(100 * time.Millisecond)
+			if !r.Decide(now, cfg, 9, work("traders", "gold", 80)).Refused {
+				in += 80
+			}
+			r.Offered(now, cfg)
+		}
+		return in
+	}
+	is.True(let(20) < 21*100+160)
+	d := r.Offered(now, cfg)
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Slots, 900)
+	is.True(d[0].Busy[0] > 780 && d[0].Busy[0] < 820)
+	r.Apply(cfg, "ours", 0.9)
+	let(2) // the second that the clock is ahead
+	is.True(let(20) > 20*780)
+	r.Apply(cfg, "ours", 0)
+	is.True(let(20) < 21*100+160)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
+	"github.com/fireflypath/fireflypath/internal/decide/rules"
 	"github.com/fireflypath/fireflypath/internal/decide/share"
 	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/peer"
@@ -78,9 +79,11 @@
 	// that exchange lines with this one.
 	group, cell []string
 	targets     []string
-	applied     float64
-	appliedTo   int
-	known       bool
+	// limit is true for a rule's limit, which is split like a window.
+	limit     bool
+	applied   float64
+	appliedTo int
+	known     bool
 	// parts are those of the cell at the last split, in its order.
 	parts  []float64
 	asked  time.Time
@@ -172,38 +175,61 @@
 	}
 	started := x.plan.generation > 0
 	x.plan = plan{layout, cfg.Generation}
-	self := x.members.Self().Name
 	targets := map[string][]string{}
 	for _, t := range cfg.Targets {
 		targets[t.Pool] = append(targets[t.Pool], t.Name)
 	}
 	next := make(map[string]*pool, len(cfg.Pools))
 	for _, c := range cfg.Pools {
-		p := x.pools[c.Name]
-		if p == nil {
-			p = &pool{heard: map[string]peer.Demand{}, told: peer.Demand{Pool: c.Name}, fresh: peer.Demand{Pool: c.Name}}
-			x.early.take(c.Name, p.heard)
-		}
-		added := x.pools[c.Name] == nil
-		p.targets, p.group = layout.Serves(self, targets[c.Name])
-		p.cell = p.group
-		if mates := layout.Mates(self); len(mates) < len(p.group) {
-			p.cell = mates
-		}
-		if added && started && len(p.group) > 1 {
-			p.ledger.Start(share.Floor(len(p.group), x.members.Missing()))
-		}
-		for name := range p.heard {
-			if !slices.Contains(p.cell, name) {
-				delete(p.heard, name)
-			}
+		next[c.Name] = x.place(c.Name, layout, targets[c.Name], started)
+	}
+	for _, name := range rules.Shared(cfg) {
+		if key := rules.Key(name); next[key] == nil {
+			next[key] = x.placeLimit(key, layout)
 		}
-		next[c.Name] = p
 	}
 	x.pools = next
 	x.computeAll()
 }
 
+// place finds who shares a pool with this daemon. The caller holds mu.
+func (x *Exchange) place(name string, layout *cell.Layout, targets []string, started bool) *pool {
+	p := x.pools[name]
+	added := p == nil
+	if added {
+		p = &pool{heard: map[string]peer.Demand{}, told: peer.Demand{Pool: name}, fresh: peer.Demand{Pool: name}}
+		x.early.take(name, p.heard)
+	}
+	self := x.members.Self().Name
+	p.targets, p.group = layout.Serves(self, targets)
+	p.cell = p.group
+	if mates := layout.Mates(self); len(mates) < len(p.group) {
+		p.cell = mates
+	}
+	if added && started && len(p.group) > 1 {
+		p.ledger.Start(share.Floor(len(p.group), x.members.Missing()))
+	}
+	for name := range p.heard {
+		if !slices.Contains(p.cell, name) {
+			delete(p.heard, name)
+		}
+	}
+	return p
+}
+
+// placeLimit does the same for a rule's limit, which all daemons share. It
+// starts with the even part: a limit at the floor would refuse work that the
+// operator has granted. The caller holds mu.
+func (x *Exchange) placeLimit(key string, layout *cell.Layout) *pool {
+	added := x.pools[key] == nil
+	p := x.place(key, layout, nil, false)
+	p.limit = true
+	if added {
+		p.ledger.Start(1 / float64(max(1, len(p.group))))
+	}
+	return p
+}
+
 // computeAll computes all parts. The caller holds mu.
 func (x *Exchange) computeAll() {
 	for _, p := range x.pools {
@@ -300,7 +326,7 @@
 
 // shareOf names the targets that this daemon serves, unless it serves all.
 func (x *Exchange) shareOf(p *pool, part float64) fireflypath.Share {
-	if x.plan.layout.Cells() == 1 {
+	if p.limit || x.plan.layout.Cells() == 1 {
 		return fireflypath.Share{Default: part}
 	}
 	s := fireflypath.Share{Part: make(map[string]float64, len(p.targets))}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/rules"
 	"github.com/fireflypath/fireflypath/internal/exchange"
 	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/peer"
@@ -52,7 +53,7 @@
 func (s *site) ApplyShare(pool string, sh fireflypath.Share) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if pool == "added" {
+	if pool == "added" || pool == rules.Key("team") {
 		s.beside = sh.Default
 		return
 	}
@@ -253,3 +254,54 @@
 		is.True(all[0].partOfAdded() > 0.9)
 	})
 }
+
+// A team comes through one daemon of nine, and then through another one. With
+// an even split it would be refused at a ninth of what the operator has granted
+// it. Its part must follow it within seconds, and at no time may the parts sum
+// to much more than the limit.
+func TestLimitFollowsItsTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := start(t, testkit.NewNetwork(), 9)
+		defer func() {
+			for _, s := range all {
+				s.stop()
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		cfg := *config
+		cfg.Generation++
+		cfg.Rules = []fireflypath.Rule{{Name: "team", Act: fireflypath.RuleLimit, Limit: 1000}}
+		come := func(s *site, rate int) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.cfg = &cfg
+			s.added = fireflypath.Demand{Pool: rules.Key("team"), Slots: 1000, Busy: []int{rate}}
+		}
+		watch := func(d time.Duration) {
+			for ; d > 0; d -= 20 * time.Millisecond {
+				time.Sleep(20 * time.Millisecond)
+				sum := 0.0
+				for _, s := range all {
+					sum += s.partOfAdded()
+				}
+				if sum > 1.1 {
+					t.Fatalf("parts of the limit sum to %.3f", sum)
+				}
+			}
+		}
+		for _, s := range all {
+			come(s, 0)
+		}
+		watch(3 * time.Second)
+		is.True(all[3].partOfAdded() > 0.11 && all[3].partOfAdded() < 0.112)
+		come(all[3], 950)
+		watch(3 * time.Second)
+		is.True(all[3].partOfAdded() > 0.9)
+		is.True(all[7].partOfAdded() > 0.01) // enough to begin with
+		come(all[3], 0)
+		come(all[7], 2000)
+		watch(3 * time.Second)
+		is.True(all[7].partOfAdded() > 0.9)
+	})
+}
--- a/internal/route/admit/admit.go
+++ b/internal/route/admit/admit.go
@@ -15,12 +15,15 @@
 type Admit struct {
 	clock   clockwork.Clock
 	members fireflypath.Members
-	rules   rules.Rules
+	rules   *rules.Rules
 }
 
 // New returns the step; nil members are this daemon alone.
-func New(clock clockwork.Clock, members fireflypath.Members) *Admit {
-	return &Admit{clock: clock, members: members}
+func New(clock clockwork.Clock, members fireflypath.Members, state *rules.Rules) *Admit {
+	if state == nil {
+		state = &rules.Rules{}
+	}
+	return &Admit{clock: clock, members: members, rules: state}
 }
 
 // String names the step.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	claims "github.com/fireflypath/fireflypath/internal/claim"
+	"github.com/fireflypath/fireflypath/internal/decide/rules"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
 	"github.com/fireflypath/fireflypath/internal/route/admit"
 	"github.com/fireflypath/fireflypath/internal/route/catalog"
@@ -50,6 +51,8 @@
 	Meter    *meter.Meter
 	// Members share the operators' limits; nil is this daemon alone.
 	Members fireflypath.Members
+	// Rules holds the state of the operators' rules; nil makes one.
+	Rules *rules.Rules
 	// Recorder may be nil.
 	Recorder fireflypath.Recorder
 	// Log may be nil.
@@ -76,7 +79,7 @@
 		classify.New(),
 		record.New(deps.Recorder),
 		rt.early,
-		admit.New(deps.Clock, deps.Members),
+		admit.New(deps.Clock, deps.Members, deps.Rules),
 		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
 		dispatch.New(deps.Backends, deps.Leaving),
