--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -198,6 +198,7 @@
 	added := p == nil
 	if added {
 		p = &pool{heard: map[string]peer.Demand{}, told: peer.Demand{Pool: name}, fresh: peer.Demand{Pool: name}}
+		p.ledger.Start(share.FloorPart) // until others are heard, or joinGrace is over
 		x.early.take(name, p.heard)
 	}
 	self := x.members.Self().Name
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -59,6 +59,8 @@
 	Log *zap.Logger
 	// Leaving spreads what a target says of itself.
 	Leaving func(target string)
+	// Dead spreads that a target took no connection.
+	Dead func(target string)
 }
 
 // Route runs requests.
@@ -82,7 +84,7 @@
 		admit.New(deps.Clock, deps.Members, deps.Rules),
 		claim.New(deps.Claims, deps.Recorder),
 		queue.New(deps.Pools),
-		dispatch.New(deps.Backends, deps.Leaving),
+		dispatch.New(deps.Backends, deps.Leaving, deps.Dead),
 		relay.New(deps.Clock, rt.ended),
 	)
 	return rt
