--- a/test/script/process_test.go
+++ b/test/script/process_test.go
@@ -40,11 +40,11 @@
 	ts.Value(processesKey).(processes)[args[0]] = launch(ts, args[1:])
 }
 
-// signal SIGNAL NAME sends TERM or KILL.
+// signal SIGNAL NAME sends a signal; STOP and CONT pause a process.
 func signal(ts *testscript.TestScript, neg bool, args []string) {
-	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL}
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
 	if neg || len(args) != 2 || signals[args[0]] == 0 {
-		ts.Fatalf("usage: signal TERM|KILL NAME")
+		ts.Fatalf("usage: signal TERM|KILL|STOP|CONT NAME")
 	}
 	ts.Check(named(ts, args[1]).cmd.Process.Signal(signals[args[0]]))
 }
