fix(member): logs name a member's state in a word

Cause: a line for a dead daemon read "state":"d", the letter that is sent between daemons; seen in a run of real processes with one paused. Change: the state has a String; what is sent stays one letter. Conclusion: an operator reads alive, suspect, dead or left.

--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -315,7 +315,7 @@
 		return
 	}
 	m.log.Info("member changed", zap.String("name", e.member.Name),
-		zap.String("state", string(e.state)), zap.Uint64("incarnation", e.member.Incarnation))
+		zap.Stringer("state", e.state), zap.Uint64("incarnation", e.member.Incarnation))
 }
 
 // refute answers news that this daemon is not alive by a higher incarnation. A
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,6 +45,22 @@
 	Left    State = "l"
 )
 
+// String is the word that logs print.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	default:
+		return "unknown"
+	}
+}
+
 // News is a member's state at an incarnation.
 type News struct {
 	State  State              `json:"s"`
