fix(record): a request refused before it waits has a state of its own

Change: StateRefused, taken by the route when it refuses what still waits. The test fails before (state waiting). Conclusion: the counts add up to what an operator expects.

--- a/internal/route/records_test.go
+++ b/internal/route/records_test.go
@@ -70,8 +70,12 @@
 }
 
 func serve(rt *route.Route) *request.Request {
+	return serveAs(rt, testkit.Token)
+}
+
+func serveAs(rt *route.Route, token string) *request.Request {
 	r := &request.Request{Inbound: request.Inbound{
-		Method: "GET", Path: "/services/packets/x", Service: "packets", Rest: "/x", Token: testkit.Token,
+		Method: "GET", Path: "/services/packets/x", Service: "packets", Rest: "/x", Token: token,
 	}}
 	rt.Serve(context.Background(), r)
 	if r.Reply.Stream != nil {
@@ -95,6 +99,18 @@
 	is.Equal(len(got.Considered), 12)
 }
 
+// A caller comes with an unknown key and is refused before it waits. An operator
+// who counts requests by state must not read it as one that still waits.
+func TestRecordOfARefusedRequest(t *testing.T) {
+	is := is.New(t)
+	ring := record.New(0)
+	r := serveAs(newRoute(ring), "unknown")
+	is.Equal(r.Reply.Status, 401)
+	got := ring.Find(r.Work.ID)
+	is.True(got != nil)
+	is.Equal(got.State, "refused")
+}
+
 // BenchmarkServe measures a request's time in the daemon, without its sockets,
 // with records for "why" and without.
 func BenchmarkServe(b *testing.B) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -169,6 +169,7 @@
 	if !errors.As(err, &ref) {
 		ref = &fireflypath.Refusal{Code: fireflypath.ReasonMalformed, Detail: step + ": " + err.Error(), Run: rt.ran(r)}
 	}
+	r.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateRefused)
 	ref.ID = r.Work.ID
 	ref.Tier = r.Work.Tier
 	ref.Generation = r.Config.Generation
--- a/request.go
+++ b/request.go
@@ -25,11 +25,14 @@
 	StateAnswered
 	// StateFailed is a dispatched request without a whole answer; whether it ran is unknown.
 	StateFailed
+	// StateRefused is a request refused before it could wait: by its own fault, by
+	// a rule or by its team's rights; it did not run.
+	StateRefused
 )
 
 // String is the lower-case name that records and refusals print.
 func (s State) String() string {
-	names := [...]string{"waiting", "dispatched", "shed", "expired", "withdrawn", "answered", "failed"}
+	names := [...]string{"waiting", "dispatched", "shed", "expired", "withdrawn", "answered", "failed", "refused"}
 	if int(s) >= len(names) {
 		return "invalid"
 	}
