fix(poll): a target that one daemon found dead is looked at by all

Change: targets that any daemon found dead lately are due each second, like those that hold work, also on their return. Figures: nine boards with looks nine seconds apart are all out, and all back, by the third second; without the suspects the test fails.

--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -80,6 +80,13 @@
 	}
 }
 
+func (d *Daemon) suspects() map[string]bool {
+	if d.board == nil {
+		return nil
+	}
+	return d.board.Suspects()
+}
+
 // polling reads the state of targets and hosts.
 type polling struct{}
 
@@ -109,6 +116,7 @@
 		Evidence: d.evidence,
 		Dead:     d.sawDead,
 		Answers:  d.sawAnswer,
+		Suspects: d.suspects,
 	})
 	d.work.Go(func() { p.Run(d.ctx) })
 	return nil
--- a/internal/leaving/board.go
+++ b/internal/leaving/board.go
@@ -160,6 +160,24 @@
 	}
 }
 
+// Suspects are the targets that some daemon found dead lately. Daemons look at
+// idle targets every few seconds by turns; those that may be dead need a look
+// by all at once, or a third would not have seen it within three seconds.
+func (b *Board) Suspects() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]bool{}
+	now := b.clock.Now()
+	for target, by := range b.heard {
+		for _, v := range by {
+			if v.Kind == kindDead && now.Sub(v.at) < deadLasts {
+				out[target] = true
+			}
+		}
+	}
+	return out
+}
+
 // Back takes back what this daemon said of a target.
 func (b *Board) Back(target string) {
 	b.mu.Lock()
--- a/internal/leaving/board_test.go
+++ b/internal/leaving/board_test.go
@@ -151,6 +151,35 @@
 	}
 }
 
+// Nine daemons look at an idle target every three seconds, in turns. Its process
+// is killed. The first that finds no connection must make the others look at
+// once, or callers' work goes there until a third came by in its turn; the same
+// holds for its return.
+func TestSuspectIsLookedAtByAll(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	const period = 9 // seconds between a daemon's own looks, the worst
+	for s := range 60 {
+		up := s < 10 || s >= 40
+		for i, b := range m.boards {
+			switch due := s%period == i ; {
+			case due && up:
+				b.Answers("t")
+			case due:
+				b.Dead("t", "takes no connection")
+			}
+		}
+		m.pass()
+		if s >= 12 && s < 40 {
+			is.Equal(m.out(), 9)
+		}
+		if s < 10 || s >= 42 {
+			is.Equal(m.out(), 0)
+			is.Equal(len(m.boards[0].Suspects()), 0)
+		}
+	}
+}
+
 // A target that drains is gone a little later, and its host answers again
 // before the target is ready. It must stay out by its own word.
 func TestAnswersDoNotUndoLeaving(t *testing.T) {
--- a/internal/route/poll/poll.go
+++ b/internal/route/poll/poll.go
@@ -43,6 +43,9 @@
 	Observe func(fireflypath.Event)
 	// Evidence takes what each source says of a target's leaving.
 	Evidence *evidence.Evidence
+	// Suspects are targets that some daemon found dead; they are read like those
+	// that hold work. It may be nil.
+	Suspects func() map[string]bool
 	// Dead takes that a target took no connection, Answers that it did. Both
 	// may be nil.
 	Dead    func(target string)
@@ -104,14 +107,17 @@
 
 // candidates are the targets that this daemon serves.
 func (p *Poller) candidates(cfg *fireflypath.Config, kinds map[string]fireflypath.Kind) []candidate {
-	var held map[string]bool
+	var held, suspects map[string]bool
 	if p.deps.Holds != nil {
 		held = p.deps.Holds()
 	}
+	if p.deps.Suspects != nil {
+		suspects = p.deps.Suspects()
+	}
 	out := make([]candidate, 0, len(cfg.Targets))
 	for _, t := range cfg.Targets {
 		if w := p.deps.Watchers[kinds[t.Pool]]; w != nil && p.deps.Serves(t) {
-			out = append(out, candidate{Target: t, watcher: w, held: held[t.Name]})
+			out = append(out, candidate{Target: t, watcher: w, held: held[t.Name] || suspects[t.Name]})
 		}
 	}
 	return out
