--- a/internal/fake/engine/http.go
+++ b/internal/fake/engine/http.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflypath/fireflypath/internal/fake/answer"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
 	"github.com/fireflypath/fireflypath/internal/fake/wire"
 )
@@ -149,21 +150,15 @@
 func (e *Engine) serveRest(r *fasthttp.RequestCtx, path string) {
 	switch path {
 	case "/load":
-		reply(r, e.loadReport())
+		answer.JSON(r, e.loadReport())
 	case "/cache/events":
 		e.serveCache(r)
 	case "/orders":
 		e.serveOrder(r)
 	case "/counts":
-		reply(r, e.Counts())
+		answer.JSON(r, e.Counts())
 	case "/fault":
-		f, err := fault.Parse(r.PostBody())
-		if err == nil {
-			err = e.Fault(f)
-		}
-		if err != nil {
-			r.Error(err.Error(), fasthttp.StatusBadRequest)
-		}
+		answer.Fault(r, e.Fault)
 	default:
 		r.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -187,17 +182,7 @@
 	e.mu.Lock()
 	events := e.cache.after(after, e.clock.Now().Add(-e.cfg.Lag))
 	e.mu.Unlock()
-	reply(r, struct {
+	answer.JSON(r, struct {
 		Events []cacheEvent `json:"events"`
 	}{events})
 }
-
-func reply(r *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		r.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	r.SetContentType("application/json")
-	r.SetBody(body)
-}
--- a/internal/fake/engine/orders.go
+++ b/internal/fake/engine/orders.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/fake/answer"
 )
 
 // refusedOrder is the answer to an order with an old fencing number.
@@ -24,7 +25,7 @@
 	defer e.mu.Unlock()
 	old := o.Fence < e.fence
 	if old && !e.cfg.Unfenced {
-		reply(r, refusedOrder{e.fence})
+		answer.JSON(r, refusedOrder{e.fence})
 		r.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
--- a/internal/fake/service/service.go
+++ b/internal/fake/service/service.go
@@ -2,7 +2,6 @@
 package service
 
 import (
-	"encoding/json"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fireflypath/fireflypath/internal/fake/answer"
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
 	"github.com/fireflypath/fireflypath/internal/fake/wire"
@@ -134,15 +134,9 @@
 	case "/load":
 		s.serveLoad(r)
 	case "/counts":
-		reply(r, s.Counts())
+		answer.JSON(r, s.Counts())
 	case "/fault":
-		f, err := fault.Parse(r.PostBody())
-		if err == nil {
-			err = s.Fault(f)
-		}
-		if err != nil {
-			r.Error(err.Error(), fasthttp.StatusBadRequest)
-		}
+		answer.Fault(r, s.Fault)
 	default:
 		s.serveCall(r)
 	}
@@ -151,7 +145,7 @@
 func (s *Service) serveLoad(r *fasthttp.RequestCtx) {
 	_, draining := s.faults.Strike(fault.Draining)
 	n := s.running.Load()
-	reply(r, engine.Load{
+	answer.JSON(r, engine.Load{
 		At: s.clock.Now().UnixMilli(), Running: int(n), Tokens: int(n), Batch: s.cfg.Batch, Draining: draining,
 	})
 }
@@ -181,7 +175,7 @@
 		id = "other-" + id
 	}
 	r.Response.Header.Set("X-Request-Id", id)
-	reply(r, e)
+	answer.JSON(r, e)
 }
 
 // run lets the call take effect.
@@ -216,13 +210,3 @@
 		s.clock.Sleep(d)
 	}
 }
-
-func reply(r *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		r.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	r.SetContentType("application/json")
-	r.SetBody(body)
-}
