feat(usage): daemons tell each other flights and quota use

Cause: each daemon gave out an eighth of a quota and saw only its own work at targets, so requests within quotas were refused and slots stood idle. Change: internal/usage exchanges both with the heartbeats, changes only, ten times a second; buckets are copies of one and taken over at a start; half of the quotas' tolerance is given out on purpose; the collector runs at half growth.

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/quota"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/gate"
@@ -18,6 +19,7 @@
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/usage"
 	"github.com/fireflypath/fireflypath/platform"
 )
 
@@ -44,10 +46,9 @@
 	flushPart  = 0.06
 	// startDaemons is how many daemons are taken to share limits before any was heard.
 	startDaemons = 8
-	// collectAt is the heap at which the collector starts to run often. A small
-	// host has 200 MB and more; a few MB of live data would else be collected
-	// many times a second under load.
-	collectAt = 48 << 20
+	// collectPercent lets the heap grow by half between two collections. On small
+	// hosts memory is dearer than the collector's time: live data are a few MB.
+	collectPercent = 50
 )
 
 // gatedSteps are the start steps of a daemon that serves the routes of the
@@ -61,9 +62,9 @@
 		followed{},
 		peers{},
 		gatedScheduling{},
-		gatedMembership{},
 		records{},
 		theGate{},
+		gatedMembership{},
 		operators{},
 		operatorEndpoint{},
 		gateListener{},
@@ -78,8 +79,7 @@
 func (collector) String() string { return "collector" }
 
 func (collector) Run(context.Context, *Daemon) error {
-	debug.SetGCPercent(-1)
-	debug.SetMemoryLimit(collectAt)
+	debug.SetGCPercent(collectPercent)
 	return nil
 }
 
@@ -161,6 +161,8 @@
 		return nil
 	}
 	log := d.deps.Log
+	u := usage.New(d.cfg.Name, d.peers, d.members, d.pools, d.limits, d.deps.Clock, d.scope)
+	d.work.Go(func() { _ = u.Run(d.ctx) })
 	d.work.Go(func() { _ = d.members.Run(d.ctx) })
 	d.work.Go(func() {
 		if err := d.peers.Serve(d.peerPort); !errors.Is(err, peer.ErrClosed) {
@@ -187,6 +189,7 @@
 	g := d.cfg.Gate
 	d.limits = ceilings.New(ceilings.Config{
 		Ratio: g.Retries.Ratio, Window: g.Retries.Window.Std(), Allowance: g.Retries.Allowance,
+		Quotas: quota.Tolerance{Over: g.Quotas.Over, Slack: g.Quotas.Slack, Window: g.Quotas.Window.Std()},
 	}, startDaemons, 1.0/startDaemons)
 	d.targets = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID)
 	d.gate = gate.New(gate.Deps{
@@ -197,9 +200,23 @@
 		Unknown: time.Duration(forcePart * float64(g.Force)),
 	})
 	d.work.Go(d.sweep)
+	d.work.Go(d.followQuotas)
 	return nil
 }
 
+// followQuotas makes the teams' buckets as the configuration says.
+func (d *Daemon) followQuotas() {
+	for {
+		cfg := d.deps.Configs.Current()
+		d.limits.Apply(d.deps.Clock.Now(), cfg)
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.deps.Configs.Changed(cfg.Generation):
+		}
+	}
+}
+
 func (theGate) Stop(context.Context, *Daemon) error { return nil }
 
 // sweep closes connections to targets that are no longer used.
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -19,9 +19,25 @@
 // are restarted together would give out the burst once more.
 const startSeconds = 0.25
 
+// used is the part of the tolerance that is given out on purpose; the rest is
+// for what other daemons use before they tell.
+const used = 0.5
+
+// Tolerance is how far a quota may be exceeded. What daemons tell each other is
+// a little old, so a bucket that is kept exactly refuses some requests that were
+// within the quota. Half of the tolerance goes to these.
+type Tolerance struct {
+	// Over is the allowed excess as a fraction of the quota.
+	Over float64
+	// Slack is the allowed excess in units over any window.
+	Slack  float64
+	Window time.Duration
+}
+
 // Bucket is one team's quota. It is not safe for concurrent use.
 type Bucket struct {
 	quota fireflypath.Quota
+	tol   Tolerance
 	// part is the fraction of the rate that this daemon may count on: below 1
 	// while daemons are missing whose use it does not hear.
 	part  float64
@@ -32,15 +48,24 @@
 }
 
 // New returns a bucket at the time; part is as for SetPart.
-func New(now time.Time, q fireflypath.Quota, part float64) *Bucket {
-	b := &Bucket{quota: q, part: part, at: now}
-	b.level = min(q.Rate*startSeconds*part, b.top())
+func New(now time.Time, q fireflypath.Quota, tol Tolerance, part float64) *Bucket {
+	b := &Bucket{quota: q, tol: tol, part: part, at: now}
+	b.level = min(b.rate()*startSeconds*part, b.top())
 	return b
 }
 
 // top is the most the bucket holds.
 func (b *Bucket) top() float64 {
-	return max(b.quota.Burst, b.quota.Rate*startSeconds)
+	return max(b.quota.Burst, b.quota.Rate*startSeconds) + used*b.tol.Slack/2
+}
+
+// rate is what flows in a second.
+func (b *Bucket) rate() float64 {
+	r := b.quota.Rate * (1 + used*b.tol.Over)
+	if b.tol.Window > 0 {
+		r += used * b.tol.Slack / 2 / b.tol.Window.Seconds()
+	}
+	return r
 }
 
 // Set puts a changed quota in force.
@@ -58,7 +83,7 @@
 
 func (b *Bucket) pass(now time.Time) {
 	if d := now.Sub(b.at).Seconds(); d > 0 {
-		b.level = min(b.level+d*b.quota.Rate*b.part, b.top())
+		b.level = min(b.level+d*b.rate()*b.part, b.top())
 		b.at = now
 	}
 }
@@ -78,7 +103,7 @@
 		b.used += n
 		return 0, true
 	}
-	sec := (need - b.level) / (b.quota.Rate * max(b.part, 1e-3))
+	sec := (need - b.level) / (b.rate() * max(b.part, 1e-3))
 	return time.Duration(math.Ceil(sec*1000)) * time.Millisecond, false
 }
 
@@ -95,5 +120,17 @@
 	b.level -= n
 }
 
+// Level is what the bucket holds.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.pass(now)
+	return b.level
+}
+
+// Adopt takes over the level that another daemon's copy holds.
+func (b *Bucket) Adopt(now time.Time, level float64) {
+	b.pass(now)
+	b.level = min(level, b.top())
+}
+
 // Used is the sum of own use since the start.
 func (b *Bucket) Used() float64 { return b.used }
--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -18,6 +18,8 @@
 	Window time.Duration
 	// Allowance is how many repeats all daemons together may make beyond the ratio.
 	Allowance float64
+	// Quotas is how far quotas may be exceeded.
+	Quotas quota.Tolerance
 }
 
 // Margins keep the sums of all daemons within the bounds although each counts
@@ -43,8 +45,15 @@
 type team struct {
 	quota  fireflypath.Quota
 	bucket *quota.Bucket
+	since  time.Time
+	// adopted is true once the level of another daemon's copy was taken over.
+	adopted bool
 }
 
+// adoptWithin is how long a new bucket takes over another daemon's level: a
+// daemon that restarts meets the others in that time.
+const adoptWithin = 5 * time.Second
+
 // New returns limits for one daemon among so many.
 func New(cfg Config, daemons int, part float64) *Limits {
 	return &Limits{
@@ -68,6 +77,43 @@
 	}
 }
 
+// Apply makes the buckets of a configuration's teams, so that they fill from
+// then on and not from a team's first request.
+func (l *Limits) Apply(now time.Time, cfg *fireflypath.Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range cfg.Teams {
+		if t := &cfg.Teams[i]; t.Quota != nil {
+			l.team(now, t.Name, t.Quota)
+		}
+	}
+}
+
+// Levels is what each team's bucket holds here.
+func (l *Limits) Levels(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float64, len(l.teams))
+	for name, t := range l.teams {
+		out[name] = t.bucket.Level(now)
+	}
+	return out
+}
+
+// Adopt takes over the levels of another daemon for buckets that are new here.
+func (l *Limits) Adopt(now time.Time, levels map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, level := range levels {
+		t := l.teams[name]
+		if t == nil || t.adopted || now.Sub(t.since) > adoptWithin {
+			continue
+		}
+		t.adopted = true
+		t.bucket.Adopt(now, level)
+	}
+}
+
 // Take uses n units of the team's quota, or tells how long to wait for them.
 func (l *Limits) Take(now time.Time, t *fireflypath.Team, n float64) (time.Duration, bool) {
 	if t == nil || t.Quota == nil {
@@ -91,7 +137,7 @@
 func (l *Limits) team(now time.Time, name string, q *fireflypath.Quota) *team {
 	t := l.teams[name]
 	if t == nil {
-		t = &team{quota: *q, bucket: quota.New(now, *q, l.part)}
+		t = &team{quota: *q, bucket: quota.New(now, *q, l.cfg.Quotas, l.part), since: now}
 		l.teams[name] = t
 	} else if t.quota != *q {
 		t.quota = *q
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -32,6 +32,24 @@
 	Demands []Demand `json:"d,omitempty"`
 	// Evidence is what was seen of targets first-hand, each sent once.
 	Evidence []Evidence `json:"e,omitempty"`
+	// Usage is what the sender has in flight and uses.
+	Usage *Usage `json:"u,omitempty"`
+}
+
+// Usage is what a daemon has in flight and uses; what did not change since the
+// last one on the connection is left out.
+type Usage struct {
+	// Number grows with each one from a daemon.
+	Number uint64 `json:"n"`
+	// Whole is true if nothing is left out.
+	Whole bool `json:"a,omitempty"`
+	// Flights counts the requests at each target.
+	Flights map[string]int `json:"f,omitempty"`
+	// Used is the sum of units of each team's quota since the daemon's start.
+	Used map[string]int64 `json:"q,omitempty"`
+	// Levels is what the sender's copies of the quotas' buckets hold; it is told
+	// once on a connection, to a daemon that may just have started.
+	Levels map[string]float64 `json:"l,omitempty"`
 }
 
 // State is what is known of a member's life.
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -56,6 +56,31 @@
 	p.pump()
 }
 
+// fleeting is a scheduler that counts what all daemons have in flight.
+type fleeting interface {
+	InFlight(out map[string]int)
+	Others(inFlight map[string]int)
+}
+
+// InFlight adds what this daemon has in flight, by target, if the scheduler tells.
+func (p *Pool) InFlight(out map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.sched.(fleeting); ok {
+		s.InFlight(out)
+	}
+}
+
+// Others sets what other daemons have in flight, by target.
+func (p *Pool) Others(inFlight map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.sched.(fleeting); ok {
+		s.Others(inFlight)
+		p.pump()
+	}
+}
+
 // Demand summarises the pool.
 func (p *Pool) Demand() fireflypath.Demand {
 	p.mu.Lock()
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -238,6 +238,22 @@
 	return out
 }
 
+// InFlight is this daemon's work in flight by target.
+func (p *Pools) InFlight() map[string]int {
+	out := map[string]int{}
+	for _, n := range *p.byName.Load() {
+		n.InFlight(out)
+	}
+	return out
+}
+
+// Others sets the other daemons' work in flight by target.
+func (p *Pools) Others(inFlight map[string]int) {
+	for _, n := range *p.byName.Load() {
+		n.Others(inFlight)
+	}
+}
+
 // Demands summarises all pools.
 func (p *Pools) Demands() []fireflypath.Demand {
 	all := *p.byName.Load()
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,292 @@
+// Package usage tells the other daemons what this one has in flight at the targets and uses of the teams' quotas, and hears the same of them.
+package usage
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+const (
+	// tellEvery is the time between two beats that carry changes. A slot that was
+	// freed here is seen by the others that much later.
+	tellEvery = 100 * time.Millisecond
+	// wholeEvery is how often everything is told, not only changes: two
+	// connections to a peer may deliver in another order than they were told.
+	wholeEvery = 2 * time.Second
+	// staleAfter is how long a silent peer's flights count. Its connection is
+	// found dead in about that time; its work at the targets is over or cut.
+	staleAfter = 2500 * time.Millisecond
+)
+
+// Peers is what the exchange needs of the endpoint.
+type Peers interface {
+	AddSource(peer.Source)
+	AddSink(peer.Sink)
+	AddUp(func(fireflypath.Member))
+	Flush()
+}
+
+// Fleet tells which daemons there are.
+type Fleet interface {
+	Live() []fireflypath.Member
+	// Missing is the number of daemons that died lately.
+	Missing() int
+}
+
+// Pools hold the work in flight.
+type Pools interface {
+	// InFlight is this daemon's work in flight by target.
+	InFlight() map[string]int
+	// Others sets the other daemons' work in flight by target.
+	Others(map[string]int)
+}
+
+// Limits hold the quotas.
+type Limits interface {
+	Used() map[string]float64
+	Levels(now time.Time) map[string]float64
+	Adopt(now time.Time, levels map[string]float64)
+	Heard(now time.Time, team string, n float64)
+	SetFleet(now time.Time, daemons int, part float64)
+}
+
+// Usage exchanges with the peers.
+type Usage struct {
+	self   string
+	peers  Peers
+	fleet  Fleet
+	pools  Pools
+	limits Limits
+	clock  clockwork.Clock
+	told   tally.Counter
+	heard  tally.Counter
+
+	mu     sync.Mutex
+	number uint64
+	// now holds what this daemon has in flight and used.
+	flights map[string]int
+	used    map[string]int64
+	// sent is what each peer was told.
+	sent map[string]*sent
+	// mates is what each peer told.
+	mates map[string]*mate
+}
+
+// sent is what a peer knows.
+type sent struct {
+	flights map[string]int
+	used    map[string]int64
+	whole   time.Time
+}
+
+// mate is what a peer told.
+type mate struct {
+	incarnation uint64
+	number      uint64
+	at          time.Time
+	flights     map[string]int
+	// used is by team; a team not in it was not heard of since the connection.
+	used map[string]int64
+	// known is true once all of used was told.
+	known bool
+}
+
+// New connects the exchange to the endpoint before that serves.
+func New(self string, peers Peers, fleet Fleet, pools Pools, limits Limits, clock clockwork.Clock, scope tally.Scope) *Usage {
+	scope = scope.SubScope("usage")
+	u := &Usage{
+		self: self, peers: peers, fleet: fleet, pools: pools, limits: limits, clock: clock,
+		told: scope.Counter("told"), heard: scope.Counter("heard"),
+		flights: map[string]int{}, used: map[string]int64{},
+		sent: map[string]*sent{}, mates: map[string]*mate{},
+	}
+	peers.AddSource(u.tell)
+	peers.AddSink(u.hear)
+	peers.AddUp(u.met)
+	return u
+}
+
+// Run exchanges until the context ends.
+func (u *Usage) Run(ctx context.Context) error {
+	t := u.clock.NewTicker(tellEvery)
+	defer t.Stop()
+	for {
+		u.Step()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.Chan():
+		}
+	}
+}
+
+// Step reads what changed here, tells it, and puts what was heard in force.
+func (u *Usage) Step() {
+	flights, used := u.pools.InFlight(), u.limits.Used()
+	now := u.clock.Now()
+	u.mu.Lock()
+	changed := !maps.Equal(flights, u.flights)
+	u.flights = flights
+	for team, n := range used {
+		v := int64(n)
+		changed = changed || u.used[team] != v
+		u.used[team] = v
+	}
+	u.mu.Unlock()
+	if changed {
+		u.peers.Flush()
+	}
+	u.apply(now)
+}
+
+// apply puts the others' flights and the size of the fleet in force.
+func (u *Usage) apply(now time.Time) {
+	live := u.fleet.Live()
+	names := make([]string, 0, len(live))
+	for _, m := range live {
+		names = append(names, m.Name)
+	}
+	others := map[string]int{}
+	heard := 1
+	u.mu.Lock()
+	for name, m := range u.mates {
+		if !slices.Contains(names, name) || now.Sub(m.at) > staleAfter {
+			continue
+		}
+		heard++
+		for target, n := range m.flights {
+			others[target] += n
+		}
+	}
+	u.mu.Unlock()
+	u.pools.Others(others)
+	if heard == 1 && len(live) == 1 {
+		return // not joined yet; the parts that were set at the start hold
+	}
+	all := len(live) + u.fleet.Missing()
+	u.limits.SetFleet(now, all, float64(heard)/float64(all))
+}
+
+// tell adds what a peer does not know yet.
+func (u *Usage) tell(to string, b *peer.Beat) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.clock.Now()
+	s := u.sent[to]
+	first := s == nil
+	whole := first || now.Sub(s.whole) >= wholeEvery
+	if whole {
+		s = &sent{flights: map[string]int{}, used: map[string]int64{}, whole: now}
+		u.sent[to] = s
+	}
+	out := &peer.Usage{Whole: whole}
+	if first {
+		out.Levels = u.limits.Levels(now)
+	}
+	for target, n := range u.flights {
+		if s.flights[target] != n {
+			out.Flights = put(out.Flights, target, n)
+			s.flights[target] = n
+		}
+	}
+	for target, n := range s.flights {
+		if n != 0 && u.flights[target] == 0 {
+			out.Flights = put(out.Flights, target, 0)
+			s.flights[target] = 0
+		}
+	}
+	for team, n := range u.used {
+		if s.used[team] != n || whole {
+			out.Used = put(out.Used, team, n)
+			s.used[team] = n
+		}
+	}
+	if !whole && out.Flights == nil && out.Used == nil {
+		return
+	}
+	u.number++
+	out.Number = u.number
+	b.Usage = out
+	u.told.Inc(1)
+}
+
+func put[V any](m map[string]V, key string, v V) map[string]V {
+	if m == nil {
+		m = map[string]V{}
+	}
+	m[key] = v
+	return m
+}
+
+// hear takes a peer's lines.
+func (u *Usage) hear(from string, b *peer.Beat) {
+	now := u.clock.Now()
+	u.mu.Lock()
+	m := u.mates[from]
+	if m == nil {
+		m = &mate{flights: map[string]int{}, used: map[string]int64{}}
+		u.mates[from] = m
+	}
+	m.at = now
+	in := b.Usage
+	if in == nil || in.Number <= m.number {
+		u.mu.Unlock()
+		return
+	}
+	u.heard.Inc(1)
+	m.number = in.Number
+	if in.Whole {
+		clear(m.flights)
+	}
+	for target, n := range in.Flights {
+		m.flights[target] = n
+	}
+	spent := m.spend(in)
+	u.mu.Unlock()
+	u.limits.Adopt(now, in.Levels)
+	for team, n := range spent {
+		u.limits.Heard(now, team, float64(n))
+	}
+}
+
+// spend books a peer's new sums and returns what was added. What a peer had used
+// before this daemon first heard of it is left out: the bucket here began
+// without it too.
+func (m *mate) spend(in *peer.Usage) map[string]int64 {
+	out := map[string]int64{}
+	for team, n := range in.Used {
+		if d := n - m.used[team]; d != 0 && m.known {
+			out[team] = d
+		}
+		m.used[team] = n
+	}
+	m.known = m.known || in.Whole
+	return out
+}
+
+// met begins anew with a daemon: what it was told may be lost, and it may be
+// another incarnation, whose sums begin at zero.
+func (u *Usage) met(o fireflypath.Member) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.sent, o.Name)
+	m := u.mates[o.Name]
+	if m == nil {
+		return
+	}
+	if m.incarnation != 0 && m.incarnation != o.Incarnation {
+		clear(m.used)
+		clear(m.flights)
+		m.number = 0
+	}
+	m.incarnation = o.Incarnation
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -121,6 +121,17 @@
 	Grace fireflypath.Duration `json:"grace" validate:"gt=0"`
 	// Retries bound the repeats that all daemons together add.
 	Retries Retries `json:"retries"`
+	// Quotas is how far the teams' quotas may be exceeded.
+	Quotas Tolerance `json:"quotas"`
+}
+
+// Tolerance is how far quotas may be exceeded.
+type Tolerance struct {
+	// Over is a fraction of a quota.
+	Over float64 `json:"over,omitempty" validate:"min=0"`
+	// Slack is in units over any window.
+	Slack  float64              `json:"slack,omitempty" validate:"min=0"`
+	Window fireflypath.Duration `json:"window,omitempty" validate:"min=0"`
 }
 
 // Retries is a retry budget.
