perf(slots): routes' ranks within teams, callers' patience, slow targets for short prompts

Cause: all teams have one rank, so routes were not ordered; waiting work was kept until its caller left; prompts of thousands of tokens stalled the streams of targets four times slower than others. Change: ranks are lexicographic, work is given up at 0.6 of its caller's patience, a target takes no prompt that holds up its streams for longer than 0.6 of the pause that callers bear.

--- a/config.go
+++ b/config.go
@@ -47,7 +47,7 @@
 	Weight int `json:"weight,omitempty" validate:"min=0,max=1000"`
 	// Keys are the hashes of the team's bearer tokens; several while one is rotated.
 	Keys []Key `json:"keys,omitempty" validate:"dive"`
-	// Rank, if set, goes before the rank of the team's routes.
+	// Rank, if set, orders teams before the ranks of routes do.
 	Rank *int `json:"rank,omitempty" validate:"omitempty,min=0,max=15"`
 	// Quota, if set, bounds what the team uses.
 	Quota *Quota `json:"quota,omitempty"`
@@ -104,6 +104,8 @@
 	// Conns bounds the connections that all callers together may hold to one
 	// target; 0 is no bound.
 	Conns int `json:"conns,omitempty" validate:"min=0"`
+	// Stride is how many tokens one event of a stream holds; 0 if unknown.
+	Stride int `json:"stride,omitempty" validate:"min=0"`
 }
 
 // Target is one back end.
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -41,9 +41,13 @@
 	sweepEvery = 2 * time.Second
 	// noticePart is the part of the grace time in which a daemon that stops still
 	// takes requests: the balancer needs two looks a second apart to send callers
-	// elsewhere. flushPart is kept for the last answers.
-	noticePart = 0.45
-	flushPart  = 0.06
+	// elsewhere. What is taken later could not be finished.
+	noticePart = 0.33
+	// yieldPart is when a daemon that stops refuses what still waits for a
+	// target: its caller has time to get an answer elsewhere.
+	yieldPart = 0.5
+	// flushPart is kept for the last answers.
+	flushPart = 0.06
 	// startDaemons is how many daemons are taken to share limits before any was heard.
 	startDaemons = 8
 	// collectPercent lets the heap grow by half between two collections. On small
@@ -265,23 +269,38 @@
 
 // Stop takes requests for a while still, since the balancer has to notice
 // first, and tells each caller to come back elsewhere. Then it finishes what it
-// holds. What is left at the end of the grace time is cut, so that its caller
-// sees the cut.
+// holds: what still waits for a target is refused as not run while there is time
+// to get an answer elsewhere, and what runs at the end of the grace time is cut,
+// so that its caller sees the cut.
 func (gateListener) Stop(ctx context.Context, d *Daemon) error {
 	grace := d.cfg.Gate.Grace.Std()
-	select {
-	case <-d.deps.Clock.After(time.Duration(noticePart * float64(grace))):
-	case <-ctx.Done():
-	}
+	d.pause(ctx, grace, noticePart)
 	limit := time.Duration((1 - noticePart - flushPart) * float64(grace))
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	d.work.Go(func() {
+		d.pause(ctx, grace, yieldPart-noticePart)
+		d.pools.Stop(moving)
+	})
 	if err := d.entry.Shutdown(ctx); err != nil {
 		d.deps.Log.Info("planned stop at its limit", zap.Error(err))
 	}
 	return d.entry.Close()
 }
 
+// moving is the refusal of what still waits when a planned stop goes on.
+var moving = fireflypath.Refusal{
+	Code: fireflypath.ReasonStopping, Detail: "the daemon stops", RetryAfter: 50 * time.Millisecond,
+}
+
+// pause waits for a part of the grace time.
+func (d *Daemon) pause(ctx context.Context, grace time.Duration, part float64) {
+	select {
+	case <-d.deps.Clock.After(time.Duration(part * float64(grace))):
+	case <-ctx.Done():
+	}
+}
+
 // readyListener tells the balancer whether to send callers here.
 type readyListener struct{}
 
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -21,9 +21,9 @@
 	// drainHorizon is the time over which the rate of ended work is measured:
 	// some turns of all slots, and short against a burst.
 	drainHorizon = 3 * time.Second
-	// hopeless is the part of the time left that work may be expected to wait
-	// before it is refused on arrival. Refused then, its caller comes back while
-	// there is still time; refused later, all of the time is lost.
+	// hopeless is the part of the time until its caller leaves that work may wait,
+	// or be expected to wait on arrival. Refused then, its caller comes back while
+	// there is still time; kept longer, the caller leaves and has nothing.
 	hopeless = 0.6
 	// shortest and longest bound the time that a refused caller is told.
 	shortest = 300 * time.Millisecond
@@ -45,6 +45,8 @@
 	drain   rate.Meter
 	// fast is the best known prefill speed in tokens a second.
 	fast float64
+	// best is the target with that speed.
+	best *target
 	// lowest is the rank of the lowest tier seen.
 	lowest int
 	seed   uint64
@@ -76,13 +78,29 @@
 func (s *Sched) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
 	s.lowest = max(s.lowest, w.Rank)
 	s.drain.Pass(now, len(s.waiting) > 0)
-	if wait, ok := s.wait(now, w); ok && wait > time.Duration(hopeless*float64(w.Deadline.Sub(now))) {
+	if wait, ok := s.wait(now, w); ok && wait > time.Duration(hopeless*float64(end(w).Sub(now))) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
 	return out
 }
 
+// end is when the caller of waiting work leaves.
+func end(w *fireflypath.Work) time.Time {
+	if !w.Leaves.IsZero() && w.Leaves.Before(w.Deadline) {
+		return w.Leaves
+	}
+	return w.Deadline
+}
+
+// expires is when waiting work is given up.
+func expires(w *fireflypath.Work) time.Time {
+	if w.Leaves.IsZero() {
+		return w.Deadline.Add(-last)
+	}
+	return w.Arrived.Add(time.Duration(hopeless * float64(end(w).Sub(w.Arrived))))
+}
+
 // wait is when the work would get its turn, if enough is known to tell.
 func (s *Sched) wait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
 	r := s.drain.Rate()
@@ -201,7 +219,7 @@
 func (s *Sched) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
-		if now.Add(last).Before(w.Deadline) {
+		if now.Before(expires(w)) {
 			kept = append(kept, w)
 			continue
 		}
@@ -215,8 +233,8 @@
 func (s *Sched) Wake(now time.Time) time.Time {
 	var at time.Time
 	for _, w := range s.waiting {
-		if end := w.Deadline.Add(-last); at.IsZero() || end.Before(at) {
-			at = end
+		if due := expires(w); at.IsZero() || due.Before(at) {
+			at = due
 		}
 	}
 	for _, t := range s.order {
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -30,6 +30,17 @@
 	// slotCost is what each taken slot adds to the expected time, as a part of
 	// it: a batch that is fuller makes each token slower.
 	slotCost = 0.05
+	// chunk is how many prompt tokens an engine prefills in one step beside the
+	// streams that it runs: the usual default of engines with continuous batching.
+	chunk = 2048
+	// defaultStride is the number of tokens of an event where nobody says it.
+	defaultStride = 3
+	// gapPart is the part of the pause that callers bear by which one prompt may
+	// hold up the streams at its target. The rest is for their own steps and for
+	// the prompts that other daemons send.
+	gapPart = 0.6
+	// hurry is the part of the time left in which work must be expected to end.
+	hurry = 0.8
 	// spread is the part of the expected time by which daemons differ in their
 	// choice, so that equal views do not send everything to one target.
 	spread = 0.1
@@ -172,7 +183,7 @@
 	var best *target
 	least := 0.0
 	for _, t := range s.order {
-		if !t.room(now) || slices.Contains(w.Avoid, t.Name) {
+		if !t.room(now) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
 			continue
 		}
 		if v := s.score(now, t, w); best == nil || v < least {
@@ -182,6 +193,48 @@
 	return best
 }
 
+// fits is false for work that would do harm at the target, or come to nothing.
+//
+// Engines prefill prompts in chunks between the steps of the streams that they
+// run. At an engine several times slower than others a prompt of some thousand
+// tokens holds up all its streams for longer than their callers bear, and a long
+// answer does not end in time. Such work waits for a faster target, unless it
+// would be late for that.
+func (s *Sched) fits(now time.Time, t *target, w *fireflypath.Work) bool {
+	if s.fast == 0 || !t.known() {
+		return true
+	}
+	if s.duration(t, w) > hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
+		return false
+	}
+	if w.Gap <= 0 || t.requests+t.others(now) == 0 {
+		return true
+	}
+	stall := float64(min(w.Cost.Prompt, s.stride()*chunk)) / s.prefillRate(t)
+	return stall <= gapPart*w.Gap.Seconds() || s.best == t || now.After(w.Goal)
+}
+
+func (s *Sched) stride() int {
+	if s.pool.Stride > 0 {
+		return s.pool.Stride
+	}
+	return defaultStride
+}
+
+// duration is how long the work is expected to take at a target, in seconds.
+func (s *Sched) duration(t *target, w *fireflypath.Work) float64 {
+	sec := float64(w.Cost.Prompt) / s.prefillRate(t)
+	if d := t.speed.Decode(); d > 0 {
+		sec += float64(w.Output) / (d * float64(s.stride()))
+	}
+	return sec
+}
+
+// known is true if the target's speeds were learned from answers.
+func (t *target) known() bool {
+	return t.speed.Prefill() > 0 && t.speed.Decode() > 0
+}
+
 // score is how long the work is expected to take until its answer begins, in
 // seconds, made worse by failures and by a full batch.
 func (s *Sched) score(now time.Time, t *target, w *fireflypath.Work) float64 {
@@ -245,7 +298,9 @@
 	t := f.target
 	t.prefill -= w.Cost.Prompt
 	t.speed.First(now, w.Cost.Prompt+f.before, now.Sub(f.sent))
-	s.fast = max(s.fast, t.speed.Prefill())
+	if t.speed.Prefill() > s.fast {
+		s.fast, s.best = t.speed.Prefill(), t
+	}
 	t.good()
 }
 
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -32,6 +32,8 @@
 	rank     int
 	body     []byte
 	cost     fireflypath.Cost
+	// output is the expected number of output tokens.
+	output int
 	// units is what the request took of its team's quota; 0 if nothing.
 	units float64
 
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -128,6 +128,7 @@
 		Work: fireflypath.Work{
 			ID: c.id, Rank: c.rank, Pool: c.pool, Arrived: c.arrived, Deadline: c.deadline,
 			Goal: c.goal(), Cost: c.cost, Bytes: len(c.body), Weight: 1,
+			Gap: c.route.Gap.Std(), Output: c.output,
 			Idempotent: c.route.Repeat == fireflypath.RepeatSafe,
 		},
 		Config: c.cfg, Turn: make(chan request.Turn, 1),
@@ -135,6 +136,9 @@
 	if c.team != nil {
 		t.Work.Team = c.team.Name
 	}
+	if p := c.route.Patience.Std(); p > 0 && c.events == 0 {
+		t.Work.Leaves = c.arrived.Add(p)
+	}
 	for _, o := range c.tries {
 		t.Work.Avoid = append(t.Work.Avoid, o.target.Name)
 	}
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -96,11 +96,19 @@
 		return &refusal{status: http.StatusUnauthorized, reason: fireflypath.ReasonUnauthorized, detail: "the key is unknown"}
 	}
 	if c.team.Rank != nil {
-		c.rank = *c.team.Rank
+		c.rank = ranked(*c.team.Rank, c.route.Rank)
 	}
 	return nil
 }
 
+// rankStep is how many ranks of routes fit into one rank of teams.
+const rankStep = 4
+
+// ranked orders by the team's rank first and by the route's among equal teams.
+func ranked(team, route int) int {
+	return rankStep*min(max(team, 0), rankStep-1) + min(max(route, 0), rankStep-1)
+}
+
 // trusted is true while no key can have been taken away for longer than allowed
 // without this daemon knowing. A daemon that is cut off from the store hears of
 // no change, so it has to stop by itself.
@@ -157,6 +165,7 @@
 	if !ok {
 		c.cost = fireflypath.Cost{Prompt: 1}
 	}
+	c.output = g.output(c)
 	if c.team != nil && c.team.Quota != nil {
 		switch {
 		case c.team.Quota.Unit == fireflypath.UnitRequests:
@@ -170,6 +179,16 @@
 	return nil
 }
 
+// output is the expected number of output tokens: the caller's own estimate,
+// within what it allows.
+func (g *Gate) output(c *call) int {
+	n, err := strconv.Atoi(c.r.Header.Get(g.headers.Hint))
+	if err != nil || n <= 0 {
+		return c.cost.Output
+	}
+	return min(n, c.cost.Output)
+}
+
 // admit takes the request's units from its team's quota.
 func (g *Gate) admit(c *call) *refusal {
 	wait, ok := g.deps.Limits.Take(c.arrived, c.team, c.units)
--- a/request.go
+++ b/request.go
@@ -105,6 +105,13 @@
 	Idempotent bool
 	// Goal is when the answer should have begun; zero if nobody said.
 	Goal time.Time
+	// Leaves is when the caller goes if the answer has not begun; zero is at the
+	// deadline.
+	Leaves time.Time
+	// Gap is the longest pause between events that the caller bears; 0 is any.
+	Gap time.Duration
+	// Output is the expected number of output tokens; 0 if nobody said.
+	Output int
 	// Avoid names targets that have had the request.
 	Avoid []string
 	// Early is true when the caller came back before the time its last refusal gave.
--- a/routing.go
+++ b/routing.go
@@ -42,6 +42,9 @@
 	Goal Duration `json:"goal,omitempty" validate:"min=0"`
 	// Gap is the longest pause between events that callers bear.
 	Gap Duration `json:"gap,omitempty" validate:"min=0"`
+	// Patience is how long callers wait for an answer to begin before they leave;
+	// 0 is until their deadline.
+	Patience Duration `json:"patience,omitempty" validate:"min=0"`
 	// Rank is the tier's rank; 0 is the highest. A team's own rank goes first.
 	Rank int `json:"rank" validate:"min=0,max=15"`
 	// Public routes need no key.
