perf(slots): work of higher tiers may stand in a full target's own queue

Cause: a freed slot went to whichever daemon had used it, so that work of the highest tier at another daemon waited for its own slots. Change: one or two requests of higher tiers may stand before a full target, which admits them in order; the lowest tier never does.

--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -174,7 +174,7 @@
 
 func (s *Sched) anyRoom(now time.Time) bool {
 	for _, t := range s.order {
-		if t.room(now) {
+		if t.room(now, maxExtra) {
 			return true
 		}
 	}
@@ -197,7 +197,7 @@
 	for _, t := range s.order {
 		c := fireflypath.Candidate{
 			Target: t.Name, Held: t.prefill, Reported: t.others(now), Age: now.Sub(t.heard),
-			Window: t.slots(), Score: s.score(now, t, w), Skip: t.skip(now),
+			Window: t.slots(), Score: s.score(now, t, w), Skip: t.skip(now, s.extra(w.Rank)),
 		}
 		out = append(out, c)
 	}
@@ -297,7 +297,7 @@
 // Views appends what is known of each target, for operators.
 func (s *Sched) Views(now time.Time, out []fireflypath.TargetView) []fireflypath.TargetView {
 	for _, t := range s.order {
-		state := t.skip(now)
+		state := t.skip(now, 0)
 		if state == "" {
 			state = "ready"
 		}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -41,6 +41,13 @@
 	gapPart = 0.6
 	// hurry is the part of the time left in which work must be expected to end.
 	hurry = 0.8
+	// maxExtra is how many requests of the highest tier may stand in a full
+	// target's own queue. They get the next slots that become free there, whoever
+	// used them: the daemons need not agree on it first. Each tier below has one
+	// less, the lowest none.
+	maxExtra = 2
+	// holdWeight weighs a new sample of how long a request holds its slot.
+	holdWeight = 0.1
 	// spread is the part of the expected time by which daemons differ in their
 	// choice, so that equal views do not send everything to one target.
 	spread = 0.1
@@ -55,6 +62,8 @@
 	// flight from here.
 	requests int
 	prefill  int
+	// hold is how long a request holds its slot, in seconds.
+	hold float64
 	// elsewhere is what other daemons have in flight there, by their own word.
 	elsewhere int
 	// told is true once other daemons have said anything.
@@ -127,8 +136,14 @@
 	return t.report
 }
 
-// skip says why the target takes no work, or nothing if it does.
-func (t *target) skip(now time.Time) string {
+// extra is how many requests of the rank may stand before a full target.
+func (s *Sched) extra(rank int) int {
+	return min(max(s.lowest-rank, 0), maxExtra)
+}
+
+// skip says why the target takes no work, or nothing if it does; extra is how
+// many requests may be there beyond its slots.
+func (t *target) skip(now time.Time, extra int) string {
 	switch {
 	case t.Drained, t.leaving:
 		return "leaving"
@@ -136,15 +151,15 @@
 		return "ejected"
 	case t.probing:
 		return "probing"
-	case t.requests+t.others(now) >= t.slots():
+	case t.requests+t.others(now) >= t.slots()+extra:
 		return "full"
 	default:
 		return ""
 	}
 }
 
-func (t *target) room(now time.Time) bool {
-	return t.skip(now) == ""
+func (t *target) room(now time.Time, extra int) bool {
+	return t.skip(now, extra) == ""
 }
 
 // due is when an ejected target may be tried.
@@ -182,8 +197,9 @@
 func (s *Sched) choose(now time.Time, w *fireflypath.Work) *target {
 	var best *target
 	least := 0.0
+	extra := s.extra(w.Rank)
 	for _, t := range s.order {
-		if !t.room(now) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
+		if !t.room(now, extra) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
 			continue
 		}
 		if v := s.score(now, t, w); best == nil || v < least {
@@ -241,6 +257,9 @@
 	sec := float64(t.prefill+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
 	taken := float64(t.requests+t.others(now)) / float64(t.slots())
 	sec *= 1 + slotCost*taken*float64(t.slots())
+	if over := t.requests + t.others(now) + 1 - t.slots(); over > 0 {
+		sec += float64(over) * t.hold / float64(t.slots())
+	}
 	sec *= 1 + failCost*t.failing
 	return sec * (1 + spread*s.noise(t))
 }
@@ -317,6 +336,7 @@
 		t.prefill -= e.Work.Cost.Prompt
 	}
 	s.drain.Add(now, 1)
+	t.hold += holdWeight * (now.Sub(f.sent).Seconds() - t.hold)
 	switch e.Kind {
 	case fireflypath.EventFailed:
 		if e.Left {
