perf(slots): daemons take turns at places that became free

Cause: when a place became free or a crashed target came back, every daemon with work waiting filled it: 29 requests were sent at once to one engine of 5 slots. Ruled out: the interval of tellings alone (30 ms left 12 to 18 late a target). Change: daemons tell the highest rank that waits; a place that another daemon freed, or a new target, goes to the higher rank and then in a fixed order.

--- /dev/null
+++ b/internal/decide/slots/mates.go
@@ -0,0 +1,118 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+const (
+	// turnTime is how long each daemon in a row has to take a place that became
+	// free at a target: what it takes is told to the others in about that time.
+	turnTime = 30 * time.Millisecond
+	// ownTime is how long a daemon may take again a place that it freed itself.
+	// The others have not heard of it yet.
+	ownTime = 20 * time.Millisecond
+)
+
+// rival is another daemon that has work waiting for the pool.
+type rival struct {
+	hash uint64
+	rank int
+}
+
+// Report adds what this daemon has in flight and waiting.
+func (s *Sched) Report(m *fireflypath.Mate) {
+	for _, t := range s.order {
+		if t.requests > 0 {
+			m.Flights[t.Name] = t.requests
+		}
+	}
+	if r, ok := s.top(); ok {
+		m.Waits[s.pool.Name] = r
+	}
+}
+
+// top is the highest rank that waits.
+func (s *Sched) top() (int, bool) {
+	if len(s.waiting) == 0 {
+		return 0, false
+	}
+	r := s.waiting[0].Rank
+	for _, w := range s.waiting {
+		r = min(r, w.Rank)
+	}
+	return r, true
+}
+
+// Hear takes in what the other daemons have in flight and waiting.
+func (s *Sched) Hear(now time.Time, mates []fireflypath.Mate) {
+	s.rivals = s.rivals[:0]
+	for _, m := range mates {
+		if r, ok := m.Waits[s.pool.Name]; ok {
+			s.rivals = append(s.rivals, rival{hash: xxhash.Sum64String(m.Name + "/" + s.pool.Name), rank: r})
+		}
+	}
+	for _, t := range s.order {
+		sum := 0
+		for _, m := range mates {
+			sum += m.Flights[t.Name]
+		}
+		if sum < t.elsewhere {
+			t.freed = now
+		}
+		t.elsewhere, t.told = sum, true
+	}
+}
+
+// turn is true if it is for this daemon to take a place at the target.
+//
+// All daemons see a place become free at about the same time. If all took it,
+// the target would get as many requests too many as there are daemons with work
+// waiting, and these would wait in its own queue, out of reach of tiers. So they
+// take turns: higher ranks first, equal ones in an order that differs from target
+// to target and is the same at all daemons.
+func (s *Sched) turn(now time.Time, t *target, rank int) bool {
+	if len(s.rivals) == 0 || now.Sub(t.own) < ownTime {
+		return true
+	}
+	return !now.Before(t.freed.Add(s.place(t, rank)))
+}
+
+// place is how long after a place became free it is this daemon's turn.
+func (s *Sched) place(t *target, rank int) time.Duration {
+	n := 0
+	mine := mix(s.seed ^ t.hash)
+	for _, r := range s.rivals {
+		if r.rank < rank || r.rank == rank && mix(r.hash^t.hash) < mine {
+			n++
+		}
+	}
+	return time.Duration(n) * turnTime
+}
+
+// due is when a target may be tried that takes nothing from here now, or zero.
+func (s *Sched) due(now time.Time, t *target) time.Time {
+	if now.Before(t.until) {
+		return t.until
+	}
+	r, ok := s.top()
+	if !ok || len(s.rivals) == 0 {
+		return time.Time{}
+	}
+	if at := t.freed.Add(s.place(t, r)); now.Before(at) {
+		return at
+	}
+	return time.Time{}
+}
+
+// mix spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -50,6 +50,8 @@
 	// lowest is the rank of the lowest tier seen.
 	lowest int
 	seed   uint64
+	// rivals are the other daemons that have work waiting.
+	rivals []rival
 }
 
 // flight is work at a target.
@@ -238,7 +240,7 @@
 		}
 	}
 	for _, t := range s.order {
-		if due := t.due(now); !due.IsZero() && (at.IsZero() || due.Before(at)) {
+		if due := s.due(now, t); !due.IsZero() && (at.IsZero() || due.Before(at)) {
 			at = due
 		}
 	}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -66,6 +66,9 @@
 	hold float64
 	// elsewhere is what other daemons have in flight there, by their own word.
 	elsewhere int
+	// freed is when a place was last seen to become free that this daemon had not
+	// held itself; own is when a place of its own became free.
+	freed, own time.Time
 	// told is true once other daemons have said anything.
 	told bool
 	// report is the target's own word, heard with an answer, less own requests.
@@ -83,12 +86,15 @@
 }
 
 // SetTargets replaces the targets and keeps what was learned of those that stay.
-func (s *Sched) SetTargets(_ time.Time, targets []fireflypath.Target) {
+//
+// A new target is seen by all daemons at once, with all its places free: they
+// take turns at it as at a place that became free.
+func (s *Sched) SetTargets(now time.Time, targets []fireflypath.Target) {
 	next := make(map[string]*target, len(targets))
 	for _, t := range targets {
 		known := s.targets[t.Name]
 		if known == nil || known.Addr != t.Addr {
-			known = &target{hash: xxhash.Sum64String(t.Name)}
+			known = &target{hash: xxhash.Sum64String(t.Name), freed: now}
 		}
 		known.Target = t
 		next[t.Name] = known
@@ -101,23 +107,6 @@
 	slices.SortFunc(s.order, func(a, b *target) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// Others sets what other daemons have in flight at the targets of this pool.
-func (s *Sched) Others(inFlight map[string]int) {
-	for _, t := range s.order {
-		t.elsewhere = inFlight[t.Name]
-		t.told = true
-	}
-}
-
-// InFlight adds what this daemon has in flight at the targets of this pool.
-func (s *Sched) InFlight(out map[string]int) {
-	for _, t := range s.order {
-		if t.requests > 0 {
-			out[t.Name] += t.requests
-		}
-	}
-}
-
 func (t *target) slots() int {
 	if t.Slots > 0 {
 		return t.Slots
@@ -136,6 +125,11 @@
 	return t.report
 }
 
+// taken is how many requests of all daemons are at the target.
+func (t *target) taken(now time.Time) int {
+	return t.requests + t.others(now)
+}
+
 // extra is how many requests of the rank may stand before a full target.
 func (s *Sched) extra(rank int) int {
 	return min(max(s.lowest-rank, 0), maxExtra)
@@ -151,7 +145,7 @@
 		return "ejected"
 	case t.probing:
 		return "probing"
-	case t.requests+t.others(now) >= t.slots()+extra:
+	case t.taken(now) >= t.slots()+extra:
 		return "full"
 	default:
 		return ""
@@ -162,14 +156,6 @@
 	return t.skip(now, extra) == ""
 }
 
-// due is when an ejected target may be tried.
-func (t *target) due(now time.Time) time.Time {
-	if now.Before(t.until) {
-		return t.until
-	}
-	return time.Time{}
-}
-
 // sent lets one request decide about a target that had failed.
 func (t *target) sent(now time.Time) {
 	if t.pause > 0 && !now.Before(t.until) {
@@ -187,6 +173,7 @@
 func (t *target) bad(now time.Time, eject bool) {
 	t.failing += failWeight * (1 - t.failing)
 	t.probing = false
+	t.own = time.Time{}
 	if eject {
 		t.pause = min(max(2*t.pause, firstPause), longestPause)
 		t.until = now.Add(t.pause)
@@ -199,7 +186,7 @@
 	least := 0.0
 	extra := s.extra(w.Rank)
 	for _, t := range s.order {
-		if !t.room(now, extra) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
+		if !t.room(now, extra) || !s.turn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
 			continue
 		}
 		if v := s.score(now, t, w); best == nil || v < least {
@@ -223,7 +210,7 @@
 	if s.duration(t, w) > hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
 		return false
 	}
-	if w.Gap <= 0 || t.requests+t.others(now) == 0 {
+	if w.Gap <= 0 || t.taken(now) == 0 {
 		return true
 	}
 	stall := float64(min(w.Cost.Prompt, s.stride()*chunk)) / s.prefillRate(t)
@@ -255,9 +242,9 @@
 // seconds, made worse by failures and by a full batch.
 func (s *Sched) score(now time.Time, t *target, w *fireflypath.Work) float64 {
 	sec := float64(t.prefill+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
-	taken := float64(t.requests+t.others(now)) / float64(t.slots())
+	taken := float64(t.taken(now)) / float64(t.slots())
 	sec *= 1 + slotCost*taken*float64(t.slots())
-	if over := t.requests + t.others(now) + 1 - t.slots(); over > 0 {
+	if over := t.taken(now) + 1 - t.slots(); over > 0 {
 		sec += float64(over) * t.hold / float64(t.slots())
 	}
 	sec *= 1 + failCost*t.failing
@@ -266,10 +253,7 @@
 
 // noise is a number between 0 and 1 that differs between daemons for a target.
 func (s *Sched) noise(t *target) float64 {
-	x := t.hash ^ s.seed
-	x *= 0x9e3779b97f4a7c15
-	x ^= x >> 32
-	return float64(x>>11) / (1 << 53)
+	return float64(mix(t.hash^s.seed)>>11) / (1 << 53)
 }
 
 func (s *Sched) prefillRate(t *target) float64 {
@@ -332,6 +316,7 @@
 	delete(s.flights, e.Work)
 	t := f.target
 	t.requests--
+	t.own = now
 	if f.first.IsZero() {
 		t.prefill -= e.Work.Cost.Prompt
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -45,6 +45,8 @@
 	Whole bool `json:"a,omitempty"`
 	// Flights counts the requests at each target.
 	Flights map[string]int `json:"f,omitempty"`
+	// Waits is the highest rank waiting in each pool; -1 is nothing.
+	Waits map[string]int `json:"w,omitempty"`
 	// Used is the sum of units of each team's quota since the daemon's start.
 	Used map[string]int64 `json:"q,omitempty"`
 	// Levels is what the sender's copies of the quotas' buckets hold; it is told
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
@@ -56,27 +58,27 @@
 	p.pump()
 }
 
-// fleeting is a scheduler that counts what all daemons have in flight.
-type fleeting interface {
-	InFlight(out map[string]int)
-	Others(inFlight map[string]int)
+// shared is a scheduler that counts what all daemons have in flight.
+type shared interface {
+	Report(m *fireflypath.Mate)
+	Hear(now time.Time, mates []fireflypath.Mate)
 }
 
-// InFlight adds what this daemon has in flight, by target, if the scheduler tells.
-func (p *Pool) InFlight(out map[string]int) {
+// Report adds what this daemon has in flight and waiting, if the scheduler tells.
+func (p *Pool) Report(m *fireflypath.Mate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s, ok := p.sched.(fleeting); ok {
-		s.InFlight(out)
+	if s, ok := p.sched.(shared); ok {
+		s.Report(m)
 	}
 }
 
-// Others sets what other daemons have in flight, by target.
-func (p *Pool) Others(inFlight map[string]int) {
+// Hear takes in what the other daemons have.
+func (p *Pool) Hear(mates []fireflypath.Mate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s, ok := p.sched.(fleeting); ok {
-		s.Others(inFlight)
+	if s, ok := p.sched.(shared); ok {
+		s.Hear(p.clock.Now(), mates)
 		p.pump()
 	}
 }
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -238,19 +238,19 @@
 	return out
 }
 
-// InFlight is this daemon's work in flight by target.
-func (p *Pools) InFlight() map[string]int {
-	out := map[string]int{}
+// Report is what this daemon has in flight and waiting.
+func (p *Pools) Report() fireflypath.Mate {
+	m := fireflypath.Mate{Flights: map[string]int{}, Waits: map[string]int{}}
 	for _, n := range *p.byName.Load() {
-		n.InFlight(out)
+		n.Report(&m)
 	}
-	return out
+	return m
 }
 
-// Others sets the other daemons' work in flight by target.
-func (p *Pools) Others(inFlight map[string]int) {
+// Hear takes in what the other daemons have in flight and waiting.
+func (p *Pools) Hear(mates []fireflypath.Mate) {
 	for _, n := range *p.byName.Load() {
-		n.Others(inFlight)
+		n.Hear(mates)
 	}
 }
 
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -44,10 +44,10 @@
 
 // Pools hold the work in flight.
 type Pools interface {
-	// InFlight is this daemon's work in flight by target.
-	InFlight() map[string]int
-	// Others sets the other daemons' work in flight by target.
-	Others(map[string]int)
+	// Report is what this daemon has in flight and waiting.
+	Report() fireflypath.Mate
+	// Hear takes in what the other daemons have.
+	Hear([]fireflypath.Mate)
 }
 
 // Limits hold the quotas.
@@ -74,6 +74,7 @@
 	number uint64
 	// now holds what this daemon has in flight and used.
 	flights map[string]int
+	waits   map[string]int
 	used    map[string]int64
 	// sent is what each peer was told.
 	sent map[string]*sent
@@ -84,6 +85,7 @@
 // sent is what a peer knows.
 type sent struct {
 	flights map[string]int
+	waits   map[string]int
 	used    map[string]int64
 	whole   time.Time
 }
@@ -94,6 +96,7 @@
 	number      uint64
 	at          time.Time
 	flights     map[string]int
+	waits       map[string]int
 	// used is by team; a team not in it was not heard of since the connection.
 	used map[string]int64
 	// known is true once all of used was told.
@@ -106,7 +109,7 @@
 	u := &Usage{
 		self: self, peers: peers, fleet: fleet, pools: pools, limits: limits, clock: clock,
 		told: scope.Counter("told"), heard: scope.Counter("heard"),
-		flights: map[string]int{}, used: map[string]int64{},
+		flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
 		sent: map[string]*sent{}, mates: map[string]*mate{},
 	}
 	peers.AddSource(u.tell)
@@ -131,11 +134,11 @@
 
 // Step reads what changed here, tells it, and puts what was heard in force.
 func (u *Usage) Step() {
-	flights, used := u.pools.InFlight(), u.limits.Used()
+	report, used := u.pools.Report(), u.limits.Used()
 	now := u.clock.Now()
 	u.mu.Lock()
-	changed := !maps.Equal(flights, u.flights)
-	u.flights = flights
+	changed := !maps.Equal(report.Flights, u.flights) || !maps.Equal(report.Waits, u.waits)
+	u.flights, u.waits = report.Flights, report.Waits
 	for team, n := range used {
 		v := int64(n)
 		changed = changed || u.used[team] != v
@@ -155,25 +158,21 @@
 	for _, m := range live {
 		names = append(names, m.Name)
 	}
-	others := map[string]int{}
-	heard := 1
+	var mates []fireflypath.Mate
 	u.mu.Lock()
 	for name, m := range u.mates {
 		if !slices.Contains(names, name) || now.Sub(m.at) > staleAfter {
 			continue
 		}
-		heard++
-		for target, n := range m.flights {
-			others[target] += n
-		}
+		mates = append(mates, fireflypath.Mate{Name: name, Flights: maps.Clone(m.flights), Waits: maps.Clone(m.waits)})
 	}
 	u.mu.Unlock()
-	u.pools.Others(others)
-	if heard == 1 && len(live) == 1 {
+	u.pools.Hear(mates)
+	if len(mates) == 0 && len(live) == 1 {
 		return // not joined yet; the parts that were set at the start hold
 	}
 	all := len(live) + u.fleet.Missing()
-	u.limits.SetFleet(now, all, float64(heard)/float64(all))
+	u.limits.SetFleet(now, all, float64(len(mates)+1)/float64(all))
 }
 
 // tell adds what a peer does not know yet.
@@ -185,32 +184,22 @@
 	first := s == nil
 	whole := first || now.Sub(s.whole) >= wholeEvery
 	if whole {
-		s = &sent{flights: map[string]int{}, used: map[string]int64{}, whole: now}
+		s = &sent{flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{}, whole: now}
 		u.sent[to] = s
 	}
 	out := &peer.Usage{Whole: whole}
 	if first {
 		out.Levels = u.limits.Levels(now)
 	}
-	for target, n := range u.flights {
-		if s.flights[target] != n {
-			out.Flights = put(out.Flights, target, n)
-			s.flights[target] = n
-		}
-	}
-	for target, n := range s.flights {
-		if n != 0 && u.flights[target] == 0 {
-			out.Flights = put(out.Flights, target, 0)
-			s.flights[target] = 0
-		}
-	}
+	out.Flights = changes(s.flights, u.flights, 0)
+	out.Waits = changes(s.waits, u.waits, nothing)
 	for team, n := range u.used {
 		if s.used[team] != n || whole {
 			out.Used = put(out.Used, team, n)
 			s.used[team] = n
 		}
 	}
-	if !whole && out.Flights == nil && out.Used == nil {
+	if !whole && out.Flights == nil && out.Waits == nil && out.Used == nil {
 		return
 	}
 	u.number++
@@ -219,6 +208,28 @@
 	u.told.Inc(1)
 }
 
+// nothing stands for no rank.
+const nothing = -1
+
+// changes are the entries of now that differ from old, with gone for those that
+// are no longer there; old becomes now.
+func changes(old, now map[string]int, gone int) map[string]int {
+	var out map[string]int
+	for key, n := range now {
+		if o, ok := old[key]; !ok || o != n {
+			out = put(out, key, n)
+			old[key] = n
+		}
+	}
+	for key := range old {
+		if _, ok := now[key]; !ok {
+			out = put(out, key, gone)
+			delete(old, key)
+		}
+	}
+	return out
+}
+
 func put[V any](m map[string]V, key string, v V) map[string]V {
 	if m == nil {
 		m = map[string]V{}
@@ -233,7 +244,7 @@
 	u.mu.Lock()
 	m := u.mates[from]
 	if m == nil {
-		m = &mate{flights: map[string]int{}, used: map[string]int64{}}
+		m = &mate{flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{}}
 		u.mates[from] = m
 	}
 	m.at = now
@@ -246,10 +257,17 @@
 	m.number = in.Number
 	if in.Whole {
 		clear(m.flights)
+		clear(m.waits)
 	}
 	for target, n := range in.Flights {
 		m.flights[target] = n
 	}
+	for pool, r := range in.Waits {
+		m.waits[pool] = r
+		if r == nothing {
+			delete(m.waits, pool)
+		}
+	}
 	spent := m.spend(in)
 	u.mu.Unlock()
 	u.limits.Adopt(now, in.Levels)
@@ -286,6 +304,7 @@
 	if m.incarnation != 0 && m.incarnation != o.Incarnation {
 		clear(m.used)
 		clear(m.flights)
+		clear(m.waits)
 		m.number = 0
 	}
 	m.incarnation = o.Incarnation
--- a/scheduler.go
+++ b/scheduler.go
@@ -194,3 +194,13 @@
 	// Age is how old the last report is.
 	Age time.Duration `json:"age"`
 }
+
+// Mate is what another daemon tells of its work.
+type Mate struct {
+	Name string
+	// Flights counts its requests at each target.
+	Flights map[string]int
+	// Waits is the highest rank that waits there, by pool; a pool that is not in
+	// it has nothing waiting.
+	Waits map[string]int
+}
