feat(follow): one daemon of each domain watches the store for the others

Change: watchers answer follow calls with what changed and the age of their view, counted from the question; the others ask the store only when no watcher has a young view.

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -14,6 +14,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	ceilings "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -63,8 +64,8 @@
 		metrics{},
 		collector{},
 		storeClient{},
-		followed{},
 		peers{},
+		followed{},
 		gatedScheduling{},
 		records{},
 		theGate{},
@@ -120,7 +121,15 @@
 	if !ok {
 		return errors.New("the store cannot be followed")
 	}
+	var relay *follow.Feed
+	if d.members != nil {
+		relay = follow.New(d.cfg.Name, d.cfg.Domain, feed, d.peers, d.members, d.deps.Clock, d.scope)
+		feed = relay
+	}
 	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, d.scope, d.deps.Log)
+	if relay != nil {
+		relay.Serve(d.directory)
+	}
 	d.deps.Configs = d.directory
 	d.work.Go(func() { _ = d.directory.Run(d.ctx) })
 	return nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -51,19 +51,28 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// moved is closed when the view's revision goes up.
+	moved chan struct{}
+	// revision is the store's at which the view was the newest; 0 before any
+	// read. Run alone changes it.
+	revision uint64
+	// floor is the revision of the last full read: what was removed before is not
+	// known. kept holds the newest entry of each key since, removed ones too.
+	floor uint64
+	kept  map[string]fireflypath.Entry
 
 	// The fields below belong to Run.
-	// revision is the store's at which the view was the newest; 0 before any read.
-	revision uint64
 	// written is the revision of the configuration in force; it never goes down.
 	written uint64
 	base    *fireflypath.Config
 	targets map[string]fireflypath.Target
 	// missing holds since when targets are missed that may register again.
 	missing map[string]time.Time
-	// lost is true while the store does not answer, back is when it last did again.
+	// lost is true while the store does not answer.
 	lost bool
-	back time.Time
+	// hold is until when a removal may be a registration that lapsed while the
+	// store was away.
+	hold time.Time
 }
 
 type counters struct {
@@ -81,7 +90,8 @@
 	scope = scope.SubScope("directory")
 	d := &Directory{
 		feed: feed, codec: codec, clock: clock, log: log,
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), moved: make(chan struct{}),
+		kept:    map[string]fireflypath.Entry{},
 		base:    &fireflypath.Config{},
 		targets: map[string]fireflypath.Target{},
 		missing: map[string]time.Time{},
@@ -161,7 +171,7 @@
 	if errors.Is(err, fireflypath.ErrCompacted) {
 		// Changes may be missing from the view, so all of it is read again.
 		d.log.Info("history of the store is gone, reading everything", zap.Uint64("revision", d.revision))
-		d.revision = 0
+		d.reset()
 		return nil
 	}
 	if !d.lost {
@@ -177,7 +187,9 @@
 		return
 	}
 	d.lost = false
-	d.back = d.clock.Now()
+	d.mu.Lock()
+	d.hold = d.clock.Now().Add(returnTime)
+	d.mu.Unlock()
 	d.log.Info("store regained", zap.Uint64("revision", d.revision))
 }
 
@@ -198,9 +210,9 @@
 			d.remove(name)
 		}
 	}
-	d.revision = all.Revision
+	d.restart(all)
 	d.publish()
-	d.proved(sent)
+	d.proved(sent.Add(-all.Age))
 	return nil
 }
 
@@ -213,19 +225,25 @@
 	if err != nil {
 		return err
 	}
+	if got.Relayed {
+		d.extend(sent, got.Hold)
+	}
 	before := d.revision
 	for _, e := range got.Entries {
 		d.take(e)
-		d.revision = max(d.revision, e.Revision)
 	}
+	d.advance(got)
 	d.publish()
-	if got.Revision > d.revision {
+	switch {
+	case got.Relayed:
+		d.proved(sent.Add(-got.Age))
+		return nil
+	case got.Revision > d.revision:
 		d.log.Info("store has changes that the watch did not bring, reading everything",
 			zap.Uint64("revision", got.Revision), zap.Uint64("seen", d.revision))
-		d.revision = 0
+		d.reset()
 		return nil
-	}
-	if len(got.Entries) == 0 && got.Revision == before {
+	case len(got.Entries) == 0 && got.Revision == before:
 		// The store held the call for its whole wait and nothing had changed.
 		if held := sent.Add(watchWait); !held.After(d.clock.Now()) {
 			sent = held
@@ -251,6 +269,11 @@
 	}
 }
 
+// concerns is true for the keys that the view is made of.
+func (d *Directory) concerns(key string) bool {
+	return key == d.codec.ConfigKey() || strings.HasPrefix(key, d.codec.TargetPrefix())
+}
+
 // take puts one entry into the view.
 func (d *Directory) take(e fireflypath.Entry) {
 	if e.Key == d.codec.ConfigKey() {
@@ -311,7 +334,7 @@
 		return
 	}
 	now := d.clock.Now()
-	if d.lost || !d.back.IsZero() && now.Sub(d.back) < returnTime {
+	if d.lost || now.Before(d.hold) {
 		if _, ok := d.missing[name]; !ok {
 			d.missing[name] = now
 			d.log.Info("target missing after an outage of the store", zap.String("target", name))
@@ -327,7 +350,7 @@
 func (d *Directory) forget(now time.Time) {
 	gone := false
 	for name, since := range d.missing {
-		if d.lost || now.Sub(d.back) < returnTime {
+		if d.lost || now.Before(d.hold) {
 			continue
 		}
 		delete(d.missing, name)
--- /dev/null
+++ b/internal/directory/log.go
@@ -0,0 +1,142 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// maxRemoved bounds the removed keys that are kept for daemons that follow this
+// one; one that lags by more reads everything.
+const maxRemoved = 4096
+
+// Since waits for changes above a revision and returns them with the view's age.
+// After 0 it returns everything. It fails with ErrCompacted if removals may be
+// missing.
+func (d *Directory) Since(ctx context.Context, after uint64, wait time.Duration) (fireflypath.Listing, error) {
+	asked := d.clock.Now()
+	t := d.clock.NewTimer(wait)
+	defer t.Stop()
+	for {
+		l, moved, err := d.since(after)
+		if err != nil || len(l.Entries) > 0 || l.Revision > after || wait <= 0 {
+			return d.aged(l, asked), err
+		}
+		select {
+		case <-ctx.Done():
+			return fireflypath.Listing{}, ctx.Err()
+		case <-t.Chan():
+			return d.aged(l, asked), nil
+		case <-moved:
+		}
+	}
+}
+
+// aged sets the view's age as of when the question came: a proof that was made
+// meanwhile makes it negative, as what it proves is younger than the question.
+func (d *Directory) aged(l fireflypath.Listing, asked time.Time) fireflypath.Listing {
+	l.Age = max(asked.Sub(d.Fresh()), 0)
+	return l
+}
+
+func (d *Directory) since(after uint64) (fireflypath.Listing, <-chan struct{}, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.revision == 0 || after != 0 && after < d.floor {
+		return fireflypath.Listing{}, nil, fireflypath.ErrCompacted
+	}
+	l := fireflypath.Listing{Revision: d.revision, Relayed: true, Hold: d.hold.Sub(d.clock.Now())}
+	for _, e := range d.kept {
+		if e.Revision > after && (after != 0 || !e.Deleted) {
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	slices.SortFunc(l.Entries, func(a, b fireflypath.Entry) int {
+		if a.Revision < b.Revision {
+			return -1
+		}
+		return 1
+	})
+	return l, d.moved, nil
+}
+
+// restart begins the log anew after a full read.
+func (d *Directory) restart(all fireflypath.Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.kept)
+	for _, e := range all.Entries {
+		d.keep(e)
+	}
+	d.floor = all.Revision
+	d.move(all.Revision)
+}
+
+// advance adds changes to the log.
+func (d *Directory) advance(got fireflypath.Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	revision := d.revision
+	for _, e := range got.Entries {
+		d.keep(e)
+		revision = max(revision, e.Revision)
+	}
+	if got.Relayed {
+		revision = max(revision, got.Revision)
+	}
+	if revision != d.revision {
+		d.move(revision)
+	}
+	d.trim()
+}
+
+// keep stores an entry if it is of use to others. The caller holds mu.
+func (d *Directory) keep(e fireflypath.Entry) {
+	if d.concerns(e.Key) {
+		d.kept[e.Key] = e
+	}
+}
+
+// trim forgets the removed keys if there are too many. The caller holds mu.
+func (d *Directory) trim() {
+	removed := 0
+	for _, e := range d.kept {
+		if e.Deleted {
+			removed++
+		}
+	}
+	if removed <= maxRemoved {
+		return
+	}
+	for key, e := range d.kept {
+		if e.Deleted {
+			delete(d.kept, key)
+		}
+	}
+	d.floor = d.revision
+}
+
+// move sets the revision and wakes those who wait for it. The caller holds mu.
+func (d *Directory) move(revision uint64) {
+	d.revision = revision
+	close(d.moved)
+	d.moved = make(chan struct{})
+}
+
+// reset has the next step read everything. Meanwhile nobody can follow.
+func (d *Directory) reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision = 0
+}
+
+// extend takes over for how long removals may be lapses.
+func (d *Directory) extend(now time.Time, hold time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at := now.Add(hold); at.After(d.hold) {
+		d.hold = at
+	}
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,220 @@
+// Package follow lets most daemons follow the platform's store through a few that watch it.
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+const (
+	methodFollow = "follow"
+	// relayWait is how long a watcher holds a call back while nothing changes.
+	relayWait = 800 * time.Millisecond
+	// callTime is what a call to a watcher may take beyond that.
+	callTime = 400 * time.Millisecond
+	// oldView is the age of a watcher's view at which another one is asked: it
+	// has missed a whole watch.
+	oldView = 2500 * time.Millisecond
+	// storePause is how long a daemon that found all watchers' views old waits
+	// before it asks the store itself again. In an outage the watchers ask often
+	// enough for all.
+	storePause = time.Second
+)
+
+// errOld means that no watcher has a view that is young enough.
+var errOld = errors.New("watchers' views are old")
+
+// Peers is what Feed needs of the endpoint.
+type Peers interface {
+	Handle(method string, m peer.Method)
+	Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error
+}
+
+// Feed follows the store, or a daemon that does. It implements fireflypath.Feed.
+//
+// If each daemon watched the store, its calls would grow with the fleet and
+// again with each change: 64 daemons made 230 calls a second. One daemon of each
+// failure domain watches, and tells the others what changed and how old its
+// view is. The age counts from when the question was sent, so that neither the
+// clocks of the hosts nor the time on the way can make a view look younger.
+type Feed struct {
+	store   fireflypath.Feed
+	peers   Peers
+	members fireflypath.Members
+	self    string
+	domain  string
+	clock   clockwork.Clock
+	view    *directory.Directory
+	asked   time.Time
+	relayed tally.Counter
+	direct  tally.Counter
+}
+
+var _ fireflypath.Feed = (*Feed)(nil)
+
+// New returns the feed of the daemon of that name and failure domain.
+func New(self, domain string, store fireflypath.Feed, peers Peers, members fireflypath.Members,
+	clock clockwork.Clock, scope tally.Scope,
+) *Feed {
+	scope = scope.SubScope("follow")
+	return &Feed{
+		store: store, peers: peers, members: members, self: self, domain: domain, clock: clock,
+		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"),
+	}
+}
+
+// Serve answers other daemons from the view. It is called before the endpoint serves.
+func (f *Feed) Serve(view *directory.Directory) {
+	f.view = view
+	f.peers.Handle(methodFollow, f.answer)
+}
+
+// ask is what a daemon asks a watcher.
+type ask struct {
+	// After is the revision of the asker's view; 0 asks for everything.
+	After uint64 `json:"a"`
+	// Wait is how long the answer may be held back, in milliseconds.
+	Wait int64 `json:"w"`
+}
+
+// reply is a watcher's answer.
+type reply struct {
+	Entries  []fireflypath.Entry `json:"e,omitempty"`
+	Revision uint64              `json:"r"`
+	// Age of the view and the time for which removals may be lapses, in milliseconds.
+	Age  int64 `json:"a"`
+	Hold int64 `json:"h,omitempty"`
+	// Compacted is true if the changes since After are not known.
+	Compacted bool `json:"c,omitempty"`
+}
+
+// answer serves a daemon that follows this one.
+func (f *Feed) answer(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var a ask
+	if err := json.Unmarshal(params, &a); err != nil {
+		return nil, errors.Wrap(err, "decode follow")
+	}
+	if !f.watcher() && a.Wait > 0 {
+		// Two daemons that take each other for the watcher would tell each other
+		// old news for ever.
+		return nil, errors.New("this daemon does not watch")
+	}
+	l, err := f.view.Since(ctx, a.After, time.Duration(a.Wait)*time.Millisecond)
+	if errors.Is(err, fireflypath.ErrCompacted) {
+		return reply{Compacted: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reply{Entries: l.Entries, Revision: l.Revision, Age: l.Age.Milliseconds() + 1, Hold: l.Hold.Milliseconds()}, nil
+}
+
+// watchers are the daemons that watch the store, the nearest one first: in each
+// failure domain the one whose name has the lowest hash.
+func (f *Feed) watchers() []fireflypath.Member {
+	lowest := map[string]fireflypath.Member{}
+	for _, m := range f.members.Live() {
+		if m.Leaving {
+			continue
+		}
+		if o, ok := lowest[m.Domain]; !ok || xxhash.Sum64String(m.Name) < xxhash.Sum64String(o.Name) {
+			lowest[m.Domain] = m
+		}
+	}
+	out := make([]fireflypath.Member, 0, len(lowest))
+	for _, m := range lowest {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b fireflypath.Member) int {
+		if (a.Domain == f.domain) != (b.Domain == f.domain) {
+			if a.Domain == f.domain {
+				return -1
+			}
+			return 1
+		}
+		if xxhash.Sum64String(a.Name) < xxhash.Sum64String(b.Name) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// watcher is true if this daemon watches the store for others.
+func (f *Feed) watcher() bool {
+	ws := f.watchers()
+	return len(ws) == 0 || slices.ContainsFunc(ws, func(m fireflypath.Member) bool { return m.Name == f.self })
+}
+
+// Snapshot implements fireflypath.Feed. The first read of a daemon's life goes
+// to the store: it knows no peers yet.
+func (f *Feed) Snapshot(ctx context.Context, prefix string) (fireflypath.Listing, error) {
+	if !f.watcher() {
+		if l, err := f.relay(ctx, 0, 0); err == nil {
+			return l, nil
+		}
+	}
+	f.direct.Inc(1)
+	return f.store.Snapshot(ctx, prefix)
+}
+
+// Follow implements fireflypath.Feed.
+func (f *Feed) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (fireflypath.Listing, error) {
+	if !f.watcher() {
+		l, err := f.relay(ctx, after, min(wait, relayWait))
+		if err == nil || errors.Is(err, fireflypath.ErrCompacted) || ctx.Err() != nil {
+			return l, err
+		}
+		if errors.Is(err, errOld) && f.clock.Since(f.asked) < storePause {
+			return fireflypath.Listing{}, err
+		}
+	}
+	f.asked = f.clock.Now()
+	f.direct.Inc(1)
+	return f.store.Follow(ctx, prefix, after, wait)
+}
+
+// relay asks the watchers in turn until one has a young view.
+func (f *Feed) relay(ctx context.Context, after uint64, wait time.Duration) (fireflypath.Listing, error) {
+	err := errors.New("no daemon watches")
+	for _, w := range f.watchers() {
+		var l fireflypath.Listing
+		l, err = f.askOne(ctx, w, after, wait)
+		if err == nil || errors.Is(err, fireflypath.ErrCompacted) || ctx.Err() != nil {
+			return l, err
+		}
+	}
+	return fireflypath.Listing{}, err
+}
+
+func (f *Feed) askOne(ctx context.Context, w fireflypath.Member, after uint64, wait time.Duration) (fireflypath.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
+	defer cancel()
+	var r reply
+	if err := f.peers.Call(ctx, w, methodFollow, ask{After: after, Wait: wait.Milliseconds()}, &r); err != nil {
+		return fireflypath.Listing{}, errors.Wrapf(err, "follow %s", w.Name)
+	}
+	if r.Compacted {
+		return fireflypath.Listing{}, fireflypath.ErrCompacted
+	}
+	age := time.Duration(r.Age) * time.Millisecond
+	if age > oldView || r.Revision < after {
+		return fireflypath.Listing{}, errOld
+	}
+	f.relayed.Inc(1)
+	return fireflypath.Listing{
+		Entries: r.Entries, Revision: r.Revision, Relayed: true, Age: age,
+		Hold: time.Duration(r.Hold) * time.Millisecond,
+	}, nil
+}
--- a/routing.go
+++ b/routing.go
@@ -148,6 +148,14 @@
 	Entries []Entry
 	// Revision is the store's own when it answered.
 	Revision uint64
+	// Relayed is true for the view of another daemon: Revision is then that of
+	// its view, and Entries hold all that changed up to it.
+	Relayed bool
+	// Age is how old a relayed view was when the question came.
+	Age time.Duration
+	// Hold is for how long a removal in a relayed view may be a registration that
+	// lapsed while the store was away.
+	Hold time.Duration
 }
 
 // Freshness tells how old the view of the configuration and the targets is.
