fix(follow): a watcher with an old view is left at once

Change: watches last 0.75 s, a view older than 1.1 s is refused, the store is asked next and the watcher avoided for 2 s.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,7 +21,7 @@
 const (
 	// watchWait is how long the store holds one watch. Each one that ends without
 	// a change proves the view; the view's age stays below twice this.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 750 * time.Millisecond
 	// retryFirst and retryMax are the pauses after failed calls; the larger one
 	// bounds how late a store that is back is noticed.
 	retryFirst = 50 * time.Millisecond
@@ -236,6 +236,8 @@
 	d.publish()
 	switch {
 	case got.Relayed:
+		// The answer was given after the question, so the view was the newest at
+		// the question's time less the age at the answer's.
 		d.proved(sent.Add(-got.Age))
 		return nil
 	case got.Revision > d.revision:
@@ -257,7 +259,7 @@
 // be given up.
 func (d *Directory) patience() time.Duration {
 	if len(d.missing) > 0 {
-		return watchWait / 5
+		return watchWait / 3
 	}
 	return watchWait
 }
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -13,34 +13,31 @@
 const maxRemoved = 4096
 
 // Since waits for changes above a revision and returns them with the view's age.
-// After 0 it returns everything. It fails with ErrCompacted if removals may be
-// missing.
-func (d *Directory) Since(ctx context.Context, after uint64, wait time.Duration) (fireflypath.Listing, error) {
-	asked := d.clock.Now()
-	t := d.clock.NewTimer(wait)
-	defer t.Stop()
+// After 0 it returns everything. It does not wait while the view is older than
+// given: who asked has to look elsewhere then. It fails with ErrCompacted if
+// removals may be missing.
+func (d *Directory) Since(ctx context.Context, after uint64, wait, old time.Duration) (fireflypath.Listing, error) {
+	end := d.clock.Now().Add(wait)
 	for {
 		l, moved, err := d.since(after)
-		if err != nil || len(l.Entries) > 0 || l.Revision > after || wait <= 0 {
-			return d.aged(l, asked), err
+		now := d.clock.Now()
+		l.Age = now.Sub(d.Fresh())
+		left := min(end.Sub(now), old-l.Age)
+		if err != nil || len(l.Entries) > 0 || l.Revision > after || left <= 0 {
+			return l, err
 		}
+		t := d.clock.NewTimer(left)
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return fireflypath.Listing{}, ctx.Err()
 		case <-t.Chan():
-			return d.aged(l, asked), nil
 		case <-moved:
+			t.Stop()
 		}
 	}
 }
 
-// aged sets the view's age as of when the question came: a proof that was made
-// meanwhile makes it negative, as what it proves is younger than the question.
-func (d *Directory) aged(l fireflypath.Listing, asked time.Time) fireflypath.Listing {
-	l.Age = max(asked.Sub(d.Fresh()), 0)
-	return l
-}
-
 func (d *Directory) since(after uint64) (fireflypath.Listing, <-chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,13 +22,15 @@
 	// relayWait is how long a watcher holds a call back while nothing changes.
 	relayWait = 800 * time.Millisecond
 	// callTime is what a call to a watcher may take beyond that.
-	callTime = 400 * time.Millisecond
-	// oldView is the age of a watcher's view at which another one is asked: it
-	// has missed a whole watch.
-	oldView = 2500 * time.Millisecond
-	// storePause is how long a daemon that found all watchers' views old waits
-	// before it asks the store itself again. In an outage the watchers ask often
-	// enough for all.
+	callTime = 300 * time.Millisecond
+	// oldView is the age at which a watcher's view is of no use: it has missed a
+	// watch, and may have been cut off. With the call's own time, a change is in
+	// force well within two seconds also where the watcher was cut off.
+	oldView = 1100 * time.Millisecond
+	// avoidTime is how long a watcher is not asked that did not answer well.
+	avoidTime = 2 * time.Second
+	// storePause is how long a daemon that could not reach the store either waits
+	// before it asks it again. In an outage the watchers ask often enough for all.
 	storePause = time.Second
 )
 
@@ -56,7 +58,10 @@
 	domain  string
 	clock   clockwork.Clock
 	view    *directory.Directory
-	asked   time.Time
+	// avoid holds until when a watcher is not asked; failed is when the store
+	// last did not answer. Both belong to the caller of Follow.
+	avoid  map[string]time.Time
+	failed time.Time
 	relayed tally.Counter
 	direct  tally.Counter
 }
@@ -70,6 +75,7 @@
 	scope = scope.SubScope("follow")
 	return &Feed{
 		store: store, peers: peers, members: members, self: self, domain: domain, clock: clock,
+		avoid:   map[string]time.Time{},
 		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"),
 	}
 }
@@ -110,7 +116,7 @@
 		// old news for ever.
 		return nil, errors.New("this daemon does not watch")
 	}
-	l, err := f.view.Since(ctx, a.After, time.Duration(a.Wait)*time.Millisecond)
+	l, err := f.view.Since(ctx, a.After, time.Duration(a.Wait)*time.Millisecond, oldView)
 	if errors.Is(err, fireflypath.ErrCompacted) {
 		return reply{Compacted: true}, nil
 	}
@@ -169,35 +175,55 @@
 	return f.store.Snapshot(ctx, prefix)
 }
 
-// Follow implements fireflypath.Feed.
+// Follow implements fireflypath.Feed. If the nearest watcher fails, the store is
+// asked next: another watcher may be cut off together with the first.
 func (f *Feed) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (fireflypath.Listing, error) {
-	if !f.watcher() {
-		l, err := f.relay(ctx, after, min(wait, relayWait))
-		if err == nil || errors.Is(err, fireflypath.ErrCompacted) || ctx.Err() != nil {
-			return l, err
-		}
-		if errors.Is(err, errOld) && f.clock.Since(f.asked) < storePause {
-			return fireflypath.Listing{}, err
-		}
+	if f.watcher() {
+		f.direct.Inc(1)
+		return f.store.Follow(ctx, prefix, after, wait)
+	}
+	l, err := f.relay(ctx, after, min(wait, relayWait))
+	if usable(err) || ctx.Err() != nil {
+		return l, err
+	}
+	if f.clock.Since(f.failed) < storePause {
+		return fireflypath.Listing{}, err
 	}
-	f.asked = f.clock.Now()
 	f.direct.Inc(1)
-	return f.store.Follow(ctx, prefix, after, wait)
+	l, err = f.store.Follow(ctx, prefix, after, min(wait, relayWait))
+	if !usable(err) {
+		f.failed = f.clock.Now()
+	}
+	return l, err
 }
 
-// relay asks the watchers in turn until one has a young view.
+// usable is true for an answer that says what to do next.
+func usable(err error) bool {
+	return err == nil || errors.Is(err, fireflypath.ErrCompacted)
+}
+
+// relay asks the nearest watcher that did not fail lately.
 func (f *Feed) relay(ctx context.Context, after uint64, wait time.Duration) (fireflypath.Listing, error) {
-	err := errors.New("no daemon watches")
-	for _, w := range f.watchers() {
-		var l fireflypath.Listing
-		l, err = f.askOne(ctx, w, after, wait)
-		if err == nil || errors.Is(err, fireflypath.ErrCompacted) || ctx.Err() != nil {
-			return l, err
+	now := f.clock.Now()
+	for i, w := range f.watchers() {
+		if i >= maxAsked {
+			break
+		}
+		if now.Before(f.avoid[w.Name]) {
+			continue
+		}
+		l, err := f.askOne(ctx, w, after, wait)
+		if !usable(err) {
+			f.avoid[w.Name] = f.clock.Now().Add(avoidTime)
 		}
+		return l, err
 	}
-	return fireflypath.Listing{}, err
+	return fireflypath.Listing{}, errOld
 }
 
+// maxAsked bounds the watchers that a daemon tries, one a call.
+const maxAsked = 3
+
 func (f *Feed) askOne(ctx context.Context, w fireflypath.Member, after uint64, wait time.Duration) (fireflypath.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
@@ -210,7 +236,7 @@
 	}
 	age := time.Duration(r.Age) * time.Millisecond
 	if age > oldView || r.Revision < after {
-		return fireflypath.Listing{}, errOld
+		return fireflypath.Listing{}, errors.Wrapf(errOld, "%s: %v", w.Name, age)
 	}
 	f.relayed.Inc(1)
 	return fireflypath.Listing{
