feat(grants): cells of targets and keepers of quotas in large fleets

Change: a daemon sends work to its cell's targets only; in fleets of more than one cell a keeper holds the one bucket of a team, daemons report use three times a second and give out freely while it is well filled.

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	ceilings "github.com/fireflypath/fireflypath/internal/gate/limits"
+	"github.com/fireflypath/fireflypath/internal/grants"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -175,7 +176,10 @@
 	}
 	log := d.deps.Log
 	u := usage.New(d.cfg.Name, d.peers, d.members, d.pools, d.limits, d.deps.Clock, d.scope)
+	g := grants.New(d.cfg.Name, d.peers, d.members, d.limits, d.tolerance(), d.deps.Clock, d.scope)
 	d.work.Go(func() { _ = u.Run(d.ctx) })
+	d.work.Go(func() { _ = g.Run(d.ctx, func() bool { return d.members.Layout().Cells() > 1 }) })
+	d.work.Go(d.followLayout)
 	d.work.Go(func() { _ = d.members.Run(d.ctx) })
 	d.work.Go(func() {
 		if err := d.peers.Serve(d.peerPort); !errors.Is(err, peer.ErrClosed) {
@@ -185,6 +189,44 @@
 	return nil
 }
 
+// followLayout sets which targets this daemon sends work to.
+func (d *Daemon) followLayout() {
+	for {
+		layoutChanged := d.members.Changed()
+		cfg := d.deps.Configs.Current()
+		targets := map[string][]string{}
+		for _, t := range cfg.Targets {
+			targets[t.Pool] = append(targets[t.Pool], t.Name)
+		}
+		for pool, names := range targets {
+			d.pools.ApplyShare(pool, d.shareOf(names))
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-layoutChanged:
+		case <-d.deps.Configs.Changed(cfg.Generation):
+		}
+	}
+}
+
+// shareOf is the part of a pool's targets that this daemon's cell serves.
+func (d *Daemon) shareOf(names []string) fireflypath.Share {
+	layout := d.members.Layout()
+	if layout.Cells() == 1 {
+		return fireflypath.Share{Default: 1}
+	}
+	mine, _ := layout.Serves(d.cfg.Name, names)
+	if len(mine) == 0 || len(mine) == len(names) {
+		return fireflypath.Share{Default: 1}
+	}
+	s := fireflypath.Share{Part: make(map[string]float64, len(mine))}
+	for _, name := range mine {
+		s.Part[name] = 1
+	}
+	return s
+}
+
 // Stop takes leave of the peers, after the requests held were finished.
 func (gatedMembership) Stop(ctx context.Context, d *Daemon) error {
 	if d.members != nil {
@@ -202,7 +244,7 @@
 	g := d.cfg.Gate
 	d.limits = ceilings.New(ceilings.Config{
 		Ratio: g.Retries.Ratio, Window: g.Retries.Window.Std(), Allowance: g.Retries.Allowance,
-		Quotas: quota.Tolerance{Over: g.Quotas.Over, Slack: g.Quotas.Slack, Window: g.Quotas.Window.Std()},
+		Quotas: d.tolerance(),
 	}, startDaemons, 1.0/startDaemons)
 	d.targets = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID)
 	d.gate = gate.New(gate.Deps{
@@ -232,6 +274,12 @@
 
 func (theGate) Stop(context.Context, *Daemon) error { return nil }
 
+// tolerance is how far quotas may be exceeded.
+func (d *Daemon) tolerance() quota.Tolerance {
+	t := d.cfg.Gate.Quotas
+	return quota.Tolerance{Over: t.Over, Slack: t.Slack, Window: t.Window.Std()}
+}
+
 // sweep closes connections to targets that are no longer used.
 func (d *Daemon) sweep() {
 	t := d.deps.Clock.NewTicker(sweepEvery)
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -50,17 +50,17 @@
 // New returns a bucket at the time; part is as for SetPart.
 func New(now time.Time, q fireflypath.Quota, tol Tolerance, part float64) *Bucket {
 	b := &Bucket{quota: q, tol: tol, part: part, at: now}
-	b.level = min(b.rate()*startSeconds*part, b.top())
+	b.level = min(b.Rate()*startSeconds*part, b.Top())
 	return b
 }
 
-// top is the most the bucket holds.
-func (b *Bucket) top() float64 {
-	return max(b.quota.Burst, b.quota.Rate*startSeconds) + used*b.tol.Slack/2
+// Top is the most the bucket holds.
+func (b *Bucket) Top() float64 {
+	return (max(b.quota.Burst, b.quota.Rate*startSeconds) + used*b.tol.Slack/2) * min(b.part, 1)
 }
 
-// rate is what flows in a second.
-func (b *Bucket) rate() float64 {
+// Rate is what flows into the whole bucket in a second.
+func (b *Bucket) Rate() float64 {
 	r := b.quota.Rate * (1 + used*b.tol.Over)
 	if b.tol.Window > 0 {
 		r += used * b.tol.Slack / 2 / b.tol.Window.Seconds()
@@ -72,18 +72,19 @@
 func (b *Bucket) Set(now time.Time, q fireflypath.Quota) {
 	b.pass(now)
 	b.quota = q
-	b.level = min(b.level, b.top())
+	b.level = min(b.level, b.Top())
 }
 
 // SetPart sets the fraction of the rate that refills this copy.
 func (b *Bucket) SetPart(now time.Time, part float64) {
 	b.pass(now)
 	b.part = part
+	b.level = min(b.level, b.Top())
 }
 
 func (b *Bucket) pass(now time.Time) {
 	if d := now.Sub(b.at).Seconds(); d > 0 {
-		b.level = min(b.level+d*b.rate()*b.part, b.top())
+		b.level = min(b.level+d*b.Rate()*b.part, b.Top())
 		b.at = now
 	}
 }
@@ -97,20 +98,26 @@
 		return 0, true
 	}
 	b.pass(now)
-	need := min(n, b.top())
+	need := min(n, b.Top())
 	if b.level >= need {
 		b.level -= n
 		b.used += n
 		return 0, true
 	}
-	sec := (need - b.level) / (b.rate() * max(b.part, 1e-3))
+	sec := (need - b.level) / (b.Rate() * max(b.part, 1e-3))
 	return time.Duration(math.Ceil(sec*1000)) * time.Millisecond, false
 }
 
+// Spend books use that somebody else granted; the level here does not count it.
+func (b *Bucket) Spend(now time.Time, n float64) {
+	b.pass(now)
+	b.used += n
+}
+
 // Return gives back what a request did not use because it did not run.
 func (b *Bucket) Return(now time.Time, n float64) {
 	b.pass(now)
-	b.level = min(b.level+n, b.top())
+	b.level = min(b.level+n, b.Top())
 	b.used -= n
 }
 
@@ -129,7 +136,7 @@
 // Adopt takes over the level that another daemon's copy holds.
 func (b *Bucket) Adopt(now time.Time, level float64) {
 	b.pass(now)
-	b.level = min(level, b.top())
+	b.level = min(level, b.Top())
 }
 
 // Used is the sum of own use since the start.
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -50,6 +50,7 @@
 	// lowest is the rank of the lowest tier seen.
 	lowest int
 	seed   uint64
+	share  fireflypath.Share
 	// rivals are the other daemons that have work waiting.
 	rivals []rival
 }
@@ -70,7 +71,7 @@
 // that equal views do not give equal choices.
 func New(pool fireflypath.Pool, seed uint64) *Sched {
 	return &Sched{
-		pool: pool, seed: seed,
+		pool: pool, seed: seed, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, flights: map[*fireflypath.Work]flight{},
 		drain: rate.Meter{Horizon: drainHorizon},
 	}
@@ -197,6 +198,9 @@
 // consider lists the targets as they looked.
 func (s *Sched) consider(now time.Time, w *fireflypath.Work, out []fireflypath.Candidate) []fireflypath.Candidate {
 	for _, t := range s.order {
+		if t.foreign {
+			continue
+		}
 		c := fireflypath.Candidate{
 			Target: t.Name, Held: t.prefill, Reported: t.others(now), Age: now.Sub(t.heard),
 			Window: t.slots(), Score: s.score(now, t, w), Skip: t.skip(now, s.extra(w.Rank)),
@@ -269,9 +273,21 @@
 	return out
 }
 
-// SetShare does nothing: daemons tell each other what they have in flight
-// instead of dividing windows.
-func (*Sched) SetShare(time.Time, fireflypath.Share) {}
+// SetShare sets which targets this daemon sends work to: those with a part above
+// 0. How much each may get follows from what daemons tell each other.
+func (s *Sched) SetShare(_ time.Time, share fireflypath.Share) {
+	s.share = share
+	for _, t := range s.order {
+		t.foreign = !serves(share, t.Name)
+	}
+}
+
+func serves(share fireflypath.Share, name string) bool {
+	if part, ok := share.Part[name]; ok {
+		return part > 0
+	}
+	return share.Default > 0
+}
 
 // Demand summarises waiting and running work for the other daemons.
 func (s *Sched) Demand(time.Time) fireflypath.Demand {
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -74,6 +74,8 @@
 	// report is the target's own word, heard with an answer, less own requests.
 	report int
 	heard  time.Time
+	// foreign is true for a target that other daemons send work to.
+	foreign bool
 	// leaving is first-hand evidence that the target takes no more work.
 	leaving bool
 	// failing is the part of work that failed lately.
@@ -97,6 +99,7 @@
 			known = &target{hash: xxhash.Sum64String(t.Name), freed: now}
 		}
 		known.Target = t
+		known.foreign = !serves(s.share, t.Name)
 		next[t.Name] = known
 	}
 	s.targets = next
@@ -139,6 +142,8 @@
 // many requests may be there beyond its slots.
 func (t *target) skip(now time.Time, extra int) string {
 	switch {
+	case t.foreign:
+		return "foreign"
 	case t.Drained, t.leaving:
 		return "leaving"
 	case now.Before(t.until):
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,8 +60,8 @@
 	view    *directory.Directory
 	// avoid holds until when a watcher is not asked; failed is when the store
 	// last did not answer. Both belong to the caller of Follow.
-	avoid  map[string]time.Time
-	failed time.Time
+	avoid   map[string]time.Time
+	failed  time.Time
 	relayed tally.Counter
 	direct  tally.Counter
 }
--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -8,6 +8,8 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/budget"
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
+	"github.com/fireflypath/fireflypath/internal/decide/rate"
+	"github.com/fireflypath/fireflypath/internal/grants"
 )
 
 // Config sets the retry budgets.
@@ -40,12 +42,24 @@
 	// fraction of the quotas' rates that this one may count on.
 	daemons int
 	part    float64
+	// split is true in a fleet that is too large to hear of all use: each team
+	// has a part of its own then.
+	split bool
 }
 
+// askedOver is the time over which demand is measured.
+const askedOver = time.Second
+
 type team struct {
 	quota  fireflypath.Quota
 	bucket *quota.Bucket
-	since  time.Time
+	// asked measures what is asked for, granted or not.
+	asked rate.Meter
+	// free is until when a keeper lets the team have what it asks for; told is
+	// the use that was reported to it.
+	free  time.Time
+	told  int64
+	since time.Time
 	// adopted is true once the level of another daemon's copy was taken over.
 	adopted bool
 }
@@ -68,15 +82,66 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.daemons = max(daemons, 1)
-	if l.part == part {
+	if l.part == part && !l.split {
 		return
 	}
-	l.part = part
+	l.part, l.split = part, false
 	for _, t := range l.teams {
 		t.bucket.SetPart(now, part)
 	}
 }
 
+// SetDaemons sets how many daemons share the allowance, in a large fleet.
+func (l *Limits) SetDaemons(daemons int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.daemons = max(daemons, 1)
+	l.split = true
+}
+
+// SetPart sets the fraction of a team's quota that this daemon may give out.
+func (l *Limits) SetPart(now time.Time, name string, part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.teams[name]; t != nil {
+		t.bucket.SetPart(now, part)
+	}
+}
+
+// SetFree lets the team have what it asks for until a time.
+func (l *Limits) SetFree(name string, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.teams[name]; t != nil {
+		t.free = until
+	}
+}
+
+// Spend returns what each team used since the last call, and asked for in a second.
+func (l *Limits) Spend(now time.Time) map[string]grants.Spent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]grants.Spent, len(l.teams))
+	for name, t := range l.teams {
+		t.asked.Pass(now, true)
+		used := int64(t.bucket.Used())
+		out[name] = grants.Spent{Used: used - t.told, Demand: int64(t.asked.Rate())}
+		t.told = used
+	}
+	return out
+}
+
+// Quota is a team's, or nil.
+func (l *Limits) Quota(name string) *fireflypath.Quota {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.teams[name]; t != nil {
+		q := t.quota
+		return &q
+	}
+	return nil
+}
+
 // Apply makes the buckets of a configuration's teams, so that they fill from
 // then on and not from a team's first request.
 func (l *Limits) Apply(now time.Time, cfg *fireflypath.Config) {
@@ -106,7 +171,7 @@
 	defer l.mu.Unlock()
 	for name, level := range levels {
 		t := l.teams[name]
-		if t == nil || t.adopted || now.Sub(t.since) > adoptWithin {
+		if t == nil || l.split || t.adopted || now.Sub(t.since) > adoptWithin {
 			continue
 		}
 		t.adopted = true
@@ -121,7 +186,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.team(now, t.Name, t.Quota).bucket.Take(now, n)
+	team := l.team(now, t.Name, t.Quota)
+	team.asked.Add(now, int(n))
+	if l.split && now.Before(team.free) {
+		team.bucket.Spend(now, n)
+		return 0, true
+	}
+	return team.bucket.Take(now, n)
 }
 
 // Return gives units back that a request did not use.
@@ -137,7 +208,7 @@
 func (l *Limits) team(now time.Time, name string, q *fireflypath.Quota) *team {
 	t := l.teams[name]
 	if t == nil {
-		t = &team{quota: *q, bucket: quota.New(now, *q, l.cfg.Quotas, l.part), since: now}
+		t = &team{quota: *q, bucket: quota.New(now, *q, l.cfg.Quotas, l.part), since: now, asked: rate.Meter{Horizon: askedOver}}
 		l.teams[name] = t
 	} else if t.quota != *q {
 		t.quota = *q
@@ -150,7 +221,7 @@
 func (l *Limits) Heard(now time.Time, name string, n float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.teams[name]; t != nil {
+	if t := l.teams[name]; t != nil && !l.split {
 		t.bucket.Heard(now, n)
 	}
 }
--- /dev/null
+++ b/internal/grants/grants.go
@@ -0,0 +1,271 @@
+// Package grants keeps the teams' quotas in fleets that are too large for each daemon to hear of all use.
+package grants
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/allot"
+	"github.com/fireflypath/fireflypath/internal/decide/quota"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+const (
+	methodReport = "report"
+	// reportEvery is the pause between two reports. What a team uses in that time
+	// above its quota is not noticed yet; the tolerance of quotas covers it.
+	reportEvery = 300 * time.Millisecond
+	// reportTime bounds a report.
+	reportTime = 250 * time.Millisecond
+	// healthy is the fill of a quota's bucket above which daemons give out what
+	// they are asked for. A team's requests are few and large at each of many
+	// daemons, so that fixed parts of its rate would refuse many of them although
+	// the team is far below its quota.
+	healthy = 0.3
+	// trust is how long a report's answer is used: some reports may fail.
+	trust = 1500 * time.Millisecond
+	// spare is how much more than its demand a daemon asks for, so that a demand
+	// that grows is not refused before the next report.
+	spare = 1.3
+	// perKeeper is how many daemons one keeper serves, three reports a second each.
+	perKeeper = 100
+)
+
+// Peers is what Grants needs of the endpoint.
+type Peers interface {
+	Handle(method string, m peer.Method)
+	Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error
+}
+
+// Limits hold the quotas' buckets of this daemon.
+type Limits interface {
+	// Quota is a team's, or nil.
+	Quota(team string) *fireflypath.Quota
+	// Spend returns what each team used since the last call, and asked for in a second.
+	Spend(now time.Time) map[string]Spent
+	// SetFree lets the team have what it asks for until a time.
+	SetFree(team string, until time.Time)
+	// SetPart sets the fraction of a team's quota that this daemon may give out.
+	SetPart(now time.Time, team string, part float64)
+}
+
+// Spent is what a team used since the last report, in units, and what it asks
+// for, in units a second.
+type Spent struct {
+	Used   int64 `json:"u,omitempty"`
+	Demand int64 `json:"d,omitempty"`
+	// Level is what its keeper said last, so that a new keeper can go on there.
+	Level int64 `json:"l,omitempty"`
+}
+
+// Verdict is what a keeper says of a team.
+type Verdict struct {
+	// Free is true while the quota's bucket is well filled.
+	Free  bool  `json:"f,omitempty"`
+	Level int64 `json:"l,omitempty"`
+	// Rate is what the daemon may give out if Free is not set, in units a second.
+	Rate float64 `json:"r,omitempty"`
+}
+
+type question struct {
+	Teams map[string]Spent `json:"t"`
+}
+
+type answer struct {
+	Teams map[string]Verdict `json:"t"`
+}
+
+// Grants reports to the keepers, and is one if its name's hash is among the
+// lowest. A keeper holds the one bucket of each of its teams.
+type Grants struct {
+	self    string
+	peers   Peers
+	members fireflypath.Members
+	limits  Limits
+	tol     quota.Tolerance
+	clock   clockwork.Clock
+	asked   tally.Counter
+	failed  tally.Counter
+
+	mu    sync.Mutex
+	teams map[string]*kept
+	// levels is what keepers said last.
+	levels map[string]int64
+}
+
+// kept is a team of which this daemon is the keeper.
+type kept struct {
+	bucket *quota.Bucket
+	quota  fireflypath.Quota
+	split  allot.Split
+	// adopted is true once the level that reporters knew was taken over.
+	adopted bool
+}
+
+// New connects to the endpoint before that serves.
+func New(self string, peers Peers, members fireflypath.Members, limits Limits, tol quota.Tolerance,
+	clock clockwork.Clock, scope tally.Scope,
+) *Grants {
+	scope = scope.SubScope("grants")
+	g := &Grants{
+		self: self, peers: peers, members: members, limits: limits, tol: tol, clock: clock,
+		asked: scope.Counter("asked"), failed: scope.Counter("failed"),
+		teams: map[string]*kept{}, levels: map[string]int64{},
+	}
+	peers.Handle(methodReport, g.handle)
+	return g
+}
+
+// Run reports until the context ends, while large says that the fleet is large.
+func (g *Grants) Run(ctx context.Context, large func() bool) error {
+	t := g.clock.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		if large() {
+			g.Step(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.Chan():
+		}
+	}
+}
+
+// Step reports what was used and puts the verdicts in force.
+func (g *Grants) Step(ctx context.Context) {
+	now := g.clock.Now()
+	keepers := g.keepers()
+	if len(keepers) == 0 {
+		return
+	}
+	reports := make([]map[string]Spent, len(keepers))
+	g.mu.Lock()
+	for team, sp := range g.limits.Spend(now) {
+		if sp == (Spent{}) {
+			continue
+		}
+		sp.Level = g.levels[team]
+		i := int(xxhash.Sum64String(team) % uint64(len(keepers)))
+		if reports[i] == nil {
+			reports[i] = map[string]Spent{}
+		}
+		reports[i][team] = sp
+	}
+	g.mu.Unlock()
+	var wg conc.WaitGroup
+	for i, r := range reports {
+		if len(r) > 0 {
+			wg.Go(func() { g.report(ctx, now, keepers[i], r) })
+		}
+	}
+	wg.Wait()
+}
+
+// keepers are the live daemons with the lowest hashes, enough for the fleet.
+func (g *Grants) keepers() []fireflypath.Member {
+	var live []fireflypath.Member
+	for _, m := range g.members.Live() {
+		if !m.Leaving {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b fireflypath.Member) int {
+		if xxhash.Sum64String(a.Name) < xxhash.Sum64String(b.Name) {
+			return -1
+		}
+		return 1
+	})
+	return live[:min(len(live), 1+len(live)/perKeeper)]
+}
+
+// report tells one keeper. What a report that fails told is lost: told again, it
+// might count twice.
+func (g *Grants) report(ctx context.Context, now time.Time, to fireflypath.Member, teams map[string]Spent) {
+	var a answer
+	if to.Name == g.self {
+		a = g.judge(g.self, teams)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, reportTime)
+		defer cancel()
+		g.asked.Inc(1)
+		if err := g.peers.Call(ctx, to, methodReport, question{Teams: teams}, &a); err != nil {
+			g.failed.Inc(1)
+			return // the last verdicts hold for a while
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for team, v := range a.Teams {
+		g.levels[team] = v.Level
+		q := g.limits.Quota(team)
+		switch {
+		case q == nil || q.Rate <= 0:
+		case v.Free:
+			g.limits.SetFree(team, now.Add(trust))
+		default:
+			g.limits.SetFree(team, time.Time{})
+			g.limits.SetPart(now, team, v.Rate/q.Rate)
+		}
+	}
+}
+
+func (g *Grants) handle(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var q question
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, errors.Wrap(err, "decode report")
+	}
+	return g.judge(from, q.Teams), nil
+}
+
+// judge books a daemon's use and says what it may give out.
+func (g *Grants) judge(from string, teams map[string]Spent) answer {
+	now := g.clock.Now()
+	a := answer{Teams: make(map[string]Verdict, len(teams))}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for team, sp := range teams {
+		q := g.limits.Quota(team)
+		if q == nil || q.Rate <= 0 {
+			continue
+		}
+		k := g.keep(now, team, *q)
+		if !k.adopted && sp.Level != 0 {
+			k.bucket.Adopt(now, float64(sp.Level))
+		}
+		k.adopted = true
+		k.bucket.Heard(now, float64(sp.Used))
+		level := k.bucket.Level(now)
+		v := Verdict{Level: int64(level), Free: level > healthy*k.bucket.Top()}
+		if given := k.split.Ask(now, k.bucket.Rate(), from, spare*float64(sp.Demand)); !v.Free {
+			v.Rate = given
+		}
+		a.Teams[team] = v
+	}
+	return a
+}
+
+// keep is the keeper's bucket of a team. A new one is filled: it starts when the
+// fleet does, or goes on where the one before it stood.
+func (g *Grants) keep(now time.Time, team string, q fireflypath.Quota) *kept {
+	k := g.teams[team]
+	if k == nil {
+		k = &kept{bucket: quota.New(now, q, g.tol, 1), quota: q}
+		k.bucket.Adopt(now, k.bucket.Top())
+		g.teams[team] = k
+	} else if k.quota != q {
+		k.quota = q
+		k.bucket.Set(now, q)
+	}
+	return k
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -40,6 +41,8 @@
 	Live() []fireflypath.Member
 	// Missing is the number of daemons that died lately.
 	Missing() int
+	// Layout tells which daemons send work to the same targets.
+	Layout() *cell.Layout
 }
 
 // Pools hold the work in flight.
@@ -57,6 +60,7 @@
 	Adopt(now time.Time, levels map[string]float64)
 	Heard(now time.Time, team string, n float64)
 	SetFleet(now time.Time, daemons int, part float64)
+	SetDaemons(daemons int)
 }
 
 // Usage exchanges with the peers.
@@ -172,11 +176,19 @@
 		return // not joined yet; the parts that were set at the start hold
 	}
 	all := len(live) + u.fleet.Missing()
+	if u.fleet.Layout().Cells() > 1 {
+		u.limits.SetDaemons(all)
+		return
+	}
 	u.limits.SetFleet(now, all, float64(len(mates)+1)/float64(all))
 }
 
 // tell adds what a peer does not know yet.
 func (u *Usage) tell(to string, b *peer.Beat) {
+	layout := u.fleet.Layout()
+	if !slices.Contains(layout.Mates(u.self), to) {
+		return // it sends work to other targets
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
@@ -188,13 +200,13 @@
 		u.sent[to] = s
 	}
 	out := &peer.Usage{Whole: whole}
-	if first {
+	if first && layout.Cells() == 1 {
 		out.Levels = u.limits.Levels(now)
 	}
 	out.Flights = changes(s.flights, u.flights, 0)
 	out.Waits = changes(s.waits, u.waits, nothing)
 	for team, n := range u.used {
-		if s.used[team] != n || whole {
+		if layout.Cells() == 1 && (s.used[team] != n || whole) {
 			out.Used = put(out.Used, team, n)
 			s.used[team] = n
 		}
