--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -273,7 +273,7 @@
 	s := start(t, nil, func(n int, w http.ResponseWriter, _ *http.Request) {
 		if n == 1 {
 			w.Header().Set("T-Not-Run", "1")
-			w.WriteHeader(503)
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		io.WriteString(w, "whole")
@@ -292,7 +292,7 @@
 	is := is.New(t)
 	s := start(t, nil, func(_ int, w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("T-Not-Run", "1")
-		w.WriteHeader(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	r := s.request(t.Context(), "/once/", "b")
 	r.Header.Set("T-Deadline", "700")
@@ -346,7 +346,7 @@
 func TestTargetsOwnFailureIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	s := start(t, nil, func(n int, w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(500)
+		w.WriteHeader(http.StatusInternalServerError)
 		fmt.Fprintf(w, "failure %d", n)
 	})
 	resp, body, err := s.post("/safe/", "b")
@@ -468,7 +468,7 @@
 		is.NoErr(err)
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		is.NoErr(err)
-		is.True(resp.StatusCode == 400 || resp.StatusCode == 501) // 501 is for a framing that nobody uses
+		is.True(resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotImplemented) // 501 is for a framing that nobody uses
 		resp.Body.Close()
 		c.Close()
 	}
