--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -121,7 +121,7 @@
 }
 
 // fleet makes three daemons of one domain, the watcher first.
-func fleet(t *testing.T) ([]*daemon, *network, *store, *clockwork.FakeClock) {
+func fleet(t *testing.T) ([]*daemon, *network, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	n := &network{methods: map[string]peer.Method{}, cut: map[string]bool{}}
@@ -137,14 +137,14 @@
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
 	}
-	return ds, n, shared, clock
+	return ds, n, clock
 }
 
 // Two of three daemons never ask the store while the third watches it, and they
 // learn what changed and how old it is.
 func TestFollowersAskTheWatcher(t *testing.T) {
 	is := is.New(t)
-	ds, n, _, clock := fleet(t)
+	ds, n, clock := fleet(t)
 	watcher, rest := split(t, ds)
 	is.NoErr(watcher.view.Step(t.Context()))
 	for _, d := range rest {
@@ -174,7 +174,7 @@
 // must not take its view for young: a key that was taken away would live on.
 func TestOldViewOfAWatcherIsLeft(t *testing.T) {
 	is := is.New(t)
-	ds, _, _, clock := fleet(t)
+	ds, _, clock := fleet(t)
 	watcher, rest := split(t, ds)
 	is.NoErr(watcher.view.Step(t.Context()))
 	d := rest[0]
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -145,17 +145,23 @@
 	return r
 }
 
-func (s *site) do(r *http.Request) (*http.Response, string, error) {
+// reply is an answer whose body was read.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func (s *site) do(r *http.Request) (reply, string, error) {
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return nil, "", err
+		return reply{}, "", err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
+	return reply{resp.StatusCode, resp.Header}, string(b), err
 }
 
-func (s *site) post(path, body string) (*http.Response, string, error) {
+func (s *site) post(path, body string) (reply, string, error) {
 	return s.do(s.request(s.t.Context(), path, body))
 }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -61,14 +61,14 @@
 	return cell.New(names)
 }
 
-func fleet(n int) ([]*daemon, *clockwork.FakeClock) {
+func pair() ([]*daemon, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	var live []fireflypath.Member
-	for i := range n {
+	for i := range 2 {
 		live = append(live, fireflypath.Member{Name: fmt.Sprint("d", i), Incarnation: 1})
 	}
 	var out []*daemon
-	for i := range n {
+	for i := range 2 {
 		d := &daemon{name: fmt.Sprint("d", i), live: live, used: map[string]float64{}, heard: map[string]float64{}}
 		d.report = fireflypath.Mate{Flights: map[string]int{}, Waits: map[string]int{}}
 		d.u = usage.New(d.name, d, d, d, d, clock, tally.NoopScope)
@@ -88,7 +88,7 @@
 
 func TestFlightsAreHeard(t *testing.T) {
 	is := is.New(t)
-	ds, _ := fleet(2)
+	ds, _ := pair()
 	a, b := ds[0], ds[1]
 	a.report.Flights = map[string]int{"t1": 3}
 	a.report.Waits = map[string]int{"p": 2}
@@ -106,7 +106,7 @@
 // its places would stay empty for good.
 func TestSilentDaemonsFlightsEnd(t *testing.T) {
 	is := is.New(t)
-	ds, clock := fleet(2)
+	ds, clock := pair()
 	a, b := ds[0], ds[1]
 	a.report.Flights = map[string]int{"t1": 3}
 	tell(a, b)
@@ -122,7 +122,7 @@
 // must count.
 func TestRestartedDaemonsUseCounts(t *testing.T) {
 	is := is.New(t)
-	ds, clock := fleet(2)
+	ds, clock := pair()
 	a, b := ds[0], ds[1]
 	a.used["red"] = 100
 	tell(a, b)
@@ -144,7 +144,7 @@
 // A daemon that starts takes over what the others' buckets hold.
 func TestLevelsAreTakenOver(t *testing.T) {
 	is := is.New(t)
-	ds, _ := fleet(2)
+	ds, _ := pair()
 	tell(ds[0], ds[1])
 	is.Equal(ds[1].adopted, map[string]float64{"red": 7})
 }
@@ -152,7 +152,7 @@
 // An older message on another connection comes late: it changes nothing.
 func TestOlderMessageIsIgnored(t *testing.T) {
 	is := is.New(t)
-	ds, _ := fleet(2)
+	ds, _ := pair()
 	a, b := ds[0], ds[1]
 	a.report.Flights = map[string]int{"t1": 3}
 	a.u.Step()
