--- a/internal/decide/slots/mates.go
+++ b/internal/decide/slots/mates.go
@@ -33,6 +33,21 @@
 	if r, ok := s.top(); ok {
 		m.Waits[s.pool.Name] = r
 	}
+	for _, t := range s.order {
+		if t.known() {
+			m.Speeds[t.Name] = fireflypath.Speed{Prefill: coarse(t.speed.Prefill()), Decode: coarse(t.speed.Decode())}
+		}
+	}
+}
+
+// coarse rounds a speed down to two digits: small changes are not worth telling.
+func coarse(v float64) int {
+	n, unit := int(v), 1
+	for n >= 100 {
+		n /= 10
+		unit *= 10
+	}
+	return n * unit
 }
 
 // top is the highest rank that waits.
@@ -59,6 +74,10 @@
 		sum := 0
 		for _, m := range mates {
 			sum += m.Flights[t.Name]
+			if v, ok := m.Speeds[t.Name]; ok && !t.known() {
+				t.speed.Adopt(float64(v.Prefill), float64(v.Decode))
+				s.learned(t)
+			}
 		}
 		if sum < t.elsewhere {
 			t.freed = now
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -254,7 +254,7 @@
 	tell := func(now time.Time) {
 		var mates []fireflypath.Mate
 		for d, s := range all {
-			m := fireflypath.Mate{Name: fmt.Sprint("d", d), Flights: map[string]int{}, Waits: map[string]int{}}
+			m := fireflypath.Mate{Name: fmt.Sprint("d", d), Flights: map[string]int{}, Waits: map[string]int{}, Speeds: map[string]fireflypath.Speed{}}
 			s.Report(&m)
 			mates = append(mates, m)
 		}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -306,10 +306,15 @@
 	t := f.target
 	t.prefill -= w.Cost.Prompt
 	t.speed.First(now, w.Cost.Prompt+f.before, now.Sub(f.sent))
+	s.learned(t)
+	t.good()
+}
+
+// learned keeps the fastest target known.
+func (s *Sched) learned(t *target) {
 	if t.speed.Prefill() > s.fast {
 		s.fast, s.best = t.speed.Prefill(), t
 	}
-	t.good()
 }
 
 // land takes work out of flight.
--- a/internal/decide/speed/speed.go
+++ b/internal/decide/speed/speed.go
@@ -71,6 +71,13 @@
 	s.decode += smooth * (rate - s.decode)
 }
 
+// Adopt takes over what another daemon learned, if nothing is known here.
+func (s *Speed) Adopt(prefill, decode float64) {
+	if s.prefill == 0 && s.decode == 0 {
+		s.prefill, s.decode = prefill, decode
+	}
+}
+
 // Prefill is in tokens a second, 0 if unknown.
 func (s *Speed) Prefill() float64 { return s.prefill }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,6 +26,10 @@
 	// bounds how late a store that is back is noticed.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 400 * time.Millisecond
+	// gather is how long a daemon that watches waits after a change before it
+	// watches again. Changes come in groups, as when a fleet starts: each by
+	// itself cost a call for each watcher.
+	gather = 120 * time.Millisecond
 	// returnTime is how long after the store's return a target may take to
 	// register again, if its registration lapsed meanwhile (users' second letter:
 	// about two seconds).
@@ -68,6 +72,8 @@
 	targets map[string]fireflypath.Target
 	// missing holds since when targets are missed that may register again.
 	missing map[string]time.Time
+	// changes is true if the last step brought changes from the store itself.
+	changes bool
 	// lost is true while the store does not answer.
 	lost bool
 	// hold is until when a removal may be a registration that lapsed while the
@@ -137,23 +143,32 @@
 	for ctx.Err() == nil {
 		err := d.Step(ctx)
 		d.count.age.Update(d.clock.Since(d.Fresh()).Seconds())
-		if err == nil {
+		switch {
+		case err != nil:
+			d.sleep(ctx, pause)
+			pause = min(2*pause, retryMax)
+		case d.changes:
+			d.sleep(ctx, gather)
+			pause = retryFirst
+		default:
 			pause = retryFirst
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-d.clock.After(pause):
 		}
-		pause = min(2*pause, retryMax)
 	}
 	return ctx.Err()
 }
 
+func (d *Directory) sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(pause):
+	}
+}
+
 // Step makes one call: a read of everything, or one watch.
 func (d *Directory) Step(ctx context.Context) error {
 	sent := d.clock.Now()
 	d.forget(sent)
+	d.changes = false
 	var err error
 	if d.revision == 0 {
 		err = d.read(ctx, sent)
@@ -229,6 +244,7 @@
 		d.extend(sent, got.Hold)
 	}
 	before := d.revision
+	d.changes = len(got.Entries) > 0 && !got.Relayed
 	for _, e := range got.Entries {
 		d.take(e)
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -49,6 +49,8 @@
 	Flights map[string]int `json:"f,omitempty"`
 	// Waits is the highest rank waiting in each pool; -1 is nothing.
 	Waits map[string]int `json:"w,omitempty"`
+	// Speeds is what the sender learned of targets.
+	Speeds map[string]fireflypath.Speed `json:"v,omitempty"`
 	// Used is the sum of units of each team's quota since the daemon's start.
 	Used map[string]int64 `json:"q,omitempty"`
 	// Levels is what the sender's copies of the quotas' buckets hold; it is told
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -82,6 +82,7 @@
 	// now holds what this daemon has in flight and used.
 	flights map[string]int
 	waits   map[string]int
+	speeds  map[string]fireflypath.Speed
 	used    map[string]int64
 	// sent is what each peer was told.
 	sent map[string]*sent
@@ -93,6 +94,7 @@
 type sent struct {
 	flights map[string]int
 	waits   map[string]int
+	speeds  map[string]fireflypath.Speed
 	used    map[string]int64
 	whole   time.Time
 }
@@ -105,6 +107,8 @@
 	at      time.Time
 	flights map[string]int
 	waits   map[string]int
+	// speeds is what it told since they were last taken over.
+	speeds map[string]fireflypath.Speed
 	// used is by team; a team not in it was not heard of since the connection.
 	used map[string]int64
 	// known is true once all of used was told.
@@ -147,7 +151,7 @@
 	now := u.clock.Now()
 	u.mu.Lock()
 	changed := !maps.Equal(report.Flights, u.flights) || !maps.Equal(report.Waits, u.waits)
-	u.flights, u.waits = report.Flights, report.Waits
+	u.flights, u.waits, u.speeds = report.Flights, report.Waits, report.Speeds
 	for team, n := range used {
 		v := int64(n)
 		changed = changed || u.used[team] != v
@@ -173,7 +177,8 @@
 		if !slices.Contains(names, name) || now.Sub(m.at) > staleAfter {
 			continue
 		}
-		mates = append(mates, fireflypath.Mate{Name: name, Flights: maps.Clone(m.flights), Waits: maps.Clone(m.waits)})
+		mates = append(mates, fireflypath.Mate{Name: name, Flights: maps.Clone(m.flights), Waits: maps.Clone(m.waits), Speeds: m.speeds})
+		m.speeds = nil // each is taken over once
 	}
 	u.mu.Unlock()
 	u.pools.Hear(mates)
@@ -201,7 +206,13 @@
 	first := s == nil
 	whole := first || now.Sub(s.whole) >= wholeEvery
 	if whole {
-		s = &sent{flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{}, whole: now}
+		s = &sent{
+			flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
+			speeds: map[string]fireflypath.Speed{}, whole: now,
+		}
+		if !first {
+			s.speeds = u.sent[to].speeds // the first ones are what matters
+		}
 		u.sent[to] = s
 	}
 	out := &peer.Usage{Whole: whole}
@@ -210,13 +221,19 @@
 	}
 	out.Flights = changes(s.flights, u.flights, 0)
 	out.Waits = changes(s.waits, u.waits, nothing)
+	for target, v := range u.speeds {
+		if _, told := s.speeds[target]; !told {
+			out.Speeds = put(out.Speeds, target, v)
+			s.speeds[target] = v
+		}
+	}
 	for team, n := range u.used {
 		if layout.Cells() == 1 && (s.used[team] != n || whole) {
 			out.Used = put(out.Used, team, n)
 			s.used[team] = n
 		}
 	}
-	if !whole && out.Flights == nil && out.Waits == nil && out.Used == nil {
+	if !whole && out.Flights == nil && out.Waits == nil && out.Speeds == nil && out.Used == nil {
 		return
 	}
 	u.number++
@@ -284,6 +301,9 @@
 			delete(m.waits, pool)
 		}
 	}
+	for target, v := range in.Speeds {
+		m.speeds = put(m.speeds, target, v)
+	}
 	spent := m.spend(in)
 	u.mu.Unlock()
 	u.limits.Adopt(now, in.Levels)
@@ -307,6 +327,7 @@
 	m.start, m.number = start, 0
 	clear(m.flights)
 	clear(m.waits)
+	m.speeds = nil
 	clear(m.used)
 }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -93,7 +93,8 @@
 	a.report.Flights = map[string]int{"t1": 3}
 	a.report.Waits = map[string]int{"p": 2}
 	tell(a, b)
-	is.Equal(b.mates, []fireflypath.Mate{{Name: "d0", Flights: map[string]int{"t1": 3}, Waits: map[string]int{"p": 2}}})
+	is.Equal(b.mates[0].Flights, map[string]int{"t1": 3})
+	is.Equal(b.mates[0].Waits, map[string]int{"p": 2})
 	a.report.Flights = map[string]int{"t2": 1}
 	a.report.Waits = map[string]int{}
 	tell(a, b)
--- a/scheduler.go
+++ b/scheduler.go
@@ -203,4 +203,13 @@
 	// Waits is the highest rank that waits there, by pool; a pool that is not in
 	// it has nothing waiting.
 	Waits map[string]int
+	// Speeds is what it learned of targets.
+	Speeds map[string]Speed
+}
+
+// Speed is how fast a target works for one request, in tokens a second to
+// prefill and events a second to generate.
+type Speed struct {
+	Prefill int `json:"p"`
+	Decode  int `json:"d"`
 }
