--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,7 +20,7 @@
 const (
 	methodFollow = "follow"
 	// relayWait is how long a watcher holds a call back while nothing changes.
-	relayWait = 800 * time.Millisecond
+	relayWait = 500 * time.Millisecond
 	// callTime is what a call to a watcher may take beyond that.
 	callTime = 300 * time.Millisecond
 	// oldView is the age at which a watcher's view is of no use: it has missed a
