--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -20,6 +20,7 @@
 		newLoadCommand(),
 		newTrialCommand(),
 		newFleetCommand(),
+		newSoakCommand(),
 		doCommand(),
 		askCommand(),
 		shellCommand(),
--- /dev/null
+++ b/cmd/fireflypath/soak.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypath/fireflypath/internal/soak"
+)
+
+func newSoakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run real daemons under random faults and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "the daemon's `FILE`", Value: "target/fireflypathd"},
+			&cli.IntFlag{Name: "seeds", Usage: "number of runs", Value: 1},
+			&cli.Uint64Flag{Name: "seed", Usage: "first seed", Value: 1},
+			&cli.DurationFlag{Name: "for", Usage: "how long faults strike in a run", Value: 15 * time.Second},
+			&cli.IntFlag{Name: "daemons", Value: 3},
+			&cli.IntFlag{Name: "targets", Value: 5},
+			&cli.IntFlag{Name: "callers", Value: 24},
+			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs; those of broken runs stay", Value: "target/soak"},
+			&cli.BoolFlag{Name: "mute", Usage: "no faults"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	w := c.Root().Writer
+	faults, checked, requests, bad := map[string]int{}, map[string]int{}, 0, 0
+	for i := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(i)
+		dir := filepath.Join(c.String("dir"), strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(dir, 0o750); err != nil {
+			return errors.Wrap(err, "make the folder for logs")
+		}
+		res, err := soak.Run(ctx, soak.Options{
+			Program: c.String("program"), Seed: seed, For: c.Duration("for"), Dir: dir, Mute: c.Bool("mute"),
+			Daemons: c.Int("daemons"), Targets: c.Int("targets"), Callers: c.Int("callers"),
+		})
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+		requests += res.Requests
+		add(faults, res.Faults)
+		add(checked, res.Checked)
+		if len(res.Broken) == 0 {
+			if err := os.RemoveAll(dir); err != nil {
+				return errors.Wrap(err, "remove the logs of a good run")
+			}
+			continue
+		}
+		bad++
+		if err := printBroken(w, seed, dir, res.Broken); err != nil {
+			return err
+		}
+	}
+	if err := printSoak(w, faults, checked); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "soak: seeds=%d requests=%d broken=%d\n", c.Int("seeds"), requests, bad); err != nil {
+		return err
+	}
+	if bad > 0 {
+		return coded{error: errors.Newf("%d seeds broke a promise", bad), code: exitRefused}
+	}
+	return nil
+}
+
+func add(sum, more map[string]int) {
+	for k, n := range more {
+		sum[k] += n
+	}
+}
+
+// shownBroken bounds the lines of one seed: the first ones tell the cause.
+const shownBroken = 5
+
+func printBroken(w io.Writer, seed uint64, dir string, broken []string) error {
+	if _, err := fmt.Fprintf(w, "seed %d broke %d checks, logs in %s\n", seed, len(broken), dir); err != nil {
+		return err
+	}
+	for _, b := range broken[:min(len(broken), shownBroken)] {
+		if _, err := fmt.Fprintf(w, "  %s\n", b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printSoak(w io.Writer, faults, checked map[string]int) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range soak.Faults() {
+		if _, err := fmt.Fprintf(tw, "%s\t%d\n", f, faults[f]); err != nil {
+			return err
+		}
+	}
+	for _, p := range soak.Promises() {
+		if _, err := fmt.Fprintf(tw, "%s\t%d checks\n", p, checked[p]); err != nil {
+			return err
+		}
+	}
+	return tw.Flush()
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Figures of the settings that the promises are checked against.
+const (
+	revokeTime = 5 * time.Second
+	forceTime  = 2 * time.Second
+	drainTime  = 2 * time.Second
+	graceTime  = 4 * time.Second
+	// calmTime is how long after a fault a daemon is not held to its times.
+	calmTime = 4 * time.Second
+)
+
+// process is one daemon, started again under the same name and addresses.
+type process struct {
+	name    string
+	program string
+	file    string
+	log     *os.File
+	callers string
+	ready   string
+	store   *proxy
+
+	// busy is true while it is being restarted.
+	busy atomic.Bool
+	// harmed is when a fault of this daemon last began or ended, in Unix
+	// nanoseconds.
+	harmed atomic.Int64
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the process has ended.
+	done chan struct{}
+}
+
+func newProcess(dir, program, name, storeAddr string, seeds []string, ports [4]int) (*process, error) {
+	p, err := newProxy(storeAddr)
+	if err != nil {
+		return nil, err
+	}
+	at := func(i int) string { return "127.0.0.1:" + strconv.Itoa(ports[i]) }
+	settings := map[string]any{
+		"name": name, "domain": "a",
+		"listen":   map[string]any{"callers": at(0), "ready": at(1), "peers": at(2), "operators": at(3)},
+		"platform": map[string]any{"addr": p.addr(), "timeout": "800ms"},
+		"peers":    map[string]any{"seeds": seeds, "plain": true},
+		"gate": map[string]any{
+			"revoked": revokeTime.String(), "force": forceTime.String(), "grace": graceTime.String(),
+			"retries": map[string]any{"ratio": 1, "window": "10s", "allowance": 100},
+			"quotas":  map[string]any{},
+		},
+	}
+	b, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(dir, name+".jsonc")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	return &process{name: name, program: program, file: file, log: log, callers: at(0), ready: at(1), store: p}, nil
+}
+
+// freePorts finds ports that nobody listens on.
+func freePorts() ([4]int, error) {
+	var out [4]int
+	for i := range out {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return out, err
+		}
+		defer ln.Close()
+		out[i] = ln.Addr().(*net.TCPAddr).Port
+	}
+	return out, nil
+}
+
+// hurt notes a fault of this daemon.
+func (p *process) hurt() { p.harmed.Store(time.Now().UnixNano()) }
+
+// calm is true if nothing happened to the daemon for a while, so that it may be
+// held to its times.
+func (p *process) calm() bool {
+	return !p.busy.Load() && time.Since(time.Unix(0, p.harmed.Load())) > calmTime
+}
+
+func (p *process) start() error {
+	p.hurt()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.program, "run", "--settings", p.file)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // how it ended is in its log
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to this process, which the soak started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// restart ends the process by a signal and starts it again.
+func (p *process) restart(s syscall.Signal, down time.Duration) error {
+	p.signal(s)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(2 * graceTime):
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+	time.Sleep(down)
+	return p.start()
+}
+
+// up is true if the balancer would send callers to the daemon.
+func (p *process) up() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + p.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	p.store.close()
+	p.log.Close()
+}
