--- a/cmd/fireflypathd/reload.go
+++ b/cmd/fireflypathd/reload.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 )
 
@@ -27,7 +28,7 @@
 			}
 			next, err := settings.Load(path)
 			if err != nil {
-				log.Error("settings refused, the last good ones stay in force", zap.Error(err))
+				log.Error("settings refused, the last good ones stay in force", logs.Cause(err))
 				continue
 			}
 			log.Info("settings read again", zap.Bool("changed", !reflect.DeepEqual(next, cfg)))
--- a/cmd/fireflypathd/run.go
+++ b/cmd/fireflypathd/run.go
@@ -59,7 +59,7 @@
 	s := <-signals
 	log.Info("planned stop", zap.Stringer("signal", s))
 	err = stop(ctx, d, cfg.Stop.Limit.Std(), signals)
-	log.Info("stopped", zap.Error(err), zap.Int64("dropped", w.Dropped()))
+	log.Info("stopped", logs.Cause(err), zap.Int64("dropped", w.Dropped()))
 	return err
 }
 
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -19,6 +19,7 @@
 	ceilings "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/grants"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/usage"
@@ -183,7 +184,7 @@
 	d.work.Go(func() { _ = d.members.Run(d.ctx) })
 	d.work.Go(func() {
 		if err := d.peers.Serve(d.peerPort); !errors.Is(err, peer.ErrClosed) {
-			log.Error("no longer listening for peers", zap.Error(err))
+			log.Error("no longer listening for peers", logs.Cause(err))
 		}
 	})
 	return nil
@@ -318,7 +319,7 @@
 	d.entryAddr = ln.Addr().String()
 	d.work.Go(func() {
 		if err := d.entry.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			d.deps.Log.Error("no longer listening for callers", zap.Error(err))
+			d.deps.Log.Error("no longer listening for callers", logs.Cause(err))
 		}
 	})
 	return nil
@@ -340,7 +341,7 @@
 		d.pools.Stop(moving)
 	})
 	if err := d.entry.Shutdown(ctx); err != nil {
-		d.deps.Log.Info("planned stop at its limit", zap.Error(err))
+		d.deps.Log.Info("planned stop at its limit", logs.Cause(err))
 	}
 	return d.entry.Close()
 }
@@ -382,7 +383,7 @@
 	d.readyServer = srv
 	d.work.Go(func() {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			d.deps.Log.Error("no longer listening for the balancer", zap.Error(err))
+			d.deps.Log.Error("no longer listening for the balancer", logs.Cause(err))
 		}
 	})
 	return nil
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
 const (
@@ -191,7 +192,7 @@
 	}
 	if !d.lost {
 		d.lost = true
-		d.log.Warn("store lost", zap.Error(err), zap.Duration("age", d.clock.Since(d.Fresh())))
+		d.log.Warn("store lost", logs.Cause(err), zap.Duration("age", d.clock.Since(d.Fresh())))
 	}
 	return err
 }
@@ -308,7 +309,7 @@
 	}
 	t, err := d.codec.Target(e.Key, e.Value)
 	if err != nil {
-		d.log.Error("registration of a target refused", zap.String("key", e.Key), zap.Error(err))
+		d.log.Error("registration of a target refused", zap.String("key", e.Key), logs.Cause(err))
 		return
 	}
 	delete(d.missing, name)
@@ -328,7 +329,7 @@
 	}
 	cfg, err := d.codec.Config(e.Value)
 	if err != nil {
-		d.log.Error("configuration refused, the last good one stays in force", zap.Error(err),
+		d.log.Error("configuration refused, the last good one stays in force", logs.Cause(err),
 			zap.Uint64("revision", e.Revision), zap.Uint64("version", d.base.Version))
 		return
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/record/draft"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
@@ -55,7 +56,7 @@
 		if why := g.barred(c, out); why != "" {
 			g.deps.Log.Info("no further attempt", zap.String("request", c.id), zap.String("route", c.route.Name),
 				zap.String("target", t.target.Name), zap.String("result", t.result), zap.String("why", why))
-			return g.settle(c, notRun(fireflypath.ReasonTargetRefused, "targets refused the request: "+t.result, again))
+			return g.settle(c, notRun(fireflypath.ReasonTargetRefused, "no target gave an answer: "+t.result, again))
 		}
 		g.meter.repeats.Inc(1)
 		g.deps.Log.Info("another attempt", zap.String("request", c.id), zap.String("route", c.route.Name),
@@ -195,7 +196,7 @@
 			g.fail(c, t)
 			return outcomeUnknown, nil
 		}
-		g.deps.Log.Info("target took no connection", zap.String("request", c.id), zap.String("target", t.target.Name), zap.Error(err))
+		g.deps.Log.Info("target took no connection", zap.String("request", c.id), zap.String("target", t.target.Name), logs.Cause(err))
 		if ref := g.unsent(c, t, unsent); ref != nil {
 			return outcomeDone, g.settle(c, ref)
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -78,7 +79,7 @@
 				break
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			to.Close()
 			from.Close()
 			return
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -66,7 +66,7 @@
 
 func (t *target) crash() {
 	t.proxy.close()
-	t.srv.Close()
+	_ = t.srv.Close() // a crash has no use for the error
 }
 
 func (t *target) chance(part uint64) bool {
