fix(directory): the age of a view counts suspended time; lives of daemons are drawn

Cause (found by reading): ages were taken by the time of day, which jumps, and the steady clock stands still while a host is suspended: a view could pass for young and revoked keys would run. A daemon restarted under a clock set back was ignored by its mates; repeats' windows moved with the time of day. Change: ages by the kernel's boot clock; a drawn number for each life; windows from a fixed base. Silent targets are given up after 2 s instead of 3 s.

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/boottime"
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/directory"
@@ -128,7 +129,7 @@
 		relay = follow.New(d.cfg.Name, d.cfg.Domain, feed, d.peers, d.members, d.deps.Clock, d.scope)
 		feed = relay
 	}
-	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, d.scope, d.deps.Log)
+	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log)
 	if relay != nil {
 		relay.Serve(d.directory)
 	}
@@ -403,7 +404,7 @@
 	if len(cfg.Routes) == 0 || len(cfg.Targets) == 0 {
 		return false
 	}
-	return d.deps.Clock.Since(d.directory.Fresh()) < d.cfg.Gate.Revoked.Std()-viewMargin
+	return d.directory.Age() < d.cfg.Gate.Revoked.Std()-viewMargin
 }
 
 // gatedReadiness is the last thing up and the first down.
--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -23,6 +23,8 @@
 
 	requests, repeats [cells + 1]int
 	cell              int64
+	// base is when counting began: a time of day that jumps moves no cell.
+	base time.Time
 }
 
 // Request counts a request of a caller.
@@ -43,7 +45,10 @@
 
 // pass clears the cells that time has gone by.
 func (b *Budget) pass(now time.Time) {
-	cell := now.UnixNano() / (int64(b.Window) / cells)
+	if b.base.IsZero() {
+		b.base = now
+	}
+	cell := int64(now.Sub(b.base)) / (int64(b.Window) / cells)
 	if cell-b.cell > cells {
 		b.requests, b.repeats = [cells + 1]int{}, [cells + 1]int{}
 		b.cell = cell
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -11,11 +11,15 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
 )
 
 const (
+	// ranks is the number of tiers that work can have.
+	ranks = 16
 	// defaultSlots is for targets that do not say how many slots they have.
 	defaultSlots = 4
 	// drainHorizon is the time over which the rate of ended work is measured:
@@ -28,6 +32,11 @@
 	// shortest and longest bound the time that a refused caller is told.
 	shortest = 300 * time.Millisecond
 	longest  = 10 * time.Second
+	// leastSpare is the part of the capacity that is taken to be spare for a
+	// backlog in an overload of which the end is not known.
+	leastSpare = 0.2
+	// jitter spreads the times that refused callers are told by so much.
+	jitter = 0.25
 	// last is how long before its deadline waiting work is given up: less than
 	// the shortest answers take, it could only be cut.
 	last = 30 * time.Millisecond
@@ -45,6 +54,8 @@
 	drain   rate.Meter
 	// hold is how long work holds its place, in seconds.
 	hold float64
+	// arrivals is by rank, in requests.
+	arrivals [ranks]rate.Meter
 	// fast is the best known prefill speed in tokens a second.
 	fast float64
 	// best is the target with that speed.
@@ -72,16 +83,21 @@
 // New returns a scheduler without targets. The seed differs between daemons, so
 // that equal views do not give equal choices.
 func New(pool fireflypath.Pool, seed uint64) *Sched {
-	return &Sched{
+	s := &Sched{
 		pool: pool, seed: seed, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, flights: map[*fireflypath.Work]flight{},
 		drain: rate.Meter{Horizon: drainHorizon},
 	}
+	for i := range s.arrivals {
+		s.arrivals[i].Horizon = drainHorizon
+	}
+	return s
 }
 
 // Offer takes work in, or refuses it if its turn would come too late.
 func (s *Sched) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
 	s.lowest = max(s.lowest, w.Rank)
+	s.arrivals[min(max(w.Rank, 0), ranks-1)].Add(now, 1)
 	s.drain.Pass(now, len(s.waiting) > 0)
 	if wait, ok := s.wait(now, w); ok && wait > time.Duration(hopeless*float64(end(w).Sub(now))) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
@@ -119,14 +135,49 @@
 	if ahead <= 0 {
 		return 0, true
 	}
+	r := s.capacity()
+	if r <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(ahead) / r * float64(time.Second)), true
+}
+
+// capacity is how much work ends in a second, 0 if that is not known.
+func (s *Sched) capacity() float64 {
 	r := s.drain.Rate()
 	if s.hold > 0 {
 		r = max(r, float64(len(s.flights))/s.hold)
 	}
-	if r <= 0 {
-		return 0, false
+	return r
+}
+
+// room is when there will be room for the work if it comes back: when what waits
+// before it has been served beside what goes on to arrive. Told the time of its
+// own turn only, its caller would come back into a queue as long as before.
+func (s *Sched) room(now time.Time, w *fireflypath.Work) time.Duration {
+	capacity := s.capacity()
+	if capacity <= 0 {
+		return shortest
 	}
-	return time.Duration(float64(ahead) / r * float64(time.Second)), true
+	ahead, arriving := 1.0, 0.0
+	for _, o := range s.waiting {
+		if o.Rank <= w.Rank {
+			ahead++
+		}
+	}
+	for r := range min(w.Rank+1, len(s.arrivals)) {
+		s.arrivals[r].Pass(now, true)
+		arriving += s.arrivals[r].Rate()
+	}
+	spare := max(capacity-arriving, leastSpare*capacity)
+	sec := ahead / spare * (1 + jitter*(2*s.lot(w)-1))
+	return min(max(time.Duration(sec*float64(time.Second)), shortest), longest)
+}
+
+// lot is a number between 0 and 1 for a request, so that callers who were
+// refused together do not come back together.
+func (s *Sched) lot(w *fireflypath.Work) float64 {
+	return float64(mix(xxhash.Sum64String(w.ID))>>11) / (1 << 53)
 }
 
 // free is the number of places that are free at targets in use.
@@ -141,14 +192,7 @@
 }
 
 func (s *Sched) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	after, ok := s.wait(now, w)
-	if !ok {
-		after = shortest
-	}
-	return fireflypath.Shed{
-		Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail,
-		RetryAfter: min(max(after, shortest), longest),
-	}
+	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: s.room(now, w)}
 }
 
 // before reports whether a is served before b. Work that can still begin in
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -171,6 +171,49 @@
 	is.True(late < 10)
 }
 
+// Many callers are refused together. The times they are told lie apart, so that
+// they do not come back together, and grow with what waits before them.
+func TestRefusedCallersComeBackApart(t *testing.T) {
+	is := is.New(t)
+	told := func(waiting int) (least, most time.Duration) {
+		s := sched(1)
+		now := start
+		var flying []fireflypath.Placement
+		for i := range 40 { // five a second are served
+			now = now.Add(200 * time.Millisecond)
+			s.Offer(now, work(fmt.Sprint("w", i), 0, now), nil)
+			flying = append(flying, next(s, now)...)
+			if len(flying) >= 5 {
+				done(s, now, flying[0], time.Second)
+				flying = flying[1:]
+			}
+		}
+		for i := range waiting {
+			w := work(fmt.Sprint("q", i), 0, now)
+			w.Leaves = now.Add(time.Minute)
+			w.Deadline = now.Add(time.Minute)
+			s.Offer(now, w, nil)
+			next(s, now)
+		}
+		for i := range 20 {
+			w := work(fmt.Sprint("r", i), 0, now)
+			w.Leaves = now.Add(10 * time.Millisecond)
+			for _, sh := range s.Offer(now, w, nil) {
+				if least == 0 || sh.RetryAfter < least {
+					least = sh.RetryAfter
+				}
+				most = max(most, sh.RetryAfter)
+			}
+		}
+		return least, most
+	}
+	least, most := told(10)
+	is.True(least > 0)
+	is.True(most > least+least/4)
+	longer, _ := told(100)
+	is.True(longer > least)
+}
+
 // Waiting work is given up while its caller can still come back.
 func TestWaitingEndsBeforeTheCallerLeaves(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/boottime"
 	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
@@ -27,6 +28,8 @@
 	// bounds how late a store that is back is noticed.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 400 * time.Millisecond
+	// answerTime is what an answer of the store takes at most when all is well.
+	answerTime = 250 * time.Millisecond
 	// gather is how long a daemon that watches waits after a change before it
 	// watches again. Changes come in groups, as when a fleet starts: each by
 	// itself cost a call for each watcher.
@@ -47,11 +50,13 @@
 	feed  fireflypath.Feed
 	codec fireflypath.Codec
 	clock clockwork.Clock
+	boot  boottime.Clock
 	log   *zap.Logger
 	count counters
 
 	current atomic.Pointer[fireflypath.Config]
-	// fresh is the time, in nanoseconds, at which the view was surely the newest.
+	// fresh is when the view was surely the newest, in nanoseconds of boot; 0
+	// before any view.
 	fresh atomic.Int64
 
 	mu      sync.Mutex
@@ -93,10 +98,12 @@
 )
 
 // New returns a directory with the empty configuration.
-func New(feed fireflypath.Feed, codec fireflypath.Codec, clock clockwork.Clock, scope tally.Scope, log *zap.Logger) *Directory {
+func New(feed fireflypath.Feed, codec fireflypath.Codec, clock clockwork.Clock, boot boottime.Clock,
+	scope tally.Scope, log *zap.Logger,
+) *Directory {
 	scope = scope.SubScope("directory")
 	d := &Directory{
-		feed: feed, codec: codec, clock: clock, log: log,
+		feed: feed, codec: codec, clock: clock, boot: boot, log: log,
 		changed: make(chan struct{}), moved: make(chan struct{}),
 		kept:    map[string]fireflypath.Entry{},
 		base:    &fireflypath.Config{},
@@ -129,13 +136,16 @@
 	return d.changed
 }
 
-// Fresh is a time at which the view was surely the newest; zero before any read.
-func (d *Directory) Fresh() time.Time {
-	n := d.fresh.Load()
-	if n == 0 {
-		return time.Time{}
+// unseen is the age of a view that there is not.
+const unseen = 1000 * time.Hour
+
+// Age is the time since the view was surely the newest, at most.
+func (d *Directory) Age() time.Duration {
+	at := d.fresh.Load()
+	if at == 0 {
+		return unseen
 	}
-	return time.Unix(0, n)
+	return d.boot.Elapsed() - time.Duration(at)
 }
 
 // Run follows the store until the context ends.
@@ -143,7 +153,7 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		err := d.Step(ctx)
-		d.count.age.Update(d.clock.Since(d.Fresh()).Seconds())
+		d.count.age.Update(d.Age().Seconds())
 		switch {
 		case err != nil:
 			d.sleep(ctx, pause)
@@ -167,8 +177,8 @@
 
 // Step makes one call: a read of everything, or one watch.
 func (d *Directory) Step(ctx context.Context) error {
-	sent := d.clock.Now()
-	d.forget(sent)
+	sent := d.boot.Elapsed()
+	d.forget(d.clock.Now())
 	d.changes = false
 	var err error
 	if d.revision == 0 {
@@ -192,7 +202,7 @@
 	}
 	if !d.lost {
 		d.lost = true
-		d.log.Warn("store lost", logs.Cause(err), zap.Duration("age", d.clock.Since(d.Fresh())))
+		d.log.Warn("store lost", logs.Cause(err), zap.Duration("age", d.Age()))
 	}
 	return err
 }
@@ -210,7 +220,7 @@
 }
 
 // read replaces the view.
-func (d *Directory) read(ctx context.Context, sent time.Time) error {
+func (d *Directory) read(ctx context.Context, sent time.Duration) error {
 	d.count.reads.Inc(1)
 	all, err := d.feed.Snapshot(ctx, "")
 	if err != nil {
@@ -228,21 +238,22 @@
 	}
 	d.restart(all)
 	d.publish()
-	d.proved(sent.Add(-all.Age))
+	d.proved(sent - all.Age)
 	return nil
 }
 
 // watch waits for changes. It always goes on from the last change seen, never
 // from the store's own revision: a watch that is deaf for a while would step
 // over what it did not hear. The difference shows it instead.
-func (d *Directory) watch(ctx context.Context, sent time.Time) error {
+func (d *Directory) watch(ctx context.Context, sent time.Duration) error {
 	d.count.watches.Inc(1)
-	got, err := d.feed.Follow(ctx, "", d.revision, d.patience())
+	wait := d.patience()
+	got, err := d.feed.Follow(ctx, "", d.revision, wait)
 	if err != nil {
 		return err
 	}
 	if got.Relayed {
-		d.extend(sent, got.Hold)
+		d.extend(got.Hold)
 	}
 	before := d.revision
 	d.changes = len(got.Entries) > 0 && !got.Relayed
@@ -255,7 +266,7 @@
 	case got.Relayed:
 		// The answer was given after the question, so the view was the newest at
 		// the question's time less the age at the answer's.
-		d.proved(sent.Add(-got.Age))
+		d.proved(sent - got.Age)
 		return nil
 	case got.Revision > d.revision:
 		d.log.Info("store has changes that the watch did not bring, reading everything",
@@ -263,9 +274,10 @@
 		d.reset()
 		return nil
 	case len(got.Entries) == 0 && got.Revision == before:
-		// The store held the call for its whole wait and nothing had changed.
-		if held := sent.Add(watchWait); !held.After(d.clock.Now()) {
-			sent = held
+		// The store held the call for its whole wait and nothing had changed. An
+		// answer that took much longer may have been given early and read late.
+		if took := d.boot.Elapsed() - sent; took >= wait && took < wait+answerTime {
+			sent += wait
 		}
 	}
 	d.proved(sent)
@@ -282,8 +294,8 @@
 }
 
 // proved moves the view's time forward.
-func (d *Directory) proved(at time.Time) {
-	if n := at.UnixNano(); n > d.fresh.Load() {
+func (d *Directory) proved(at time.Duration) {
+	if n := max(int64(at), 1); n > d.fresh.Load() {
 		d.fresh.Store(n)
 	}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -36,6 +36,11 @@
 	return t, json.Unmarshal(value, &t)
 }
 
+// boot runs with the fake clock, from its own beginning.
+type boot struct{ clock clockwork.Clock }
+
+func (b boot) Elapsed() time.Duration { return b.clock.Since(time.Unix(0, 0)) }
+
 // feed answers the next call as the test says.
 type feed struct {
 	clock *clockwork.FakeClock
@@ -83,11 +88,12 @@
 	return strings.Join(out, " ")
 }
 
+// start reads all that there is.
 func start(t *testing.T, all ...fireflypath.Entry) (*feed, *directory.Directory, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	f := &feed{clock: clock, all: fireflypath.Listing{Entries: all, Revision: 10}}
-	d := directory.New(f, codec{}, clock, tally.NoopScope, zap.NewNop())
+	d := directory.New(f, codec{}, clock, boot{clock}, tally.NoopScope, zap.NewNop())
 	if err := d.Step(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -100,22 +106,22 @@
 func TestFreshnessNeedsTheStoresRevision(t *testing.T) {
 	is := is.New(t)
 	f, d, clock := start(t, config(t, 1, 5), target("a", 6))
-	read := d.Fresh()
+	clock.Advance(time.Second)
+	is.Equal(d.Age(), time.Second)
 	f.changes = fireflypath.Listing{Revision: 10}
 	is.NoErr(d.Step(t.Context()))
-	proved := d.Fresh()
-	is.True(proved.After(read))
-	is.True(proved.Equal(clock.Now()))
+	is.Equal(d.Age(), time.Duration(0))
 
 	f.changes = fireflypath.Listing{Revision: 12}
 	is.NoErr(d.Step(t.Context()))
-	is.Equal(d.Fresh(), proved) // a change that the watch did not bring proves nothing
+	unproved := d.Age()
+	is.True(unproved > 0) // a change that the watch did not bring proves nothing
 
 	f.all = fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 2, 12), target("a", 6)}, Revision: 12}
 	is.NoErr(d.Step(t.Context()))
 	is.Equal(f.reads, 2)
 	is.Equal(d.Current().Version, uint64(2))
-	is.True(d.Fresh().After(proved))
+	is.True(d.Age() < unproved)
 }
 
 // The store drops its history while a daemon watches. The daemon must read
@@ -215,3 +221,25 @@
 	is.NoErr(d.Step(t.Context()))
 	is.Equal(names(d.Current()), "a")
 }
+
+// A host is suspended for some seconds, which its steady clock does not count,
+// or its time of day jumps back. The view's age must count them: else a key that
+// was taken away meanwhile would still work.
+func TestSuspendedTimeAgesTheView(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	asleep := &suspended{boot: boot{clock}}
+	f := &feed{clock: clock, all: fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5)}, Revision: 10}}
+	d := directory.New(f, codec{}, clock, asleep, tally.NoopScope, zap.NewNop())
+	is.NoErr(d.Step(t.Context()))
+	asleep.extra = 6 * time.Second
+	is.Equal(d.Age(), 6*time.Second)
+}
+
+// suspended counts time in which the other clock stood still.
+type suspended struct {
+	boot
+	extra time.Duration
+}
+
+func (s *suspended) Elapsed() time.Duration { return s.boot.Elapsed() + s.extra }
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -21,7 +21,7 @@
 	for {
 		l, moved, err := d.since(after)
 		now := d.clock.Now()
-		l.Age = now.Sub(d.Fresh())
+		l.Age = d.Age()
 		left := min(end.Sub(now), old-l.Age)
 		if err != nil || len(l.Entries) > 0 || l.Revision > after || left <= 0 {
 			return l, err
@@ -130,10 +130,10 @@
 }
 
 // extend takes over for how long removals may be lapses.
-func (d *Directory) extend(now time.Time, hold time.Duration) {
+func (d *Directory) extend(hold time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if at := now.Add(hold); at.After(d.hold) {
+	if at := d.clock.Now().Add(hold); at.After(d.hold) {
 		d.hold = at
 	}
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -38,6 +38,11 @@
 	return t, json.Unmarshal(value, &t)
 }
 
+// boot runs with the fake clock, from its own beginning.
+type boot struct{ clock clockwork.Clock }
+
+func (b boot) Elapsed() time.Duration { return b.clock.Since(time.Unix(0, 0)) }
+
 // store holds entries; a watch returns at once.
 type store struct {
 	clock   *clockwork.FakeClock
@@ -133,7 +138,7 @@
 		own := *shared
 		d := &daemon{name: m.Name, store: &own}
 		d.feed = follow.New(m.Name, "x", d.store, port{n, m.Name}, ms, clock, tally.NoopScope)
-		d.view = directory.New(d.feed, codec{}, clock, tally.NoopScope, zap.NewNop())
+		d.view = directory.New(d.feed, codec{}, clock, boot{clock}, tally.NoopScope, zap.NewNop())
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
 	}
@@ -161,13 +166,13 @@
 		is.NoErr(d.view.Step(t.Context()))
 		is.Equal(d.targets(), "t1 t2")
 	}
-	fresh := watcher.view.Fresh()
 	clock.Advance(200 * time.Millisecond)
+	before := rest[0].view.Age()
 	watcher.store.put("t3")
 	is.NoErr(watcher.view.Step(t.Context()))
 	is.NoErr(rest[0].view.Step(t.Context()))
-	is.True(rest[0].view.Fresh().After(fresh))
-	is.True(!rest[0].view.Fresh().After(clock.Now()))
+	is.True(rest[0].view.Age() < before)
+	is.True(rest[0].view.Age() >= watcher.view.Age())
 }
 
 // The watcher is cut off from the store and does not know it yet. Its followers
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -23,8 +23,10 @@
 	cfg    *fireflypath.Config
 	table  *table.Table
 
-	id       string
-	arrived  time.Time
+	id      string
+	arrived time.Time
+	// age is that of the view when the request arrived.
+	age      time.Duration
 	deadline time.Time
 	route    *fireflypath.Route
 	team     *fireflypath.Team
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -81,7 +81,7 @@
 	cfg := g.deps.Configs.Current()
 	c := &call{
 		w: w, r: r, cfg: cfg, table: g.tables.For(cfg),
-		id: r.Header.Get(g.headers.ID), arrived: g.deps.Clock.Now(),
+		id: r.Header.Get(g.headers.ID), arrived: g.deps.Clock.Now(), age: g.deps.Freshness.Age(),
 	}
 	c.ctx = r.Context()
 	if g.leaving.Load() {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -56,10 +56,10 @@
 
 func (c *configs) Current() *fireflypath.Config   { return c.cfg }
 func (c *configs) Changed(uint64) <-chan struct{} { return nil }
-func (v *view) Fresh() time.Time                  { return v.at }
+func (v *view) Age() time.Duration                { return v.age }
 
 // view is how old the view of the configuration is.
-type view struct{ at time.Time }
+type view struct{ age time.Duration }
 
 // site is a gate before targets that answer as the test says.
 type site struct {
@@ -79,7 +79,7 @@
 func start(t *testing.T, change func(*fireflypath.Config), answer func(n int, w http.ResponseWriter, r *http.Request)) *site {
 	t.Helper()
 	sum := sha256.Sum256([]byte(key))
-	s := &site{t: t, view: &view{at: time.Now()}, targets: map[string]*httptest.Server{}}
+	s := &site{t: t, view: &view{}, targets: map[string]*httptest.Server{}}
 	s.cfg = &fireflypath.Config{
 		Generation: 1, Version: 1,
 		Pools: []fireflypath.Pool{{Name: "p", Kind: fireflypath.KindService}},
@@ -242,7 +242,7 @@
 		r.Public = true
 		cfg.Routes = append(cfg.Routes, r)
 	}, echo)
-	s.view.at = time.Now().Add(-2 * time.Minute)
+	s.view.age = 2 * time.Minute
 	for _, path := range []string{"/once/", "/none/"} {
 		resp, body, err := s.post(path, "")
 		is.NoErr(err)
--- a/internal/gate/meter.go
+++ b/internal/gate/meter.go
@@ -83,7 +83,7 @@
 	fields := make([]zap.Field, 0, 16)
 	fields = append(fields, zap.String("request", c.id), zap.Int("status", c.status),
 		zap.Duration("took", now.Sub(c.arrived)), zap.Uint64("version", c.cfg.Version),
-		zap.Duration("age", c.arrived.Sub(g.deps.Freshness.Fresh())))
+		zap.Duration("age", c.age))
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.Int("rank", c.rank), zap.String("pool", c.pool))
 	}
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -44,7 +44,7 @@
 // unsure refuses as not run what the view may be too old to judge: a route or a
 // key that was just added must not be called unknown.
 func (g *Gate) unsure(c *call) *refusal {
-	if c.cfg.Generation > 0 && c.arrived.Sub(g.deps.Freshness.Fresh()) <= g.deps.Unknown {
+	if c.cfg.Generation > 0 && c.age <= g.deps.Unknown {
 		return nil
 	}
 	return &refusal{
@@ -113,7 +113,7 @@
 // without this daemon knowing. A daemon that is cut off from the store hears of
 // no change, so it has to stop by itself.
 func (g *Gate) trusted(c *call) bool {
-	return c.arrived.Sub(g.deps.Freshness.Fresh()) <= g.deps.Revoked
+	return c.age <= g.deps.Revoked
 }
 
 // read takes in the body.
--- /dev/null
+++ b/internal/grants/grants_test.go
@@ -0,0 +1,151 @@
+package grants_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/quota"
+	"github.com/fireflypath/fireflypath/internal/grants"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+// fleet joins daemons by calls without a network.
+type fleet struct {
+	clock   *clockwork.FakeClock
+	live    []fireflypath.Member
+	methods map[string]peer.Method
+	cut     map[string]bool
+	daemons []*daemon
+}
+
+type daemon struct {
+	f     *fleet
+	name  string
+	g     *grants.Grants
+	quota *fireflypath.Quota
+	spent grants.Spent
+	free  time.Time
+	part  float64
+}
+
+func (d *daemon) Handle(_ string, m peer.Method) { d.f.methods[d.name] = m }
+
+func (d *daemon) Call(ctx context.Context, to fireflypath.Member, _ string, params, result any) error {
+	if d.f.cut[to.Name] || d.f.cut[d.name] {
+		return peer.ErrUnreachable
+	}
+	b, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	out, err := d.f.methods[to.Name](ctx, d.name, b)
+	if err != nil {
+		return err
+	}
+	if b, err = json.Marshal(out); err != nil {
+		return err
+	}
+	return json.Unmarshal(b, result)
+}
+
+func (d *daemon) Live() []fireflypath.Member      { return d.f.live }
+func (d *daemon) Quota(string) *fireflypath.Quota { return d.quota }
+
+func (d *daemon) Spend(time.Time) map[string]grants.Spent {
+	s := d.spent
+	d.spent.Used = 0
+	return map[string]grants.Spent{"red": s}
+}
+func (d *daemon) SetFree(_ string, until time.Time)           { d.free = until }
+func (d *daemon) SetPart(_ time.Time, _ string, part float64) { d.part = part }
+func (d *daemon) isFree() bool                                { return d.f.clock.Now().Before(d.free) }
+
+func start(n int) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock(), methods: map[string]peer.Method{}, cut: map[string]bool{}}
+	for i := range n {
+		f.live = append(f.live, fireflypath.Member{Name: fmt.Sprint("d", i)})
+	}
+	for i := range n {
+		d := &daemon{f: f, name: fmt.Sprint("d", i), quota: &fireflypath.Quota{Rate: 1000, Burst: 1000}}
+		d.g = grants.New(d.name, d, d, d, quota.Tolerance{}, f.clock, tally.NoopScope)
+		f.daemons = append(f.daemons, d)
+	}
+	return f
+}
+
+// step lets each daemon use and report.
+func (f *fleet) step(t *testing.T, used, demand int64) {
+	for _, d := range f.daemons {
+		d.spent = grants.Spent{Used: used, Demand: demand}
+	}
+	for _, d := range f.daemons {
+		d.g.Step(t.Context())
+	}
+	f.clock.Advance(300 * time.Millisecond)
+}
+
+// A team far below its quota sends a few large requests at each of many daemons.
+// None is refused: fixed parts of the rate would hold less than one request.
+func TestTeamBelowItsQuotaIsFree(t *testing.T) {
+	is := is.New(t)
+	f := start(20)
+	for range 10 {
+		f.step(t, 5, 17)
+		for _, d := range f.daemons {
+			is.True(d.isFree())
+		}
+	}
+}
+
+// A team sends several times its quota. Within some reports the daemons give out
+// parts, which together are no more than the rate.
+func TestTeamAboveItsQuotaGetsParts(t *testing.T) {
+	is := is.New(t)
+	f := start(20)
+	for range 10 {
+		f.step(t, 60, 200)
+	}
+	sum := 0.0
+	for _, d := range f.daemons {
+		is.True(!d.isFree())
+		sum += d.part
+	}
+	is.True(sum <= 1.001)
+	is.True(sum > 0.5)
+}
+
+// The keeper is cut off. What it said last holds for a while, and ends.
+func TestVerdictsEndWithTheKeeper(t *testing.T) {
+	is := is.New(t)
+	f := start(5)
+	f.step(t, 5, 17)
+	for _, d := range f.daemons {
+		f.cut[d.name] = true
+	}
+	f.step(t, 5, 17)
+	free := 0
+	for _, d := range f.daemons {
+		if d.isFree() {
+			free++
+		}
+	}
+	is.Equal(free, 5)
+	for range 6 {
+		f.step(t, 5, 17)
+	}
+	free = 0
+	for _, d := range f.daemons {
+		if d.isFree() {
+			free++
+		}
+	}
+	is.Equal(free, 1) // the keeper itself
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -24,10 +24,10 @@
 	dialTimeout = 400 * time.Millisecond
 	// userTimeout ends a connection whose bytes nobody acknowledges: a target
 	// without power answers nothing, not even a reset.
-	userTimeout = 3 * time.Second
+	userTimeout = 2 * time.Second
 	// probeIdle, probeEvery and probeCount find a connection that went silent
 	// while a target works on a long answer.
-	probeIdle  = 2 * time.Second
+	probeIdle  = time.Second
 	probeEvery = time.Second
 	probeCount = 2
 	// maxIdle is how long an unused connection is kept; targets commonly close
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -39,9 +39,9 @@
 // Usage is what a daemon has in flight and uses; what did not change since the
 // last one on the connection is left out.
 type Usage struct {
-	// Start is when the sender's life began, in Unix milliseconds; Number grows
-	// with each message of a life.
-	Start  int64  `json:"s"`
+	// Life is another number after each start of the sender; Number grows with
+	// each message of a life.
+	Life   uint64 `json:"s"`
 	Number uint64 `json:"n"`
 	// Whole is true if nothing is left out.
 	Whole bool `json:"a,omitempty"`
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -74,8 +75,8 @@
 	told   tally.Counter
 	heard  tally.Counter
 
-	// start is when this life began, in Unix milliseconds.
-	start int64
+	// life is drawn at each start: the time of day may jump back between two.
+	life uint64
 
 	mu     sync.Mutex
 	number uint64
@@ -101,12 +102,13 @@
 
 // mate is what a peer told.
 type mate struct {
-	// start tells its lives apart: sums begin at zero in each.
-	start   int64
-	number  uint64
-	at      time.Time
-	flights map[string]int
-	waits   map[string]int
+	// life tells its lives apart: sums begin at zero in each. past is the one
+	// before, of which messages may still be on their way.
+	life, past uint64
+	number     uint64
+	at         time.Time
+	flights    map[string]int
+	waits      map[string]int
 	// speeds is what it told since they were last taken over.
 	speeds map[string]fireflypath.Speed
 	// used is by team; a team not in it was not heard of since the connection.
@@ -121,7 +123,7 @@
 	u := &Usage{
 		self: self, peers: peers, fleet: fleet, pools: pools, limits: limits, clock: clock,
 		told: scope.Counter("told"), heard: scope.Counter("heard"),
-		start:   clock.Now().UnixMilli(),
+		life:    rand.Uint64(),
 		flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
 		sent: map[string]*sent{}, mates: map[string]*mate{},
 	}
@@ -237,7 +239,7 @@
 		return
 	}
 	u.number++
-	out.Start, out.Number = u.start, u.number
+	out.Life, out.Number = u.life, u.number
 	b.Usage = out
 	u.told.Inc(1)
 }
@@ -279,10 +281,10 @@
 	m := u.mate(from)
 	m.at = now
 	in := b.Usage
-	if in != nil && in.Start > m.start {
-		m.begin(in.Start)
+	if in != nil && in.Life != m.life && in.Life != m.past {
+		m.begin(in.Life)
 	}
-	if in == nil || in.Start < m.start || in.Number <= m.number {
+	if in == nil || in.Life != m.life || in.Number <= m.number {
 		u.mu.Unlock()
 		return
 	}
@@ -323,8 +325,8 @@
 }
 
 // begin forgets an earlier life of the daemon.
-func (m *mate) begin(start int64) {
-	m.start, m.number = start, 0
+func (m *mate) begin(life uint64) {
+	m.life, m.past, m.number = life, m.life, 0
 	clear(m.flights)
 	clear(m.waits)
 	m.speeds = nil
--- a/routing.go
+++ b/routing.go
@@ -160,6 +160,7 @@
 
 // Freshness tells how old the view of the configuration and the targets is.
 type Freshness interface {
-	// Fresh is a time at which the view was surely the newest.
-	Fresh() time.Time
+	// Age is the time since the view was surely the newest, at most; time in which
+	// the host was suspended counts. It is very large before the first view.
+	Age() time.Duration
 }
