--- /dev/null
+++ b/internal/daemon/gatedmembers.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/grants"
+	"github.com/fireflypath/fireflypath/internal/logs"
+	"github.com/fireflypath/fireflypath/internal/peer"
+	"github.com/fireflypath/fireflypath/internal/usage"
+)
+
+// gatedMembership joins the other daemons.
+type gatedMembership struct{}
+
+func (gatedMembership) String() string { return "membership" }
+
+func (gatedMembership) Run(_ context.Context, d *Daemon) error {
+	if d.members == nil {
+		return nil
+	}
+	log := d.deps.Log
+	u := usage.New(d.cfg.Name, d.peers, d.members, d.pools, d.limits, d.deps.Clock, d.scope)
+	g := grants.New(d.cfg.Name, d.peers, d.members, d.limits, d.tolerance(), d.deps.Clock, d.scope)
+	d.work.Go(func() { _ = u.Run(d.ctx) })
+	d.work.Go(func() { _ = g.Run(d.ctx, func() bool { return d.members.Layout().Cells() > 1 }) })
+	d.work.Go(d.followLayout)
+	d.work.Go(func() { _ = d.members.Run(d.ctx) })
+	d.work.Go(func() {
+		if err := d.peers.Serve(d.peerPort); !errors.Is(err, peer.ErrClosed) {
+			log.Error("no longer listening for peers", logs.Cause(err))
+		}
+	})
+	return nil
+}
+
+// followLayout sets which targets this daemon sends work to.
+func (d *Daemon) followLayout() {
+	for {
+		layoutChanged := d.members.Changed()
+		cfg := d.deps.Configs.Current()
+		targets := map[string][]string{}
+		for _, t := range cfg.Targets {
+			targets[t.Pool] = append(targets[t.Pool], t.Name)
+		}
+		for pool, names := range targets {
+			d.pools.ApplyShare(pool, d.shareOf(names))
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-layoutChanged:
+		case <-d.deps.Configs.Changed(cfg.Generation):
+		}
+	}
+}
+
+// shareOf is the part of a pool's targets that this daemon's cell serves.
+func (d *Daemon) shareOf(names []string) fireflypath.Share {
+	layout := d.members.Layout()
+	if layout.Cells() == 1 {
+		return fireflypath.Share{Default: 1}
+	}
+	mine, _ := layout.Serves(d.cfg.Name, names)
+	if len(mine) == 0 || len(mine) == len(names) {
+		return fireflypath.Share{Default: 1}
+	}
+	s := fireflypath.Share{Part: make(map[string]float64, len(mine))}
+	for _, name := range mine {
+		s.Part[name] = 1
+	}
+	return s
+}
+
+// Stop takes leave of the peers, after the requests held were finished.
+func (gatedMembership) Stop(ctx context.Context, d *Daemon) error {
+	if d.members != nil {
+		d.members.Leave(ctx)
+	}
+	return nil
+}
--- a/internal/decide/slots/mates.go
+++ b/internal/decide/slots/mates.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/place"
 )
 
 const (
@@ -97,15 +98,15 @@
 	if len(s.rivals) == 0 || now.Sub(t.own) < ownTime {
 		return true
 	}
-	return !now.Before(t.freed.Add(s.place(t, rank)))
+	return !now.Before(t.freed.Add(s.position(t, rank)))
 }
 
-// place is how long after a place became free it is this daemon's turn.
-func (s *Sched) place(t *target, rank int) time.Duration {
+// position is how long after a place became free it is this daemon's turn.
+func (s *Sched) position(t *target, rank int) time.Duration {
 	n := 0
-	mine := mix(s.seed ^ t.hash)
+	mine := place.Mix(s.seed ^ t.hash)
 	for _, r := range s.rivals {
-		if r.rank < rank || r.rank == rank && mix(r.hash^t.hash) < mine {
+		if r.rank < rank || r.rank == rank && place.Mix(r.hash^t.hash) < mine {
 			n++
 		}
 	}
@@ -121,17 +122,8 @@
 	if !ok || len(s.rivals) == 0 {
 		return time.Time{}
 	}
-	if at := t.freed.Add(s.place(t, r)); now.Before(at) {
+	if at := t.freed.Add(s.position(t, r)); now.Before(at) {
 		return at
 	}
 	return time.Time{}
 }
-
-// mix spreads the bits of a hash.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
 )
 
@@ -177,7 +178,7 @@
 // lot is a number between 0 and 1 for a request, so that callers who were
 // refused together do not come back together.
 func (s *Sched) lot(w *fireflypath.Work) float64 {
-	return float64(mix(xxhash.Sum64String(w.ID))>>11) / (1 << 53)
+	return float64(place.Mix(xxhash.Sum64String(w.ID))>>11) / (1 << 53)
 }
 
 // free is the number of places that are free at targets in use.
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/speed"
 )
 
@@ -258,7 +259,7 @@
 
 // noise is a number between 0 and 1 that differs between daemons for a target.
 func (s *Sched) noise(t *target) float64 {
-	return float64(mix(t.hash^s.seed)>>11) / (1 << 53)
+	return float64(place.Mix(t.hash^s.seed)>>11) / (1 << 53)
 }
 
 func (s *Sched) prefillRate(t *target) float64 {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -15,32 +15,9 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
-// codec keeps configurations and targets as the product's own JSON.
-type codec struct{}
-
-func (codec) Headers() fireflypath.Headers             { return fireflypath.Headers{} }
-func (codec) ConfigKey() string                        { return "config" }
-func (codec) TargetPrefix() string                     { return "targets/" }
-func (codec) Load(string) (l fireflypath.Load, b bool) { return l, b }
-func (codec) Cost(string) (c fireflypath.Cost, b bool) { return c, b }
-
-func (codec) Config(value []byte) (*fireflypath.Config, error) {
-	var cfg fireflypath.Config
-	return &cfg, json.Unmarshal(value, &cfg)
-}
-
-func (codec) Target(key string, value []byte) (fireflypath.Target, error) {
-	t := fireflypath.Target{Name: strings.TrimPrefix(key, "targets/")}
-	return t, json.Unmarshal(value, &t)
-}
-
-// boot runs with the fake clock, from its own beginning.
-type boot struct{ clock clockwork.Clock }
-
-func (b boot) Elapsed() time.Duration { return b.clock.Since(time.Unix(0, 0)) }
-
 // feed answers the next call as the test says.
 type feed struct {
 	clock *clockwork.FakeClock
@@ -93,7 +70,7 @@
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	f := &feed{clock: clock, all: fireflypath.Listing{Entries: all, Revision: 10}}
-	d := directory.New(f, codec{}, clock, boot{clock}, tally.NoopScope, zap.NewNop())
+	d := directory.New(f, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
 	if err := d.Step(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -228,18 +205,10 @@
 func TestSuspendedTimeAgesTheView(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
-	asleep := &suspended{boot: boot{clock}}
+	asleep := &testkit.Boot{Clock: clock}
 	f := &feed{clock: clock, all: fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5)}, Revision: 10}}
-	d := directory.New(f, codec{}, clock, asleep, tally.NoopScope, zap.NewNop())
+	d := directory.New(f, testkit.Codec{}, clock, asleep, tally.NoopScope, zap.NewNop())
 	is.NoErr(d.Step(t.Context()))
-	asleep.extra = 6 * time.Second
+	asleep.Suspended = 6 * time.Second
 	is.Equal(d.Age(), 6*time.Second)
 }
-
-// suspended counts time in which the other clock stood still.
-type suspended struct {
-	boot
-	extra time.Duration
-}
-
-func (s *suspended) Elapsed() time.Duration { return s.boot.Elapsed() + s.extra }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -17,32 +17,9 @@
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/peer"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
-// codec keeps targets as the product's own JSON.
-type codec struct{}
-
-func (codec) Headers() fireflypath.Headers             { return fireflypath.Headers{} }
-func (codec) ConfigKey() string                        { return "config" }
-func (codec) TargetPrefix() string                     { return "targets/" }
-func (codec) Load(string) (l fireflypath.Load, b bool) { return l, b }
-func (codec) Cost(string) (c fireflypath.Cost, b bool) { return c, b }
-
-func (codec) Config(value []byte) (*fireflypath.Config, error) {
-	var cfg fireflypath.Config
-	return &cfg, json.Unmarshal(value, &cfg)
-}
-
-func (codec) Target(key string, value []byte) (fireflypath.Target, error) {
-	t := fireflypath.Target{Name: strings.TrimPrefix(key, "targets/")}
-	return t, json.Unmarshal(value, &t)
-}
-
-// boot runs with the fake clock, from its own beginning.
-type boot struct{ clock clockwork.Clock }
-
-func (b boot) Elapsed() time.Duration { return b.clock.Since(time.Unix(0, 0)) }
-
 // store holds entries; a watch returns at once.
 type store struct {
 	clock   *clockwork.FakeClock
@@ -138,7 +115,7 @@
 		own := *shared
 		d := &daemon{name: m.Name, store: &own}
 		d.feed = follow.New(m.Name, "x", d.store, port{n, m.Name}, ms, clock, tally.NoopScope)
-		d.view = directory.New(d.feed, codec{}, clock, boot{clock}, tally.NoopScope, zap.NewNop())
+		d.view = directory.New(d.feed, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/fireflypath/fireflypath/internal/socket"
 )
 
 // conn is one connection to a target. It carries one request at a time.
@@ -36,11 +36,5 @@
 	if c.reader.Buffered() > 0 || !c.until.IsZero() && !now.Before(c.until) {
 		return true
 	}
-	ready := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-		n, err := unix.Poll(fds[:], 0)
-		ready = err != nil || n != 0
-	})
-	return ready || err != nil
+	return socket.Readable(c.raw)
 }
--- a/internal/send/conn.go
+++ b/internal/send/conn.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/fireflypath/fireflypath/internal/socket"
 )
 
 // conn counts what leaves and bounds the silence of what comes.
@@ -61,16 +61,5 @@
 			return true
 		}
 	}
-	return c.readable()
-}
-
-// readable reports whether a read would not wait.
-func (c *conn) readable() bool {
-	ready := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-		n, err := unix.Poll(fds[:], 0)
-		ready = err != nil || n != 0
-	})
-	return ready || err != nil
+	return socket.Readable(c.raw)
 }
