--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -89,16 +89,30 @@
 	}
 }
 
-// Take uses n units, or tells how long to wait for them. One request larger
-// than the burst is let through by a full bucket, which then owes the rest:
-// refused for good, its caller could never get it.
-func (b *Bucket) Take(now time.Time, n float64) (wait time.Duration, ok bool) {
+// keepStep is the part of a bucket that is kept for each tier above a request's.
+const keepStep = 0.25
+
+// maxKeep leaves the lowest tiers a part of a full bucket.
+const maxKeep = 0.75
+
+// Take uses n units for a request of so many tiers below its team's highest, or
+// tells how long to wait for them.
+//
+// A team that asks for more than its quota would else use it up in order of
+// arrival: its lowest work, of which there is most, would take what its highest
+// needs. So each tier leaves a part of the bucket to those above it; a team within
+// its quota has a full bucket and notices nothing.
+//
+// One request larger than the burst is let through by a full bucket, which then
+// owes the rest: refused for good, its caller could never get it.
+func (b *Bucket) Take(now time.Time, n float64, below int) (wait time.Duration, ok bool) {
 	if b.quota.Rate <= 0 {
 		b.used += n
 		return 0, true
 	}
 	b.pass(now)
-	need := min(n, b.Top())
+	top := b.Top()
+	need := min(n+min(keepStep*float64(below), maxKeep)*top, top)
 	if b.level >= need {
 		b.level -= n
 		b.used += n
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -18,12 +18,12 @@
 	q := fireflypath.Quota{Rate: 100, Burst: 200}
 	b := quota.New(start, q, quota.Tolerance{}, 1)
 	now := start.Add(time.Minute)
-	_, ok := b.Take(now, 200)
+	_, ok := b.Take(now, 200, 0)
 	is.True(ok)
-	wait, ok := b.Take(now, 50)
+	wait, ok := b.Take(now, 50, 0)
 	is.True(!ok)
 	is.Equal(wait, 500*time.Millisecond)
-	_, ok = b.Take(now.Add(wait), 50)
+	_, ok = b.Take(now.Add(wait), 50, 0)
 	is.True(ok)
 	is.Equal(b.Used(), 250.0)
 }
@@ -34,9 +34,9 @@
 	is := is.New(t)
 	b := quota.New(start, fireflypath.Quota{Rate: 100, Burst: 200}, quota.Tolerance{}, 1)
 	now := start.Add(time.Minute)
-	_, ok := b.Take(now, 700)
+	_, ok := b.Take(now, 700, 0)
 	is.True(ok)
-	wait, ok := b.Take(now, 1)
+	wait, ok := b.Take(now, 1, 0)
 	is.True(!ok)
 	is.Equal(wait, 5010*time.Millisecond)
 }
@@ -49,7 +49,7 @@
 	now, used := start, 0.0
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
-		if _, ok := b.Take(now, 1); ok {
+		if _, ok := b.Take(now, 1, 0); ok {
 			used++
 		}
 	}
@@ -78,7 +78,7 @@
 			// Each daemon gets as much as four times the quota together.
 			for d := range copies {
 				for range 1 + 4000/100/daemons/size {
-					if _, ok := copies[d].Take(now, float64(size)); ok {
+					if _, ok := copies[d].Take(now, float64(size), 0); ok {
 						used[i] += float64(size)
 					}
 				}
@@ -119,3 +119,25 @@
 	b.Set(now, fireflypath.Quota{Rate: 10, Burst: 10})
 	is.Equal(b.Level(now), 10.0)
 }
+
+// A team sends several times its quota, most of it low work. Its highest work
+// still gets through: by order of arrival it would get a fifth.
+func TestTeamsHighestWorkGoesFirst(t *testing.T) {
+	is := is.New(t)
+	b := quota.New(start, fireflypath.Quota{Rate: 1000, Burst: 1000}, quota.Tolerance{}, 1)
+	now := start
+	high, asked := 0, 0
+	for i := range 5000 {
+		now = now.Add(10 * time.Millisecond)
+		for range 4 {
+			b.Take(now, 10, 2)
+		}
+		if i%2 == 0 { // half of the quota
+			asked++
+			if _, ok := b.Take(now, 10, 0); ok {
+				high++
+			}
+		}
+	}
+	is.True(high > asked*95/100)
+}
--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -179,8 +179,9 @@
 	}
 }
 
-// Take uses n units of the team's quota, or tells how long to wait for them.
-func (l *Limits) Take(now time.Time, t *fireflypath.Team, n float64) (time.Duration, bool) {
+// Take uses n units of the team's quota for a request of so many tiers below the
+// team's highest, or tells how long to wait for them.
+func (l *Limits) Take(now time.Time, t *fireflypath.Team, n float64, below int) (time.Duration, bool) {
 	if t == nil || t.Quota == nil {
 		return 0, true
 	}
@@ -192,7 +193,7 @@
 		team.bucket.Spend(now, n)
 		return 0, true
 	}
-	return team.bucket.Take(now, n)
+	return team.bucket.Take(now, n, below)
 }
 
 // Return gives units back that a request did not use.
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -191,7 +191,7 @@
 
 // admit takes the request's units from its team's quota.
 func (g *Gate) admit(c *call) *refusal {
-	wait, ok := g.deps.Limits.Take(c.arrived, c.team, c.units)
+	wait, ok := g.deps.Limits.Take(c.arrived, c.team, c.units, c.route.Rank)
 	if ok {
 		g.deps.Limits.Request(c.arrived, c.pool)
 		return nil
