fix(fake): a dead engine takes nothing once it was told to die

Cause of the one failure of TestTargetDeadBeforeDispatch/die (a 502), traced: the stand-in closed its listener in the background, so that the first request could still be accepted by a target that was about to close; its outcome was unknown and the 502 was right. Ruled out: the daemon (40 repetitions with -race are green, and the answer is the one for a target that reads and closes). Change: the listener is closed before Fault returns; TestDeadEngineTakesNothing.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -167,8 +167,12 @@
 func (e *Engine) Fault(f fault.Fault) error {
 	switch f.Name {
 	case fault.Die:
-		// The caller may be a handler of the server that Close waits for.
+		// Nothing is accepted any more once Fault returns: a request sent then must
+		// not meet a target that is half dead. The rest is not waited for, as the
+		// caller may be a handler of the server that Close waits for.
+		err := e.ln.Close()
 		go func() { _ = e.Close() }()
+		return err
 	case fault.Silent:
 		e.ln.Silence()
 	case fault.Refuse:
--- a/internal/fake/engine/engine_test.go
+++ b/internal/fake/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -204,3 +205,16 @@
 		})
 	}
 }
+
+// A test kills the stand-in and sends a request at once. If the stand-in still
+// took it, the request's outcome would be unknown, and the daemon that sent it
+// would be blamed.
+func TestDeadEngineTakesNothing(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		e, _ := start(t, Config{})
+		is.NoErr(e.Fault(fault.Fault{Name: fault.Die}))
+		_, err := net.Dial("tcp", e.Addr())
+		is.True(err != nil)
+	}
+}
