fix(gate): a target's bare 503 promises nothing

Cause (found by reading): a target's 408, 429 or 503 without its word that it did not run the request was passed on, and says just that to callers. Change: such an answer counts as unknown: 502, or a repeat where that is allowed.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -35,12 +35,25 @@
 		g.fail(c, t)
 		return outcomeUnknown, nil
 	}
+	if promises[a.Status] {
+		// Passed on, it would say that the request did not run. The target has not
+		// said so.
+		t.result = "status " + strconv.Itoa(a.Status) + " of a target that may have run it"
+		g.drain(a)
+		g.fail(c, t)
+		return outcomeUnknown, nil
+	}
 	if c.route.Form == fireflypath.FormEvents && a.Status/100 == 2 {
 		return g.stream(c, t, a)
 	}
 	return g.whole(c, t, a)
 }
 
+// promises are the statuses by which callers read that a request did not run.
+var promises = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
 // drain reads a short answer to its end, so that its connection can be kept.
 func (g *Gate) drain(a *http1.Answer) {
 	_, _ = io.CopyN(io.Discard, a, piece)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -363,6 +363,18 @@
 	is.Equal(len(s.requests()), 2)
 }
 
+// A target runs a request and answers 503 without saying that it did not run
+// it. Passed on, the caller would take it for not run and send it again.
+func TestTargetsBareRefusalPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	s := start(t, nil, func(_ int, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	resp, body, err := s.post("/once/", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 502)
+	is.True(strings.Contains(body, `"run":"unknown"`))
+	is.Equal(len(s.requests()), 1)
+}
+
 // A success without the target's signature is not the target's answer.
 func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
 	is := is.New(t)
