perf: silent targets are given up for idempotent requests; less of a quota is kept

Change: after twice the goal, if the budget has room, another target is asked; a twelfth is kept, nothing by daemons that hear few others; new buckets start at half a second of the rate.

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -17,7 +17,7 @@
 // startSeconds is the fill of a new bucket in seconds of its rate. A daemon that
 // starts does not know what was used before; with a full bucket, daemons that
 // are restarted together would give out the burst once more.
-const startSeconds = 0.25
+const startSeconds = 0.5
 
 // used is the part of the tolerance that is given out on purpose; the rest is
 // for what other daemons use before they tell.
@@ -89,11 +89,16 @@
 	}
 }
 
-// keepStep is the part of a bucket that is kept for each tier above a request's.
-const keepStep = 0.25
+// keepStep is the part of a bucket that is kept for each tier above a request's:
+// some of the largest requests. Kept larger, a bucket that begins low after a
+// restart would refuse the lower tiers for seconds.
+const keepStep = 0.08
 
-// maxKeep leaves the lowest tiers a part of a full bucket.
-const maxKeep = 0.75
+// maxKeep leaves the lowest tiers most of a full bucket.
+const maxKeep = 0.3
+
+// wholePart is the part of the fleet that a daemon must hear to keep anything.
+const wholePart = 0.5
 
 // Take uses n units for a request of so many tiers below its team's highest, or
 // tells how long to wait for them.
@@ -112,7 +117,7 @@
 	}
 	b.pass(now)
 	top := b.Top()
-	need := min(n+min(keepStep*float64(below), maxKeep)*top, top)
+	need := min(n+b.kept(below)*top, top)
 	if b.level >= need {
 		b.level -= n
 		b.used += n
@@ -122,6 +127,16 @@
 	return time.Duration(math.Ceil(sec*1000)) * time.Millisecond, false
 }
 
+// kept is the part of the bucket that a request of so many tiers below its
+// team's highest leaves to others. A daemon that hears few others yet has too
+// small a part to keep any of it.
+func (b *Bucket) kept(below int) float64 {
+	if b.part < wholePart {
+		return 0
+	}
+	return min(keepStep*float64(below), maxKeep)
+}
+
 // Spend books use that somebody else granted; the level here does not count it.
 func (b *Bucket) Spend(now time.Time, n float64) {
 	b.pass(now)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
@@ -70,6 +71,8 @@
 	pool   *pool.Pool
 	// began is true once its answer began.
 	began bool
+	// silent is true once the target was given up for its silence.
+	silent atomic.Bool
 	// result says what came of it, for the log.
 	result string
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -102,6 +103,8 @@
 		return "its attempts are used up"
 	case c.left(now) < last:
 		return "its time is over"
+	case c.last().silent.Load():
+		return "" // taken from the budget when it was given up
 	case !g.deps.Limits.Repeat(now, c.pool):
 		return "the retry budget is used up"
 	}
@@ -184,10 +187,14 @@
 
 // attempt sends the request to its target and passes the answer on.
 func (g *Gate) attempt(c *call, t *try) (outcome, *refusal) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
 	var a *http1.Answer
 	for unsent := 0; ; unsent++ {
 		var err error
-		a, err = g.deps.Client.Send(c.ctx, t.target.Addr, g.outbound(c, t))
+		stop := g.watch(c, t, cancel)
+		a, err = g.deps.Client.Send(ctx, t.target.Addr, g.outbound(c, t))
+		stop()
 		if err == nil {
 			break
 		}
@@ -206,6 +213,33 @@
 	return g.answer(c, t, a)
 }
 
+// silentGoals is how many times its goal a request that may be repeated waits for
+// the begin of an answer before it is given to another target. Work of plain
+// services takes up to one and a half times the goal when all is well; a target
+// that lost its power says nothing at all, and the caller's time would end with
+// it.
+const silentGoals = 2
+
+// watch gives up on a target that stays silent, if the request may be repeated
+// and the retry budget has room for that. The budget is taken before the
+// connection is cut: cut without a second attempt, the request would be lost.
+func (g *Gate) watch(c *call, t *try, cancel context.CancelFunc) (stop func()) {
+	if c.route.Repeat != fireflypath.RepeatSafe || c.route.Form != fireflypath.FormWhole || len(c.tries) >= c.route.Attempts {
+		return func() {}
+	}
+	limit := silentGoals * c.goal().Sub(c.arrived)
+	if c.left(g.deps.Clock.Now()) < 2*limit {
+		limit = c.left(g.deps.Clock.Now()) / 2
+	}
+	timer := g.deps.Clock.AfterFunc(limit, func() {
+		if g.deps.Limits.Repeat(g.deps.Clock.Now(), c.pool) {
+			t.silent.Store(true)
+			cancel()
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 // unsent lets a request wait again of which no byte left.
 func (g *Gate) unsent(c *call, t *try, n int) *refusal {
 	if err := t.Owner.Again(c.ctx, &t.Request); err != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -347,6 +347,35 @@
 	is.Equal(len(s.requests()), 2)
 }
 
+// A target takes the request and falls silent, as one without power does. An
+// idempotent request gets its answer from another target while its caller still
+// waits; one that may run only once is not touched.
+func TestSilentTargetIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(cfg *fireflypath.Config) {
+		for i := range cfg.Routes {
+			cfg.Routes[i].Goal = fireflypath.Duration(20 * time.Millisecond)
+		}
+	}, func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 1 || strings.HasPrefix(r.URL.Path, "/once/") {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, "whole")
+	})
+	resp, body, err := s.post("/safe/", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "whole")
+	is.Equal(len(s.requests()), 2)
+	r := s.request(t.Context(), "/once/", "b")
+	r.Header.Set("T-Deadline", "300")
+	resp, _, err = s.do(r)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 504)
+	is.Equal(len(s.requests()), 3)
+}
+
 // Both targets fail by themselves. The caller gets the failure as a target made
 // it, and no third target is asked beyond the route's attempts.
 func TestTargetsOwnFailureIsPassedOn(t *testing.T) {
