fix(grants): a hot team's burst is given out once in a large fleet

Change: what is asked for in two reports must be in the bucket; a keeper's bucket fills from its start; own buckets begin empty when free giving ends; use beyond the quota is paid back over 4 s; keepers give nothing of the tolerance away.

--- a/internal/daemon/gatedmembers.go
+++ b/internal/daemon/gatedmembers.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/quota"
 	"github.com/fireflypath/fireflypath/internal/grants"
 	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
@@ -23,7 +24,9 @@
 	}
 	log := d.deps.Log
 	u := usage.New(d.cfg.Name, d.peers, d.members, d.pools, d.limits, d.deps.Clock, d.scope)
-	g := grants.New(d.cfg.Name, d.peers, d.members, d.limits, d.tolerance(), d.deps.Clock, d.scope)
+	// A keeper gives nothing of the tolerance away: all of it is for what daemons
+	// use before they know that the quota is used up.
+	g := grants.New(d.cfg.Name, d.peers, d.members, d.limits, quota.Tolerance{}, d.deps.Clock, d.scope)
 	d.work.Go(func() { _ = u.Run(d.ctx) })
 	d.work.Go(func() { _ = g.Run(d.ctx, func() bool { return d.members.Layout().Cells() > 1 }) })
 	d.work.Go(d.followLayout)
--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -108,13 +108,20 @@
 	}
 }
 
-// SetFree lets the team have what it asks for until a time.
-func (l *Limits) SetFree(name string, until time.Time) {
+// SetFree lets the team have what it asks for until a time; zero ends that at
+// once. The bucket here was not used meanwhile and begins empty then: its part of
+// the burst went with what was given freely.
+func (l *Limits) SetFree(now time.Time, name string, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t := l.teams[name]; t != nil {
-		t.free = until
+	t := l.teams[name]
+	if t == nil {
+		return
+	}
+	if until.IsZero() && now.Before(t.free) {
+		t.bucket.Adopt(now, 0)
 	}
+	t.free = until
 }
 
 // Spend returns what each team used since the last call, and asked for in a second.
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -32,6 +32,15 @@
 	// daemons, so that fixed parts of its rate would refuse many of them although
 	// the team is far below its quota.
 	healthy = 0.3
+	// noticeTime is how long it takes until daemons know that a bucket is no longer
+	// well filled: two reports. What they are asked for in that time has to be in
+	// the bucket; a hot team of several times its quota would else get as much
+	// again beyond it.
+	noticeTime = 2 * reportEvery
+	// repayTime is over how long use beyond a quota is paid back, leastRate the
+	// part of the rate that is left meanwhile.
+	repayTime = 4 * time.Second
+	leastRate = 0.2
 	// trust is how long a report's answer is used: some reports may fail.
 	trust = 1500 * time.Millisecond
 	// spare is how much more than its demand a daemon asks for, so that a demand
@@ -54,7 +63,7 @@
 	// Spend returns what each team used since the last call, and asked for in a second.
 	Spend(now time.Time) map[string]Spent
 	// SetFree lets the team have what it asks for until a time.
-	SetFree(team string, until time.Time)
+	SetFree(now time.Time, team string, until time.Time)
 	// SetPart sets the fraction of a team's quota that this daemon may give out.
 	SetPart(now time.Time, team string, part float64)
 }
@@ -97,6 +106,11 @@
 	asked   tally.Counter
 	failed  tally.Counter
 
+	// began is when this daemon started. A keeper's bucket fills from then on, not
+	// from a team's first request; one that restarts does not give out the burst
+	// once more.
+	began time.Time
+
 	mu    sync.Mutex
 	teams map[string]*kept
 	// levels is what keepers said last.
@@ -108,6 +122,8 @@
 	bucket *quota.Bucket
 	quota  fireflypath.Quota
 	split  allot.Split
+	// demands are what reporters ask for in a second.
+	demands map[string]demand
 	// adopted is true once the level that reporters knew was taken over.
 	adopted bool
 }
@@ -120,7 +136,7 @@
 	g := &Grants{
 		self: self, peers: peers, members: members, limits: limits, tol: tol, clock: clock,
 		asked: scope.Counter("asked"), failed: scope.Counter("failed"),
-		teams: map[string]*kept{}, levels: map[string]int64{},
+		began: clock.Now(), teams: map[string]*kept{}, levels: map[string]int64{},
 	}
 	peers.Handle(methodReport, g.handle)
 	return g
@@ -212,9 +228,9 @@
 		switch {
 		case q == nil || q.Rate <= 0:
 		case v.Free:
-			g.limits.SetFree(team, now.Add(trust))
+			g.limits.SetFree(now, team, now.Add(trust))
 		default:
-			g.limits.SetFree(team, time.Time{})
+			g.limits.SetFree(now, team, time.Time{})
 			g.limits.SetPart(now, team, v.Rate/q.Rate)
 		}
 	}
@@ -246,8 +262,11 @@
 		k.adopted = true
 		k.bucket.Heard(now, float64(sp.Used))
 		level := k.bucket.Level(now)
-		v := Verdict{Level: int64(level), Free: level > healthy*k.bucket.Top()}
-		if given := k.split.Ask(now, k.bucket.Rate(), from, spare*float64(sp.Demand)); !v.Free {
+		enough := max(healthy*k.bucket.Top(), noticeTime.Seconds()*k.demand(now, from, sp.Demand))
+		v := Verdict{Level: int64(level), Free: level > enough}
+		// What was given out beyond the quota is paid back over some seconds.
+		rate := max(k.bucket.Rate()+min(level, 0)/repayTime.Seconds(), leastRate*k.bucket.Rate())
+		if given := k.split.Ask(now, rate, from, spare*float64(sp.Demand)); !v.Free {
 			v.Rate = given
 		}
 		a.Teams[team] = v
@@ -255,13 +274,31 @@
 	return a
 }
 
-// keep is the keeper's bucket of a team. A new one is filled: it starts when the
-// fleet does, or goes on where the one before it stood.
+// demand is what one reporter asks for, and when it said so.
+type demand struct {
+	rate int64
+	at   time.Time
+}
+
+// demand books a reporter's demand and returns that of all.
+func (k *kept) demand(now time.Time, from string, rate int64) float64 {
+	k.demands[from] = demand{rate: rate, at: now}
+	sum := int64(0)
+	for name, d := range k.demands {
+		if now.Sub(d.at) > trust {
+			delete(k.demands, name)
+			continue
+		}
+		sum += d.rate
+	}
+	return float64(sum)
+}
+
+// keep is the keeper's bucket of a team.
 func (g *Grants) keep(now time.Time, team string, q fireflypath.Quota) *kept {
 	k := g.teams[team]
 	if k == nil {
-		k = &kept{bucket: quota.New(now, q, g.tol, 1), quota: q}
-		k.bucket.Adopt(now, k.bucket.Top())
+		k = &kept{bucket: quota.New(g.began, q, g.tol, 1), quota: q, demands: map[string]demand{}}
 		g.teams[team] = k
 	} else if k.quota != q {
 		k.quota = q
