--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -70,9 +70,14 @@
 }
 
 func (t *target) chance(part uint64) bool {
+	return uint64(t.draw(1000)) < part
+}
+
+// draw is a number below n; requests draw at the same time.
+func (t *target) draw(n int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.rnd.Uint64N(1000) < part
+	return t.rnd.IntN(n)
 }
 
 // ServeHTTP runs one request.
@@ -121,7 +126,7 @@
 	from, _ := strconv.Atoi(r.Header.Get(t.names.Event))
 	breaks := streamEvents + 1
 	if t.chance(t.cut.Load()) {
-		breaks = from + 1 + int(t.rnd.Uint64N(streamEvents))
+		breaks = from + 1 + t.draw(streamEvents)
 	}
 	w.WriteHeader(http.StatusOK)
 	for n := from + 1; n <= streamEvents; n++ {
