fix(soak): the checker excuses what the store kept from daemons

Change: the prober asks again for its number; harms are counted, and a target that leaves is no longer checked once the store is harmed.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -45,13 +45,13 @@
 	{"history dropped", func(r *run, _ context.Context, _ time.Duration) { r.store.Compact() }},
 	{"daemon cut off", func(r *run, ctx context.Context, d time.Duration) {
 		p := r.daemons[r.pick(len(r.daemons))]
-		r.harmed.Store(true) // others may follow it
+		r.harm(1) // others may follow it
 		p.store.silentTo.Store(true)
 		p.store.silentBack.Store(r.pick(2) == 0) // one way or both
 		sleep(ctx, 2*d)
 		p.store.heal()
 		p.hurt()
-		r.harmed.Store(false)
+		r.harm(-1)
 	}},
 	{"connections reset", func(r *run, _ context.Context, _ time.Duration) {
 		p := r.daemons[r.pick(len(r.daemons))]
@@ -78,7 +78,10 @@
 		}
 		// A host that is cut off from the store cannot know; the promise holds for
 		// the others, so nothing is checked then.
-		if !r.harmed.Load() {
+		r.mu.Lock()
+		r.leaving = append(r.leaving, t)
+		r.mu.Unlock()
+		if r.harms.Load() == 0 {
 			t.left.Store(time.Now().UnixNano())
 		}
 		reg := t.registration()
@@ -165,12 +168,25 @@
 }
 
 func (r *run) harmStore(ctx context.Context, d time.Duration, f standin.Fault) {
-	r.harmed.Store(true)
+	r.harm(1)
 	r.store.SetFault(f)
 	sleep(ctx, d)
 	r.store.SetFault(standin.Fault{})
 	sleep(ctx, drainTime)
-	r.harmed.Store(false)
+	r.harm(-1)
+}
+
+// harm counts a fault of the store that begins (1) or is over (-1). From its
+// begin on, targets that leave are not checked any more: nobody may have heard.
+func (r *run) harm(n int32) {
+	if n > 0 {
+		r.mu.Lock()
+		for _, t := range r.leaving {
+			t.left.Store(0)
+		}
+		r.mu.Unlock()
+	}
+	r.harms.Add(n)
 }
 
 func (r *run) anyTarget() *target {
--- a/internal/soak/prober.go
+++ b/internal/soak/prober.go
@@ -51,6 +51,13 @@
 	return p.route(p.number)
 }
 
+// newest is the number of the newest route.
+func (p *prober) newest() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.number
+}
+
 // run watches one daemon. calm is false while it may rightly lag.
 func (p *prober) run(ctx context.Context, d *process, calm func() bool) {
 	seen, at := 0, time.Time{}
@@ -66,6 +73,8 @@
 			if n > seen {
 				seen, at = n, time.Now()
 			}
+		case status == http.StatusNotFound && p.newest() != n:
+			// A newer configuration took the route away while the question was on its way.
 		case status == http.StatusNotFound && n == seen:
 			p.ledger.check(promiseForward, false, "%s took version %d back", d.name, n)
 		case status == http.StatusNotFound && sent.Sub(since) > forceTime+forceSlack && calm():
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -86,12 +86,15 @@
 	daemons []*process
 	mu      sync.Mutex
 	targets []*target
+	// leaving are targets that said that they leave.
+	leaving []*target
 	lives   int
 	version uint64
 	keys    *keyring
 	routes  []fireflypath.Route
-	// harmed is true while the store is, and a little longer.
-	harmed atomic.Bool
+	// harms counts the faults of the store, and of ways to it, that are in force
+	// or were a little before.
+	harms  atomic.Int32
 	prober *prober
 	faults map[string]int
 	tried  atomic.Int64
@@ -216,7 +219,7 @@
 		wg.Go(func() { c.run(ctx) })
 	}
 	for _, d := range r.daemons {
-		wg.Go(func() { r.prober.run(ctx, d, func() bool { return !r.harmed.Load() && d.calm() }) })
+		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.harms.Load() == 0 && d.calm() }) })
 	}
 	if !r.o.Mute {
 		r.strike(ctx)
