--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,8 +35,8 @@
 	// itself cost a call for each watcher.
 	gather = 120 * time.Millisecond
 	// returnTime is how long after the store's return a target may take to
-	// register again, if its registration lapsed meanwhile (users' second letter:
-	// about two seconds).
+	// register again, if its registration lapsed meanwhile: targets are back within
+	// about two seconds if they live.
 	returnTime = 2100 * time.Millisecond
 )
 
