fix(demo): listeners stand on an address of their own process

Cause of the one failure of TestDemoUnderFaults (one run counted twice): the demo listened on 127.0.0.1 like all other test processes. The kernel gave the port of a daemon that the demo had killed to a stand-in of another process; the callers who still dialled it were answered by that stranger, and the stranger's own audit counted requests without an id, all under the same empty name. Shown by a trial with the audit's names printed, six demos side by side: 'dispatch "" 8' at one engine of a demo whose callers sent nothing without an id, and in another process 'status 404 Not Found' from a stranger. Ruled out: claims, the relay and the sender (no own id or key was ever doubled). Change: testkit.Loopback, made for this trap, becomes internal/loopback; the demo, the soak and the stand-ins listen there; TestDemoListensWhereNoStrangerDoes.

--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -21,6 +21,7 @@
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
 	"github.com/fireflypath/fireflypath/internal/fake/service"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
@@ -49,7 +50,7 @@
 func newRig(t *testing.T, s setup) *rig {
 	is := is.New(t)
 	r := &rig{t: t, records: make(chan *fireflypath.Record, 1024)}
-	s.engine.Addr = testkit.Loopback() + ":0"
+	s.engine.Addr = loopback.Free()
 	s.service.Addr = s.engine.Addr
 	var engines, services []string
 	for range max(s.engines, 1) {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -1,6 +1,8 @@
 package demo_test
 
 import (
+	"bytes"
+	"regexp"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath/internal/demo"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/mix"
 )
 
@@ -30,3 +33,24 @@
 	is.Equal(r.Twice, 0)
 	is.Equal(r.Untrue, 0)
 }
+
+// A daemon is killed, and the kernel gives its port to a stand-in of another
+// process, which answers the callers who still dial it: one demo reports wrong
+// answers, the other one work that it never sent. So nothing may listen on an
+// address that other processes use too.
+func TestDemoListensWhereNoStrangerDoes(t *testing.T) {
+	is := is.New(t)
+	d := demo.New(demo.Options{
+		Mix: mix.Pozo(), Daemons: 3, Rate: 40, For: 100 * time.Millisecond, Seed: 7, Quiet: true,
+	}, clockwork.NewRealClock())
+	defer d.Close()
+	_, err := d.Run(t.Context())
+	is.NoErr(err)
+	var calls bytes.Buffer
+	is.NoErr(d.PrintCalls(&calls))
+	urls := regexp.MustCompile(`http://([0-9.]+):`).FindAllStringSubmatch(calls.String(), -1)
+	is.True(len(urls) > 15)
+	for _, u := range urls {
+		is.Equal(u[1], loopback.Addr())
+	}
+}
--- a/internal/demo/start.go
+++ b/internal/demo/start.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/platform"
 	"github.com/fireflypath/fireflypath/internal/fake/service"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/mix"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 )
@@ -40,7 +41,7 @@
 
 func (d *Demo) startPlatform(context.Context) error {
 	d.platform = platform.New(platform.Config{Lag: platformLag}, d.clock)
-	return d.platform.Listen("127.0.0.1:0")
+	return d.platform.Listen(loopback.Free())
 }
 
 func (d *Demo) startTargets(context.Context) error {
@@ -87,7 +88,7 @@
 }
 
 func (d *Demo) settings(i int) settings.Settings {
-	const free = "127.0.0.1:0"
+	free := loopback.Free()
 	return settings.Settings{
 		Name:     fmt.Sprintf("entry%d", i+1),
 		Domain:   domain(i),
--- a/internal/engine/bytes_test.go
+++ b/internal/engine/bytes_test.go
@@ -11,7 +11,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	stand "github.com/fireflypath/fireflypath/internal/fake/engine"
-	"github.com/fireflypath/fireflypath/internal/testkit"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 // counted passes connections on to an address and counts the bytes.
@@ -53,10 +53,10 @@
 // connection, above TCP, with every fourth list of cache events.
 func BenchmarkBytes(b *testing.B) {
 	is := is.New(b)
-	e, err := stand.New(stand.Config{Addr: testkit.Loopback() + ":0"}, clockwork.NewRealClock())
+	e, err := stand.New(stand.Config{Addr: loopback.Free()}, clockwork.NewRealClock())
 	is.NoErr(err)
 	defer e.Close()
-	ln, err := net.Listen("tcp", testkit.Loopback()+":0")
+	ln, err := net.Listen("tcp", loopback.Free())
 	is.NoErr(err)
 	defer ln.Close()
 	var n counted
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -13,11 +13,12 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
 	"github.com/fireflypath/fireflypath/internal/fake/wire"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 // Config sets an engine's speeds and habits.
 type Config struct {
-	// Addr is an IP number and a port; empty takes a free one on 127.0.0.1.
+	// Addr is an IP number and a port; empty takes a free one of this process's own.
 	Addr string
 	// Batch is the largest number of requests that run at once; 0 takes 8.
 	Batch int
@@ -107,7 +108,7 @@
 // New starts an engine.
 func New(cfg Config, clock clockwork.Clock) (*Engine, error) {
 	if cfg.Addr == "" {
-		cfg.Addr = "127.0.0.1:0"
+		cfg.Addr = loopback.Free()
 	}
 	if cfg.Batch == 0 {
 		cfg.Batch = defaultBatch
--- a/internal/fake/service/service.go
+++ b/internal/fake/service/service.go
@@ -15,11 +15,12 @@
 	"github.com/fireflypath/fireflypath/internal/fake/engine"
 	"github.com/fireflypath/fireflypath/internal/fake/fault"
 	"github.com/fireflypath/fireflypath/internal/fake/wire"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 // Config sets a service's habits.
 type Config struct {
-	// Addr is an IP number and a port; empty takes a free one on 127.0.0.1.
+	// Addr is an IP number and a port; empty takes a free one of this process's own.
 	Addr string
 	// Delay is how long each call takes.
 	Delay time.Duration
@@ -66,7 +67,7 @@
 // New starts a service.
 func New(cfg Config, clock clockwork.Clock) (*Service, error) {
 	if cfg.Addr == "" {
-		cfg.Addr = "127.0.0.1:0"
+		cfg.Addr = loopback.Free()
 	}
 	ln, err := wire.Listen(cfg.Addr)
 	if err != nil {
--- a/internal/send/unreached_test.go
+++ b/internal/send/unreached_test.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/send"
-	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
 // A target's process is gone and its host refuses the connection. If the sender
@@ -18,7 +18,7 @@
 // second for each request that they place there.
 func TestRefusedConnectionIsUnreached(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", testkit.Loopback()+":0")
+	ln, err := net.Listen("tcp", loopback.Free())
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 // Figures of the settings that the promises are checked against.
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	at := func(i int) string { return "127.0.0.1:" + strconv.Itoa(ports[i]) }
+	at := func(i int) string { return loopback.Addr() + ":" + strconv.Itoa(ports[i]) }
 	settings := map[string]any{
 		"name": name, "domain": "a",
 		"listen":   map[string]any{"callers": at(0), "ready": at(1), "peers": at(2), "operators": at(3)},
@@ -83,7 +85,7 @@
 func freePorts() ([4]int, error) {
 	var out [4]int
 	for i := range out {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", loopback.Free())
 		if err != nil {
 			return out, err
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 // proxy passes connections on to an address and harms them as told.
@@ -25,7 +27,7 @@
 }
 
 func newProxy(to string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Free())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/platform"
 	"github.com/fireflypath/fireflypath/platform/standin"
 )
@@ -137,7 +138,7 @@
 }
 
 func (r *run) setUp(ctx context.Context) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Free())
 	if err != nil {
 		return err
 	}
@@ -159,7 +160,7 @@
 			return err
 		}
 		ports = append(ports, p)
-		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", p[2]))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", loopback.Addr(), p[2]))
 	}
 	for i, p := range ports {
 		d, err := newProcess(r.o.Dir, r.o.Program, fmt.Sprintf("d%d", i), ln.Addr().String(), seeds[:min(3, len(seeds))], p)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 )
 
 const (
@@ -43,7 +44,7 @@
 }
 
 func newTarget(name, pool string, names fireflypath.Headers, l *ledger, seed uint64) (*target, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Free())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testkit/daemon.go
+++ b/internal/testkit/daemon.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 )
 
@@ -54,6 +55,6 @@
 func Settings(cfg *fireflypath.Config) settings.Settings {
 	return settings.Settings{
 		Name: "d0", Domain: "d0", Initial: cfg,
-		Listen: settings.Listen{Callers: Loopback() + ":0", Operators: Loopback() + ":0"},
+		Listen: settings.Listen{Callers: loopback.Free(), Operators: loopback.Addr() + ":0"},
 	}
 }
