perf(slots): long prompts wait only where a much faster target exists

The rule that keeps long prompts from slow engines took the learned speed of each engine by itself: a prompt of 6,144 tokens or more would hold up streams for over 0.6 of the pause at anything below 41 tokens a millisecond, and equal engines are learned at 20 to 45. So the longest prompts, worth most, waited beside free slots for the one fastest engine. Ruled out: crashes and queues (these had free targets; read from the daemons' lines). Change: the rule holds for targets below half of the best prefill speed only. TestLongPromptDoesNotWaitAmongEqualTargets fails on the old code (4 of 6 sent).

--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -263,6 +263,37 @@
 	}
 }
 
+// Three engines are equally fast, and each runs a stream. A prompt of several
+// thousand tokens comes. Held back from all but the very fastest it would wait
+// until its goal has passed: the requests worth most were late that way, in
+// front of engines with free slots.
+func TestLongPromptDoesNotWaitAmongEqualTargets(t *testing.T) {
+	is := is.New(t)
+	s := sched(3)
+	now := start
+	for i := range 3 {
+		w := work(fmt.Sprint("learn", i), 0, now)
+		w.Cost.Prompt = 4000
+		s.Offer(now, w, nil)
+	}
+	for i, p := range next(s, now) {
+		took := time.Duration(100+10*i) * time.Millisecond // 36 to 40 tokens a millisecond
+		s.Observe(now.Add(took), fireflypath.Event{Kind: fireflypath.EventFirst, Target: p.Target, Work: p.Work})
+		s.Observe(now.Add(2*took), fireflypath.Event{Kind: fireflypath.EventDone, Target: p.Target, Work: p.Work, Tokens: 33})
+	}
+	now = now.Add(time.Second)
+	for i := range 3 {
+		s.Offer(now, work(fmt.Sprint("run", i), 0, now), nil)
+	}
+	is.Equal(len(next(s, now)), 3)
+	for i := range 6 {
+		w := work(fmt.Sprint("long", i), 0, now)
+		w.Cost.Prompt = 9000
+		s.Offer(now, w, nil)
+	}
+	is.Equal(len(next(s, now)), 6)
+}
+
 // A target takes no connection. It gets nothing for a while, then one request
 // that decides; without the pause, all waiting work would go there, one after
 // the other, as it always has room.
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -40,6 +40,10 @@
 	// hold up the streams at its target. The rest is for their own steps and for
 	// the prompts that other daemons send.
 	gapPart = 0.6
+	// muchSlower is the part of the fastest known prefill speed below which a target
+	// is one of another generation. Learned speeds of equal engines differ by up to
+	// a third, those of unlike ones by two to five times.
+	muchSlower = 0.5
 	// hurry is the part of the time left in which work must be expected to end.
 	hurry = 0.8
 	// maxExtra is how many requests of the highest tier may stand in a full
@@ -208,7 +212,8 @@
 // run. At an engine several times slower than others a prompt of some thousand
 // tokens holds up all its streams for longer than their callers bear, and a long
 // answer does not end in time. Such work waits for a faster target, unless it
-// would be late for that.
+// would be late for that. Where no target is much faster there is nothing to wait
+// for: the longest prompts would then wait until their goal has passed.
 func (s *Sched) fits(now time.Time, t *target, w *fireflypath.Work) bool {
 	if s.fast == 0 || !t.known() {
 		return true
@@ -216,11 +221,11 @@
 	if s.duration(t, w) > hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
 		return false
 	}
-	if w.Gap <= 0 || t.taken(now) == 0 {
+	if w.Gap <= 0 || t.taken(now) == 0 || s.prefillRate(t) > muchSlower*s.fast {
 		return true
 	}
 	stall := float64(min(w.Cost.Prompt, s.stride()*chunk)) / s.prefillRate(t)
-	return stall <= gapPart*w.Gap.Seconds() || s.best == t || now.After(w.Goal)
+	return stall <= gapPart*w.Gap.Seconds() || now.After(w.Goal)
 }
 
 func (s *Sched) stride() int {
