perf(usage): daemons tell how much prompt of theirs waits at a target

Cause: requests of the highest tier with short prompts (600 to 1,700 tokens, a prefill of 30 ms) began after 800 to 1,800 ms at engines where another daemon had sent a prompt of tens of thousands of tokens: daemons told each other the number of requests only. Change: Mate.Prompts, in thousands of tokens, from 3,000 on; the expected time at a target and the learning of its speed count it. TestWorkGoesAroundAnothersLongPrompt fails on the old code.

--- a/internal/decide/slots/mates.go
+++ b/internal/decide/slots/mates.go
@@ -16,6 +16,12 @@
 	// ownTime is how long a daemon may take again a place that it freed itself.
 	// The others have not heard of it yet.
 	ownTime = 20 * time.Millisecond
+	// promptUnit is the unit, in tokens, in which daemons tell how much prompt of
+	// theirs waits at a target: a thousand take 20 to 100 ms there.
+	promptUnit = 1000
+	// leastPrompt is the least number of units that is told. Less ends before it
+	// is heard of, and would be told with nearly each request.
+	leastPrompt = 3
 )
 
 // rival is another daemon that has work waiting for the pool.
@@ -30,6 +36,9 @@
 		if t.requests > 0 {
 			m.Flights[t.Name] = t.requests
 		}
+		if n := t.prefill / promptUnit; n >= leastPrompt {
+			m.Prompts[t.Name] = n
+		}
 	}
 	if r, ok := s.top(); ok {
 		m.Waits[s.pool.Name] = r
@@ -72,9 +81,10 @@
 		}
 	}
 	for _, t := range s.order {
-		sum := 0
+		sum, prompt := 0, 0
 		for _, m := range mates {
 			sum += m.Flights[t.Name]
+			prompt += m.Prompts[t.Name]
 			if v, ok := m.Speeds[t.Name]; ok && !t.known() {
 				t.speed.Adopt(float64(v.Prefill), float64(v.Decode))
 				s.learned(t)
@@ -84,6 +94,7 @@
 			t.freed = now
 		}
 		t.elsewhere, t.told = sum, true
+		t.ahead = prompt * promptUnit
 	}
 }
 
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -75,7 +75,7 @@
 	sent   time.Time
 	first  time.Time
 	// before is the prompt in tokens that had not begun its answer at the
-	// target when this was sent, from here.
+	// target when this was sent, of all daemons as far as they told.
 	before int
 }
 
@@ -251,7 +251,7 @@
 }
 
 func (s *Sched) depart(now time.Time, w *fireflypath.Work, t *target, p *fireflypath.Placement) {
-	s.flights[w] = flight{target: t, sent: now, before: t.prefill}
+	s.flights[w] = flight{target: t, sent: now, before: t.prefill + t.ahead}
 	t.requests++
 	t.prefill += w.Cost.Prompt
 	t.sent(now)
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -294,6 +294,37 @@
 	is.Equal(len(next(s, now)), 6)
 }
 
+// Another daemon has sent a prompt of 30,000 tokens to one of two equal engines.
+// The number of requests there is the same. Sent behind it, a short question of
+// the highest tier would wait most of a second for its first event.
+func TestWorkGoesAroundAnothersLongPrompt(t *testing.T) {
+	is := is.New(t)
+	other, s := sched(2), sched(2)
+	long := work("long", 0, start)
+	long.Cost.Prompt = 30_000
+	other.Offer(start, long, nil)
+	busy := next(other, start)[0].Target
+	m := fireflypath.NewMate("other")
+	other.Report(&m)
+	for _, t := range targets(2) {
+		m.Flights[t.Name] = 1
+	}
+	s.Hear(start, []fireflypath.Mate{m})
+	for i := range 4 {
+		s.Offer(start, work(fmt.Sprint("short", i), 0, start), nil)
+	}
+	for _, p := range next(s, start) {
+		is.True(p.Target != busy)
+	}
+	// Its prefill is over: the engine is as good as the other one.
+	other.Observe(start, fireflypath.Event{Kind: fireflypath.EventFirst, Target: busy, Work: long})
+	m = fireflypath.NewMate("other")
+	other.Report(&m)
+	s.Hear(start, []fireflypath.Mate{m})
+	s.Offer(start, work("later", 0, start), nil)
+	is.Equal(next(s, start)[0].Target, busy)
+}
+
 // A target takes no connection. It gets nothing for a while, then one request
 // that decides; without the pause, all waiting work would go there, one after
 // the other, as it always has room.
@@ -328,7 +359,7 @@
 	tell := func(now time.Time) {
 		var mates []fireflypath.Mate
 		for d, s := range all {
-			m := fireflypath.Mate{Name: fmt.Sprint("d", d), Flights: map[string]int{}, Waits: map[string]int{}, Speeds: map[string]fireflypath.Speed{}}
+			m := fireflypath.NewMate(fmt.Sprint("d", d))
 			s.Report(&m)
 			mates = append(mates, m)
 		}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -71,6 +71,8 @@
 	hold float64
 	// elsewhere is what other daemons have in flight there, by their own word.
 	elsewhere int
+	// ahead is how much prompt of theirs waits there for its prefill, in tokens.
+	ahead int
 	// freed is when a place was last seen to become free that this daemon had not
 	// held itself; own is when a place of its own became free.
 	freed, own time.Time
@@ -252,7 +254,7 @@
 // score is how long the work is expected to take until its answer begins, in
 // seconds, made worse by failures and by a full batch.
 func (s *Sched) score(now time.Time, t *target, w *fireflypath.Work) float64 {
-	sec := float64(t.prefill+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
+	sec := float64(t.prefill+t.ahead+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
 	taken := float64(t.taken(now)) / float64(t.slots())
 	sec *= 1 + slotCost*taken*float64(t.slots())
 	if over := t.taken(now) + 1 - t.slots(); over > 0 {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -47,6 +47,9 @@
 	Whole bool `json:"a,omitempty"`
 	// Flights counts the requests at each target.
 	Flights map[string]int `json:"f,omitempty"`
+	// Prompts is how much prompt waits for its prefill at each target, in
+	// thousands of tokens.
+	Prompts map[string]int `json:"p,omitempty"`
 	// Waits is the highest rank waiting in each pool; -1 is nothing.
 	Waits map[string]int `json:"w,omitempty"`
 	// Speeds is what the sender learned of targets.
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -240,7 +240,7 @@
 
 // Report is what this daemon has in flight and waiting.
 func (p *Pools) Report() fireflypath.Mate {
-	m := fireflypath.Mate{Flights: map[string]int{}, Waits: map[string]int{}, Speeds: map[string]fireflypath.Speed{}}
+	m := fireflypath.NewMate("")
 	for _, n := range *p.byName.Load() {
 		n.Report(&m)
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -82,6 +82,7 @@
 	number uint64
 	// now holds what this daemon has in flight and used.
 	flights map[string]int
+	prompts map[string]int
 	waits   map[string]int
 	speeds  map[string]fireflypath.Speed
 	used    map[string]int64
@@ -94,6 +95,7 @@
 // sent is what a peer knows.
 type sent struct {
 	flights map[string]int
+	prompts map[string]int
 	waits   map[string]int
 	speeds  map[string]fireflypath.Speed
 	used    map[string]int64
@@ -108,6 +110,7 @@
 	number     uint64
 	at         time.Time
 	flights    map[string]int
+	prompts    map[string]int
 	waits      map[string]int
 	// speeds is what it told since they were last taken over.
 	speeds map[string]fireflypath.Speed
@@ -124,7 +127,7 @@
 		self: self, peers: peers, fleet: fleet, pools: pools, limits: limits, clock: clock,
 		told: scope.Counter("told"), heard: scope.Counter("heard"),
 		life:    rand.Uint64(),
-		flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
+		flights: map[string]int{}, prompts: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
 		sent: map[string]*sent{}, mates: map[string]*mate{},
 	}
 	peers.AddSource(u.tell)
@@ -152,8 +155,9 @@
 	report, used := u.pools.Report(), u.limits.Used()
 	now := u.clock.Now()
 	u.mu.Lock()
-	changed := !maps.Equal(report.Flights, u.flights) || !maps.Equal(report.Waits, u.waits)
-	u.flights, u.waits, u.speeds = report.Flights, report.Waits, report.Speeds
+	changed := !maps.Equal(report.Flights, u.flights) || !maps.Equal(report.Prompts, u.prompts) ||
+		!maps.Equal(report.Waits, u.waits)
+	u.flights, u.prompts, u.waits, u.speeds = report.Flights, report.Prompts, report.Waits, report.Speeds
 	for team, n := range used {
 		v := int64(n)
 		changed = changed || u.used[team] != v
@@ -179,7 +183,10 @@
 		if !slices.Contains(names, name) || now.Sub(m.at) > staleAfter {
 			continue
 		}
-		mates = append(mates, fireflypath.Mate{Name: name, Flights: maps.Clone(m.flights), Waits: maps.Clone(m.waits), Speeds: m.speeds})
+		mates = append(mates, fireflypath.Mate{
+			Name: name, Flights: maps.Clone(m.flights), Prompts: maps.Clone(m.prompts),
+			Waits: maps.Clone(m.waits), Speeds: m.speeds,
+		})
 		m.speeds = nil // each is taken over once
 	}
 	u.mu.Unlock()
@@ -209,7 +216,7 @@
 	whole := first || now.Sub(s.whole) >= wholeEvery
 	if whole {
 		s = &sent{
-			flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
+			flights: map[string]int{}, prompts: map[string]int{}, waits: map[string]int{}, used: map[string]int64{},
 			speeds: map[string]fireflypath.Speed{}, whole: now,
 		}
 		if !first {
@@ -222,6 +229,7 @@
 		out.Levels = u.limits.Levels(now)
 	}
 	out.Flights = changes(s.flights, u.flights, 0)
+	out.Prompts = changes(s.prompts, u.prompts, 0)
 	out.Waits = changes(s.waits, u.waits, nothing)
 	for target, v := range u.speeds {
 		if _, told := s.speeds[target]; !told {
@@ -235,7 +243,7 @@
 			s.used[team] = n
 		}
 	}
-	if !whole && out.Flights == nil && out.Waits == nil && out.Speeds == nil && out.Used == nil {
+	if !whole && out.Flights == nil && out.Prompts == nil && out.Waits == nil && out.Speeds == nil && out.Used == nil {
 		return
 	}
 	u.number++
@@ -292,11 +300,11 @@
 	m.number = in.Number
 	if in.Whole {
 		clear(m.flights)
+		clear(m.prompts)
 		clear(m.waits)
 	}
-	for target, n := range in.Flights {
-		m.flights[target] = n
-	}
+	maps.Copy(m.flights, in.Flights)
+	maps.Copy(m.prompts, in.Prompts)
 	for pool, r := range in.Waits {
 		m.waits[pool] = r
 		if r == nothing {
@@ -318,7 +326,7 @@
 func (u *Usage) mate(name string) *mate {
 	m := u.mates[name]
 	if m == nil {
-		m = &mate{flights: map[string]int{}, waits: map[string]int{}, used: map[string]int64{}}
+		m = &mate{flights: map[string]int{}, prompts: map[string]int{}, waits: map[string]int{}, used: map[string]int64{}}
 		u.mates[name] = m
 	}
 	return m
@@ -328,6 +336,7 @@
 func (m *mate) begin(life uint64) {
 	m.life, m.past, m.number = life, m.life, 0
 	clear(m.flights)
+	clear(m.prompts)
 	clear(m.waits)
 	m.speeds = nil
 	clear(m.used)
--- a/scheduler.go
+++ b/scheduler.go
@@ -200,6 +200,9 @@
 	Name string
 	// Flights counts its requests at each target.
 	Flights map[string]int
+	// Prompts is how much prompt of these requests still waits there for its
+	// prefill, in thousands of tokens; targets with little of it are left out.
+	Prompts map[string]int
 	// Waits is the highest rank that waits there, by pool; a pool that is not in
 	// it has nothing waiting.
 	Waits map[string]int
@@ -207,6 +210,14 @@
 	Speeds map[string]Speed
 }
 
+// NewMate returns a Mate that has told nothing yet.
+func NewMate(name string) Mate {
+	return Mate{
+		Name: name, Flights: map[string]int{}, Prompts: map[string]int{}, Waits: map[string]int{},
+		Speeds: map[string]Speed{},
+	}
+}
+
 // Speed is how fast a target works for one request, in tokens a second to
 // prefill and events a second to generate.
 type Speed struct {
