perf(slots): targets that pass to other daemons are taken over with care

Targets of services shared by all cells were taken for idle likewise, as a daemon hears its own cell only. Change: a target that comes from another cell counts as full, less by the second, and is taken by turns; where daemons that are not heard send work too (Share.Mixed), the load that targets tell with their answers counts.

--- a/internal/daemon/gatedmembers.go
+++ b/internal/daemon/gatedmembers.go
@@ -66,11 +66,12 @@
 	if layout.Cells() == 1 {
 		return fireflypath.Share{Default: 1}
 	}
-	mine, _ := layout.Serves(d.cfg.Name, names)
+	mine, mates := layout.Serves(d.cfg.Name, names)
+	mixed := len(mates) > len(layout.Mates(d.cfg.Name))
 	if len(mine) == 0 || len(mine) == len(names) {
-		return fireflypath.Share{Default: 1}
+		return fireflypath.Share{Default: 1, Mixed: mixed}
 	}
-	s := fireflypath.Share{Part: make(map[string]float64, len(mine))}
+	s := fireflypath.Share{Part: make(map[string]float64, len(mine)), Mixed: mixed}
 	for _, name := range mine {
 		s.Part[name] = 1
 	}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -152,10 +152,10 @@
 	return r
 }
 
-// room is when there will be room for the work if it comes back: when what waits
+// comeBack is when there will be room for the work if it comes back: when what waits
 // before it has been served beside what goes on to arrive. Told the time of its
 // own turn only, its caller would come back into a queue as long as before.
-func (s *Sched) room(now time.Time, w *fireflypath.Work) time.Duration {
+func (s *Sched) comeBack(now time.Time, w *fireflypath.Work) time.Duration {
 	capacity := s.capacity()
 	if capacity <= 0 {
 		return shortest
@@ -185,15 +185,15 @@
 func (s *Sched) free(now time.Time) int {
 	n := 0
 	for _, t := range s.order {
-		if t.room(now, 0) {
-			n += t.slots() - t.taken(now)
+		if s.takes(now, t, 0) {
+			n += t.slots() - s.taken(now, t)
 		}
 	}
 	return n
 }
 
 func (s *Sched) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: s.room(now, w)}
+	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: s.comeBack(now, w)}
 }
 
 // before reports whether a is served before b. Work that can still begin in
@@ -243,7 +243,7 @@
 
 func (s *Sched) anyRoom(now time.Time) bool {
 	for _, t := range s.order {
-		if t.room(now, maxExtra) {
+		if s.takes(now, t, maxExtra) {
 			return true
 		}
 	}
@@ -268,8 +268,8 @@
 			continue
 		}
 		c := fireflypath.Candidate{
-			Target: t.Name, Held: t.prefill, Reported: t.others(now), Age: now.Sub(t.heard),
-			Window: t.slots(), Score: s.score(now, t, w), Skip: t.skip(now, s.extra(w.Rank)),
+			Target: t.Name, Held: t.prefill, Reported: s.others(now, t), Age: now.Sub(t.heard),
+			Window: t.slots(), Score: s.score(now, t, w), Skip: s.skip(now, t, s.extra(w.Rank)),
 		}
 		out = append(out, c)
 	}
@@ -341,13 +341,30 @@
 
 // SetShare sets which targets this daemon sends work to: those with a part above
 // 0. How much each may get follows from what daemons tell each other.
-func (s *Sched) SetShare(_ time.Time, share fireflypath.Share) {
+func (s *Sched) SetShare(now time.Time, share fireflypath.Share) {
 	s.share = share
 	for _, t := range s.order {
-		t.foreign = !serves(share, t.Name)
+		s.serve(now, t)
 	}
 }
 
+// serve sets whether this daemon sends work to the target.
+//
+// When a target comes or goes, some others pass to another group of daemons. All
+// daemons of that group see such a target at once, with no work of theirs: without
+// care they sent up to 29 requests in a second to an engine of five slots that
+// was still busy with the work of those who had it before.
+func (s *Sched) serve(now time.Time, t *target) {
+	mine := serves(s.share, t.Name)
+	if mine && t.foreign {
+		t.freed = now
+		if now.Sub(t.since) > brandNew {
+			t.inherited = now
+		}
+	}
+	t.foreign = !mine
+}
+
 func serves(share fireflypath.Share, name string) bool {
 	if part, ok := share.Part[name]; ok {
 		return part > 0
@@ -381,7 +398,7 @@
 // Views appends what is known of each target, for operators.
 func (s *Sched) Views(now time.Time, out []fireflypath.TargetView) []fireflypath.TargetView {
 	for _, t := range s.order {
-		state := t.skip(now, 0)
+		state := s.skip(now, t, 0)
 		if state == "" {
 			state = "ready"
 		}
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// tellAll has each daemon hear all others.
+func tellAll(all []*slots.Sched, now time.Time) {
+	var mates []fireflypath.Mate
+	for d, s := range all {
+		m := fireflypath.NewMate(fmt.Sprint("d", d))
+		s.Report(&m)
+		mates = append(mates, m)
+	}
+	for d, s := range all {
+		s.Hear(now, append(append([]fireflypath.Mate(nil), mates[:d]...), mates[d+1:]...))
+	}
+}
+
 func done(s *slots.Sched, now time.Time, p fireflypath.Placement, took time.Duration) {
 	s.Observe(now.Add(-took/2), fireflypath.Event{Kind: fireflypath.EventFirst, Target: p.Target, Work: p.Work})
 	s.Observe(now, fireflypath.Event{Kind: fireflypath.EventDone, Target: p.Target, Work: p.Work, Tokens: 33})
@@ -356,18 +369,7 @@
 		}
 		all = append(all, s)
 	}
-	tell := func(now time.Time) {
-		var mates []fireflypath.Mate
-		for d, s := range all {
-			m := fireflypath.NewMate(fmt.Sprint("d", d))
-			s.Report(&m)
-			mates = append(mates, m)
-		}
-		for d, s := range all {
-			s.Hear(now, append(append([]fireflypath.Mate(nil), mates[:d]...), mates[d+1:]...))
-		}
-	}
-	tell(start)
+	tellAll(all, start)
 	sent := 0
 	now := start
 	for _, s := range all {
@@ -377,13 +379,72 @@
 		for _, s := range all {
 			sent += len(next(s, now))
 		}
-		tell(now)
+		tellAll(all, now)
 		now = now.Add(10 * time.Millisecond)
 	}
 	is.True(sent >= 5)
 	is.True(sent <= 10)
 }
 
+// A target goes, and another one passes to a group of daemons that did not have
+// it. The group before still has five requests there, which nobody of this group
+// hears of. If each daemon took the target for idle, callers would stand behind
+// four times its slots.
+func TestTargetOfOthersIsTakenOverWithCare(t *testing.T) {
+	is := is.New(t)
+	const daemons = 8
+	var all []*slots.Sched
+	now := start
+	for d := range daemons {
+		s := slots.New(fireflypath.Pool{Name: "p"}, uint64(1000*d+1))
+		s.SetShare(now, fireflypath.Share{Part: map[string]float64{}})
+		s.SetTargets(now, targets(1))
+		all = append(all, s)
+	}
+	now = now.Add(10 * time.Second)
+	sent := 0
+	for d, s := range all {
+		for i := range 20 {
+			s.Offer(now, work(fmt.Sprint(d, "-", i), 0, now), nil)
+		}
+	}
+	tellAll(all, now)
+	for _, s := range all {
+		s.SetShare(now, fireflypath.Share{Part: map[string]float64{"t0": 1}})
+	}
+	for range 10 {
+		for _, s := range all {
+			sent += len(next(s, now))
+		}
+		tellAll(all, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(sent <= 2) // two of the highest tier may stand before the five
+	for range 80 {
+		for _, s := range all {
+			sent += len(next(s, now))
+		}
+		tellAll(all, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(sent >= 5 && sent <= 7) // the others' work has ended
+}
+
+// Daemons that do not hear each other share a target. What it says of its load
+// with each answer counts, or each would send as if it had the target alone.
+func TestLoadCountsWhereDaemonsAreNotHeard(t *testing.T) {
+	is := is.New(t)
+	s := sched(1)
+	s.SetShare(start, fireflypath.Share{Default: 1, Mixed: true})
+	s.Hear(start, nil)
+	s.Observe(start, fireflypath.Event{
+		Kind: fireflypath.EventReport, Target: "t0", Cached: -1, Report: fireflypath.Report{Running: 5, Batch: 5},
+	})
+	s.Offer(start, work("a", 0, start), nil)
+	is.Equal(len(next(s, start)), 0)
+	is.Equal(len(next(s, start.Add(500*time.Millisecond))), 1) // the report is too old to tell
+}
+
 // A caller leaves while its work is at a target: that says nothing of the target.
 func TestCallersLeavingDoesNotEject(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -51,6 +52,12 @@
 	// used them: the daemons need not agree on it first. Each tier below has one
 	// less, the lowest none.
 	maxExtra = 2
+	// inheritTime is how long requests hold a slot: half a second at fast engines,
+	// two at the slowest. The work of those who had a target before is over by then.
+	inheritTime = 800 * time.Millisecond
+	// brandNew is how long after a target was first known the daemons learn whose it
+	// is: it has no work of others then.
+	brandNew = 500 * time.Millisecond
 	// holdWeight weighs a new sample of how long a request holds its slot.
 	holdWeight = 0.1
 	// spread is the part of the expected time by which daemons differ in their
@@ -76,6 +83,9 @@
 	// freed is when a place was last seen to become free that this daemon had not
 	// held itself; own is when a place of its own became free.
 	freed, own time.Time
+	// since is when the target was first known; inherited is when it came to this
+	// daemon from others that still had work there.
+	since, inherited time.Time
 	// told is true once other daemons have said anything.
 	told bool
 	// report is the target's own word, heard with an answer, less own requests.
@@ -103,10 +113,10 @@
 	for _, t := range targets {
 		known := s.targets[t.Name]
 		if known == nil || known.Addr != t.Addr {
-			known = &target{hash: xxhash.Sum64String(t.Name), freed: now}
+			known = &target{hash: xxhash.Sum64String(t.Name), freed: now, since: now}
 		}
 		known.Target = t
-		known.foreign = !serves(s.share, t.Name)
+		s.serve(now, known)
 		next[t.Name] = known
 	}
 	s.targets = next
@@ -125,19 +135,31 @@
 }
 
 // others is how many requests of other daemons are at the target.
-func (t *target) others(now time.Time) int {
+func (s *Sched) others(now time.Time, t *target) int {
+	n := 0
 	if t.told {
-		return t.elsewhere
+		n = t.elsewhere
 	}
-	if now.Sub(t.heard) > reportLife {
+	unheard := !t.told || s.share.Mixed
+	if unheard && now.Sub(t.heard) <= reportLife {
+		n = max(n, t.report)
+	}
+	return n + t.left(now)
+}
+
+// left is how much work of those who had the target before may still be there: it
+// ends one by one.
+func (t *target) left(now time.Time) int {
+	age := now.Sub(t.inherited)
+	if t.inherited.IsZero() || age >= inheritTime {
 		return 0
 	}
-	return t.report
+	return int(math.Ceil(float64(t.slots()) * float64(inheritTime-age) / float64(inheritTime)))
 }
 
 // taken is how many requests of all daemons are at the target.
-func (t *target) taken(now time.Time) int {
-	return t.requests + t.others(now)
+func (s *Sched) taken(now time.Time, t *target) int {
+	return t.requests + s.others(now, t)
 }
 
 // extra is how many requests of the rank may stand before a full target.
@@ -147,7 +169,7 @@
 
 // skip says why the target takes no work, or nothing if it does; extra is how
 // many requests may be there beyond its slots.
-func (t *target) skip(now time.Time, extra int) string {
+func (s *Sched) skip(now time.Time, t *target, extra int) string {
 	switch {
 	case t.foreign:
 		return "foreign"
@@ -157,15 +179,15 @@
 		return "ejected"
 	case t.probing:
 		return "probing"
-	case t.taken(now) >= t.slots()+extra:
+	case s.taken(now, t) >= t.slots()+extra:
 		return "full"
 	default:
 		return ""
 	}
 }
 
-func (t *target) room(now time.Time, extra int) bool {
-	return t.skip(now, extra) == ""
+func (s *Sched) takes(now time.Time, t *target, extra int) bool {
+	return s.skip(now, t, extra) == ""
 }
 
 // sent lets one request decide about a target that had failed.
@@ -198,7 +220,7 @@
 	least := 0.0
 	extra := s.extra(w.Rank)
 	for _, t := range s.order {
-		if !t.room(now, extra) || !s.turn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
+		if !s.takes(now, t, extra) || !s.turn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || !s.fits(now, t, w) {
 			continue
 		}
 		if v := s.score(now, t, w); best == nil || v < least {
@@ -223,7 +245,7 @@
 	if s.duration(t, w) > hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
 		return false
 	}
-	if w.Gap <= 0 || t.taken(now) == 0 || s.prefillRate(t) > muchSlower*s.fast {
+	if w.Gap <= 0 || s.taken(now, t) == 0 || s.prefillRate(t) > muchSlower*s.fast {
 		return true
 	}
 	stall := float64(min(w.Cost.Prompt, s.stride()*chunk)) / s.prefillRate(t)
@@ -255,9 +277,9 @@
 // seconds, made worse by failures and by a full batch.
 func (s *Sched) score(now time.Time, t *target, w *fireflypath.Work) float64 {
 	sec := float64(t.prefill+t.ahead+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
-	taken := float64(t.taken(now)) / float64(t.slots())
+	taken := float64(s.taken(now, t)) / float64(t.slots())
 	sec *= 1 + slotCost*taken*float64(t.slots())
-	if over := t.taken(now) + 1 - t.slots(); over > 0 {
+	if over := s.taken(now, t) + 1 - t.slots(); over > 0 {
 		sec += float64(over) * t.hold / float64(t.slots())
 	}
 	sec *= 1 + failCost*t.failing
--- a/scheduler.go
+++ b/scheduler.go
@@ -160,6 +160,9 @@
 	Part map[string]float64
 	// Default is the fraction for other targets: 1 for a daemon alone.
 	Default float64
+	// Mixed is true if daemons that this one does not hear send work to the targets
+	// too, so that only the targets themselves know how busy they are.
+	Mixed bool
 }
 
 // Demand is a daemon's line about one pool in the summaries that daemons exchange.
