perf(grants): the highest tiers of a team above its quota are free in large fleets

Cause: above twelve daemons a team near its quota gets parts of the rate, cut to 64 daemons. Change: daemons report what a team asks for by tier; the keeper lets as many of the highest tiers as fit into the rate have what they ask for and cuts the rest into parts. TestHighestTierOfATeamAboveItsQuotaIsFree fails on the old code. The older tests keep their figures, with all demand in the highest tier.

--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -53,13 +53,14 @@
 type team struct {
 	quota  fireflypath.Quota
 	bucket *quota.Bucket
-	// asked measures what is asked for, granted or not.
-	asked rate.Meter
-	// free is until when a keeper lets the team have what it asks for; told is
-	// the use that was reported to it.
-	free  time.Time
-	told  int64
-	since time.Time
+	// asked measures what is asked for by tier, granted or not.
+	asked [grants.Tiers]rate.Meter
+	// free is until when a keeper lets the highest tiers, freeTiers of them, have
+	// what they ask for; told is the use that was reported to it.
+	free      time.Time
+	freeTiers int
+	told      int64
+	since     time.Time
 	// adopted is true once the level of another daemon's copy was taken over.
 	adopted bool
 }
@@ -108,20 +109,20 @@
 	}
 }
 
-// SetFree lets the team have what it asks for until a time; zero ends that at
-// once. The bucket here was not used meanwhile and begins empty then: its part of
-// the burst went with what was given freely.
-func (l *Limits) SetFree(now time.Time, name string, until time.Time) {
+// SetFree lets the team's highest tiers, that many, have what they ask for until a
+// time. When that ends for the lowest tier, the bucket here was not used meanwhile
+// and begins empty: its part of the burst went with what was given freely.
+func (l *Limits) SetFree(now time.Time, name string, tiers int, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.teams[name]
 	if t == nil {
 		return
 	}
-	if until.IsZero() && now.Before(t.free) {
+	if tiers < grants.Tiers && t.freeTiers == grants.Tiers && now.Before(t.free) {
 		t.bucket.Adopt(now, 0)
 	}
-	t.free = until
+	t.freeTiers, t.free = tiers, until
 }
 
 // Spend returns what each team used since the last call, and asked for in a second.
@@ -130,9 +131,13 @@
 	defer l.mu.Unlock()
 	out := make(map[string]grants.Spent, len(l.teams))
 	for name, t := range l.teams {
-		t.asked.Pass(now, true)
 		used := int64(t.bucket.Used())
-		out[name] = grants.Spent{Used: used - t.told, Demand: int64(t.asked.Rate())}
+		sp := grants.Spent{Used: used - t.told}
+		for i := range t.asked {
+			t.asked[i].Pass(now, true)
+			sp.Demand[i] = int64(t.asked[i].Rate())
+		}
+		out[name] = sp
 		t.told = used
 	}
 	return out
@@ -195,8 +200,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	team := l.team(now, t.Name, t.Quota)
-	team.asked.Add(now, int(n))
-	if l.split && now.Before(team.free) {
+	tier := min(max(below, 0), grants.Tiers-1)
+	team.asked[tier].Add(now, int(n))
+	if l.split && tier < team.freeTiers && now.Before(team.free) {
 		team.bucket.Spend(now, n)
 		return 0, true
 	}
@@ -216,7 +222,10 @@
 func (l *Limits) team(now time.Time, name string, q *fireflypath.Quota) *team {
 	t := l.teams[name]
 	if t == nil {
-		t = &team{quota: *q, bucket: quota.New(now, *q, l.cfg.Quotas, l.part), since: now, asked: rate.Meter{Horizon: askedOver}}
+		t = &team{quota: *q, bucket: quota.New(now, *q, l.cfg.Quotas, l.part), since: now}
+		for i := range t.asked {
+			t.asked[i].Horizon = askedOver
+		}
 		l.teams[name] = t
 	} else if t.quota != *q {
 		t.quota = *q
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -62,8 +62,9 @@
 	Quota(team string) *fireflypath.Quota
 	// Spend returns what each team used since the last call, and asked for in a second.
 	Spend(now time.Time) map[string]Spent
-	// SetFree lets the team have what it asks for until a time.
-	SetFree(now time.Time, team string, until time.Time)
+	// SetFree lets the team's highest tiers, that many, have what they ask for until
+	// a time.
+	SetFree(now time.Time, team string, tiers int, until time.Time)
 	// SetPart sets the fraction of a team's quota that this daemon may give out.
 	SetPart(now time.Time, team string, part float64)
 }
@@ -71,18 +72,35 @@
 // Spent is what a team used since the last report, in units, and what it asks
 // for, in units a second.
 type Spent struct {
-	Used   int64 `json:"u,omitempty"`
-	Demand int64 `json:"d,omitempty"`
+	Used   int64  `json:"u,omitempty"`
+	Demand Demand `json:"d"`
 	// Level is what its keeper said last, so that a new keeper can go on there.
 	Level int64 `json:"l,omitempty"`
 }
 
+// Tiers is the number of tiers of a team that are told apart; lower ones count as
+// the last.
+const Tiers = 4
+
+// Demand is what a team asks for in a second, by tier.
+type Demand [Tiers]int64
+
+// of is the demand of the tiers from one on.
+func (d Demand) of(tier int) int64 {
+	sum := int64(0)
+	for _, n := range d[tier:] {
+		sum += n
+	}
+	return sum
+}
+
 // Verdict is what a keeper says of a team.
 type Verdict struct {
-	// Free is true while the quota's bucket is well filled.
-	Free  bool  `json:"f,omitempty"`
+	// Free is how many of the highest tiers may have what they ask for: all of them
+	// while the quota's bucket is well filled.
+	Free  int   `json:"f,omitempty"`
 	Level int64 `json:"l,omitempty"`
-	// Rate is what the daemon may give out if Free is not set, in units a second.
+	// Rate is what the daemon may give out to the other tiers, in units a second.
 	Rate float64 `json:"r,omitempty"`
 }
 
@@ -225,12 +243,11 @@
 	for team, v := range a.Teams {
 		g.levels[team] = v.Level
 		q := g.limits.Quota(team)
-		switch {
-		case q == nil || q.Rate <= 0:
-		case v.Free:
-			g.limits.SetFree(now, team, now.Add(trust))
-		default:
-			g.limits.SetFree(now, team, time.Time{})
+		if q == nil || q.Rate <= 0 {
+			continue
+		}
+		g.limits.SetFree(now, team, v.Free, now.Add(trust))
+		if v.Free < Tiers {
 			g.limits.SetPart(now, team, v.Rate/q.Rate)
 		}
 	}
@@ -262,11 +279,16 @@
 		k.adopted = true
 		k.bucket.Heard(now, float64(sp.Used))
 		level := k.bucket.Level(now)
-		enough := max(healthy*k.bucket.Top(), noticeTime.Seconds()*k.demand(now, from, sp.Demand))
-		v := Verdict{Level: int64(level), Free: level > enough}
+		demand := k.demand(now, from, sp.Demand)
+		enough := max(healthy*k.bucket.Top(), noticeTime.Seconds()*float64(demand.of(0)))
+		v := Verdict{Level: int64(level), Free: Tiers}
 		// What was given out beyond the quota is paid back over some seconds.
 		rate := max(k.bucket.Rate()+min(level, 0)/repayTime.Seconds(), leastRate*k.bucket.Rate())
-		if given := k.split.Ask(now, rate, from, spare*float64(sp.Demand)); !v.Free {
+		if level <= enough {
+			v.Free, rate = above(demand, rate)
+		}
+		given := k.split.Ask(now, rate, from, spare*float64(sp.Demand.of(v.Free%Tiers)))
+		if v.Free < Tiers {
 			v.Rate = given
 		}
 		a.Teams[team] = v
@@ -274,24 +296,41 @@
 	return a
 }
 
-// demand is what one reporter asks for, and when it said so.
+// above is how many of the highest tiers fit into the rate together, and what they
+// leave of it for the tiers below.
+//
+// Parts of a rate cut to many daemons hold less than one large request, and any
+// tier is refused alike. The highest tiers, whose requests are the largest, get
+// what they ask for instead, as long as that leaves room for errors of a report.
+func above(demand Demand, rate float64) (tiers int, left float64) {
+	left = rate
+	for tiers < Tiers-1 && left-spare*float64(demand[tiers]) >= leastRate*rate {
+		left -= spare * float64(demand[tiers])
+		tiers++
+	}
+	return tiers, left
+}
+
+// demand is what one daemon asks for.
 type demand struct {
-	rate int64
+	rate Demand
 	at   time.Time
 }
 
-// demand books a reporter's demand and returns that of all.
-func (k *kept) demand(now time.Time, from string, rate int64) float64 {
+// demand sums what daemons ask for.
+func (k *kept) demand(now time.Time, from string, rate Demand) Demand {
 	k.demands[from] = demand{rate: rate, at: now}
-	sum := int64(0)
+	var sum Demand
 	for name, d := range k.demands {
 		if now.Sub(d.at) > trust {
 			delete(k.demands, name)
 			continue
 		}
-		sum += d.rate
+		for i, n := range d.rate {
+			sum[i] += n
+		}
 	}
-	return float64(sum)
+	return sum
 }
 
 // keep is the keeper's bucket of a team.
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -33,6 +33,7 @@
 	quota *fireflypath.Quota
 	spent grants.Spent
 	free  time.Time
+	tiers int
 	part  float64
 }
 
@@ -64,9 +65,15 @@
 	d.spent.Used = 0
 	return map[string]grants.Spent{"red": s}
 }
-func (d *daemon) SetFree(_ time.Time, _ string, until time.Time) { d.free = until }
-func (d *daemon) SetPart(_ time.Time, _ string, part float64)    { d.part = part }
-func (d *daemon) isFree() bool                                   { return d.f.clock.Now().Before(d.free) }
+func (d *daemon) SetFree(_ time.Time, _ string, tiers int, until time.Time) {
+	d.free, d.tiers = until, tiers
+}
+
+func (d *daemon) SetPart(_ time.Time, _ string, part float64) { d.part = part }
+
+// isFree is true if the highest tier, of which all demand is here unless said
+// otherwise, gets what it asks for.
+func (d *daemon) isFree() bool { return d.tiers > 0 && d.f.clock.Now().Before(d.free) }
 
 func start(n int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), methods: map[string]peer.Method{}, cut: map[string]bool{}}
@@ -84,7 +91,7 @@
 // step lets each daemon use and report.
 func (f *fleet) step(t *testing.T, used, demand int64) {
 	for _, d := range f.daemons {
-		d.spent = grants.Spent{Used: used, Demand: demand}
+		d.spent = grants.Spent{Used: used, Demand: grants.Demand{demand}}
 	}
 	for _, d := range f.daemons {
 		d.g.Step(t.Context())
@@ -114,7 +121,7 @@
 	f := start(20)
 	for range 40 {
 		for _, d := range f.daemons {
-			d.spent = grants.Spent{Used: 60, Demand: 200}
+			d.spent = grants.Spent{Used: 60, Demand: grants.Demand{200}}
 			if !d.isFree() {
 				d.spent.Used = min(60, int64(d.part*d.quota.Rate*0.3))
 			}
@@ -133,6 +140,30 @@
 	is.True(sum > 0.8)
 }
 
+// A team asks for twice its quota, most of it in its lowest tier. Parts of the rate
+// cut to twenty daemons refused its highest tier as often as its lowest.
+func TestHighestTierOfATeamAboveItsQuotaIsFree(t *testing.T) {
+	is := is.New(t)
+	f := start(20)
+	for range 20 {
+		for _, d := range f.daemons {
+			d.spent = grants.Spent{Used: 17, Demand: grants.Demand{20, 0, 80}}
+		}
+		for _, d := range f.daemons {
+			d.g.Step(t.Context())
+		}
+		f.clock.Advance(300 * time.Millisecond)
+	}
+	sum := 0.0
+	for _, d := range f.daemons {
+		is.True(d.isFree())
+		is.Equal(d.tiers, 2) // and the one between, of which there is no demand
+		sum += d.part
+	}
+	is.True(sum <= 1-0.4) // the lowest tier gets what the highest leaves
+	is.True(sum >= 0.2)
+}
+
 // The keeper is cut off. What it said last holds for a while, and ends.
 func TestVerdictsEndWithTheKeeper(t *testing.T) {
 	is := is.New(t)
@@ -184,7 +215,7 @@
 				asked = min(asked, d.part*rate*0.3)
 			}
 			sum += asked
-			d.spent = grants.Spent{Used: int64(asked + 0.5), Demand: int64(demand / daemons)}
+			d.spent = grants.Spent{Used: int64(asked + 0.5), Demand: grants.Demand{int64(demand / daemons)}}
 		}
 		used = append(used, sum)
 		for _, d := range f.daemons {
