perf(member): a daemon that starts takes one lease and writes one record

Change: a lease lasts a minute at least, a changed record is written under the lease it has, and the first record waits 0.4 s for the daemon's addresses. TestStartWritesOneRecord fails on the old code. Tried with it and not kept: no watch of the store in the first 1.5 s of a daemon's life.

--- a/internal/member/membership_test.go
+++ b/internal/member/membership_test.go
@@ -260,3 +260,16 @@
 		f.pass(5 * time.Second)
 	})
 }
+
+// A daemon starts alone, and its addresses become known when it listens. With a
+// lease for a small fleet and a record written at once, each start of a daemon
+// among many cost the store two leases and two writes.
+func TestStartWritesOneRecord(t *testing.T) {
+	inFleet(t, func(is *is.I, f *fleet) {
+		for _, d := range f.daemons {
+			d.members.SetAddresses(d.name+":2", d.name+":3")
+		}
+		time.Sleep(20 * time.Second)
+		is.Equal(f.store.Calls("grant"), len(f.daemons))
+	})
+}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -18,8 +18,16 @@
 	// four calls a second, whatever its size.
 	renewLeast = 5 * time.Second
 	renewEach  = 250 * time.Millisecond
+	// registerAfter is how long a daemon that starts waits before it writes its
+	// record: its addresses are known by then, so that it is written once, and in a
+	// fleet that starts at once most others can be found by the first reading.
+	registerAfter = 400 * time.Millisecond
 	// ttlRenewals is the lease in renewals; two may fail.
 	ttlRenewals = 3
+	// leastTTL is the shortest lease. A daemon that starts knows of no other and
+	// would take the lease of a small fleet, only to need another one a second
+	// later. What a dead daemon leaves costs the others one dial each.
+	leastTTL = time.Minute
 	// listRenewals is how many renewals pass between two readings of the list.
 	listRenewals = 4
 )
@@ -39,6 +47,7 @@
 	if m.store == nil {
 		return
 	}
+	m.pause(ctx, registerAfter)
 	var r record
 	for n := 0; ; n++ {
 		err := m.renew(ctx, &r)
@@ -53,46 +62,63 @@
 		if alone && err == nil && n < listRenewals {
 			wait = time.Second
 		}
-		t := m.clock.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		m.pause(ctx, wait)
+		if ctx.Err() != nil {
 			m.unregister(&r)
 			return
-		case <-t.Chan():
 		}
 	}
 }
 
+// pause waits, or until ctx ends.
+func (m *Membership) pause(ctx context.Context, d time.Duration) {
+	t := m.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.Chan():
+	}
+}
+
 func (m *Membership) renewAfter() time.Duration {
 	return max(renewLeast, time.Duration(len(m.Live()))*renewEach)
 }
 
 // renew extends the lease, or makes another and writes the record under it.
 func (m *Membership) renew(ctx context.Context, r *record) error {
-	ttl := ttlRenewals * m.renewAfter()
+	ttl := max(ttlRenewals*m.renewAfter(), leastTTL)
 	self := m.Self()
 	self.Generation = 0
-	if r.lease != 0 && r.written == self && ttl <= 2*r.ttl {
+	if r.lease != 0 && ttl <= 2*r.ttl {
 		err := m.store.Renew(ctx, r.lease)
-		if err == nil || !errors.Is(err, fireflypath.ErrLapsed) {
+		switch {
+		case errors.Is(err, fireflypath.ErrLapsed):
+		case err != nil || r.written == self:
 			return err
+		default:
+			return m.write(ctx, r, self)
 		}
 	}
 	id, err := m.store.Grant(ctx, ttl)
 	if err != nil {
 		return errors.Wrap(err, "lease for the member record")
 	}
+	*r = record{lease: id, ttl: ttl}
+	return m.write(ctx, r, self)
+}
+
+// write stores the record under its lease.
+func (m *Membership) write(ctx context.Context, r *record, self fireflypath.Member) error {
 	b, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode the member record")
 	}
 	// The old record may still stand, under a lease of this daemon's earlier
 	// life; the newer one replaces it whatever its revision.
-	if _, err := m.store.Put(ctx, recordPrefix+self.Name, b, fireflypath.AnyRevision, id); err != nil {
+	if _, err := m.store.Put(ctx, recordPrefix+self.Name, b, fireflypath.AnyRevision, r.lease); err != nil {
 		return errors.Wrap(err, "write the member record")
 	}
-	*r = record{lease: id, written: self, ttl: ttl}
+	r.written = self
 	return nil
 }
 
