--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -65,6 +65,7 @@
 	d.spent.Used = 0
 	return map[string]grants.Spent{"red": s}
 }
+
 func (d *daemon) SetFree(_ time.Time, _ string, tiers int, until time.Time) {
 	d.free, d.tiers = until, tiers
 }
