fix(daemon): a planned stop ends by itself

The stacks of both processes showed a daemon of 4 minutes after its 'planned stop' line in Daemon.Stop, which waited for the goroutine that serves the balancer's listener; nothing closed that listener. Every planned stop with a gate lasted until the process was killed at the end of its grace time. Ruled out: requests and peers (none was left in the stack dump). Change: the listener is stopped as the last but after the callers' listener, so that the balancer reads 'not ready' until the last answer. Open: why the soak's SIGKILL after twice the grace time did not end that process; its process kept sleeping and ended by a SIGQUIT by hand (docs/SOAK.md).

--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -53,8 +53,8 @@
 		gatedMembership{},
 		operators{},
 		operatorEndpoint{},
-		gateListener{},
 		readyListener{},
+		gateListener{},
 		gatedReadiness{},
 	}
 }
--- a/internal/daemon/gatedentry.go
+++ b/internal/daemon/gatedentry.go
@@ -121,8 +121,13 @@
 	return nil
 }
 
-func (readyListener) Stop(context.Context, *Daemon) error {
-	return nil // the balancer reads "not ready" until the process ends
+// Stop comes after the last answer: until then the balancer reads "not ready". Left
+// open, the listener would hold the process up until it is killed.
+func (readyListener) Stop(_ context.Context, d *Daemon) error {
+	if d.readyServer == nil {
+		return nil
+	}
+	return errors.Wrap(d.readyServer.Close(), "close the balancer's listener")
 }
 
 // takes is true while the daemon can serve callers: it has routes and targets,
