fix(peer): an accepted connection is usable before the other side's next message

Cause: the introduction was answered on the connection's reading goroutine and the connection made usable on another one. The other red test, TestBatchIsBoundedAndFirstInFirstOut, read the stand-in's streams without its lock; the stand-in itself was right. Change: the introduction makes the connection usable itself, and excludes the wait's giving up; the test reads under the lock and asserts the same.

--- a/internal/fake/engine/engine_test.go
+++ b/internal/fake/engine/engine_test.go
@@ -39,6 +39,14 @@
 	return newStream(id, false, &completion{Prompt: strings.Repeat(id, prompt*tokenBytes/len(id)), MaxTokens: &output})
 }
 
+// progress reads a stream under the engine's lock: the engine's own goroutine
+// steps the batch whenever work comes in, also while the clock stands still.
+func (e *Engine) progress(s *stream) (prefilled, emitted int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.prefilled, s.emitted
+}
+
 func TestBatchIsBoundedAndFirstInFirstOut(t *testing.T) {
 	is := is.New(t)
 	e, _ := start(t, Config{Batch: 2, Prefill: 1000, Decode: 10})
@@ -46,13 +54,15 @@
 	for _, s := range []*stream{long, short, last} {
 		e.submit(s)
 	}
+	prefilled := func(s *stream) int { n, _ := e.progress(s); return n }
+	emitted := func(s *stream) int { _, n := e.progress(s); return n }
 	e.second()
-	is.Equal([]int{long.prefilled, short.prefilled, last.prefilled}, []int{1000, 0, 0}) // read one after the other
+	is.Equal([]int{prefilled(long), prefilled(short), prefilled(last)}, []int{1000, 0, 0}) // read one after the other
 	e.second()
 	e.second()
-	is.Equal([]int{long.emitted, short.prefilled, last.prefilled}, []int{10, 100, 0}) // the third waits for a place
+	is.Equal([]int{emitted(long), prefilled(short), prefilled(last)}, []int{10, 100, 0}) // the third waits for a place
 	e.second()
-	is.Equal([]int{short.emitted, last.prefilled}, []int{10, 100})
+	is.Equal([]int{emitted(short), prefilled(last)}, []int{10, 100})
 	is.Equal(e.Counts().Prefill, 2200)
 	is.Equal(e.Counts().Wasted, 2100) // two ended and nobody read them
 }
@@ -85,7 +95,8 @@
 	is.True(e.cancel("aaaa"))
 	is.Equal(e.Counts().Wasted, 1000)
 	e.second()
-	is.Equal(second.prefilled, 100)
+	prefilled, _ := e.progress(second)
+	is.Equal(prefilled, 100)
 }
 
 // post sends a completion and reads what comes.
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -172,12 +172,11 @@
 	case <-l.conn.DisconnectNotify():
 	case <-ctx.Done():
 	}
-	if !l.introduced() {
+	if l.giveUp() {
 		e.count.strangers.Inc(1)
 		l.close()
 		return
 	}
-	e.add(l)
 	l.run()
 }
 
@@ -235,7 +234,6 @@
 		return none, errors.Wrapf(err, "introduction to %s", addr)
 	}
 	l.introduce(theirs.Member)
-	e.add(l)
 	if !e.spawn(l.run) {
 		e.drop(l)
 		l.close()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,7 @@
 
 	// bound is closed once conn is set; messages may come before.
 	bound chan struct{}
+	// once lets either the introduction or the end of the wait for it happen.
 	once  sync.Once
 	ready chan struct{}
 	// peer is set before ready is closed.
@@ -60,13 +61,22 @@
 	l.heard.Store(l.e.clock.Now().UnixNano())
 }
 
+// introduce sets the other side and makes the connection usable.
 func (l *link) introduce(m fireflypath.Member) {
 	l.once.Do(func() {
 		l.peer = m
+		l.e.add(l)
 		close(l.ready)
 	})
 }
 
+// giveUp reports whether the wait for an introduction ended without one; none is
+// taken from then on.
+func (l *link) giveUp() bool {
+	l.once.Do(func() {})
+	return !l.introduced()
+}
+
 func (l *link) introduced() bool {
 	select {
 	case <-l.ready:
@@ -108,6 +118,10 @@
 }
 
 // greet answers the introduction on an accepted connection.
+//
+// The connection is usable here before the other side's next message is read. If
+// it became so on another goroutine, a call that answers that message could find
+// no connection and would dial a second one, which both sides keep for seconds.
 func (l *link) greet(ctx context.Context, r *jsonrpc2.Request) {
 	var theirs hello
 	if l.dialed || unmarshal(r, &theirs) != nil || theirs.Protocol != protocol || theirs.Member.Name == "" {
