feat(directory): targets that start again under their id, entries of other writers

Cause: a target may start again under the id that it had; all that was counted and learned of the life before was taken for the new one: a target that crashed full stood empty beside waiting callers until its last connections had ended. Other programs may write under the targets' keys; an unknown state counted as ready, missing slots as 4, and a value that could not be read left the entry before it in force and logged a line with each read. An older life heard late changes nothing. A registration needs each field that all targets write, with its type and exact name; one that is refused names no target, is counted and logged once.

--- a/config.go
+++ b/config.go
@@ -1,6 +1,9 @@
 package fireflypath
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Config is the configuration that operators set. One value is in force at a
 // time; it is never changed after it has been published.
@@ -116,6 +119,9 @@
 	Addr string `json:"addr" validate:"required,hostname_port"`
 	// Domain is the failure domain.
 	Domain string `json:"domain" validate:"required"`
+	// Incarnation grows with each start under the same name; 0 if the target does
+	// not tell its lives apart.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 	// Window bounds the tokens the target may hold at once; 0 lets it be learned.
 	Window int `json:"window,omitempty" validate:"min=0"`
 	// Slots is how many requests the target runs at once, if it is known.
@@ -126,6 +132,16 @@
 	Fenced bool `json:"fenced,omitempty"`
 }
 
+// Identity names one life of a target. Work, connections and all that was learned
+// belong to a life and end with it: the next one under the same name holds and
+// knows nothing of them.
+func (t Target) Identity() string {
+	if t.Incarnation == 0 {
+		return t.Name
+	}
+	return t.Name + "@" + strconv.FormatUint(t.Incarnation, 10)
+}
+
 // RuleAct is what a rule does with the work it matches.
 type RuleAct string
 
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -200,11 +200,7 @@
 			return
 		case <-t.Chan():
 		}
-		keep := map[string]bool{}
-		for _, t := range d.deps.Configs.Current().Targets {
-			keep[t.Addr] = true
-		}
-		d.targets.Sweep(keep)
+		d.targets.Sweep(d.deps.Configs.Current().Targets)
 	}
 }
 
--- a/internal/decide/slots/learn.go
+++ b/internal/decide/slots/learn.go
@@ -12,19 +12,18 @@
 // Observe learns from an event at a target.
 func (s *Sched) Observe(now time.Time, e fireflypath.Event) {
 	t := s.targets[e.Target]
+	if t != nil && t.Incarnation != e.Incarnation {
+		t = nil // the event tells of an earlier life
+	}
 	switch e.Kind {
 	case fireflypath.EventReport:
 		if t != nil {
 			t.report = max(e.Report.Running+e.Report.Waiting-t.requests, 0)
 			t.heard = now
 		}
-	case fireflypath.EventLeaving:
-		if t != nil {
-			t.leaving = true
-		}
-	case fireflypath.EventBack:
+	case fireflypath.EventLeaving, fireflypath.EventBack:
 		if t != nil {
-			t.leaving = false
+			t.leaving = e.Kind == fireflypath.EventLeaving
 		}
 	case fireflypath.EventCache:
 	case fireflypath.EventFirst:
--- a/internal/decide/slots/mates.go
+++ b/internal/decide/slots/mates.go
@@ -34,10 +34,10 @@
 func (s *Sched) Report(m *fireflypath.Mate) {
 	for _, t := range s.order {
 		if t.requests > 0 {
-			m.Flights[t.Name] = t.requests
+			m.Flights[t.id] = t.requests
 		}
 		if n := t.prefill / promptUnit; n >= leastPrompt {
-			m.Prompts[t.Name] = n
+			m.Prompts[t.id] = n
 		}
 	}
 	if r, ok := s.top(); ok {
@@ -45,7 +45,7 @@
 	}
 	for _, t := range s.order {
 		if t.known() {
-			m.Speeds[t.Name] = fireflypath.Speed{Prefill: coarse(t.speed.Prefill()), Decode: coarse(t.speed.Decode())}
+			m.Speeds[t.id] = fireflypath.Speed{Prefill: coarse(t.speed.Prefill()), Decode: coarse(t.speed.Decode())}
 		}
 	}
 }
@@ -83,9 +83,9 @@
 	for _, t := range s.order {
 		sum, prompt := 0, 0
 		for _, m := range mates {
-			sum += m.Flights[t.Name]
-			prompt += m.Prompts[t.Name]
-			if v, ok := m.Speeds[t.Name]; ok && !t.known() {
+			sum += m.Flights[t.id]
+			prompt += m.Prompts[t.id]
+			if v, ok := m.Speeds[t.id]; ok && !t.known() {
 				t.speed.Adopt(float64(v.Prefill), float64(v.Decode))
 				s.learned(t)
 			}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -39,6 +39,8 @@
 // target is what is known of one target.
 type target struct {
 	fireflypath.Target
+	// id is the target's identity; hash is that of its name.
+	id    string
 	hash  uint64
 	speed speed.Speed
 	// requests and prefill, in prompt tokens before their first event, are in
@@ -76,6 +78,8 @@
 }
 
 // SetTargets replaces the targets and keeps what was learned of those that stay.
+// One that started again under its name is a new target: what was in flight to
+// the life before, and what was learned of it, does not count for it.
 //
 // A new target is seen by all daemons at once, with all its places free: they
 // take turns at it as at a place that became free.
@@ -83,8 +87,8 @@
 	next := make(map[string]*target, len(targets))
 	for _, t := range targets {
 		known := s.targets[t.Name]
-		if known == nil || known.Addr != t.Addr {
-			known = &target{hash: xxhash.Sum64String(t.Name), freed: now, since: now}
+		if known == nil || known.Addr != t.Addr || known.Incarnation != t.Incarnation {
+			known = &target{id: t.Identity(), hash: xxhash.Sum64String(t.Name), freed: now, since: now}
 		}
 		known.Target = t
 		s.serve(now, known)
@@ -96,6 +100,10 @@
 		s.order = append(s.order, t)
 	}
 	slices.SortFunc(s.order, func(a, b *target) int { return strings.Compare(a.Name, b.Name) })
+	s.fast, s.best = 0, nil
+	for _, t := range s.order {
+		s.learned(t)
+	}
 }
 
 func (t *target) slots() int {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -76,6 +76,11 @@
 	written uint64
 	base    *fireflypath.Config
 	targets map[string]fireflypath.Target
+	// refused holds why a registration names no target, so that it is logged once
+	// and not with each read.
+	refused map[string]string
+	// lives holds the newest life of each target, also of those that are gone.
+	lives map[string]life
 	// missing holds since when targets are missed that may register again.
 	missing map[string]time.Time
 	// changes is true if the last step brought changes from the store itself.
@@ -88,8 +93,8 @@
 }
 
 type counters struct {
-	watches, reads, failures, changes tally.Counter
-	age, targets                      tally.Gauge
+	watches, reads, failures, changes, unused tally.Counter
+	age, targets                              tally.Gauge
 }
 
 var (
@@ -108,11 +113,14 @@
 		kept:    map[string]fireflypath.Entry{},
 		base:    &fireflypath.Config{},
 		targets: map[string]fireflypath.Target{},
+		refused: map[string]string{},
+		lives:   map[string]life{},
 		missing: map[string]time.Time{},
 		count: counters{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
 			failures: scope.Counter("failures"), changes: scope.Counter("changes"),
-			age: scope.Gauge("age_seconds"), targets: scope.Gauge("targets"),
+			unused: scope.Counter("unused_registrations"),
+			age:    scope.Gauge("age_seconds"), targets: scope.Gauge("targets"),
 		},
 	}
 	d.current.Store(d.base)
@@ -236,6 +244,7 @@
 			d.remove(name)
 		}
 	}
+	maps.DeleteFunc(d.refused, func(name, _ string) bool { return !seen[d.codec.TargetPrefix()+name] })
 	d.restart(all)
 	d.publish()
 	d.proved(sent - all.Age)
@@ -316,21 +325,11 @@
 		return
 	}
 	if e.Deleted {
+		delete(d.refused, name)
 		d.remove(name)
 		return
 	}
-	t, err := d.codec.Target(e.Key, e.Value)
-	if err != nil {
-		d.log.Error("registration of a target refused", zap.String("key", e.Key), logs.Cause(err))
-		return
-	}
-	delete(d.missing, name)
-	old, known := d.targets[name]
-	d.targets[name] = t
-	if !known || old != t {
-		d.log.Info("target changed", zap.String("target", name), zap.String("pool", t.Pool), zap.String("addr", t.Addr),
-			zap.Bool("leaving", t.Drained), zap.Uint64("revision", e.Revision))
-	}
+	d.register(name, e)
 }
 
 // configure puts a newer configuration in force. An older one, read late, is
@@ -356,44 +355,6 @@
 		zap.Int("routes", len(cfg.Routes)), zap.Int("teams", len(cfg.Teams)))
 }
 
-// remove takes a target out of the view, or out of it later if its registration
-// may only have lapsed while the store was away. The time to come back counts
-// from the store's return, not from the removal: a target that left soon after
-// the return would else get work for seconds more.
-func (d *Directory) remove(name string) {
-	if _, ok := d.targets[name]; !ok {
-		return
-	}
-	now := d.clock.Now()
-	if d.lost || now.Before(d.hold) {
-		if _, ok := d.missing[name]; !ok {
-			d.missing[name] = now
-			d.log.Info("target missing after an outage of the store", zap.String("target", name))
-		}
-		return
-	}
-	delete(d.targets, name)
-	delete(d.missing, name)
-	d.log.Info("target gone", zap.String("target", name))
-}
-
-// forget removes the missing targets whose time to come back is over.
-func (d *Directory) forget(now time.Time) {
-	gone := false
-	for name, since := range d.missing {
-		if d.lost || now.Before(d.hold) {
-			continue
-		}
-		delete(d.missing, name)
-		delete(d.targets, name)
-		d.log.Info("target gone", zap.String("target", name), zap.Duration("missing", now.Sub(since)))
-		gone = true
-	}
-	if gone {
-		d.publish()
-	}
-}
-
 // publish puts the view in force if it differs from the one that is.
 func (d *Directory) publish() {
 	old := d.current.Load()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/directory"
@@ -212,3 +213,79 @@
 	asleep.Suspended = 6 * time.Second
 	is.Equal(d.Age(), 6*time.Second)
 }
+
+// register is a registration that says more of the target.
+func register(name string, revision uint64, t fireflypath.Target) fireflypath.Entry {
+	t.Name = name
+	b, err := json.Marshal(t)
+	if err != nil {
+		panic(err)
+	}
+	return fireflypath.Entry{Key: "targets/" + name, Value: b, Revision: revision}
+}
+
+// change has the watch bring entries.
+func change(t *testing.T, f *feed, d *directory.Directory, entries ...fireflypath.Entry) {
+	t.Helper()
+	f.changes = fireflypath.Listing{Entries: entries, Revision: entries[len(entries)-1].Revision}
+	if err := d.Step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Another program writes bytes under a target's key that nobody can read. The
+// target gets no work until it writes again; the others keep theirs. The daemon
+// says so once, however often it reads the entry: a line for each read would fill
+// the log of every host.
+func TestUnreadableRegistrationNamesNoTarget(t *testing.T) {
+	is := is.New(t)
+	core, seen := observer.New(zap.WarnLevel)
+	clock := clockwork.NewFakeClock()
+	f := &feed{clock: clock, all: fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5), target("a", 6), target("b", 7)}, Revision: 10}}
+	scope := tally.NewTestScope("", nil)
+	d := directory.New(f, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, scope, zap.New(core))
+	is.NoErr(d.Step(t.Context()))
+	garbage := fireflypath.Entry{Key: "targets/a", Value: []byte("\xff"), Revision: 11}
+	change(t, f, d, garbage)
+	is.Equal(names(d.Current()), "b")
+	f.all = fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5), garbage, target("b", 7)}, Revision: 12}
+	f.err = fireflypath.ErrCompacted
+	is.NoErr(d.Step(t.Context()))
+	f.err = nil
+	is.NoErr(d.Step(t.Context())) // everything is read again
+	is.Equal(f.reads, 2)
+	is.Equal(names(d.Current()), "b")
+	is.Equal(seen.FilterMessage("registration is not used").Len(), 1)
+	is.Equal(scope.Snapshot().Counters()["directory.unused_registrations+"].Value(), int64(1))
+	change(t, f, d, target("a", 13))
+	is.Equal(names(d.Current()), "a b")
+}
+
+// A target crashes and starts again under its name. A registration of the life
+// before was held up and reaches the store later: taken over, all requests would
+// go to an address where nobody listens, until the target writes again.
+func TestRegistrationOfAnEarlierLifeChangesNothing(t *testing.T) {
+	is := is.New(t)
+	first := fireflypath.Target{Pool: "p", Addr: "127.0.0.1:1", Incarnation: 100}
+	second := fireflypath.Target{Pool: "p", Addr: "127.0.0.1:2", Incarnation: 200}
+	f, d, _ := start(t, config(t, 1, 5), register("a", 6, first))
+	change(t, f, d, register("a", 11, second))
+	is.Equal(d.Current().Targets[0].Incarnation, uint64(200))
+	change(t, f, d, register("a", 12, first))
+	is.Equal(d.Current().Targets[0].Addr, "127.0.0.1:2")
+	change(t, f, d, fireflypath.Entry{Key: "targets/a", Revision: 13, Deleted: true})
+	change(t, f, d, register("a", 14, first))
+	is.Equal(names(d.Current()), "") // also when the newer life has gone meanwhile
+}
+
+// A target's registration changes its pool or its address under one name, and two
+// names share an address, as when a target starts where another has just crashed.
+// Each entry counts as it is written last.
+func TestRegistrationsThatChange(t *testing.T) {
+	is := is.New(t)
+	f, d, _ := start(t, config(t, 1, 5), register("a", 6, fireflypath.Target{Pool: "p", Addr: "127.0.0.1:1"}))
+	change(t, f, d, register("a", 11, fireflypath.Target{Pool: "q", Addr: "127.0.0.1:2"}))
+	is.Equal(d.Current().Targets, []fireflypath.Target{{Name: "a", Pool: "q", Addr: "127.0.0.1:2"}})
+	change(t, f, d, register("b", 12, fireflypath.Target{Pool: "q", Addr: "127.0.0.1:2"}))
+	is.Equal(names(d.Current()), "a b")
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -193,7 +193,7 @@
 	for unsent := 0; ; unsent++ {
 		var err error
 		stop := g.watch(c, t, cancel)
-		a, err = g.deps.Client.Send(ctx, t.target.Addr, g.outbound(c, t))
+		a, err = g.deps.Client.Send(ctx, t.target, g.outbound(c, t))
 		stop()
 		if err == nil {
 			break
@@ -281,7 +281,7 @@
 		return
 	}
 	g.deps.Pools.Observe(fireflypath.Event{
-		Kind: fireflypath.EventReport, Target: t.target.Name, Cached: -1,
+		Kind: fireflypath.EventReport, Target: t.target.Name, Incarnation: t.target.Incarnation, Cached: -1,
 		Report: fireflypath.Report{Measured: g.deps.Clock.Now(), Running: l.Running, Waiting: l.Waiting, Batch: l.Slots},
 	})
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -293,6 +293,29 @@
 	is.True(got[0].Header.Get("T-Target") != got[1].Header.Get("T-Target"))
 }
 
+// Two registrations name one address, as when a target starts where another one
+// crashed. What is meant for the one that is gone is not run by the other, and its
+// callers still get their answers, each from a single run.
+func TestTwoTargetsAtOneAddress(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(cfg *fireflypath.Config) {
+		cfg.Targets[1].Addr = cfg.Targets[0].Addr
+	}, func(_ int, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("T-Target") != "t1" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		io.WriteString(w, "whole")
+	})
+	for range 10 {
+		resp, body, err := s.post("/once/", "b")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, "whole")
+	}
+	is.True(len(s.requests()) <= 12) // the wrong name gets hardly any more requests
+}
+
 // All targets refuse. The caller reads that its request was not run.
 func TestRefusedByAllIsNotRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -20,7 +20,7 @@
 	Length int64
 
 	client *Client
-	addr   string
+	peer   peer
 	conn   *conn
 	stop   func() bool
 	resp   *http.Response
@@ -136,7 +136,7 @@
 		return
 	}
 	a.conn.until = keepAlive(a.Header, a.client.clock.Now())
-	a.client.push(a.addr, a.conn)
+	a.client.push(a.peer, a.conn)
 }
 
 // reusable is true if the connection is between two answers: the answer was
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -54,12 +54,23 @@
 	id string
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[peer][]*conn
+}
+
+// peer is one life of a target at an address. A connection to an earlier life, or
+// to another target that had the address before, is dead: a request written to it
+// would be lost with an unknown outcome.
+type peer struct {
+	addr, identity string
+}
+
+func peerOf(t fireflypath.Target) peer {
+	return peer{addr: t.Addr, identity: t.Identity()}
 }
 
 // New returns a client without connections; id names the header of request ids.
 func New(clock clockwork.Clock, id string) *Client {
-	return &Client{clock: clock, id: id, idle: map[string][]*conn{}}
+	return &Client{clock: clock, id: id, idle: map[peer][]*conn{}}
 }
 
 // Request is what is written to a target.
@@ -79,12 +90,13 @@
 // Send writes the request once and reads the answer's header. The error is
 // fireflypath.ErrUnsent if no byte left, and fireflypath.ErrUnreached besides if
 // the target took no connection; any other error leaves the outcome unknown.
-func (c *Client) Send(ctx context.Context, addr string, r *Request) (*Answer, error) {
-	k, err := c.acquire(ctx, addr)
+func (c *Client) Send(ctx context.Context, t fireflypath.Target, r *Request) (*Answer, error) {
+	to := peerOf(t)
+	k, err := c.acquire(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{client: c, addr: addr, conn: k}
+	a := &Answer{client: c, peer: to, conn: k}
 	a.stop = context.AfterFunc(ctx, func() { k.Close() })
 	before := k.written.Load()
 	if err := a.write(r); err != nil {
@@ -103,12 +115,12 @@
 }
 
 // acquire takes an idle connection that is not stale, or dials.
-func (c *Client) acquire(ctx context.Context, addr string) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, to peer) (*conn, error) {
 	now := c.clock.Now()
 	for {
-		k := c.pop(addr)
+		k := c.pop(to)
 		if k == nil {
-			return dial(ctx, addr)
+			return dial(ctx, to.addr)
 		}
 		if now.Sub(k.since) < maxIdle && !k.stale(now) {
 			return k, nil
@@ -117,24 +129,24 @@
 	}
 }
 
-func (c *Client) pop(addr string) *conn {
+func (c *Client) pop(from peer) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[addr]
+	list := c.idle[from]
 	if len(list) == 0 {
 		return nil
 	}
 	k := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
+	c.idle[from] = list[:len(list)-1]
 	return k
 }
 
-func (c *Client) push(addr string, k *conn) {
+func (c *Client) push(to peer, k *conn) {
 	k.since = c.clock.Now()
 	c.mu.Lock()
-	list := c.idle[addr]
+	list := c.idle[to]
 	if len(list) < keepIdle {
-		c.idle[addr] = append(list, k)
+		c.idle[to] = append(list, k)
 		k = nil
 	}
 	c.mu.Unlock()
@@ -143,24 +155,28 @@
 	}
 }
 
-// Sweep closes the connections that were idle for long, and those to addresses
-// that keep does not hold.
-func (c *Client) Sweep(keep map[string]bool) {
+// Sweep closes the connections that were idle for long, and those to others than
+// the targets.
+func (c *Client) Sweep(targets []fireflypath.Target) {
+	keep := make(map[peer]bool, len(targets))
+	for _, t := range targets {
+		keep[peerOf(t)] = true
+	}
 	now := c.clock.Now()
 	var old []*conn
 	c.mu.Lock()
-	for addr, list := range c.idle {
+	for to, list := range c.idle {
 		rest := list[:0]
 		for _, k := range list {
-			if !keep[addr] || now.Sub(k.since) >= maxIdle {
+			if !keep[to] || now.Sub(k.since) >= maxIdle {
 				old = append(old, k)
 				continue
 			}
 			rest = append(rest, k)
 		}
-		c.idle[addr] = rest
+		c.idle[to] = rest
 		if len(rest) == 0 {
-			delete(c.idle, addr)
+			delete(c.idle, to)
 		}
 	}
 	c.mu.Unlock()
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -70,7 +71,7 @@
 
 func text(t *testing.T, c *http1.Client, addr, name string) (string, error) {
 	t.Helper()
-	a, err := c.Send(t.Context(), addr, request(name))
+	a, err := c.Send(t.Context(), fireflypath.Target{Name: "t", Addr: addr}, request(name))
 	if err != nil {
 		return "", err
 	}
@@ -207,7 +208,7 @@
 	c := client()
 	r := request("1")
 	r.Body = []byte(strings.Repeat("x", 32<<20))
-	a, err := c.Send(t.Context(), tg.addr(), r)
+	a, err := c.Send(t.Context(), fireflypath.Target{Name: "t", Addr: tg.addr()}, r)
 	is.NoErr(err)
 	is.Equal(a.Status, http.StatusServiceUnavailable)
 	a.Close()
@@ -223,7 +224,7 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	_, err = client().Send(t.Context(), addr, request("1"))
+	_, err = client().Send(t.Context(), fireflypath.Target{Name: "t", Addr: addr}, request("1"))
 	is.True(errors.Is(err, fireflypath.ErrUnsent))
 	is.True(errors.Is(err, fireflypath.ErrUnreached))
 }
@@ -246,7 +247,7 @@
 		<-got
 		cancel()
 	}()
-	_, err := client().Send(ctx, tg.addr(), request("1"))
+	_, err := client().Send(ctx, fireflypath.Target{Name: "t", Addr: tg.addr()}, request("1"))
 	is.True(err != nil)
 	select {
 	case <-ended:
@@ -254,3 +255,26 @@
 		t.Fatal("the target still has its connection")
 	}
 }
+
+// A target starts again under its name and address, and the end of its old
+// connections is not heard of: the host lost its power. A request written to such a
+// connection would be lost, with its outcome unknown.
+func TestConnectionOfAnEarlierLifeIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	tg := listen(t, func(c net.Conn, _ int, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+id+": "+r.Header.Get(id)+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	c := client()
+	for i, life := range []uint64{1, 1, 2} {
+		a, err := c.Send(t.Context(), fireflypath.Target{Name: "t", Addr: tg.addr(), Incarnation: life}, request(strconv.Itoa(i)))
+		is.NoErr(err)
+		a.Close()
+	}
+	is.Equal(tg.conns.Load(), int32(2))
+	c.Sweep([]fireflypath.Target{{Name: "t", Addr: tg.addr(), Incarnation: 2}})
+	a, err := c.Send(t.Context(), fireflypath.Target{Name: "t", Addr: tg.addr(), Incarnation: 2}, request("4"))
+	is.NoErr(err)
+	a.Close()
+	is.Equal(tg.conns.Load(), int32(2)) // that of the life in force was kept
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -121,6 +121,9 @@
 type Event struct {
 	Kind   EventKind
 	Target string
+	// Incarnation is the life of the target that the event tells of. One of an
+	// earlier life says nothing of the target as it is now.
+	Incarnation uint64
 	// Work is set for the kinds that end or move one request.
 	Work *Work
 	// Sent is when the work was dispatched.
@@ -201,7 +204,9 @@
 // Mate is what another daemon tells of its work.
 type Mate struct {
 	Name string
-	// Flights counts its requests at each target.
+	// Flights counts its requests at each target. Targets are named by their
+	// identity here and below, so that nothing that was told of one life of a
+	// target counts for the next.
 	Flights map[string]int
 	// Prompts is how much prompt of these requests still waits there for its
 	// prefill, in thousands of tokens; targets with little of it are left out.
