--- a/cmd/fireflypathd/reload.go
+++ b/cmd/fireflypathd/reload.go
@@ -1,30 +1,25 @@
 package main
 
 import (
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 
 	"go.uber.org/zap"
 
+	"github.com/fireflypath/fireflypath/internal/hangup"
 	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 )
 
-// reload reads the settings file again at each SIGHUP, which would end the
-// process if nobody took it. What changed is in force from the next start on;
+// reload reads the settings file again at each SIGHUP. What changed is in force from the next start on;
 // all that changes while a daemon runs comes from the platform's store.
 func reload(path string, cfg *settings.Settings, log *zap.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	done := make(chan struct{})
 	go func() {
 		for {
 			select {
 			case <-done:
 				return
-			case <-signals:
+			case <-hangup.Signals:
 			}
 			next, err := settings.Load(path)
 			if err != nil {
@@ -34,8 +29,5 @@
 			log.Info("settings read again", zap.Bool("changed", !reflect.DeepEqual(next, cfg)))
 		}
 	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
+	return func() { close(done) }
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -23,16 +23,18 @@
 	{"daemon stopped", func(r *run, ctx context.Context, d time.Duration) { r.restart(syscall.SIGTERM, d/4) }},
 	{"daemon paused", func(r *run, ctx context.Context, d time.Duration) {
 		p := r.daemons[r.pick(len(r.daemons))]
-		p.busy.Store(true)
-		p.signal(syscall.SIGSTOP)
+		if !p.claim() {
+			return
+		}
+		defer p.release()
+		r.noteErr(p.signal(syscall.SIGSTOP))
 		sleep(ctx, d)
-		p.signal(syscall.SIGCONT)
+		r.noteErr(p.signal(syscall.SIGCONT))
 		p.hurt()
-		p.busy.Store(false)
 	}},
 	{"settings reloaded", func(r *run, ctx context.Context, d time.Duration) {
 		for range 3 {
-			r.daemons[r.pick(len(r.daemons))].signal(syscall.SIGHUP)
+			r.noteErr(r.daemons[r.pick(len(r.daemons))].signal(syscall.SIGHUP))
 			sleep(ctx, d/3)
 		}
 	}},
@@ -68,6 +70,10 @@
 		}
 		t.crash()
 		sleep(ctx, d)
+		if t.life%2 == 0 {
+			r.noteErr(r.startAgain(t))
+			return
+		}
 		r.store.RemoveTarget(t.name)
 		r.addOrNote()
 	}},
@@ -159,11 +165,10 @@
 // never meets a process of another life.
 func (r *run) restart(s syscall.Signal, down time.Duration) {
 	p := r.daemons[r.pick(len(r.daemons))]
-	if !p.busy.CompareAndSwap(false, true) {
+	if !p.claim() {
 		return
 	}
-	defer p.busy.Store(false)
-	p.signal(syscall.SIGCONT)
+	defer p.release()
 	r.noteErr(p.restart(s, down))
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,12 +38,18 @@
 	ready   string
 	store   *proxy
 
-	// busy is true while it is being restarted.
+	// busy is true while a fault has it: two that restarted one daemon at the same
+	// time would start it twice, and nobody would end the first of the two.
 	busy atomic.Bool
 	// harmed is when a fault of this daemon last began or ended, in Unix
 	// nanoseconds.
 	harmed atomic.Int64
 
+	// ending is true once the soak has ended the process.
+	ending atomic.Bool
+	// note takes what goes wrong with the process by itself.
+	note func(error)
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// done is closed when the process has ended.
@@ -115,34 +122,85 @@
 	}
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
+	p.ending.Store(false)
 	go func() {
-		_ = cmd.Wait() // how it ended is in its log
+		err := cmd.Wait()
 		close(done)
+		if !p.ending.Load() {
+			p.revive(err)
+		}
 	}()
 	return nil
 }
 
-// signal sends a signal to this process, which the soak started.
-func (p *process) signal(s syscall.Signal) {
+// restartLag is how soon the platform starts a process again that ended by itself.
+const restartLag = 200 * time.Millisecond
+
+// revive starts a process again that ended by itself. That is a fault of the daemon,
+// but for one: a signal to reload that arrives before the program is loaded ends any
+// process.
+func (p *process) revive(err error) {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.Sys().(syscall.WaitStatus).Signal() != syscall.SIGHUP {
+		p.note(fmt.Errorf("%s ended by itself: %w", p.name, err))
+	}
+	time.Sleep(restartLag)
+	if p.ending.Load() {
+		return
+	}
+	if err := p.start(); err != nil {
+		p.note(err)
+	}
+}
+
+// claim takes the process for one fault, unless another one has it.
+func (p *process) claim() bool { return p.busy.CompareAndSwap(false, true) }
+
+func (p *process) release() { p.busy.Store(false) }
+
+// signal sends a signal to this process, which the soak started. One that has
+// ended takes none; that is no error.
+func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(s) // it may have ended
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("%s to %s, process %d: %w", s, p.name, p.cmd.Process.Pid, err)
+	}
+	return nil
 }
 
-// restart ends the process by a signal and starts it again.
-func (p *process) restart(s syscall.Signal, down time.Duration) error {
-	p.signal(s)
+// killTime is how long the kernel may take to end a process that was killed.
+const killTime = 10 * time.Second
+
+// end sends the signal and waits for the process to end. One that does not end in
+// twice its grace time is killed, and the error says so: a planned stop that hangs
+// is a fault of the daemon.
+func (p *process) end(s syscall.Signal) error {
+	p.ending.Store(true)
+	err := p.signal(s)
 	p.mu.Lock()
-	done := p.done
+	done, pid := p.done, p.cmd.Process.Pid
 	p.mu.Unlock()
 	select {
 	case <-done:
+		return err
 	case <-time.After(2 * graceTime):
-		p.signal(syscall.SIGKILL)
-		<-done
 	}
+	late := fmt.Errorf("%s, process %d, still runs %v after %s", p.name, pid, 2*graceTime, s)
+	err = errors.Join(err, late, p.signal(syscall.SIGKILL))
+	select {
+	case <-done:
+		return err
+	case <-time.After(killTime):
+		return errors.Join(err, fmt.Errorf("%s, process %d, outlived its kill", p.name, pid))
+	}
+}
+
+// restart ends the process by a signal and starts it again.
+func (p *process) restart(s syscall.Signal, down time.Duration) error {
+	err := p.end(s)
 	time.Sleep(down)
-	return p.start()
+	return errors.Join(err, p.start())
 }
 
 // up is true if the balancer would send callers to the daemon.
@@ -156,10 +214,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (p *process) kill() {
-	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	<-p.done
+func (p *process) kill() error {
+	err := errors.Join(p.signal(syscall.SIGCONT), p.end(syscall.SIGKILL))
 	p.store.close()
 	p.log.Close()
+	return err
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -68,20 +68,24 @@
 	p.mu.Unlock()
 }
 
-// copy passes one direction on, and a reset as a reset.
+// copy passes one direction on, and a reset as a reset. A connection that has lost
+// bytes stays silent until it ends: TCP lets nothing pass behind a hole. Two faults of
+// one proxy overlap, and the end of the first one heals it for both.
 func (p *proxy) copy(to, from net.Conn, silent *atomic.Bool) {
 	buf := make([]byte, 16<<10)
+	hole := false
 	for {
 		n, err := from.Read(buf)
 		if d := p.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
-		if n > 0 && !silent.Load() {
+		hole = hole || n > 0 && silent.Load()
+		if n > 0 && !hole {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				break
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !hole {
 			to.Close()
 			from.Close()
 			return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -112,11 +112,12 @@
 		ledger: r.ledger, names: platform.Codec{}.Headers(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	defer r.close()
 	if err := r.setUp(ctx); err != nil {
+		r.close()
 		return Result{}, err
 	}
 	r.play(ctx)
+	r.close()
 	return r.result(), nil
 }
 
@@ -167,6 +168,7 @@
 		if err != nil {
 			return err
 		}
+		d.note = r.noteErr
 		if err := d.start(); err != nil {
 			return err
 		}
@@ -193,7 +195,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lives++
-	t, err := newTarget(fmt.Sprintf("t%d", r.lives), "p", platform.Codec{}.Headers(), r.ledger, r.o.Seed+uint64(r.lives))
+	return r.startTarget(fmt.Sprintf("t%d", r.lives))
+}
+
+// startAgain starts a target that crashed under the name that it had. Its
+// registration was there all the while.
+func (r *run) startAgain(t *target) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lives++
+	return r.startTarget(t.name)
+}
+
+// startTarget starts the next life under the name. The caller holds mu.
+func (r *run) startTarget(name string) error {
+	t, err := newTarget(name, "p", r.lives, r.ledger, r.o.Seed+uint64(r.lives))
 	if err != nil {
 		return err
 	}
@@ -258,7 +274,7 @@
 
 func (r *run) close() {
 	for _, d := range r.daemons {
-		d.kill()
+		r.noteErr(d.kill())
 	}
 	for _, t := range r.targets {
 		t.crash()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/loopback"
+	"github.com/fireflypath/fireflypath/platform"
 )
 
 const (
@@ -26,8 +27,11 @@
 
 // target is one life of a back end.
 type target struct {
-	name   string
-	pool   string
+	name string
+	pool string
+	// life is the number of this life among those of all targets; it grows, so it
+	// is the incarnation too.
+	life   int
 	names  fireflypath.Headers
 	ledger *ledger
 	srv    *http.Server
@@ -43,7 +47,7 @@
 	rnd *rand.Rand
 }
 
-func newTarget(name, pool string, names fireflypath.Headers, l *ledger, seed uint64) (*target, error) {
+func newTarget(name, pool string, life int, l *ledger, seed uint64) (*target, error) {
 	ln, err := net.Listen("tcp", loopback.Free())
 	if err != nil {
 		return nil, err
@@ -52,7 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{name: name, pool: pool, names: names, ledger: l, ln: ln, proxy: p, rnd: rand.New(rand.NewPCG(seed, 3))}
+	t := &target{
+		name: name, pool: pool, life: life, names: platform.Codec{}.Headers(), ledger: l, ln: ln, proxy: p,
+		rnd: rand.New(rand.NewPCG(seed, 3)),
+	}
 	t.srv = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	go func() { _ = t.srv.Serve(ln) }()
 	return t, nil
@@ -62,6 +69,7 @@
 func (t *target) registration() fireflypath.Target {
 	return fireflypath.Target{
 		Name: t.name, Pool: t.pool, Addr: t.proxy.addr(), Domain: "a", Slots: targetSlots, Drained: t.left.Load() != 0,
+		Incarnation: uint64(t.life),
 	}
 }
 
