feat(dispatch): one daemon of a group places the work for all, and a rig to try it

Hypothesis: each daemon sees only its own queue. A slot that one frees goes to its own late or low work while punctual or higher work waits at another; places beyond the slots, kept for high work against that, fill the engines' queues. Rig: fireflypath trial plays fleets (the users' six and drawn ones), engines with continuous batching, callers who return, and the real schedulers with the words that they tell each other, in virtual time; 8 daemons and 9 engines in 0.2 s a run. Change: internal/decide/dispatcher holds the queue of a pool for all daemons of a group, internal/decide/remote has it decide and decides itself while none answers, internal/dispatch carries it over the peers' connections. A request stays with the daemon that accepted it. No agreement: all choose the daemon that has run longest. Callers who come back are told by the time they have left (internal/decide/allowance), their goal counts from the first attempt.

--- a/cmd/fireflypath/trial.go
+++ b/cmd/fireflypath/trial.go
@@ -30,8 +30,10 @@
 		Usage: "measure the decisions under load in virtual time",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "load", Usage: "loads to try (default: all)"},
-			&cli.StringSliceFlag{Name: "mix", Usage: "pozo or meelwerk (default: both)"},
-			&cli.StringSliceFlag{Name: "policy", Usage: "policies to try (default: shipped, rr, least, bound)"},
+			&cli.StringSliceFlag{Name: "mix", Usage: "mixes (default: pozo, meelwerk), or fleets with a gate: norte, austral, gent, their -grown ones, drawn"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "policies to try (default: shipped, rr, least, bound; of fleets: slots)"},
+			&cli.StringSliceFlag{Name: "set", Usage: "`NAME=VALUE` of the decisions, for fleets"},
+			&cli.StringSliceFlag{Name: "compare", Usage: "two settings `A,B`, each NAME=VALUE+... or shipped, to compare over the same seeds, for fleets"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of arrivals and decisions"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds to try, from seed on"},
 			&cli.DurationFlag{Name: "span", Value: trial.Span, Usage: "how long requests arrive"},
@@ -43,6 +45,9 @@
 }
 
 func runTrial(_ context.Context, c *cli.Command) error {
+	if simulates(c.StringSlice("mix")) {
+		return simulate(c.Root().Writer, c)
+	}
 	results, err := iter.Mapper[trial.Options, []trial.Row]{MaxGoroutines: atOnce}.
 		MapErr(trialOptions(c), func(o *trial.Options) ([]trial.Row, error) { return trial.Run(*o) })
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	registry "github.com/fireflypath/fireflypath/internal/configuration"
 	"github.com/fireflypath/fireflypath/internal/decide/rules"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/engine"
 	"github.com/fireflypath/fireflypath/internal/exchange"
 	"github.com/fireflypath/fireflypath/internal/gate"
@@ -104,6 +105,7 @@
 
 	// The fields below are those of a daemon with a gate.
 	directory   *directory.Directory
+	dispatch    *dispatch.Dispatch
 	limits      *ceilings.Limits
 	targets     *http1.Client
 	gate        *gate.Gate
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -10,13 +10,17 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/boottime"
+	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
+	"github.com/fireflypath/fireflypath/internal/decide/remote"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	ceilings "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/platform"
 )
@@ -129,19 +133,61 @@
 		waiting = defaultWaiting
 	}
 	if d.deps.Scheduler == nil {
-		d.deps.Scheduler = func(p fireflypath.Pool) fireflypath.Scheduler {
-			return slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name))
-		}
+		d.deps.Scheduler = d.gatedScheduler
 	}
 	d.pools = pools.New(d.deps.Clock, nil, d.deps.Scheduler)
 	d.pools.Bound(waiting)
+	if d.members != nil {
+		d.dispatch = dispatch.New(d.cfg.Name, d.peers, d.members, d.deps.Clock, d.scope, d.deps.Log, d.shared)
+		d.pools.OnMade(d.place)
+		d.work.Go(d.followTargets)
+	}
 	d.pools.Apply(d.deps.Configs.Current())
 	d.work.Go(func() { d.pools.Follow(d.ctx, d.deps.Configs) })
 	return nil
 }
 
+// gatedScheduler decides about a pool's work. That of model engines is placed by one
+// daemon for all of a group; plain services are quick, so that what one daemon sees
+// of them is enough.
+func (d *Daemon) gatedScheduler(p fireflypath.Pool) fireflypath.Scheduler {
+	local := slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.Alone())
+	if p.Kind != fireflypath.KindEngine || d.members == nil {
+		return local
+	}
+	return remote.New(local)
+}
+
+// shared decides for all daemons of a group.
+func (d *Daemon) shared(p fireflypath.Pool) dispatcher.Scheduler {
+	return slots.New(p, xxhash.Sum64String(p.Name), slots.Shared())
+}
+
+// place has the dispatcher place the work of pools that have one.
+func (d *Daemon) place(cfg fireflypath.Pool, p *pool.Pool, s fireflypath.Scheduler) {
+	if r, ok := s.(*remote.Scheduler); ok {
+		d.dispatch.Place(p, cfg, r)
+	}
+}
+
+// followTargets tells the dispatcher of the targets.
+func (d *Daemon) followTargets() {
+	for {
+		cfg := d.deps.Configs.Current()
+		d.dispatch.Apply(cfg)
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.deps.Configs.Changed(cfg.Generation):
+		}
+	}
+}
+
 func (gatedScheduling) Stop(_ context.Context, d *Daemon) error {
 	d.pools.Stop(stopping)
+	if d.dispatch != nil {
+		d.dispatch.Close()
+	}
 	return nil
 }
 
--- a/internal/daemon/gatedmembers.go
+++ b/internal/daemon/gatedmembers.go
@@ -7,9 +7,11 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
+	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/grants"
 	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
+	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/usage"
 )
 
@@ -23,7 +25,7 @@
 		return nil
 	}
 	log := d.deps.Log
-	u := usage.New(d.cfg.Name, d.peers, d.members, d.pools, d.limits, d.deps.Clock, d.scope)
+	u := usage.New(d.cfg.Name, d.peers, d.members, heard{d.pools, d.dispatch}, d.limits, d.deps.Clock, d.scope)
 	// A keeper gives nothing of the tolerance away: all of it is for what daemons
 	// use before they know that the quota is used up.
 	g := grants.New(d.cfg.Name, d.peers, d.members, d.limits, quota.Tolerance{}, d.deps.Clock, d.scope)
@@ -49,7 +51,9 @@
 			targets[t.Pool] = append(targets[t.Pool], t.Name)
 		}
 		for pool, names := range targets {
-			d.pools.ApplyShare(pool, d.shareOf(names))
+			share := d.shareOf(names)
+			d.pools.ApplyShare(pool, share)
+			d.dispatch.SetShare(pool, share)
 		}
 		select {
 		case <-d.ctx.Done():
@@ -85,3 +89,15 @@
 	}
 	return nil
 }
+
+// heard passes on what other daemons tell of their work.
+type heard struct {
+	*pools.Pools
+	dispatch *dispatch.Dispatch
+}
+
+// Hear implements usage.Pools.
+func (h heard) Hear(mates []fireflypath.Mate) {
+	h.Pools.Hear(mates)
+	h.dispatch.Hear(mates)
+}
--- /dev/null
+++ b/internal/decide/remote/remote.go
@@ -0,0 +1,362 @@
+// Package remote has a pool's dispatcher decide, and decides itself while none answers.
+//
+// It answers the loss of the daemon that decides for a group: killed, cut off,
+// frozen or slow. What waited there is taken back and scheduled by this daemon
+// alone until another dispatcher takes it, so that callers wait for a fraction of
+// their goal longer and none is lost.
+package remote
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// Local decides while no dispatcher does. It follows this daemon's work at the
+// targets all the time, so that what it knows is never old.
+type Local interface {
+	fireflypath.Scheduler
+	Report(m *fireflypath.Mate)
+	Hear(now time.Time, mates []fireflypath.Mate)
+	// Adopt counts work that is at a target already.
+	Adopt(now time.Time, w *fireflypath.Work, target string, sent time.Time, began bool)
+	// Release takes all waiting work out.
+	Release() []*fireflypath.Work
+	// Flights calls fn for all work at targets, which are named by identity.
+	Flights(fn func(w *fireflypath.Work, target string, sent time.Time, began bool))
+}
+
+// overdue is how long after its end waiting work is refused here that the
+// dispatcher has not refused: its word may be on the way.
+const overdue = 50 * time.Millisecond
+
+// Scheduler implements fireflypath.Scheduler. It is not safe for concurrent use.
+type Scheduler struct {
+	Local
+	// attached is true while a dispatcher decides.
+	attached bool
+	number   uint64
+	// numbers are those of work that the dispatcher knows; works are those of them
+	// that wait for its decision.
+	numbers map[*fireflypath.Work]uint64
+	works   map[uint64]*fireflypath.Work
+	// placed is what it decided and Next has not given out.
+	placed  []placed
+	targets map[string]fireflypath.Target
+	news    fireflypath.News
+	kicks   chan struct{}
+}
+
+type placed struct {
+	work *fireflypath.Work
+	turn fireflypath.Turn
+}
+
+var _ fireflypath.Scheduler = (*Scheduler)(nil)
+
+// New returns a scheduler that decides by itself until it is attached.
+func New(local Local) *Scheduler {
+	return &Scheduler{
+		Local: local, kicks: make(chan struct{}, 1), numbers: map[*fireflypath.Work]uint64{}, works: map[uint64]*fireflypath.Work{},
+		targets: map[string]fireflypath.Target{},
+	}
+}
+
+// Attach turns to a new dispatcher and tells it everything.
+func (s *Scheduler) Attach(now time.Time) {
+	if s.attached {
+		s.forget()
+	}
+	s.attached = true
+	waiting := append(s.take(), s.Release()...)
+	s.Flights(func(w *fireflypath.Work, target string, sent time.Time, began bool) {
+		s.news.Flights = append(s.news.Flights, fireflypath.Flight{
+			Offer: s.offer(now, w), Target: target, Sent: fireflypath.MicrosOf(now.Sub(sent)), Began: began,
+		})
+	})
+	for _, w := range waiting {
+		s.ask(now, w)
+	}
+	s.kick()
+}
+
+// Detach decides here from now on. It appends what there is no hope for to out.
+func (s *Scheduler) Detach(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	s.attached = false
+	waiting := s.take()
+	s.forget()
+	for _, w := range waiting {
+		out = s.Local.Offer(now, w, out)
+	}
+	return out
+}
+
+// forget ends what is known between this daemon and a dispatcher.
+func (s *Scheduler) forget() {
+	clear(s.numbers)
+	s.news = fireflypath.News{}
+}
+
+// take takes all work back that the dispatcher has not placed, in the order in which
+// it was offered.
+func (s *Scheduler) take() []*fireflypath.Work {
+	numbers := make([]uint64, 0, len(s.works))
+	for n := range s.works {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	out := make([]*fireflypath.Work, 0, len(numbers))
+	for _, n := range numbers {
+		out = append(out, s.works[n])
+	}
+	clear(s.works)
+	for _, p := range s.placed {
+		out = append(out, p.work)
+	}
+	s.placed = s.placed[:0]
+	return out
+}
+
+// Kicks brings something when there is something to tell the dispatcher.
+func (s *Scheduler) Kicks() <-chan struct{} { return s.kicks }
+
+func (s *Scheduler) kick() {
+	select {
+	case s.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Attached is true while a dispatcher decides.
+func (s *Scheduler) Attached() bool { return s.attached }
+
+// Waits is true if work waits for the dispatcher.
+func (s *Scheduler) Waits() bool { return len(s.works) > 0 }
+
+// News takes what the dispatcher has not been told.
+func (s *Scheduler) News() fireflypath.News {
+	out := s.news
+	s.news = fireflypath.News{}
+	return out
+}
+
+// Deliver takes in what the dispatcher decided. Refusals are appended to out;
+// placements come with Next.
+func (s *Scheduler) Deliver(now time.Time, turns []fireflypath.Turn, out []fireflypath.Shed) []fireflypath.Shed {
+	for _, t := range turns {
+		w := s.works[t.Number]
+		if w == nil {
+			continue // taken back meanwhile; the dispatcher was told
+		}
+		delete(s.works, t.Number)
+		if t.Target != "" {
+			s.placed = append(s.placed, placed{work: w, turn: t})
+			continue
+		}
+		delete(s.numbers, w)
+		out = append(out, fireflypath.Shed{Work: w, Reason: t.Reason, Detail: t.Detail, RetryAfter: t.Retry.Std()})
+	}
+	return out
+}
+
+// Offer takes work in.
+func (s *Scheduler) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
+	if !s.attached {
+		return s.Local.Offer(now, w, out)
+	}
+	s.ask(now, w)
+	return out
+}
+
+func (s *Scheduler) ask(now time.Time, w *fireflypath.Work) {
+	o := s.offer(now, w)
+	s.works[o.Number] = w
+	s.news.Offers = append(s.news.Offers, o)
+	s.kick()
+}
+
+// offer describes the work to the dispatcher.
+func (s *Scheduler) offer(now time.Time, w *fireflypath.Work) fireflypath.Offer {
+	s.number++
+	s.numbers[w] = s.number
+	o := fireflypath.Offer{
+		Number: s.number, Rank: w.Rank, Prompt: w.Cost.Prompt, Output: w.Cost.Output, Expected: w.Output,
+		Waited: fireflypath.MicrosOf(now.Sub(w.Arrived)), Goal: fireflypath.MicrosOf(w.Goal.Sub(now)),
+		Deadline: fireflypath.MicrosOf(w.Deadline.Sub(now)), Gap: fireflypath.MicrosOf(w.Gap), Avoid: w.Avoid,
+	}
+	if !w.Leaves.IsZero() {
+		o.Leaves = max(fireflypath.MicrosOf(w.Leaves.Sub(now)), 1)
+	}
+	return o
+}
+
+// Next gives out what the dispatcher placed, or what is decided here.
+func (s *Scheduler) Next(now time.Time, p *fireflypath.Placement) bool {
+	for len(s.placed) > 0 {
+		next := s.placed[0]
+		s.placed = s.placed[1:]
+		t, ok := s.targets[next.turn.Target]
+		if !ok || t.Drained {
+			// This daemon knows better, or not yet: a target that leaves gets nothing
+			// from a daemon that has heard of it.
+			s.again(next.work)
+			continue
+		}
+		s.Adopt(now, next.work, next.turn.Target, now, false)
+		*p = fireflypath.Placement{
+			Work: next.work, Target: t.Name, Waited: now.Sub(next.work.Arrived), Line: next.turn.Ahead,
+			First: next.turn.First.Std(), Considered: p.Considered[:0],
+		}
+		return true
+	}
+	return !s.attached && s.Local.Next(now, p)
+}
+
+// again has the dispatcher decide once more.
+func (s *Scheduler) again(w *fireflypath.Work) {
+	n := s.numbers[w]
+	s.works[n] = w
+	s.tell(fireflypath.Progress{Number: n, Kind: fireflypath.EventUnsent})
+}
+
+func (s *Scheduler) tell(p fireflypath.Progress) {
+	s.news.Progress = append(s.news.Progress, p)
+	s.kick()
+}
+
+// leave tells that waiting work is no longer there.
+func (s *Scheduler) leave(n uint64, w *fireflypath.Work) {
+	delete(s.works, n)
+	delete(s.numbers, w)
+	s.news.Withdrawn = append(s.news.Withdrawn, n)
+	s.kick()
+}
+
+// Withdraw removes waiting work; it reports false if it was not waiting here.
+func (s *Scheduler) Withdraw(now time.Time, w *fireflypath.Work) bool {
+	n, known := s.numbers[w]
+	if !known {
+		return s.Local.Withdraw(now, w)
+	}
+	_, waits := s.works[n]
+	at := slices.IndexFunc(s.placed, func(p placed) bool { return p.work == w })
+	if !waits && at < 0 {
+		return false
+	}
+	if at >= 0 {
+		s.placed = slices.Delete(s.placed, at, at+1)
+	}
+	s.leave(n, w)
+	return true
+}
+
+// Observe learns from an event at a target and tells the dispatcher.
+func (s *Scheduler) Observe(now time.Time, e fireflypath.Event) {
+	n, known := s.numbers[e.Work]
+	if e.Work == nil || !known {
+		s.Local.Observe(now, e)
+		return
+	}
+	if e.Kind == fireflypath.EventUnsent && s.attached {
+		// Not sent, it waits for the dispatcher again, and not here.
+		local := e
+		local.Kind = fireflypath.EventRefused
+		s.Local.Observe(now, local)
+		s.again(e.Work)
+		return
+	}
+	s.Local.Observe(now, e)
+	s.tell(fireflypath.Progress{Number: n, Kind: e.Kind, Tokens: e.Tokens, Left: e.Left})
+	if e.Kind != fireflypath.EventFirst {
+		delete(s.numbers, e.Work)
+	}
+}
+
+// Expire appends waiting work whose time is over.
+func (s *Scheduler) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	out = s.Local.Expire(now, out)
+	for n, w := range s.works {
+		if now.Before(end(w).Add(overdue)) {
+			continue
+		}
+		s.leave(n, w)
+		out = append(out, fireflypath.Shed{
+			Work: w, Reason: fireflypath.ReasonDeadline, Detail: "its time is over and the dispatcher has not answered",
+			RetryAfter: retry,
+		})
+	}
+	return out
+}
+
+// retry is told to callers whom the dispatcher left without an answer: by then
+// another one decides.
+const retry = 300 * time.Millisecond
+
+// end is when the caller of waiting work leaves.
+func end(w *fireflypath.Work) time.Time {
+	if !w.Leaves.IsZero() && w.Leaves.Before(w.Deadline) {
+		return w.Leaves
+	}
+	return w.Deadline
+}
+
+// Wake is when Next or Expire may have something new without an event.
+func (s *Scheduler) Wake(now time.Time) time.Time {
+	at := s.Local.Wake(now)
+	for _, w := range s.works {
+		if due := end(w).Add(overdue); at.IsZero() || due.Before(at) {
+			at = due
+		}
+	}
+	return at
+}
+
+// SetTargets replaces the targets.
+func (s *Scheduler) SetTargets(now time.Time, targets []fireflypath.Target) {
+	s.Local.SetTargets(now, targets)
+	clear(s.targets)
+	for _, t := range targets {
+		s.targets[t.Identity()] = t
+	}
+}
+
+// Demand summarises waiting and running work for the other daemons.
+func (s *Scheduler) Demand(now time.Time) fireflypath.Demand {
+	d := s.Local.Demand(now)
+	for _, w := range s.works {
+		if w.Rank < len(d.Waiting) {
+			d.Waiting[w.Rank] += w.Cost.Tokens()
+			d.Requests[w.Rank]++
+		}
+	}
+	return d
+}
+
+// Relieve gives up waiting work of lower tiers, lowest first.
+func (s *Scheduler) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
+	for freed := 0; freed < tokens && len(s.works) > 0; {
+		w := s.lowest()
+		if w.Rank <= rank {
+			break
+		}
+		s.Withdraw(now, w)
+		freed += max(w.Cost.Tokens(), 1)
+		out = append(out, fireflypath.Shed{
+			Work: w, Reason: fireflypath.ReasonFull, Detail: "gave way to work of a higher tier", RetryAfter: retry,
+		})
+	}
+	return s.Local.Relieve(now, rank, tokens, out)
+}
+
+// lowest is the work of the lowest tier that waits for the dispatcher, of equal ones
+// the newest.
+func (s *Scheduler) lowest() *fireflypath.Work {
+	var low *fireflypath.Work
+	for n, w := range s.works {
+		if low == nil || w.Rank > low.Rank || w.Rank == low.Rank && n > s.numbers[low] {
+			low = w
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/internal/decide/remote/remote_test.go
@@ -0,0 +1,193 @@
+package remote_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/remote"
+	"github.com/fireflypath/fireflypath/internal/decide/slots"
+)
+
+var start = time.Unix(1000, 0)
+
+func targets(n int) []fireflypath.Target {
+	var out []fireflypath.Target
+	for i := range n {
+		out = append(out, fireflypath.Target{Name: fmt.Sprintf("t%d", i), Pool: "p", Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Slots: 3})
+	}
+	return out
+}
+
+func scheduler(n int) *remote.Scheduler {
+	s := remote.New(slots.New(fireflypath.Pool{Name: "p", Stride: 3}, 7, slots.Alone()))
+	s.SetTargets(start, targets(n))
+	return s
+}
+
+func work(id int, now time.Time) *fireflypath.Work {
+	return &fireflypath.Work{
+		ID: fmt.Sprint(id), Rank: 1, Pool: "p", Weight: 1, Arrived: now, Deadline: now.Add(12 * time.Second),
+		Goal: now.Add(time.Second), Leaves: now.Add(4 * time.Second),
+		Cost: fireflypath.Cost{Prompt: 500, Output: 100}, Output: 100,
+	}
+}
+
+// next is what is to be sent now.
+func next(s *remote.Scheduler, now time.Time) []fireflypath.Placement {
+	var out []fireflypath.Placement
+	var p fireflypath.Placement
+	for s.Next(now, &p) {
+		p.Work.Life.Move(fireflypath.StateWaiting, fireflypath.StateDispatched)
+		out = append(out, p)
+	}
+	return out
+}
+
+// The daemon that decides for all is killed while requests wait for it. They are
+// scheduled by this daemon at once, each of them, and no caller notices more than a
+// moment of waiting.
+func TestWorkOfALostDispatcherIsScheduledHere(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(2)
+	s.Attach(start)
+	for i := range 4 {
+		is.Equal(len(s.Offer(start, work(i, start), nil)), 0)
+	}
+	is.Equal(len(next(s, start)), 0)
+	is.Equal(len(s.News().Offers), 4)
+	s.Deliver(start, []fireflypath.Turn{{Number: 1, Target: "t0"}}, nil)
+	is.Equal(len(next(s, start)), 1)
+	is.Equal(len(s.Detach(start, nil)), 0)
+	is.Equal(len(next(s, start)), 3)
+	// A late word of the lost one places nothing twice.
+	s.Deliver(start, []fireflypath.Turn{{Number: 2, Target: "t1"}}, nil)
+	is.Equal(len(next(s, start)), 0)
+}
+
+// Another daemon takes over. It is told what waits and what is at the targets.
+func TestNewDispatcherIsToldEverything(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(1)
+	for i := range 7 {
+		s.Offer(start, work(i, start), nil)
+	}
+	sent := next(s, start)
+	is.Equal(len(sent), 3)
+	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventFirst, Target: "t0", Work: sent[0].Work})
+	s.Attach(start.Add(time.Second))
+	news := s.News()
+	is.Equal(len(news.Flights), 3)
+	is.True(news.Flights[0].Began)
+	is.Equal(news.Flights[0].Sent.Std(), time.Second)
+	is.Equal(len(news.Offers), 4)
+	is.Equal(news.Offers[0].Waited.Std(), time.Second)
+	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventDone, Target: "t0", Work: sent[1].Work, Tokens: 9})
+	is.Equal(s.News().Progress, []fireflypath.Progress{{Number: news.Flights[1].Number, Kind: fireflypath.EventDone, Tokens: 9}})
+}
+
+// The dispatcher has not heard yet that a target leaves. A daemon that has sends
+// nothing there, and the request goes elsewhere.
+func TestTargetThatLeavesGetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(2)
+	s.Attach(start)
+	s.Offer(start, work(1, start), nil)
+	s.News()
+	list := targets(2)
+	list[0].Drained = true
+	s.SetTargets(start, list)
+	s.Deliver(start, []fireflypath.Turn{{Number: 1, Target: "t0"}}, nil)
+	is.Equal(len(next(s, start)), 0)
+	is.Equal(s.News().Progress, []fireflypath.Progress{{Number: 1, Kind: fireflypath.EventUnsent}})
+	s.Deliver(start, []fireflypath.Turn{{Number: 1, Target: "t1"}}, nil)
+	is.Equal(len(next(s, start)), 1)
+}
+
+// The dispatcher answers everything but one request. Its caller gets an answer all the
+// same.
+func TestForgottenWorkIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(1)
+	s.Attach(start)
+	s.Offer(start, work(1, start), nil)
+	at := s.Wake(start)
+	is.True(at.After(start.Add(4*time.Second)) && at.Before(start.Add(5*time.Second)))
+	sheds := s.Expire(at, nil)
+	is.Equal(len(sheds), 1)
+	is.True(sheds[0].RetryAfter > 0)
+}
+
+// Dispatchers come and go, forget and repeat themselves at any moment, and callers
+// leave. Each request is sent at most once and ends in exactly one way.
+func TestEachWorkIsGivenOutOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := scheduler(2)
+		now := start
+		var all []*fireflypath.Work
+		fate := map[*fireflypath.Work]string{}
+		end := func(w *fireflypath.Work, how string) {
+			if old, ok := fate[w]; ok {
+				t.Fatalf("%s ended as %s and %s", w.ID, old, how)
+			}
+			fate[w] = how
+		}
+		take := func(sheds []fireflypath.Shed) {
+			for _, sh := range sheds {
+				end(sh.Work, "refused")
+			}
+			for _, p := range next(s, now) {
+				end(p.Work, "sent")
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1:
+				w := work(len(all), now)
+				all = append(all, w)
+				take(s.Offer(now, w, nil))
+			case 2:
+				s.Attach(now)
+			case 3:
+				take(s.Detach(now, nil))
+			case 4:
+				turn := fireflypath.Turn{Number: uint64(rapid.IntRange(1, len(all)+3).Draw(t, "number"))}
+				if rapid.Bool().Draw(t, "placed") {
+					turn.Target = fmt.Sprintf("t%d", rapid.IntRange(0, 2).Draw(t, "target"))
+				}
+				take(s.Deliver(now, []fireflypath.Turn{turn}, nil))
+			case 5:
+				if len(all) == 0 {
+					continue
+				}
+				w := all[rapid.IntRange(0, len(all)-1).Draw(t, "caller")]
+				if s.Withdraw(now, w) {
+					end(w, "withdrawn")
+				}
+			case 6:
+				take(s.Expire(now, nil))
+			case 7:
+				for _, w := range all {
+					if fate[w] == "sent" {
+						fate[w] = "done"
+						s.Observe(now, fireflypath.Event{Kind: fireflypath.EventDone, Target: "t0", Work: w})
+						break
+					}
+				}
+				take(nil)
+			}
+		}
+		now = now.Add(time.Minute)
+		take(s.Expire(now, nil))
+		for _, w := range all {
+			if _, ok := fate[w]; !ok {
+				t.Fatalf("%s was forgotten", w.ID)
+			}
+		}
+	})
+}
--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -12,30 +12,11 @@
 	// guessPrefill is a prefill speed in tokens a second for targets that nothing
 	// is known of; a wrong guess lasts for one answer.
 	guessPrefill = 30_000
-	// failCost is how many times longer work seems to take at a target where all
-	// of it fails.
-	failCost = 20
-	// slotCost is what each taken slot adds to the expected time, as a part of
-	// it: a batch that is fuller makes each token slower.
-	slotCost = 0.05
 	// chunk is how many prompt tokens an engine prefills in one step beside the
 	// streams that it runs: the usual default of engines with continuous batching.
 	chunk = 2048
 	// defaultStride is the number of tokens of an event where nobody says it.
 	defaultStride = 3
-	// gapPart is the part of the pause that callers bear by which one prompt may
-	// hold up the streams at its target. The rest is for their own steps and for
-	// the prompts that other daemons send.
-	gapPart = 0.6
-	// muchSlower is the part of the fastest known prefill speed below which a target
-	// is one of another generation. Learned speeds of equal engines differ by up to
-	// a third, those of unlike ones by two to five times.
-	muchSlower = 0.5
-	// hurry is the part of the time left in which work must be expected to end.
-	hurry = 0.8
-	// spread is the part of the expected time by which daemons differ in their
-	// choice, so that equal views do not send everything to one target.
-	spread = 0.1
 )
 
 // choose is the best target with room for the work, or nil.
@@ -66,14 +47,14 @@
 	if s.fast == 0 || !t.known() {
 		return true
 	}
-	if s.duration(t, w) > hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
+	if s.duration(t, w) > s.tune.Hurry*w.Deadline.Sub(now).Seconds() && s.duration(s.best, w) < s.duration(t, w) {
 		return false
 	}
-	if w.Gap <= 0 || s.taken(now, t) == 0 || s.prefillRate(t) > muchSlower*s.fast {
+	if w.Gap <= 0 || s.taken(now, t) == 0 || s.prefillRate(t) > s.tune.MuchSlower*s.fast {
 		return true
 	}
 	stall := float64(min(w.Cost.Prompt, s.stride()*chunk)) / s.prefillRate(t)
-	return stall <= gapPart*w.Gap.Seconds() || now.After(w.Goal)
+	return stall <= s.tune.GapPart*w.Gap.Seconds() || now.After(w.Goal)
 }
 
 func (s *Sched) stride() int {
@@ -102,12 +83,12 @@
 func (s *Sched) score(now time.Time, t *target, w *fireflypath.Work) float64 {
 	sec := float64(t.prefill+t.ahead+w.Cost.Prompt)/s.prefillRate(t) + t.speed.Delay(now).Seconds() + 1e-3
 	taken := float64(s.taken(now, t)) / float64(t.slots())
-	sec *= 1 + slotCost*taken*float64(t.slots())
+	sec *= 1 + s.tune.SlotCost*taken*float64(t.slots())
 	if over := s.taken(now, t) + 1 - t.slots(); over > 0 {
 		sec += float64(over) * t.hold / float64(t.slots())
 	}
-	sec *= 1 + failCost*t.failing
-	return sec * (1 + spread*s.noise(t))
+	sec *= 1 + s.tune.FailCost*t.failing
+	return sec * (1 + s.tune.Spread*s.noise(t))
 }
 
 // noise is a number between 0 and 1 that differs between daemons for a target.
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -26,10 +26,6 @@
 	// drainHorizon is the time over which the rate of ended work is measured:
 	// some turns of all slots, and short against a burst.
 	drainHorizon = 3 * time.Second
-	// hopeless is the part of the time until its caller leaves that work may wait,
-	// or be expected to wait on arrival. Refused then, its caller comes back while
-	// there is still time; kept longer, the caller leaves and has nothing.
-	hopeless = 0.6
 	// shortest and longest bound the time that a refused caller is told.
 	shortest = 300 * time.Millisecond
 	longest  = 10 * time.Second
@@ -47,6 +43,7 @@
 // safe for concurrent use.
 type Sched struct {
 	pool    fireflypath.Pool
+	tune    Tuning
 	targets map[string]*target
 	// order lists the targets by name, so that choices can be repeated.
 	order   []*target
@@ -83,9 +80,9 @@
 
 // New returns a scheduler without targets. The seed differs between daemons, so
 // that equal views do not give equal choices.
-func New(pool fireflypath.Pool, seed uint64) *Sched {
+func New(pool fireflypath.Pool, seed uint64, tune Tuning) *Sched {
 	s := &Sched{
-		pool: pool, seed: seed, share: fireflypath.Share{Default: 1},
+		pool: pool, seed: seed, tune: tune, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, flights: map[*fireflypath.Work]flight{},
 		drain: rate.Meter{Horizon: drainHorizon},
 	}
@@ -100,7 +97,7 @@
 	s.lowest = max(s.lowest, w.Rank)
 	s.arrivals[min(max(w.Rank, 0), ranks-1)].Add(now, 1)
 	s.drain.Pass(now, len(s.waiting) > 0)
-	if wait, ok := s.wait(now, w); ok && wait > time.Duration(hopeless*float64(end(w).Sub(now))) {
+	if wait, ok := s.wait(now, w); ok && wait > time.Duration(s.tune.Hopeless*float64(end(w).Sub(now))) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
@@ -116,11 +113,11 @@
 }
 
 // expires is when waiting work is given up.
-func expires(w *fireflypath.Work) time.Time {
+func (s *Sched) expires(w *fireflypath.Work) time.Time {
 	if w.Leaves.IsZero() {
 		return w.Deadline.Add(-last)
 	}
-	return w.Arrived.Add(time.Duration(hopeless * float64(end(w).Sub(w.Arrived))))
+	return w.Arrived.Add(time.Duration(s.tune.Hopeless * float64(end(w).Sub(w.Arrived))))
 }
 
 // wait is when the work would get its turn, if enough is known to tell. Places
@@ -129,7 +126,7 @@
 func (s *Sched) wait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
 	ahead := 1 - s.free(now)
 	for _, o := range s.waiting {
-		if !before(now, w, o) {
+		if !s.before(now, w, o) {
 			ahead++
 		}
 	}
@@ -200,24 +197,36 @@
 // time goes by tier and then by its goal. Work that is late already goes one
 // tier lower: in front of its own tier's punctual work it would make that late
 // as well, and all that comes behind.
-func before(now time.Time, a, b *fireflypath.Work) bool {
-	ra, rb := urgency(now, a), urgency(now, b)
+func (s *Sched) before(now time.Time, a, b *fireflypath.Work) bool {
+	ra, rb := s.urgency(now, a), s.urgency(now, b)
 	if ra != rb {
 		return ra < rb
 	}
+	if s.tune.Newest && ra%2 == 0 {
+		return a.Goal.After(b.Goal)
+	}
 	return a.Goal.Before(b.Goal)
 }
 
 // urgency orders work by tier; a late one stands between its own tier and the
 // next.
-func urgency(now time.Time, w *fireflypath.Work) int {
+func (s *Sched) urgency(now time.Time, w *fireflypath.Work) int {
 	u := 2 * w.Rank
-	if now.After(w.Goal) {
+	if s.late(now, w) {
 		u += 3
 	}
 	return u
 }
 
+// late is true for work that cannot begin in time any more.
+func (s *Sched) late(now time.Time, w *fireflypath.Work) bool {
+	if !s.tune.Punctual || s.fast == 0 {
+		return now.After(w.Goal)
+	}
+	least := float64(w.Cost.Prompt)/s.fast + s.tune.Margin
+	return now.After(w.Goal.Add(-time.Duration(least * float64(time.Second))))
+}
+
 // Next chooses the next work and its target and counts it as in flight.
 func (s *Sched) Next(now time.Time, p *fireflypath.Placement) bool {
 	if len(s.waiting) == 0 || !s.anyRoom(now) {
@@ -225,7 +234,7 @@
 	}
 	best, at := (*target)(nil), -1
 	for i, w := range s.waiting {
-		if at >= 0 && !before(now, w, s.waiting[at]) {
+		if at >= 0 && !s.before(now, w, s.waiting[at]) {
 			continue
 		}
 		if t := s.choose(now, w); t != nil {
@@ -243,7 +252,7 @@
 
 func (s *Sched) anyRoom(now time.Time) bool {
 	for _, t := range s.order {
-		if s.takes(now, t, maxExtra) {
+		if s.takes(now, t, s.tune.Extra) {
 			return true
 		}
 	}
@@ -291,7 +300,7 @@
 func (s *Sched) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
-		if now.Before(expires(w)) {
+		if now.Before(s.expires(w)) {
 			kept = append(kept, w)
 			continue
 		}
@@ -305,7 +314,7 @@
 func (s *Sched) Wake(now time.Time) time.Time {
 	var at time.Time
 	for _, w := range s.waiting {
-		if due := expires(w); at.IsZero() || due.Before(at) {
+		if due := s.expires(w); at.IsZero() || due.Before(at) {
 			at = due
 		}
 	}
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -23,7 +23,7 @@
 }
 
 func sched(n int) *slots.Sched {
-	s := slots.New(fireflypath.Pool{Name: "p", Stride: 3}, 7)
+	s := slots.New(fireflypath.Pool{Name: "p", Stride: 3}, 7, slots.Alone())
 	s.SetTargets(start, targets(n))
 	return s
 }
@@ -363,7 +363,7 @@
 	const daemons = 8
 	var all []*slots.Sched
 	for d := range daemons {
-		s := slots.New(fireflypath.Pool{Name: "p"}, uint64(1000*d+1))
+		s := slots.New(fireflypath.Pool{Name: "p"}, uint64(1000*d+1), slots.Alone())
 		for i := range 20 {
 			s.Offer(start, work(fmt.Sprint(d, "-", i), 0, start), nil)
 		}
@@ -396,7 +396,7 @@
 	var all []*slots.Sched
 	now := start
 	for d := range daemons {
-		s := slots.New(fireflypath.Pool{Name: "p"}, uint64(1000*d+1))
+		s := slots.New(fireflypath.Pool{Name: "p"}, uint64(1000*d+1), slots.Alone())
 		s.SetShare(now, fireflypath.Share{Part: map[string]float64{}})
 		s.SetTargets(now, targets(1))
 		all = append(all, s)
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -22,11 +22,6 @@
 	longestPause = 4 * time.Second
 	// failWeight weighs a new outcome in the part of work that fails.
 	failWeight = 0.15
-	// maxExtra is how many requests of the highest tier may stand in a full
-	// target's own queue. They get the next slots that become free there, whoever
-	// used them: the daemons need not agree on it first. Each tier below has one
-	// less, the lowest none.
-	maxExtra = 2
 	// inheritTime is when the work of those who had a target before is taken to be
 	// over. Requests hold a slot for half a second at fast engines and for two at the
 	// slowest; 0.8 s leaves few fast ones idle.
@@ -143,7 +138,7 @@
 
 // extra is how many requests of the rank may stand before a full target.
 func (s *Sched) extra(rank int) int {
-	return min(max(s.lowest-rank, 0), maxExtra)
+	return min(max(s.lowest-rank, 0), s.tune.Extra)
 }
 
 // skip says why the target takes no work, or nothing if it does; extra is how
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -29,12 +29,14 @@
 	// age is that of the view when the request arrived.
 	age      time.Duration
 	deadline time.Time
-	route    *fireflypath.Route
-	team     *fireflypath.Team
-	pool     string
-	rank     int
-	body     []byte
-	cost     fireflypath.Cost
+	// elapsed is for how long the caller tried before this attempt.
+	elapsed time.Duration
+	route   *fireflypath.Route
+	team    *fireflypath.Team
+	pool    string
+	rank    int
+	body    []byte
+	cost    fireflypath.Cost
 	// output is the expected number of output tokens.
 	output int
 	// units is what the request took of its team's quota; 0 if nothing.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -163,13 +163,17 @@
 	return t, nil
 }
 
-// goal is when the answer should have begun.
-func (c *call) goal() time.Time {
-	d := c.route.Goal.Std()
-	if d <= 0 {
-		d = defaultGoal
+// objective is how soon an answer should begin.
+func (c *call) objective() time.Duration {
+	if d := c.route.Goal.Std(); d > 0 {
+		return d
 	}
-	return c.arrived.Add(d)
+	return defaultGoal
+}
+
+// goal is when the answer should have begun, counted from the caller's first attempt.
+func (c *call) goal() time.Time {
+	return c.arrived.Add(c.objective() - c.elapsed)
 }
 
 // unserved turns the end of a wait into a refusal.
@@ -227,7 +231,7 @@
 	if c.route.Repeat != fireflypath.RepeatSafe || c.route.Form != fireflypath.FormWhole || len(c.tries) >= c.route.Attempts {
 		return func() {}
 	}
-	limit := silentGoals * c.goal().Sub(c.arrived)
+	limit := silentGoals * c.objective()
 	if c.left(g.deps.Clock.Now()) < 2*limit {
 		limit = c.left(g.deps.Clock.Now()) / 2
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/allowance"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -44,6 +46,9 @@
 	tables  table.Cache
 	meter   *meter
 	way     []step
+	mu      sync.Mutex
+	// allowances tell callers who come back from new ones, by route.
+	allowances map[string]*allowance.Meter
 	// leaving is true once a planned stop began.
 	leaving atomic.Bool
 }
@@ -56,7 +61,10 @@
 
 // New returns a gate.
 func New(deps Deps) *Gate {
-	g := &Gate{deps: deps, headers: deps.Codec.Headers(), owned: map[string]bool{}, meter: newMeter(deps.Scope)}
+	g := &Gate{
+		deps: deps, headers: deps.Codec.Headers(), owned: map[string]bool{}, meter: newMeter(deps.Scope),
+		allowances: map[string]*allowance.Meter{},
+	}
 	for _, name := range g.headers.Owned {
 		g.owned[http1.Canonical(name)] = true
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -111,7 +111,7 @@
 		change(s.cfg)
 	}
 	clock := clockwork.NewRealClock()
-	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1) })
+	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1, slots.Alone()) })
 	ps.Apply(s.cfg)
 	g := gate.New(gate.Deps{
 		Clock: clock, Codec: codec{}, Configs: &configs{s.cfg}, Freshness: s.view, Pools: ps,
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/allowance"
 )
 
 const (
@@ -154,7 +155,9 @@
 	if text := c.r.Header.Get(g.headers.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err == nil && ms > 0 {
-			limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
+			left := time.Duration(ms * float64(time.Millisecond))
+			limit = min(limit, left)
+			c.elapsed = g.elapsed(c, left)
 		}
 	}
 	c.deadline = c.arrived.Add(limit)
@@ -179,6 +182,18 @@
 	return nil
 }
 
+// elapsed is for how long the caller has been trying when it has so much time left.
+func (g *Gate) elapsed(c *call, left time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.allowances[c.route.Name]
+	if m == nil {
+		m = &allowance.Meter{}
+		g.allowances[c.route.Name] = m
+	}
+	return m.Elapsed(c.arrived, left)
+}
+
 // output is the expected number of output tokens: the caller's own estimate,
 // within what it allows.
 func (g *Gate) output(c *call) int {
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -25,6 +25,16 @@
 	})
 }
 
+// Update changes the scheduler, refuses what the change gives up, and carries out
+// what follows.
+func (p *Pool) Update(change func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sheds = change(p.clock.Now(), p.sheds[:0])
+	p.shed()
+	p.pump()
+}
+
 // SetTargets replaces the targets.
 func (p *Pool) SetTargets(targets []fireflypath.Target) {
 	p.mu.Lock()
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -79,6 +79,11 @@
 	p.bytes = n
 }
 
+// Done is closed when the pool has ended.
+func (p *Pool) Done() <-chan struct{} {
+	return p.ctx.Done()
+}
+
 // Wait offers the request and returns when it has a target, with its Life in
 // StateDispatched, or the refusal that ended its wait. If the caller leaves
 // first, the error is a refusal as withdrawn.
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -22,6 +22,8 @@
 	clock  clockwork.Clock
 	relief fireflypath.Relief
 	sched  func(fireflypath.Pool) fireflypath.Scheduler
+	// made is told of each new pool and its scheduler; nil if nobody wants to know.
+	made func(fireflypath.Pool, *pool.Pool, fireflypath.Scheduler)
 	// bytes is the memory of waiting requests, limit its bound.
 	bytes atomic.Int64
 	limit int64
@@ -50,6 +52,12 @@
 	return p
 }
 
+// OnMade has each new pool told of, with its scheduler. It is called before the first
+// configuration is applied.
+func (p *Pools) OnMade(made func(fireflypath.Pool, *pool.Pool, fireflypath.Scheduler)) {
+	p.made = made
+}
+
 // Follow applies each configuration until the context ends.
 func (p *Pools) Follow(ctx context.Context, configs fireflypath.Configs) {
 	for {
@@ -105,9 +113,13 @@
 }
 
 func (p *Pools) make(c fireflypath.Pool) *pool.Pool {
-	n := pool.New(c.Name, p.clock, p.sched(c), p.relief)
+	sched := p.sched(c)
+	n := pool.New(c.Name, p.clock, sched, p.relief)
 	n.Count(&p.bytes)
 	p.share(c.Name, n)
+	if p.made != nil {
+		p.made(c, n, sched)
+	}
 	if p.stopped != nil {
 		n.Close(*p.stopped)
 	}
--- /dev/null
+++ b/internal/sim/fleet/files.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"embed"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+)
+
+// ErrUnknown is the name of a fleet that does not exist.
+var ErrUnknown = errors.New("unknown fleet")
+
+//go:embed fleets/*.jsonc
+var files embed.FS
+
+// Names lists the fleets that come with the program.
+func Names() []string {
+	entries, err := files.ReadDir("fleets")
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, e := range entries {
+		out = append(out, e.Name()[:len(e.Name())-len(".jsonc")])
+	}
+	return out
+}
+
+// Find is the fleet of a name; "drawn" is one that differs from seed to seed.
+func Find(name string, seed uint64) (Fleet, error) {
+	if name == "drawn" {
+		return Draw(seed), nil
+	}
+	b, err := files.ReadFile("fleets/" + name + ".jsonc")
+	if err != nil {
+		return Fleet{}, errors.Wrapf(ErrUnknown, "%q", name)
+	}
+	return Parse(b)
+}
+
+// Parse reads a fleet in JSON with comments.
+func Parse(b []byte) (Fleet, error) {
+	var f Fleet
+	plain, err := hujson.Standardize(b)
+	if err != nil {
+		return f, errors.Wrap(err, "parse fleet")
+	}
+	return f, errors.Wrap(json.Unmarshal(plain, &f), "decode fleet")
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -69,6 +69,11 @@
 	Waited time.Duration
 	// Ahead is how much waiting work stood before this when it arrived, in requests.
 	Ahead int
+	// Line is the prompt in tokens that the target had to read before the work's
+	// own; First is when the answer was expected to begin, from the dispatch on.
+	// Both are 0 where they are not known.
+	Line  int
+	First time.Duration
 	// Considered holds the targets weighed, the chosen one among them.
 	Considered []Candidate
 }
