feat(follow): a line tells why a watcher was left, and how large and old a change is

Cause: a follower that got no answer from its watcher asked the store next and dropped the first error, so that the logs of the incident show 'store lost' only and cannot tell a cut from an answer that came too late. The test network knows the daemons' links. No logic changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -352,7 +352,8 @@
 	d.written = e.Revision
 	d.base = cfg
 	d.log.Info("configuration in force", zap.Uint64("version", cfg.Version), zap.Uint64("revision", e.Revision),
-		zap.Int("routes", len(cfg.Routes)), zap.Int("teams", len(cfg.Teams)))
+		zap.Int("routes", len(cfg.Routes)), zap.Int("teams", len(cfg.Teams)), zap.Int("bytes", len(e.Value)),
+		zap.Duration("age", d.Age()))
 }
 
 // publish puts the view in force if it differs from the one that is.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,9 +11,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -64,19 +66,23 @@
 	failed  time.Time
 	relayed tally.Counter
 	direct  tally.Counter
+	// left counts the watchers that were not asked again for a while.
+	left tally.Counter
+	log  *zap.Logger
 }
 
 var _ fireflypath.Feed = (*Feed)(nil)
 
 // New returns the feed of the daemon of that name and failure domain.
 func New(self, domain string, store fireflypath.Feed, peers Peers, members fireflypath.Members,
-	clock clockwork.Clock, scope tally.Scope,
+	clock clockwork.Clock, scope tally.Scope, log *zap.Logger,
 ) *Feed {
 	scope = scope.SubScope("follow")
 	return &Feed{
 		store: store, peers: peers, members: members, self: self, domain: domain, clock: clock,
 		avoid:   map[string]time.Time{},
-		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"),
+		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"), left: scope.Counter("left"),
+		log: log,
 	}
 }
 
@@ -214,13 +220,26 @@
 		}
 		l, err := f.askOne(ctx, w, after, wait)
 		if !usable(err) {
-			f.avoid[w.Name] = f.clock.Now().Add(avoidTime)
+			f.leave(ctx, w, after, f.clock.Since(now), err)
 		}
 		return l, err
 	}
 	return fireflypath.Listing{}, errOld
 }
 
+// leave has a watcher not asked for a while. The line is what tells a watcher that
+// is cut off from one whose answer did not arrive in time; there is at most one
+// for each watcher and avoidTime.
+func (f *Feed) leave(ctx context.Context, w fireflypath.Member, after uint64, took time.Duration, err error) {
+	f.avoid[w.Name] = f.clock.Now().Add(avoidTime)
+	if ctx.Err() != nil {
+		return
+	}
+	f.left.Inc(1)
+	f.log.Info("watcher did not bring what changed", zap.String("watcher", w.Name), zap.Uint64("after", after),
+		zap.Duration("took", took), logs.Cause(err))
+}
+
 // maxAsked bounds the watchers that a daemon tries, one a call.
 const maxAsked = 3
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -53,8 +53,43 @@
 
 // network joins the feeds of several daemons; cut ones are not reached.
 type network struct {
-	methods map[string]peer.Method
+	clock *clockwork.FakeClock
+	// methods are those of each daemon by name.
+	methods map[string]map[string]peer.Method
 	cut     map[string]bool
+	// rate is what each daemon's link carries, in bytes a second; 0 is no bound.
+	rate float64
+	// busy is until when a daemon's link carries what was sent to it before.
+	busy map[string]time.Time
+}
+
+// largest is the largest message that daemons take from each other, in bytes.
+const largest = 1 << 20
+
+// deliver takes the time that the bytes need on the link of a daemon. Bytes that
+// nobody waits for any more use the link like all others.
+func (n *network) deliver(ctx context.Context, to string, bytes int) error {
+	if bytes > largest {
+		return peer.ErrUnreachable
+	}
+	if n.rate == 0 {
+		return nil
+	}
+	now := n.clock.Now()
+	end := n.busy[to]
+	if end.Before(now) {
+		end = now
+	}
+	end = end.Add(time.Duration(float64(bytes) / n.rate * float64(time.Second)))
+	n.busy[to] = end
+	deadline, bounded := ctx.Deadline()
+	patience := time.Until(deadline)
+	if bounded && patience < end.Sub(now) {
+		n.clock.Advance(patience)
+		return context.DeadlineExceeded
+	}
+	n.clock.Advance(end.Sub(now))
+	return nil
 }
 
 type port struct {
@@ -62,9 +97,14 @@
 	name string
 }
 
-func (p port) Handle(_ string, m peer.Method) { p.n.methods[p.name] = m }
+func (p port) Handle(method string, m peer.Method) {
+	if p.n.methods[p.name] == nil {
+		p.n.methods[p.name] = map[string]peer.Method{}
+	}
+	p.n.methods[p.name][method] = m
+}
 
-func (p port) Call(ctx context.Context, to fireflypath.Member, _ string, params, result any) error {
+func (p port) Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error {
 	if p.n.cut[to.Name] {
 		return peer.ErrUnreachable
 	}
@@ -72,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	out, err := p.n.methods[to.Name](ctx, p.name, b)
+	out, err := p.n.methods[to.Name][method](ctx, p.name, b)
 	if err != nil {
 		return err
 	}
@@ -80,6 +120,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.n.deliver(ctx, p.name, len(b)); err != nil {
+		return err
+	}
 	return json.Unmarshal(b, result)
 }
 
@@ -106,7 +149,10 @@
 func fleet(t *testing.T) ([]*daemon, *network, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
-	n := &network{methods: map[string]peer.Method{}, cut: map[string]bool{}}
+	n := &network{
+		clock: clock, methods: map[string]map[string]peer.Method{}, cut: map[string]bool{},
+		busy: map[string]time.Time{},
+	}
 	ms := members{{Name: "a", Domain: "x"}, {Name: "b", Domain: "x"}, {Name: "c", Domain: "x"}}
 	shared := &store{clock: clock, at: 5}
 	shared.put("t1")
@@ -114,7 +160,7 @@
 	for _, m := range ms {
 		own := *shared
 		d := &daemon{name: m.Name, store: &own}
-		d.feed = follow.New(m.Name, "x", d.store, port{n, m.Name}, ms, clock, tally.NoopScope)
+		d.feed = follow.New(m.Name, "x", d.store, port{n, m.Name}, ms, clock, tally.NoopScope, zap.NewNop())
 		d.view = directory.New(d.feed, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
