fix(spread): a pull of the configuration is bounded call by call

A daemon gave a peer 5 s for a whole configuration; that of 29,000 teams is 8 MB, 7 s on 10 Mbit/s. It gave up, and began anew with the next heartbeat. Change: each call has 2 s; a reply has 256 KB of chunks at most. Spread names what it needs of the endpoint and the membership, so that it is tested over a slow link. This way of the configuration does not serve the users' platform.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -12,25 +12,43 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/configuration"
-	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
 const (
 	methodUpdate = "config.update"
 	methodChunks = "config.chunks"
-	// pullTimeout bounds the transfer from one peer; another is tried then.
-	pullTimeout = 5 * time.Second
+	// callTime bounds each call to a peer; another is tried then. A reply has 256 KB of
+	// chunks at most: 0.2 s on 10 Mbit/s, and ten times that while the link is shared.
+	// A bound on all calls together would bound the size of a configuration: that of
+	// 29,000 teams is 8 MB, and 5 s for all of it were not enough on such a link, each
+	// time anew.
+	callTime = 2 * time.Second
 	// watchers per failure domain: one may be cut off or paused.
 	watchers = 2
 )
 
+// Peers is what Spread needs of the endpoint.
+type Peers interface {
+	Handle(method string, m peer.Method)
+	AddSink(s peer.Sink)
+	Flush()
+	Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error
+}
+
+// Fleet is what Spread needs of the membership.
+type Fleet interface {
+	Self() fireflypath.Member
+	Live() []fireflypath.Member
+	SetGeneration(generation uint64)
+}
+
 // Spread passes on the generation in force with the heartbeats, and fetches a
 // newer one from the peer that told of it.
 type Spread struct {
 	configs *configuration.Registry
-	members *member.Membership
-	peers   *peer.Endpoint
+	members Fleet
+	peers   Peers
 	log     *zap.Logger
 	// pulls holds one place for each pull under way, so that a slow peer does
 	// not keep this daemon from asking another.
@@ -54,7 +72,7 @@
 }
 
 // New connects the registry to the endpoint, before that serves.
-func New(configs *configuration.Registry, members *member.Membership, peers *peer.Endpoint, log *zap.Logger) *Spread {
+func New(configs *configuration.Registry, members Fleet, peers Peers, log *zap.Logger) *Spread {
 	s := &Spread{
 		configs: configs, members: members, peers: peers, log: log,
 		pulls: make(chan struct{}, maxPulls), offers: make(chan string, 1),
@@ -115,8 +133,6 @@
 	}
 	go func() {
 		defer func() { <-s.pulls }()
-		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-		defer cancel()
 		if err := s.configs.Pull(ctx, &source{s: s, to: to}); err != nil {
 			s.log.Info("could not fetch a configuration", zap.String("peer", from), zap.Error(err))
 		}
@@ -174,13 +190,19 @@
 // Update asks for the peer's outline.
 func (c *source) Update(ctx context.Context, have uint64) (configuration.Update, error) {
 	var u configuration.Update
-	err := c.s.peers.Call(ctx, c.to, methodUpdate, updateAsk{Have: have}, &u)
+	err := c.call(ctx, methodUpdate, updateAsk{Have: have}, &u)
 	return u, err
 }
 
 // Chunks asks for chunks.
 func (c *source) Chunks(ctx context.Context, digests []string) ([]json.RawMessage, error) {
 	var r chunksReply
-	err := c.s.peers.Call(ctx, c.to, methodChunks, chunksAsk{Digests: digests}, &r)
+	err := c.call(ctx, methodChunks, chunksAsk{Digests: digests}, &r)
 	return r.Chunks, err
 }
+
+func (c *source) call(ctx context.Context, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return c.s.peers.Call(ctx, c.to, method, params, result)
+}
