--- a/internal/follow/message.go
+++ b/internal/follow/message.go
@@ -31,7 +31,7 @@
 	// know of them would take a listing without them for whole.
 	Parts bool `json:"p,omitempty"`
 	// Above asks for the next page: the revision of the last entry had.
-	Above uint64 `json:"f,omitempty"`
+	Above uint64 `json:"b,omitempty"`
 }
 
 // reply is a watcher's answer.
@@ -52,6 +52,30 @@
 	Compacted bool `json:"c,omitempty"`
 }
 
+// fill adds the entries above a revision, in their order, up to a page's size.
+// Entries written together have one revision and stay on one page.
+func (r *reply) fill(entries []fireflypath.Entry, above uint64) {
+	bytes := 0
+	last := above
+	for _, e := range entries {
+		if e.Revision <= above {
+			continue
+		}
+		if bytes > pageSize && e.Revision > last {
+			r.More = true
+			return
+		}
+		last = e.Revision
+		if len(e.Value) > inlineSize {
+			r.Large = append(r.Large, large{Key: e.Key, Revision: e.Revision})
+			bytes += len(e.Key)
+			continue
+		}
+		r.Entries = append(r.Entries, e)
+		bytes += len(e.Key) + len(e.Value)
+	}
+}
+
 // last is the highest revision on the page.
 func (r *reply) last() uint64 {
 	var last uint64
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -46,7 +46,7 @@
 		Age: l.Age.Milliseconds() + 1, Hold: l.Hold.Milliseconds(),
 	}
 	if a.Parts {
-		f.page(&r, l.Entries, a.Above)
+		r.fill(l.Entries, a.Above)
 	} else {
 		r.Entries = l.Entries
 	}
@@ -71,30 +71,6 @@
 	return ok && s.Arriving(arrivedWithin)
 }
 
-// page fills in the entries above a revision, in their order, up to a page's size.
-// Entries written together have one revision and stay on one page.
-func (*Feed) page(r *reply, entries []fireflypath.Entry, above uint64) {
-	bytes := 0
-	last := above
-	for _, e := range entries {
-		if e.Revision <= above {
-			continue
-		}
-		if bytes > pageSize && e.Revision > last {
-			r.More = true
-			return
-		}
-		last = e.Revision
-		if len(e.Value) > inlineSize {
-			r.Large = append(r.Large, large{Key: e.Key, Revision: e.Revision})
-			bytes += len(e.Key)
-			continue
-		}
-		r.Entries = append(r.Entries, e)
-		bytes += len(e.Key) + len(e.Value)
-	}
-}
-
 // answerPart gives a part of a large value.
 func (f *Feed) answerPart(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	var a askPart
