--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -108,7 +108,7 @@
 	}
 	var relay *follow.Feed
 	if d.members != nil {
-		relay = follow.New(d.cfg.Name, d.cfg.Domain, feed, d.peers, d.members, d.deps.Clock, d.scope, d.deps.Log)
+		relay = follow.New(d.cfg.Name, d.cfg.Domain, d.cfg.Gate.Force.Std(), feed, d.peers, d.members, d.deps.Clock, d.scope, d.deps.Log)
 		feed = relay
 	}
 	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -29,11 +29,11 @@
 	// arrivedWithin is how recent the store's last bytes are at a daemon that is not
 	// cut off from it: a watch is held for 0.75 s at most.
 	arrivedWithin = time.Second
-	// lateTime is how long a follower waits for a large answer on its way to its watcher
-	// before it asks the store itself. The largest one takes 1.1 s on 10 Mbit/s, and a
-	// view is not old before 0.35 s of them are over; half a second more is what one
-	// call is held back, and a change has two seconds to be in force.
-	lateTime = time.Second
+	// latePart is the part of the time for a change to be in force up to which a follower
+	// asks its watcher once more for a large answer on its way. Of three seconds it leaves
+	// half a second for that call and 0.85 s for the store's own answer; of two seconds,
+	// which fleets without slow links have, it leaves no wait at all.
+	latePart = 0.55
 	// unlimited is above any age of a view.
 	unlimited = 1 << 62 * time.Nanosecond
 	// avoidTime is how long a watcher is not asked that did not answer well.
@@ -65,8 +65,10 @@
 	members fireflypath.Members
 	self    string
 	domain  string
-	clock   clockwork.Clock
-	view    *directory.Directory
+	// force is the time for a change to be in force everywhere.
+	force time.Duration
+	clock clockwork.Clock
+	view  *directory.Directory
 	// avoid holds until when a watcher is not asked; failed is when the store
 	// last did not answer. Both belong to the caller of Follow.
 	avoid   map[string]time.Time
@@ -80,9 +82,6 @@
 	log     *zap.Logger
 
 	values *values
-	// lateSince is since when the watcher says that the store's answer is on its way
-	// to it; zero if it does not. It belongs to the caller of Follow.
-	lateSince time.Time
 	// download is the large value on its way here, or nil. It belongs to the caller
 	// of Follow.
 	download *download
@@ -90,13 +89,14 @@
 
 var _ fireflypath.Feed = (*Feed)(nil)
 
-// New returns the feed of the daemon of that name and failure domain.
-func New(self, domain string, store fireflypath.Feed, peers Peers, members fireflypath.Members,
+// New returns the feed of the daemon of that name and failure domain. A change has
+// to be in force everywhere in the time given as force.
+func New(self, domain string, force time.Duration, store fireflypath.Feed, peers Peers, members fireflypath.Members,
 	clock clockwork.Clock, scope tally.Scope, log *zap.Logger,
 ) *Feed {
 	scope = scope.SubScope("follow")
 	return &Feed{
-		store: store, peers: peers, members: members, self: self, domain: domain, clock: clock,
+		store: store, peers: peers, members: members, self: self, domain: domain, force: force, clock: clock,
 		avoid:   map[string]time.Time{},
 		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"), left: scope.Counter("left"),
 		fetched: scope.Counter("fetched_bytes"), log: log,
@@ -211,7 +211,6 @@
 	if r.Revision < after || age > oldView && useless {
 		return fireflypath.Listing{}, nil, errors.Wrapf(errOld, "%s: %v", w.Name, age)
 	}
-	f.lateSince = time.Time{}
 	f.relayed.Inc(1)
 	// The first page's revision and age hold for all: what changes later is followed
 	// from there.
@@ -228,13 +227,10 @@
 	return l, larges, nil
 }
 
-// waits is true for some time after the watcher was late first.
+// waits is true while this daemon's view is young enough to ask the watcher once more,
+// and the store after that.
 func (f *Feed) waits() bool {
-	now := f.clock.Now()
-	if f.lateSince.IsZero() {
-		f.lateSince = now
-	}
-	return now.Sub(f.lateSince) < lateTime
+	return f.view.Age() <= time.Duration(latePart*float64(f.force))
 }
 
 // ask makes one call to a watcher.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -173,7 +173,7 @@
 	for _, m := range ms {
 		own := *shared
 		d := &daemon{name: m.Name, store: &own}
-		d.feed = follow.New(m.Name, m.Domain, d.store, port{n, m.Name}, ms, clock, tally.NoopScope, zap.NewNop())
+		d.feed = follow.New(m.Name, m.Domain, slowForce, d.store, port{n, m.Name}, ms, clock, tally.NoopScope, zap.NewNop())
 		d.view = directory.New(d.feed, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
@@ -245,3 +245,17 @@
 	}
 	return watcher, rest
 }
+
+// pair makes a group and gives the daemon that watches and one that follows it,
+// both with all that there is.
+func pair(t *testing.T) (watcher, d *daemon, n *network, clock *clockwork.FakeClock) {
+	t.Helper()
+	ds, n, clock := fleet(t)
+	watcher, rest := split(t, ds)
+	for _, o := range []*daemon{watcher, rest[0]} {
+		if err := o.view.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return watcher, rest[0], n, clock
+}
--- a/internal/follow/slow_link_test.go
+++ b/internal/follow/slow_link_test.go
@@ -1,7 +1,6 @@
 package follow_test
 
 import (
-	"context"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -10,12 +9,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
 )
 
+// slowForce is the time that a change has in a fleet with slow links.
+const slowForce = 3 * time.Second
+
 // inForce is the time that a change may take to be in force everywhere.
 const inForce = 2 * time.Second
 
@@ -119,11 +120,7 @@
 // the configuration is there: its callers would see their requests broken off.
 func TestTargetsChangeWhileALargeConfigurationArrives(t *testing.T) {
 	is := is.New(t)
-	ds, n, clock := fleet(t)
-	watcher, rest := split(t, ds)
-	d := rest[0]
-	is.NoErr(watcher.view.Step(t.Context()))
-	is.NoErr(d.view.Step(t.Context()))
+	watcher, d, n, clock := pair(t)
 	d.store.err = errors.New("store is away")
 	n.rate = slowLink / 10
 	watcher.store.configure(randomTeams(t, 2, 7000))
@@ -187,11 +184,7 @@
 // may take, and need not ask the store.
 func TestManyTargetsComeInPages(t *testing.T) {
 	is := is.New(t)
-	ds, n, _ := fleet(t)
-	watcher, rest := split(t, ds)
-	d := rest[0]
-	is.NoErr(watcher.view.Step(t.Context()))
-	is.NoErr(d.view.Step(t.Context()))
+	watcher, d, n, _ := pair(t)
 	n.rate = slowLink
 	n.largest = 64 << 10
 	const targets = 3000
@@ -245,109 +238,3 @@
 	is.True(until(t, n, watcher, d, 7) < inForce)
 	is.Equal(len(d.view.Current().Routes), 1407)
 }
-
-// The watcher's own link is slow: a large configuration takes longer to reach it
-// than its view may be old. Its followers wait for it. They would else all read the
-// same from the store, over links as slow, and callers would wait behind that.
-func TestFollowersWaitForALargeAnswerToTheirWatcher(t *testing.T) {
-	is := is.New(t)
-	ds, _, clock := fleet(t)
-	watcher, rest := split(t, ds)
-	d := rest[0]
-	is.NoErr(watcher.view.Step(t.Context()))
-	is.NoErr(d.view.Step(t.Context()))
-	calls := d.store.calls
-	watcher.store.arriving = true
-	clock.Advance(1500 * time.Millisecond)
-	is.NoErr(held(t, clock, d)) // bytes arrive at the watcher
-	is.Equal(d.store.calls, calls)
-	is.True(d.view.Age() > time.Second) // nothing is proved meanwhile
-
-	watcher.store.configure(configuration(t, 2, 1400))
-	watcher.store.took = 1200 * time.Millisecond
-	is.NoErr(watcher.view.Step(t.Context()))
-	is.NoErr(d.view.Step(t.Context()))
-	is.Equal(d.view.Current().Version, uint64(2))
-	is.Equal(d.store.calls, calls)
-	is.True(d.view.Age() >= 1200*time.Millisecond) // as old as the watcher's question
-}
-
-// The store's answer to the watcher never ends. Its followers do not wait for ever.
-func TestFollowersLeaveAWatcherThatIsLateForLong(t *testing.T) {
-	is := is.New(t)
-	ds, _, clock := fleet(t)
-	watcher, rest := split(t, ds)
-	d := rest[0]
-	is.NoErr(watcher.view.Step(t.Context()))
-	is.NoErr(d.view.Step(t.Context()))
-	watcher.store.arriving = true
-	clock.Advance(1500 * time.Millisecond)
-	start := clock.Now()
-	d.store.put("t2")
-	for d.targets() != "t1 t2" && clock.Since(start) < time.Minute {
-		is.NoErr(held(t, clock, d))
-	}
-	is.True(clock.Since(start) < inForce)
-}
-
-// held makes a step whose answer is held back while nothing changes.
-func held(t *testing.T, clock *clockwork.FakeClock, d *daemon) error {
-	t.Helper()
-	done := make(chan error, 1)
-	go func() { done <- d.view.Step(t.Context()) }()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	waits := make(chan error, 1)
-	go func() { waits <- clock.BlockUntilContext(ctx, 1) }()
-	select {
-	case err := <-done:
-		return err
-	case <-waits:
-		clock.Advance(500 * time.Millisecond)
-	}
-	return <-done
-}
-
-// A daemon starts while its watcher is cut off from the store and does not know it
-// yet. What the watcher knows is seconds old: work would go to targets that have left.
-func TestOldViewIsNoStart(t *testing.T) {
-	is := is.New(t)
-	ds, _, clock := fleet(t)
-	watcher, rest := split(t, ds)
-	d := rest[0]
-	is.NoErr(watcher.view.Step(t.Context()))
-	watcher.store.arriving = true
-	clock.Advance(3 * time.Second)
-	d.store.put("t2")
-	is.NoErr(d.view.Step(t.Context()))
-	is.Equal(d.store.calls, 1)
-	is.Equal(d.targets(), "t1 t2")
-}
-
-// A view becomes too old while a follower's call is held back. The answer must come in
-// the time that the follower gave: it would else take the watcher for gone.
-func TestLateWatcherAnswersInTime(t *testing.T) {
-	is := is.New(t)
-	ds, n, clock := fleet(t)
-	watcher, _ := split(t, ds)
-	is.NoErr(watcher.view.Step(t.Context()))
-	watcher.store.arriving = true
-	clock.Advance(800 * time.Millisecond)
-	done := make(chan error, 1)
-	go func() {
-		_, err := n.methods[watcher.name]["follow"](t.Context(), "d", json.RawMessage(`{"a":6,"w":500,"p":true}`))
-		done <- err
-	}()
-	for _, pause := range []time.Duration{300 * time.Millisecond, 200 * time.Millisecond} {
-		is.NoErr(clock.BlockUntilContext(t.Context(), 1))
-		clock.Advance(pause)
-	}
-	waits := make(chan error, 1)
-	go func() { waits <- clock.BlockUntilContext(t.Context(), 1) }()
-	select {
-	case err := <-done:
-		is.NoErr(err)
-	case <-waits:
-		t.Fatal("the answer is held back for longer than asked")
-	}
-}
