test(follow): the test network does not count the machine's own time

The test's links ran on a clock of their own, but the caller's patience was what was left of a real deadline after the other end had answered: making a patch under the race detector on a busy machine used it up. Shown on a scratch copy: with 1.2 s of sleep in the answer both tests of slow links fail before and pass after. Change: patience is taken when the call is made. Bounds and scenarios are the same; it is as strict on the code before the mend, whose calls end by the link's time. No product code changes.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -74,8 +74,10 @@
 }
 
 // deliver takes the time that the bytes need on the link of a daemon. Bytes that
-// nobody waits for any more use the link like all others.
-func (n *network) deliver(ctx context.Context, to string, bytes int) error {
+// nobody waits for any more use the link like all others. The call was made with the
+// given patience; what the other end took to answer is none of the link's time, and
+// a busy machine would else decide the test.
+func (n *network) deliver(patience time.Duration, to string, bytes int) error {
 	if bytes > n.largest {
 		return peer.ErrUnreachable
 	}
@@ -90,9 +92,7 @@
 	}
 	end = end.Add(time.Duration(float64(bytes) / n.rate * float64(time.Second)))
 	n.busy[to] = end
-	deadline, bounded := ctx.Deadline()
-	patience := time.Until(deadline)
-	if bounded && patience < end.Sub(now) {
+	if patience < end.Sub(now) {
 		n.clock.Advance(patience)
 		return context.DeadlineExceeded
 	}
@@ -113,6 +113,10 @@
 }
 
 func (p port) Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error {
+	patience := time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = time.Until(deadline)
+	}
 	if p.n.cut[to.Name] {
 		return peer.ErrUnreachable
 	}
@@ -128,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.n.deliver(ctx, p.name, len(b)); err != nil {
+	if err := p.n.deliver(patience, p.name, len(b)); err != nil {
 		return err
 	}
 	return json.Unmarshal(b, result)
