perf(peer): news go to neighbours at once, to all others with the next heartbeat

Cause: a flush woke every connection of a daemon. Daemons that watch the store or keep quotas are asked by all others, so each change of their own went out on up to 300 connections, thirty times a second, and every connection had a timer of its own, four times a second. Change: Flush wakes the kept connections, FlushTo those with named daemons; one timer looks after all; to a daemon that is no neighbour calls and answers count as heartbeats. Views of those are compared once when they meet. Ruled out: closing such connections after each call; a handshake costs more.

--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -445,7 +445,12 @@
 	}
 	if m.heard[from] == m.view.Load().sum {
 		delete(m.differs, from)
-	} else if _, ok := m.differs[from]; !ok {
+		return
+	}
+	if b.View == 0 && !slices.Contains(m.neighbours, from) {
+		return // its view is told too seldom to be compared with each change here
+	}
+	if _, ok := m.differs[from]; !ok {
 		m.differs[from] = now
 	}
 }
--- a/internal/member/step.go
+++ b/internal/member/step.go
@@ -242,6 +242,11 @@
 			continue
 		}
 		m.synced[name], m.lastSync = now, now
+		if !slices.Contains(m.neighbours, name) {
+			// Met by its call: it sends few beats, which would never show that the
+			// views have become equal.
+			delete(m.differs, name)
+		}
 		o := e.member
 		m.wg.Go(func() { m.sync(ctx, o) })
 		return
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -85,9 +85,20 @@
 	links    map[string][]*link
 	keep     map[string]bool
 	accepted int
-	// flushed is when all connections were woken, flushing that they will be.
-	flushed  time.Time
-	flushing bool
+	// watched is true once watch looks after the connections.
+	watched bool
+	flush   flush
+}
+
+// flush is which connections are woken soon.
+type flush struct {
+	// at is when connections were woken last; armed is true while they will be.
+	at    time.Time
+	armed bool
+	// neighbours stands for the connections that are kept, names for those with
+	// single daemons.
+	neighbours bool
+	names      map[string]bool
 }
 
 // New makes an endpoint. A nil trust means plain connections. self is asked
@@ -97,7 +108,8 @@
 ) *Endpoint {
 	e := &Endpoint{
 		network: network, self: self, beat: beat, clock: clock, log: log, count: newCounters(scope),
-		methods: map[string]Method{}, links: map[string][]*link{}, keep: map[string]bool{},
+		methods: map[string]Method{}, links: map[string][]*link{},
+		flush: flush{names: map[string]bool{}},
 	}
 	if beat <= 0 {
 		e.beat = Heartbeat
@@ -258,6 +270,10 @@
 	e.mu.Lock()
 	e.links[l.peer.Name] = append(e.links[l.peer.Name], l)
 	e.gauge()
+	if !e.watched && !e.closed {
+		e.watched = true
+		e.wg.Go(e.watch)
+	}
 	e.mu.Unlock()
 	for _, up := range e.ups {
 		up(l.peer)
@@ -354,35 +370,91 @@
 // a beat of its own on every connection.
 const flushPause = 25 * time.Millisecond
 
-// Flush sends a beat on every connection soon, for news that should not wait.
+// Flush sends a beat to the neighbours soon, for news that should not wait. A
+// daemon that many others ask has hundreds of other connections; woken too, each of
+// them would carry every change to daemons that hear of it from their neighbours.
 func (e *Endpoint) Flush() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.flushing || e.closed {
+	e.flush.neighbours = true
+	e.arm()
+}
+
+// FlushTo sends a beat to the named daemons soon.
+func (e *Endpoint) FlushTo(names []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, n := range names {
+		e.flush.names[n] = true
+	}
+	e.arm()
+}
+
+// arm wakes what is due, at once or when the pause is over. The caller holds mu.
+func (e *Endpoint) arm() {
+	if e.flush.armed || e.closed {
 		return
 	}
-	wait := flushPause - e.clock.Since(e.flushed)
+	wait := flushPause - e.clock.Since(e.flush.at)
 	if wait <= 0 {
-		e.wakeAll()
+		e.wakeDue()
 		return
 	}
-	e.flushing = true
+	e.flush.armed = true
 	e.clock.AfterFunc(wait, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.flushing = false
-		e.wakeAll()
+		e.wakeDue()
 	})
 }
 
-// wakeAll has every connection send a beat. The caller holds mu.
-func (e *Endpoint) wakeAll() {
-	e.flushed = e.clock.Now()
-	for _, ls := range e.links {
+// wakeDue has the connections that are due send a beat. The caller holds mu.
+func (e *Endpoint) wakeDue() {
+	f := &e.flush
+	for name, ls := range e.links {
+		if !f.names[name] && (!f.neighbours || !e.neighbour(name)) {
+			continue
+		}
 		for _, l := range ls {
 			l.wake()
 		}
 	}
+	f.at, f.armed, f.neighbours = e.clock.Now(), false, false
+	clear(f.names)
+}
+
+// neighbour is true for a daemon whose connection is kept without calls; all are
+// while nobody has said which. The caller holds mu.
+func (e *Endpoint) neighbour(name string) bool {
+	return e.keep == nil || e.keep[name]
+}
+
+// watch looks after all connections. A timer of each would wake a daemon that has
+// hundreds of them more often than its work does.
+func (e *Endpoint) watch() {
+	t := e.clock.NewTicker(e.beat / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-t.Chan():
+		}
+		for _, l := range e.open() {
+			l.look()
+		}
+	}
+}
+
+// open lists the connections.
+func (e *Endpoint) open() []*link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*link, 0, len(e.links))
+	for _, ls := range e.links {
+		out = append(out, ls...)
+	}
+	return out
 }
 
 // Close ends all connections and waits for their goroutines.
--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -324,3 +324,80 @@
 		is.Equal(len(na.Connected())+len(nb.Connected()), 0)
 	})
 }
+
+// heard takes the beats that have come from a daemon.
+func (n *node) heard(from string) int {
+	synctest.Wait()
+	sum := 0
+	for {
+		select {
+		case name := <-n.beats:
+			if name == from {
+				sum++
+			}
+		default:
+			return sum
+		}
+	}
+}
+
+// Hundreds of daemons ask one of them what has changed. Each piece of news went out on
+// all of its connections at once, so that its callers waited behind thousands of
+// messages a second that others brought as well.
+func TestNewsGoToNeighboursAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nw := testkit.NewNetwork()
+		na, nb, nc := start(t, nw, "a", nil), start(t, nw, "b", nil), start(t, nw, "c", nil)
+		for _, n := range []*node{na, nb, nc} {
+			defer n.Close()
+		}
+		for _, addr := range []string{"b:1", "c:1"} {
+			_, err := na.Connect(t.Context(), addr)
+			is.NoErr(err)
+		}
+		na.Keep([]string{"b"})
+		time.Sleep(100 * time.Millisecond)
+		nb.heard("a")
+		nc.heard("a")
+		for range 5 {
+			na.Flush()
+			time.Sleep(2 * flushPause)
+		}
+		is.Equal(nb.heard("a"), 5)
+		is.Equal(nc.heard("a"), 0)
+		na.FlushTo([]string{"c"})
+		time.Sleep(2 * flushPause)
+		is.Equal(nb.heard("a"), 0)
+		is.Equal(nc.heard("a"), 1)
+	})
+}
+
+// A daemon reports to another one, which is no neighbour, several times a second. Each
+// hears by that that the other lives: heartbeats beside it would double the messages
+// of a daemon to which all others report, and are still due when the reports end.
+func TestCallsStandInForHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nw := testkit.NewNetwork()
+		na, nb := start(t, nw, "a", nil), start(t, nw, "b", nil)
+		defer na.Close()
+		defer nb.Close()
+		na.Keep(nil)
+		nb.Keep(nil)
+		var out string
+		is.NoErr(na.Call(t.Context(), member("b"), "echo", 0, &out))
+		na.heard("b")
+		nb.heard("a")
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			is.NoErr(na.Call(t.Context(), member("b"), "echo", 1, &out))
+		}
+		is.Equal(na.heard("b")+nb.heard("a"), 0)
+		is.Equal(na.count("dialed"), int64(1))
+		time.Sleep(5 * time.Second)
+		is.True(na.heard("b") >= 3)
+		is.True(nb.heard("a") >= 3)
+		is.Equal(na.count("silent")+nb.count("silent"), int64(0))
+	})
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,10 +23,13 @@
 	opened time.Time
 	// heard is when the last message came, in Unix nanoseconds.
 	heard atomic.Int64
-	// used is when the last call was made or answered, likewise.
-	used  atomic.Int64
-	calls chan struct{}
-	kick  chan struct{}
+	// used is when the last call was made or answered, beaten when the last beat was
+	// sent and said when anything was, likewise.
+	used, beaten, said atomic.Int64
+	calls              chan struct{}
+	kick               chan struct{}
+	// over is true once the connection is to be closed.
+	over atomic.Bool
 
 	// bound is closed once conn is set; messages may come before.
 	bound chan struct{}
@@ -183,11 +186,19 @@
 		l.fail(ctx, r, err)
 		return
 	}
+	l.speak()
 	if err := l.conn.Reply(ctx, r.ID, out); err != nil {
 		l.close()
 	}
 }
 
+// speak notes that a call is made or answered.
+func (l *link) speak() {
+	now := l.e.clock.Now().UnixNano()
+	l.used.Store(now)
+	l.said.Store(now)
+}
+
 func (l *link) fail(ctx context.Context, r *jsonrpc2.Request, cause error) {
 	if r.Notif {
 		return
@@ -201,7 +212,7 @@
 // call asks the other side. An error of the other side itself is returned as
 // it is; all else means that the connection failed.
 func (l *link) call(ctx context.Context, method string, params, result any) error {
-	l.used.Store(l.e.clock.Now().UnixNano())
+	l.speak()
 	err := l.conn.Call(ctx, method, params, result)
 	var theirs *jsonrpc2.Error
 	if err == nil || errors.As(err, &theirs) {
@@ -214,34 +225,50 @@
 func (l *link) run() {
 	defer l.e.drop(l)
 	defer l.close()
-	t := l.e.clock.NewTicker(l.e.beat / 4)
-	defer t.Stop()
-	var sent time.Time
 	for {
-		due := true
 		select {
 		case <-l.conn.DisconnectNotify():
 			return
 		case <-l.kick:
-		case <-t.Chan():
-			if l.silent() || l.unwanted() {
-				return
-			}
-			// Flushed beats count: a daemon that shares its demand every second
-			// does not send another beat for the connection's sake. With less
-			// slack, a beat would often go out right before the flushed one.
-			due = l.e.clock.Since(sent) > l.e.beat*9/8
 		}
-		if !due {
-			continue
+		if l.over.Load() {
+			return
 		}
-		sent = l.e.clock.Now()
+		l.beaten.Store(l.e.clock.Now().UnixNano())
 		if l.send() != nil {
 			return
 		}
 	}
 }
 
+// look ends a connection that is silent or no longer needed, and has a beat sent if
+// one is due.
+func (l *link) look() {
+	switch {
+	case l.silent() || l.unwanted():
+		// Closed by run: it may take seconds on a dead connection.
+		l.over.Store(true)
+		l.wake()
+	case l.due():
+		l.wake()
+	}
+}
+
+// due reports that a beat is to be sent. Flushed beats count: a daemon that shares
+// its demand every second does not send another beat for the connection's sake. With
+// less slack, a beat would often go out right before the flushed one. To a daemon
+// that is no neighbour, calls and their answers tell as well that this one lives.
+func (l *link) due() bool {
+	l.e.mu.Lock()
+	neighbour := l.e.neighbour(l.peer.Name)
+	l.e.mu.Unlock()
+	last := l.beaten.Load()
+	if !neighbour {
+		last = max(last, l.said.Load())
+	}
+	return time.Duration(l.e.clock.Now().UnixNano()-last) > l.e.beat*9/8
+}
+
 // silent reports a connection that brought nothing for too long. Something
 // between the two ends may have lost track of it: writes still succeed, and
 // only the missing beats of the other side tell. New connections work, so it
