perf(usage,remote): daemons tell each other only what somebody decides by

Cause: each daemon told its group of every request at every target, several messages a request to each of eight to sixteen daemons, though a dispatcher that knows all of it decides for the group; and thirty times a second it counted over all targets what every connected daemon had said, also the hundreds that send work elsewhere. Change: a daemon served by a dispatcher tells nothing of that pool; nor does any where many more daemons share the targets than hear of it, where the target's own word tells more. One that decides alone counts that word too. A step reads and counts only after something moved or was heard, over the daemons of the group, and the quotas' use is read in fleets of one group only. The dispatcher is looked up among the group instead of the fleet. A daemon without a dispatcher knows a little less of others.

--- a/cluster.go
+++ b/cluster.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -84,6 +86,15 @@
 	Live() []Member
 }
 
+// FindMember finds a daemon by its name among members ordered by name.
+func FindMember(ms []Member, name string) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(ms, name, func(m Member, name string) int { return strings.Compare(m.Name, name) })
+	if !ok {
+		return Member{}, false
+	}
+	return ms[i], true
+}
+
 // Relief asks the other daemons to give up lower waiting work.
 type Relief interface {
 	// Ask joins the pool's round for the rank, or starts one. It returns the
--- a/internal/daemon/gated.go
+++ b/internal/daemon/gated.go
@@ -151,11 +151,12 @@
 // daemon for all of a group; plain services are quick, so that what one daemon sees
 // of them is enough.
 func (d *Daemon) gatedScheduler(p fireflypath.Pool) fireflypath.Scheduler {
-	local := slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.Alone())
+	seed, tune := xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.Alone()
 	if p.Kind != fireflypath.KindEngine || d.members == nil {
-		return local
+		return slots.New(p, seed, tune)
 	}
-	return remote.New(local)
+	tune.Reports = true
+	return remote.New(slots.New(p, seed, tune))
 }
 
 // shared decides for all daemons of a group.
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -141,6 +141,16 @@
 	return out
 }
 
+// Report tells the other daemons what this one has in flight, while it decides for
+// itself. Its dispatcher knows all that it does, and nobody else sends work to the same
+// targets by what daemons tell: told all the same, each request would cost three
+// messages to each daemon of the group.
+func (s *Scheduler) Report(m *fireflypath.Mate) {
+	if !s.attached {
+		s.Local.Report(m)
+	}
+}
+
 // Deliver takes in what the dispatcher decided. Refusals are appended to out;
 // placements come with Next.
 func (s *Scheduler) Deliver(now time.Time, turns []fireflypath.Turn, out []fireflypath.Shed) []fireflypath.Shed {
--- a/internal/decide/slots/mates.go
+++ b/internal/decide/slots/mates.go
@@ -30,8 +30,13 @@
 	rank int
 }
 
-// Report adds what this daemon has in flight and waiting.
+// Report adds what this daemon has in flight and waiting. Where many more daemons
+// send work to the targets than hear of it, a target's own word tells more, and
+// nothing is added.
 func (s *Sched) Report(m *fireflypath.Mate) {
+	if s.share.Mixed {
+		return
+	}
 	for _, t := range s.order {
 		if t.requests > 0 {
 			m.Flights[t.id] = t.requests
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -114,7 +114,7 @@
 	if t.told {
 		n = t.elsewhere
 	}
-	unheard := !t.told || s.share.Mixed
+	unheard := !t.told || s.share.Mixed || s.tune.Reports
 	if unheard && now.Sub(t.heard) <= reportLife {
 		n = max(n, t.report)
 	}
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -12,6 +12,10 @@
 	// Extra is how many requests of the highest tier may stand in a full target's
 	// own queue. Each tier below has one less, the lowest none.
 	Extra int `json:"extra"`
+	// Reports counts a target's own word about its load besides what other daemons
+	// tell, for one that decides alone while the others, served by a dispatcher, tell
+	// nothing.
+	Reports bool `json:"reports"`
 	// Punctual orders by whether work can still begin in time at the fastest target,
 	// instead of by whether its goal has passed.
 	Punctual bool `json:"punctual"`
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -123,16 +123,14 @@
 	if name == k.d.self {
 		return k.d.deliver(m)
 	}
-	for _, o := range k.d.fleet.Live() {
-		if o.Name != name {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(k.d.ctx, callTime)
-		defer cancel()
-		var a ack
-		return k.d.peers.Call(ctx, o, methodTurns, m, &a) == nil && a.Known
+	o, ok := fireflypath.FindMember(k.d.fleet.Live(), name)
+	if !ok {
+		return false
 	}
-	return false
+	ctx, cancel := context.WithTimeout(k.d.ctx, callTime)
+	defer cancel()
+	var a ack
+	return k.d.peers.Call(ctx, o, methodTurns, m, &a) == nil && a.Known
 }
 
 // arm sets the timer if the queue wants to be woken earlier. The caller holds mu.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,7 @@
 
 // Fleet tells which daemons there are.
 type Fleet interface {
+	// Live lists the daemons by name.
 	Live() []fireflypath.Member
 	// Layout tells which daemons send work to the same targets.
 	Layout() *cell.Layout
@@ -264,24 +265,31 @@
 // which all of them try: the one that has run longest first, so that daemons that
 // come and go do not move the queue, and those that leave last.
 func (d *Dispatch) candidates() []fireflypath.Member {
+	live := d.fleet.Live()
 	mates := d.fleet.Layout().Mates(d.self)
-	var out []fireflypath.Member
-	for _, m := range d.fleet.Live() {
-		if m.Name == d.self || slices.Contains(mates, m.Name) {
+	if len(mates) == 0 {
+		mates = []string{d.self}
+	}
+	out := make([]fireflypath.Member, 0, len(mates))
+	for _, name := range mates {
+		if m, ok := fireflypath.FindMember(live, name); ok {
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b fireflypath.Member) int {
-		if a.Leaving != b.Leaving {
-			if a.Leaving {
-				return 1
-			}
-			return -1
-		}
-		if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
+	slices.SortFunc(out, older)
 	return out
 }
+
+// older orders daemons by how long each has run; those that leave come last.
+func older(a, b fireflypath.Member) int {
+	if a.Leaving != b.Leaving {
+		if a.Leaving {
+			return 1
+		}
+		return -1
+	}
+	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Name, b.Name)
+}
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -15,6 +15,7 @@
 		delete(p.running, e.Work)
 	}
 	p.sched.Observe(p.clock.Now(), e)
+	p.moves.Add(1)
 	p.pump()
 }
 
@@ -31,6 +32,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sheds = change(p.clock.Now(), p.sheds[:0])
+	p.moves.Add(1)
 	p.shed()
 	p.pump()
 }
@@ -44,6 +46,7 @@
 		p.targets[t.Name] = t
 	}
 	p.sched.SetTargets(p.clock.Now(), targets)
+	p.moves.Add(1)
 	p.pump()
 }
 
@@ -65,9 +68,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sched.SetShare(p.clock.Now(), s)
+	p.moves.Add(1)
 	p.pump()
 }
 
+// Moves changes whenever what Report tells may have changed.
+func (p *Pool) Moves() uint64 { return p.moves.Load() }
+
 // shared is a scheduler that counts what all daemons have in flight.
 type shared interface {
 	Report(m *fireflypath.Mate)
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -41,6 +41,8 @@
 	relief fireflypath.Relief
 	// bytes counts the memory of waiting requests over all pools.
 	bytes *atomic.Int64
+	// moves counts what may have changed the work that waits or is at targets.
+	moves atomic.Uint64
 
 	mu      sync.Mutex
 	sched   fireflypath.Scheduler
@@ -98,6 +100,7 @@
 	r.Draft.Unsent()
 	r.Work.Life.Move(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	p.waiting[&r.Work] = r
+	p.moves.Add(1)
 	p.bytes.Add(int64(r.Work.Bytes))
 	delete(p.running, &r.Work)
 	p.sched.Observe(p.clock.Now(), fireflypath.Event{
@@ -120,6 +123,7 @@
 	// A placement brings the scheduler's own count; a refused request keeps this.
 	r.Draft.Ahead(len(p.waiting))
 	p.waiting[&r.Work] = r
+	p.moves.Add(1)
 	if p.refuseIfClosed(r) {
 		return
 	}
@@ -159,6 +163,7 @@
 
 // forget ends a request's wait. The lock is held.
 func (p *Pool) forget(r *request.Request) {
+	p.moves.Add(1)
 	delete(p.waiting, &r.Work)
 	p.bytes.Add(-int64(r.Work.Bytes))
 }
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -250,6 +250,16 @@
 	return out
 }
 
+// Moves changes whenever what Report tells may have changed.
+func (p *Pools) Moves() uint64 {
+	all := *p.byName.Load()
+	n := uint64(len(all))
+	for _, one := range all {
+		n += one.Moves()
+	}
+	return n
+}
+
 // Report is what this daemon has in flight and waiting.
 func (p *Pools) Report() fireflypath.Mate {
 	m := fireflypath.NewMate("")
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -27,6 +27,9 @@
 	// staleAfter is how long a silent peer's flights count. Its connection is
 	// found dead in about that time; its work at the targets is over or cut.
 	staleAfter = 2500 * time.Millisecond
+	// lookEvery is how often peers that fell silent and daemons that came or went are
+	// looked for when nothing is heard.
+	lookEvery = 250 * time.Millisecond
 )
 
 // Peers is what the exchange needs of the endpoint.
@@ -34,11 +37,12 @@
 	AddSource(peer.Source)
 	AddSink(peer.Sink)
 	AddUp(func(fireflypath.Member))
-	Flush()
+	FlushTo(names []string)
 }
 
 // Fleet tells which daemons there are.
 type Fleet interface {
+	// Live lists the daemons by name.
 	Live() []fireflypath.Member
 	// Missing is the number of daemons that died lately.
 	Missing() int
@@ -48,6 +52,8 @@
 
 // Pools hold the work in flight.
 type Pools interface {
+	// Moves changes whenever what Report tells may have changed.
+	Moves() uint64
 	// Report is what this daemon has in flight and waiting.
 	Report() fireflypath.Mate
 	// Hear takes in what the other daemons have.
@@ -90,6 +96,12 @@
 	sent map[string]*sent
 	// mates is what each peer told.
 	mates map[string]*mate
+	// moves is what the last report was made at, reports their number.
+	moves, reports uint64
+	// news is true if peers told something that is not in force yet; applied is when
+	// what they told was last put in force.
+	news    bool
+	applied time.Time
 }
 
 // sent is what a peer knows.
@@ -150,58 +162,101 @@
 	}
 }
 
-// Step reads what changed here, tells it, and puts what was heard in force.
+// Step reads what changed here, tells it, and puts what was heard in force. It runs
+// so often that it does nothing where nothing happened.
 func (u *Usage) Step() {
-	report, used := u.pools.Report(), u.limits.Used()
+	layout := u.fleet.Layout()
+	if u.look(layout) {
+		u.peers.FlushTo(layout.Mates(u.self))
+	}
 	now := u.clock.Now()
 	u.mu.Lock()
-	changed := !maps.Equal(report.Flights, u.flights) || !maps.Equal(report.Prompts, u.prompts) ||
-		!maps.Equal(report.Waits, u.waits)
-	u.flights, u.prompts, u.waits, u.speeds = report.Flights, report.Prompts, report.Waits, report.Speeds
+	due := u.news || u.applied.IsZero() || now.Sub(u.applied) >= lookEvery
+	u.mu.Unlock()
+	if due {
+		u.apply(now, layout)
+	}
+}
+
+// look reads what this daemon has in flight and uses, and reports whether that is
+// another than before.
+func (u *Usage) look(layout *cell.Layout) bool {
+	moves := u.pools.Moves()
+	u.mu.Lock()
+	moved := moves != u.moves || u.reports == 0
+	u.mu.Unlock()
+	changed := false
+	if moved {
+		changed = u.report(moves)
+	}
+	if layout.Cells() > 1 {
+		return changed // the teams' keepers are told what they use
+	}
+	used := u.limits.Used()
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	for team, n := range used {
 		v := int64(n)
 		changed = changed || u.used[team] != v
 		u.used[team] = v
 	}
-	u.mu.Unlock()
-	if changed {
-		u.peers.Flush()
-	}
-	u.apply(now)
+	return changed
 }
 
-// apply puts the others' flights and the size of the fleet in force.
-func (u *Usage) apply(now time.Time) {
-	live := u.fleet.Live()
-	names := make([]string, 0, len(live))
-	for _, m := range live {
-		names = append(names, m.Name)
-	}
-	var mates []fireflypath.Mate
+// report reads what is in flight.
+func (u *Usage) report(moves uint64) bool {
+	r := u.pools.Report()
 	u.mu.Lock()
-	for name, m := range u.mates {
-		if !slices.Contains(names, name) || now.Sub(m.at) > staleAfter {
-			continue
-		}
-		mates = append(mates, fireflypath.Mate{
-			Name: name, Flights: maps.Clone(m.flights), Prompts: maps.Clone(m.prompts),
-			Waits: maps.Clone(m.waits), Speeds: m.speeds,
-		})
-		m.speeds = nil // each is taken over once
-	}
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	u.reports++
+	u.moves = moves
+	changed := !maps.Equal(r.Flights, u.flights) || !maps.Equal(r.Prompts, u.prompts) || !maps.Equal(r.Waits, u.waits)
+	u.flights, u.prompts, u.waits, u.speeds = r.Flights, r.Prompts, r.Waits, r.Speeds
+	return changed
+}
+
+// apply puts the flights of the daemons that send work to the same targets, and the
+// size of the fleet, in force.
+func (u *Usage) apply(now time.Time, layout *cell.Layout) {
+	live := u.fleet.Live()
+	mates := u.heardOf(now, live, layout.Mates(u.self))
 	u.pools.Hear(mates)
 	if len(mates) == 0 && len(live) == 1 {
 		return // not joined yet; the parts that were set at the start hold
 	}
 	all := len(live) + u.fleet.Missing()
-	if u.fleet.Layout().Cells() > 1 {
+	if layout.Cells() > 1 {
 		u.limits.SetDaemons(all)
 		return
 	}
 	u.limits.SetFleet(now, all, float64(len(mates)+1)/float64(all))
 }
 
+// heardOf is what the given daemons told that are alive and not silent. Others have
+// connections here too, hundreds of them at a watcher of the store; they tell nothing
+// about the targets, and are left out before anything is counted over them.
+func (u *Usage) heardOf(now time.Time, live []fireflypath.Member, names []string) []fireflypath.Mate {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.news, u.applied = false, now
+	var out []fireflypath.Mate
+	for _, name := range names {
+		m := u.mates[name]
+		if m == nil || now.Sub(m.at) > staleAfter {
+			continue
+		}
+		if _, ok := fireflypath.FindMember(live, name); !ok {
+			continue
+		}
+		out = append(out, fireflypath.Mate{
+			Name: name, Flights: maps.Clone(m.flights), Prompts: maps.Clone(m.prompts),
+			Waits: maps.Clone(m.waits), Speeds: m.speeds,
+		})
+		m.speeds = nil // each is taken over once
+	}
+	return out
+}
+
 // tell adds what a peer does not know yet.
 func (u *Usage) tell(to string, b *peer.Beat) {
 	layout := u.fleet.Layout()
@@ -297,6 +352,7 @@
 		return
 	}
 	u.heard.Inc(1)
+	u.news = true
 	m.number = in.Number
 	if in.Whole {
 		clear(m.flights)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,20 +33,33 @@
 	adopted map[string]float64
 	live    []fireflypath.Member
 	missing int
+	// moves grows with each look, so that each report is read, unless nothing moves.
+	moves                   uint64
+	still                   bool
+	flushed, reports, hears int
+	// layout is worked out anew if it is nil.
+	layout *cell.Layout
 }
 
 func (d *daemon) AddSource(s peer.Source)             { d.source = s }
 func (d *daemon) AddSink(s peer.Sink)                 { d.sink = s }
 func (d *daemon) AddUp(up func(fireflypath.Member))   { d.up = up }
-func (d *daemon) Flush()                              {}
+func (d *daemon) FlushTo([]string)                    { d.flushed++ }
 func (d *daemon) Live() []fireflypath.Member          { return d.live }
 func (d *daemon) Missing() int                        { return d.missing }
-func (d *daemon) Report() fireflypath.Mate            { return d.report }
-func (d *daemon) Hear(ms []fireflypath.Mate)          { d.mates = ms }
+func (d *daemon) Report() fireflypath.Mate            { d.reports++; return d.report }
+func (d *daemon) Hear(ms []fireflypath.Mate)          { d.mates = ms; d.hears++ }
 func (d *daemon) Used() map[string]float64            { return d.used }
 func (d *daemon) SetDaemons(int)                      {}
 func (d *daemon) Levels(time.Time) map[string]float64 { return map[string]float64{"red": 7} }
 
+func (d *daemon) Moves() uint64 {
+	if !d.still {
+		d.moves++
+	}
+	return d.moves
+}
+
 func (d *daemon) Adopt(_ time.Time, levels map[string]float64) {
 	if len(levels) > 0 {
 		d.adopted = levels
@@ -54,6 +69,9 @@
 func (d *daemon) SetFleet(_ time.Time, _ int, part float64) { d.part = part }
 
 func (d *daemon) Layout() *cell.Layout {
+	if d.layout != nil {
+		return d.layout
+	}
 	var names []string
 	for _, m := range d.live {
 		names = append(names, m.Name)
@@ -165,3 +183,69 @@
 	b.u.Step()
 	is.Equal(b.mates[0].Flights["t1"], 1)
 }
+
+// Hundreds of daemons have connections to one that watches the store for them. They
+// send work to other targets: counted over all targets thirty times a second, their
+// silence took most of that daemon's processor.
+func TestOnlyMatesAreCounted(t *testing.T) {
+	is := is.New(t)
+	ds, _ := pair()
+	d := ds[0]
+	for i := 2; i < 300; i++ {
+		d.live = append(d.live, fireflypath.Member{Name: fmt.Sprintf("d%d", i), Incarnation: 1})
+	}
+	slices.SortFunc(d.live, func(a, b fireflypath.Member) int { return strings.Compare(a.Name, b.Name) })
+	for _, m := range d.live {
+		if m.Name != d.name {
+			d.sink(m.Name, &peer.Beat{})
+		}
+	}
+	d.u.Step()
+	mates := d.Layout().Mates(d.name)
+	is.True(len(mates) < 20)
+	is.Equal(len(d.mates), len(mates)-1)
+}
+
+// Nothing happens at a daemon and nothing is heard. It neither reads its pools nor
+// counts over the targets, and tells nobody anything.
+func TestIdleDaemonDoesNothing(t *testing.T) {
+	is := is.New(t)
+	ds, clock := pair()
+	a, b := ds[0], ds[1]
+	tell(b, a)
+	a.still = true
+	a.u.Step()
+	reports, hears, flushed := a.reports, a.hears, a.flushed
+	for range 5 {
+		clock.Advance(30 * time.Millisecond)
+		a.u.Step()
+	}
+	is.Equal(a.reports, reports)
+	is.Equal(a.hears, hears)
+	is.Equal(a.flushed, flushed)
+	a.still = false
+	a.report.Flights = map[string]int{"t1": 1}
+	a.u.Step()
+	is.Equal(a.flushed, flushed+1)
+	b.report.Flights = map[string]int{"t1": 1}
+	tell(b, a)
+	is.Equal(a.mates[0].Flights["t1"], 1)
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{8, 64, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			ds, _ := pair()
+			d := ds[0]
+			d.live = nil
+			for i := range n {
+				d.live = append(d.live, fireflypath.Member{Name: fmt.Sprintf("d%03d", i), Incarnation: 1})
+			}
+			d.layout = d.Layout()
+			d.still = true
+			for b.Loop() {
+				d.u.Step()
+			}
+		})
+	}
+}
