perf(grants): that a team asks for less is told with the next news

Cause: each daemon reported to each team's keeper three times a second while the measure of any request's demand faded, for seconds after it: up to a thousand calls a second at a keeper of 295 daemons. Change: use, and a demand that grows, are told at the next report as before; what only fades is told every 0.9 s, within the 1.5 s for which a verdict holds. Ruled out: fewer keepers or longer pauses; both would tell of use later. Test: TestFadingDemandIsToldSeldom fails on the code before.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -25,6 +25,10 @@
 	// reportEvery is the pause between two reports. What a team uses in that time
 	// above its quota is not noticed yet; the tolerance of quotas covers it.
 	reportEvery = 300 * time.Millisecond
+	// fadeEvery is the pause between two reports of which the news is only that teams
+	// ask for less. A keeper counts what was told before for that much longer, and what
+	// it said is used for trust, which leaves time for a second report.
+	fadeEvery = 900 * time.Millisecond
 	// reportTime bounds a report.
 	reportTime = 250 * time.Millisecond
 	// healthy is the fill of a quota's bucket above which daemons give out what
@@ -133,6 +137,10 @@
 	teams map[string]*kept
 	// levels is what keepers said last.
 	levels map[string]int64
+	// asks is what each team was last told to ask for, reported when each keeper was
+	// last told anything.
+	asks     map[string]Demand
+	reported map[string]time.Time
 }
 
 // kept is a team of which this daemon is the keeper.
@@ -155,6 +163,7 @@
 		self: self, peers: peers, members: members, limits: limits, tol: tol, clock: clock,
 		asked: scope.Counter("asked"), failed: scope.Counter("failed"),
 		began: clock.Now(), teams: map[string]*kept{}, levels: map[string]int64{},
+		asks: map[string]Demand{}, reported: map[string]time.Time{},
 	}
 	peers.Handle(methodReport, g.handle)
 	return g
@@ -183,29 +192,64 @@
 	if len(keepers) == 0 {
 		return
 	}
-	reports := make([]map[string]Spent, len(keepers))
+	reports := make([]report, len(keepers))
 	g.mu.Lock()
 	for team, sp := range g.limits.Spend(now) {
 		if sp == (Spent{}) {
+			delete(g.asks, team)
 			continue
 		}
 		sp.Level = g.levels[team]
-		i := int(xxhash.Sum64String(team) % uint64(len(keepers)))
-		if reports[i] == nil {
-			reports[i] = map[string]Spent{}
+		reports[xxhash.Sum64String(team)%uint64(len(keepers))].add(team, sp, g.urgent(team, sp))
+	}
+	due := reports[:0]
+	for i, r := range reports {
+		r.keeper = keepers[i]
+		if len(r.teams) > 0 && (r.urgent || now.Sub(g.reported[r.keeper.Name]) >= fadeEvery) {
+			due = append(due, r)
 		}
-		reports[i][team] = sp
 	}
 	g.mu.Unlock()
 	var wg conc.WaitGroup
-	for i, r := range reports {
-		if len(r) > 0 {
-			wg.Go(func() { g.report(ctx, now, keepers[i], r) })
-		}
+	for _, r := range due {
+		wg.Go(func() { g.report(ctx, now, r.keeper, r.teams) })
 	}
 	wg.Wait()
 }
 
+// report is what one keeper is told.
+type report struct {
+	keeper fireflypath.Member
+	teams  map[string]Spent
+	// urgent is true if a team used something or asks for more.
+	urgent bool
+}
+
+func (r *report) add(team string, sp Spent, urgent bool) {
+	if r.teams == nil {
+		r.teams = map[string]Spent{}
+	}
+	r.teams[team] = sp
+	r.urgent = r.urgent || urgent
+}
+
+// urgent is true for what the keeper has to know at once. That a team asks for less
+// can wait: most daemons of a large fleet see a few requests of a team a minute, and
+// would report three times a second how the measure of the last one fades. The caller
+// holds mu.
+func (g *Grants) urgent(team string, sp Spent) bool {
+	if sp.Used != 0 {
+		return true
+	}
+	told := g.asks[team]
+	for i, n := range sp.Demand {
+		if n > told[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // keepers are the live daemons with the lowest hashes, enough for the fleet.
 func (g *Grants) keepers() []fireflypath.Member {
 	var live []fireflypath.Member
@@ -240,6 +284,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.reported[to.Name] = now
+	for team, sp := range teams {
+		g.asks[team] = sp.Demand
+	}
 	for team, v := range a.Teams {
 		g.levels[team] = v.Level
 		q := g.limits.Quota(team)
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -24,6 +24,8 @@
 	methods map[string]peer.Method
 	cut     map[string]bool
 	daemons []*daemon
+	// calls counts the reports of all daemons.
+	calls int
 }
 
 type daemon struct {
@@ -40,6 +42,7 @@
 func (d *daemon) Handle(_ string, m peer.Method) { d.f.methods[d.name] = m }
 
 func (d *daemon) Call(ctx context.Context, to fireflypath.Member, _ string, params, result any) error {
+	d.f.calls++
 	if d.f.cut[to.Name] || d.f.cut[d.name] {
 		return peer.ErrUnreachable
 	}
@@ -251,3 +254,28 @@
 	}
 	is.Equal(free, 0)
 }
+
+// Each daemon of a large fleet sees a few requests of a team a minute. It reported
+// three times a second how the measure of the last one fades, and the keeper of the
+// team was kept busy with nothing else. What the team uses is told at once, and so is
+// that it asks for more.
+func TestFadingDemandIsToldSeldom(t *testing.T) {
+	is := is.New(t)
+	f := start(20)
+	f.clock.Advance(5 * time.Second)
+	f.step(t, 5, 17)
+	is.Equal(f.calls, 19) // all but the keeper itself
+	f.calls = 0
+	for i := range 9 { // 2.7 s
+		f.step(t, 0, int64(16-i))
+		for _, d := range f.daemons {
+			is.True(d.isFree())
+		}
+	}
+	is.True(f.calls <= 3*19)
+	f.calls = 0
+	f.step(t, 0, 40)
+	is.Equal(f.calls, 19)
+	f.step(t, 3, 30)
+	is.Equal(f.calls, 2*19)
+}
