perf(directory,follow): followers are not woken for keys that are not theirs

Cause: the watch brings the daemons' own records too. Each moved the view's revision and answered all held calls of up to 60 followers with nothing in them, which asked again; at a start of all daemons eight times a second. Test: TestOtherKeysWakeNobody fails on the code before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -58,7 +58,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	// moved is closed when the view's revision goes up.
+	// moved is closed when there is something new for those who follow.
 	moved chan struct{}
 	// revision is the store's at which the view was the newest; 0 before any
 	// read. Run alone changes it.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -289,3 +290,30 @@
 	change(t, f, d, register("b", 12, fireflypath.Target{Pool: "q", Addr: "127.0.0.1:2"}))
 	is.Equal(names(d.Current()), "a b")
 }
+
+// A fleet starts, and each daemon writes its record beside the targets. Those who
+// follow this daemon are not woken for that: 60 of them asked again eight times a
+// second.
+func TestOtherKeysWakeNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, d, _ := start(t, config(t, 1, 5))
+		f.took = 10 * time.Millisecond
+		told := make(chan fireflypath.Listing, 1)
+		go func() {
+			l, err := d.Since(t.Context(), 10, 500*time.Millisecond, time.Second)
+			is.NoErr(err)
+			told <- l
+		}()
+		synctest.Wait()
+		record := fireflypath.Entry{Key: "members/x", Value: []byte("{}"), Revision: 11}
+		f.changes = fireflypath.Listing{Entries: []fireflypath.Entry{record}, Revision: 11}
+		is.NoErr(d.Step(t.Context()))
+		synctest.Wait()
+		is.Equal(len(told), 0)
+		change(t, f, d, target("a", 12))
+		l := <-told
+		is.Equal(len(l.Entries), 1)
+		is.Equal(l.Revision, uint64(12))
+	})
+}
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -75,16 +75,22 @@
 func (d *Directory) advance(got fireflypath.Listing) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	revision := d.revision
+	revision, useful := d.revision, false
 	for _, e := range got.Entries {
 		d.keep(e)
+		useful = useful || d.concerns(e.Key)
 		revision = max(revision, e.Revision)
 	}
 	if got.Relayed {
 		revision = max(revision, got.Revision)
 	}
-	if revision != d.revision {
+	switch {
+	case useful:
 		d.move(revision)
+	case revision > d.revision:
+		// Other keys have changed, such as the records of daemons that start. Told of
+		// each, all who follow would ask again as often as the fleet writes.
+		d.revision = revision
 	}
 	d.trim()
 }
@@ -115,7 +121,7 @@
 	d.floor = d.revision
 }
 
-// move sets the revision and wakes those who wait for it. The caller holds mu.
+// move sets the revision and wakes those who wait for changes. The caller holds mu.
 func (d *Directory) move(revision uint64) {
 	d.revision = revision
 	close(d.moved)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,6 +83,8 @@
 	log     *zap.Logger
 
 	values *values
+	// chosen is who watched when that was last worked out.
+	chosen atomic.Pointer[chosen]
 	// download is the large value on its way here, or nil. It belongs to the caller
 	// of Follow.
 	download *download
