perf(follow,directory,member): a start makes three calls to the store, watches are held longer

Cause: a daemon that starts knows no other one. It watched the store itself until it had met its watcher, and asked the store each time that a wrong watcher turned it away: eleven calls a start, of all daemons at once where all start together. A watch ended each 0.75 s also where a change has four seconds. Change: after reading everything a daemon waits half a second before it watches; a view younger than a quarter of the time for a change looks for another watcher before the store; watches are held for what that time leaves beside a cut watcher and a large value on a slow link, 1.5 s at most; a daemon that knows others reads the list of records from a copy, which costs a tenth. Ruled out: fewer watchers, which would take 80 calls more from 295 daemons and leave domains without one; reading everything from a peer at the start, which brings old targets back after a cut. Tests: TestYoungViewNeedsNoStore, TestChangeIsInTimeThoughTheWatcherWasCutOff (2, 3, 4 and 9 s), TestStartDoesNotWatchAtOnce.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// watchWait is how long the store holds one watch. Each one that ends without
-	// a change proves the view; the view's age stays below twice this.
+	// watchWait is how long the store holds one watch unless Hold says otherwise. Each
+	// one that ends without a change proves the view; the view's age stays below twice
+	// this.
 	watchWait = 750 * time.Millisecond
 	// retryFirst and retryMax are the pauses after failed calls; the larger one
 	// bounds how late a store that is back is noticed.
@@ -31,6 +32,9 @@
 	// watches again. Changes come in groups, as when a fleet starts: each by
 	// itself cost a call for each watcher.
 	gather = 120 * time.Millisecond
+	// settle is how long a daemon waits after it has read everything: one that starts
+	// learns meanwhile who watches the store, and does not watch it itself.
+	settle = 500 * time.Millisecond
 	// returnTime is how long after the store's return a target may take to
 	// register again, if its registration lapsed meanwhile: targets are back within
 	// about two seconds if they live.
@@ -80,8 +84,10 @@
 	lives map[string]life
 	// missing holds since when targets are missed that may register again.
 	missing map[string]time.Time
-	// changes is true if the last step brought changes from the store itself.
-	changes bool
+	// pause is how long Run waits after the last step.
+	pause time.Duration
+	// wait is how long a watch is held.
+	wait time.Duration
 	// lost is true while the store does not answer.
 	lost bool
 	// hold is until when a removal may be a registration that lapsed while the
@@ -113,6 +119,7 @@
 		refused: map[string]string{},
 		lives:   map[string]life{},
 		missing: map[string]time.Time{},
+		wait:    watchWait,
 		count: counters{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
 			failures: scope.Counter("failures"), changes: scope.Counter("changes"),
@@ -124,6 +131,11 @@
 	return d
 }
 
+// Hold sets how long a watch is held. It is called before Run.
+func (d *Directory) Hold(wait time.Duration) {
+	d.wait = wait
+}
+
 // Current is the configuration in force, with the targets known now.
 func (d *Directory) Current() *fireflypath.Config {
 	return d.current.Load()
@@ -163,10 +175,8 @@
 		case err != nil:
 			d.sleep(ctx, pause)
 			pause = min(2*pause, retryMax)
-		case d.changes:
-			d.sleep(ctx, gather)
-			pause = retryFirst
 		default:
+			d.sleep(ctx, d.pause)
 			pause = retryFirst
 		}
 	}
@@ -174,6 +184,9 @@
 }
 
 func (d *Directory) sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-d.clock.After(pause):
@@ -184,7 +197,7 @@
 func (d *Directory) Step(ctx context.Context) error {
 	sent := d.boot.Elapsed()
 	d.forget(d.clock.Now())
-	d.changes = false
+	d.pause = 0
 	var err error
 	if d.revision == 0 {
 		err = d.read(ctx, sent)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -30,6 +30,7 @@
 	took    time.Duration
 	err     error
 	reads   int
+	watches int
 }
 
 func (f *feed) Snapshot(context.Context, string) (fireflypath.Listing, error) {
@@ -42,6 +43,7 @@
 	if took == 0 {
 		took = wait
 	}
+	f.watches++
 	f.clock.Advance(took)
 	return f.changes, f.err
 }
@@ -317,3 +319,23 @@
 		is.Equal(l.Revision, uint64(12))
 	})
 }
+
+// A daemon starts and reads everything. It knows no other daemon yet: if it watched the
+// store at once, each of hundreds that start together would, until it has met the one
+// that watches for it.
+func TestStartDoesNotWatchAtOnce(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	f := &feed{clock: clock, all: fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5)}, Revision: 10}}
+	f.changes = fireflypath.Listing{Revision: 10}
+	d := directory.New(f, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	is.NoErr(clock.BlockUntilContext(ctx, 1))
+	is.Equal(f.reads, 1)
+	is.Equal(f.watches, 0)
+	cancel()
+	is.True(errors.Is(<-done, context.Canceled))
+}
--- a/internal/directory/reading.go
+++ b/internal/directory/reading.go
@@ -32,6 +32,7 @@
 	d.restart(all)
 	d.publish()
 	d.proved(sent - all.Age)
+	d.pause = settle
 	return nil
 }
 
@@ -53,10 +54,13 @@
 		// its time. The revision stays, so the same entries come again, with the rest.
 		d.takeAll(got.Entries)
 		d.publish()
+		d.pause = got.Pause
 		return nil
 	}
 	before := d.revision
-	d.changes = len(got.Entries) > 0 && !got.Relayed
+	if len(got.Entries) > 0 && !got.Relayed {
+		d.pause = gather
+	}
 	d.takeAll(got.Entries)
 	d.advance(got)
 	d.publish()
@@ -97,7 +101,7 @@
 // be given up.
 func (d *Directory) patience() time.Duration {
 	if len(d.missing) > 0 {
-		return watchWait / 3
+		return d.wait / 3
 	}
-	return watchWait
+	return d.wait
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,23 +18,20 @@
 )
 
 const (
-	// relayWait is how long a watcher holds a call back while nothing changes.
-	relayWait = 500 * time.Millisecond
-	// callTime is what a call to a watcher may take beyond that. Answers have a page
+	// callTime is what a call to a watcher may take beyond its wait. Answers have a page
 	// at most, whatever changed.
 	callTime = 300 * time.Millisecond
-	// oldView is the age at which a watcher's view is of no use: it has missed a
-	// watch, and may have been cut off. With the call's own time, a change is in
-	// force well within two seconds also where the watcher was cut off.
-	oldView = 1100 * time.Millisecond
-	// arrivedWithin is how recent the store's last bytes are at a daemon that is not
-	// cut off from it: a watch is held for 0.75 s at most.
-	arrivedWithin = time.Second
 	// latePart is the part of the time for a change to be in force up to which a follower
 	// asks its watcher once more for a large answer on its way. Of three seconds it leaves
 	// half a second for that call and 0.85 s for the store's own answer; of two seconds,
 	// which fleets without slow links have, it leaves no wait at all.
 	latePart = 0.55
+	// youngPart is the part of the time for a change to be in force up to which a view is
+	// young enough to look for another watcher first. All daemons that start at once
+	// take the wrong ones for watchers until they know each other.
+	youngPart = 0.25
+	// youngPause is the pause before that.
+	youngPause = 100 * time.Millisecond
 	// unlimited is above any age of a view.
 	unlimited = 1 << 62 * time.Nanosecond
 	// avoidTime is how long a watcher is not asked that did not answer well.
@@ -68,6 +65,7 @@
 	domain  string
 	// force is the time for a change to be in force everywhere.
 	force time.Duration
+	pace  pace
 	clock clockwork.Clock
 	view  *directory.Directory
 	// avoid holds until when a watcher is not asked; failed is when the store
@@ -99,7 +97,7 @@
 ) *Feed {
 	scope = scope.SubScope("follow")
 	return &Feed{
-		store: store, peers: peers, members: members, self: self, domain: domain, force: force, clock: clock,
+		store: store, peers: peers, members: members, self: self, domain: domain, force: force, pace: paceOf(force), clock: clock,
 		avoid:   map[string]time.Time{},
 		relayed: scope.Counter("relayed"), direct: scope.Counter("direct"), left: scope.Counter("left"),
 		fetched: scope.Counter("fetched_bytes"), log: log,
@@ -127,14 +125,17 @@
 		f.direct.Inc(1)
 		return f.kept(f.store.Follow(ctx, prefix, after, wait))
 	}
-	relayed, err := f.relay(ctx, after, min(wait, relayWait), fetchTime)
+	relayed, err := f.relay(ctx, after, min(wait, f.pace.relay), fetchTime)
 	if usable(err) || ctx.Err() != nil {
 		return relayed, err
 	}
+	if f.young() {
+		return fireflypath.Listing{Partial: true, Entries: relayed.Entries, Pause: youngPause}, nil
+	}
 	if f.clock.Since(f.failed) >= storePause {
 		f.direct.Inc(1)
 		var l fireflypath.Listing
-		l, err = f.kept(f.store.Follow(ctx, prefix, after, min(wait, relayWait)))
+		l, err = f.kept(f.store.Follow(ctx, prefix, after, min(wait, f.pace.relay)))
 		if usable(err) {
 			return l, err
 		}
@@ -146,6 +147,11 @@
 	return fireflypath.Listing{}, err
 }
 
+// young is true while the view is young enough to do without the store.
+func (f *Feed) young() bool {
+	return f.view.Age() <= time.Duration(youngPart*float64(f.force))
+}
+
 // kept keeps the large values of a listing, as bases for those to come.
 func (f *Feed) kept(l fireflypath.Listing, err error) (fireflypath.Listing, error) {
 	f.values.keep(l.Entries)
@@ -211,7 +217,7 @@
 	// An old view that has something new is of use, but not in place of all that this
 	// daemon knows: targets that have left would be back.
 	useless := after == 0 || r.Revision == after
-	if r.Revision < after || age > oldView && useless {
+	if r.Revision < after || age > f.pace.old && useless {
 		return fireflypath.Listing{}, nil, errors.Wrapf(errOld, "%s: %v", w.Name, age)
 	}
 	f.relayed.Inc(1)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -27,6 +27,8 @@
 	at      uint64
 	err     error
 	calls   int
+	// held is for how long the last watch was to be held.
+	held time.Duration
 	// took is how long an answer to a watch takes; arriving is true while one comes in.
 	took     time.Duration
 	arriving bool
@@ -39,8 +41,9 @@
 	return fireflypath.Listing{Entries: s.entries, Revision: s.at}, s.err
 }
 
-func (s *store) Follow(_ context.Context, _ string, after uint64, _ time.Duration) (fireflypath.Listing, error) {
+func (s *store) Follow(_ context.Context, _ string, after uint64, wait time.Duration) (fireflypath.Listing, error) {
 	s.calls++
+	s.held = wait
 	s.clock.Advance(s.took)
 	var l fireflypath.Listing
 	for _, e := range s.entries {
@@ -165,6 +168,12 @@
 
 // group makes daemons that know each other; each has its own way to the store.
 func group(t *testing.T, ms members) ([]*daemon, *network, *clockwork.FakeClock) {
+	t.Helper()
+	return groupIn(t, ms, slowForce)
+}
+
+// groupIn makes them where a change has the given time to be in force.
+func groupIn(t *testing.T, ms members, force time.Duration) ([]*daemon, *network, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	n := &network{
@@ -177,7 +186,7 @@
 	for _, m := range ms {
 		own := *shared
 		d := &daemon{name: m.Name, store: &own}
-		d.feed = follow.New(m.Name, m.Domain, slowForce, d.store, port{n, m.Name}, ms, clock, tally.NoopScope, zap.NewNop())
+		d.feed = follow.New(m.Name, m.Domain, force, d.store, port{n, m.Name}, ms, clock, tally.NoopScope, zap.NewNop())
 		d.view = directory.New(d.feed, testkit.Codec{}, clock, &testkit.Boot{Clock: clock}, tally.NoopScope, zap.NewNop())
 		d.feed.Serve(d.view)
 		ds = append(ds, d)
@@ -263,3 +272,73 @@
 	}
 	return watcher, rest[0], n, clock
 }
+
+// All daemons start at once and do not know each other yet: most take the wrong one
+// for the watcher, which refuses. Each of them asked the store instead, several times
+// in its first second, and the store turned calls away while all machines came back.
+func TestYoungViewNeedsNoStore(t *testing.T) {
+	is := is.New(t)
+	watcher, d, n, clock := pair(t)
+	n.cut[watcher.name] = true
+	calls := d.store.calls
+	d.store.put("t2")
+	is.NoErr(d.view.Step(t.Context()))
+	is.Equal(d.store.calls, calls)
+	clock.Advance(slowForce / 3)
+	is.NoErr(d.view.Step(t.Context()))
+	is.Equal(d.store.calls, calls+1)
+	is.Equal(d.targets(), "t1 t2")
+}
+
+// storeAnswer is what the store's own answer may take on a slow link, if it is large.
+const storeAnswer = 850 * time.Millisecond
+
+// The watcher was cut off from the store just before a change. However long the time
+// for a change is, and however long watches are held for it, a follower finds out and
+// has the change from the store in time, also where that takes long to send it.
+func TestChangeIsInTimeThoughTheWatcherWasCutOff(t *testing.T) {
+	for force, held := range map[time.Duration]time.Duration{
+		2 * time.Second: 750 * time.Millisecond,
+		3 * time.Second: 750 * time.Millisecond,
+		4 * time.Second: 1500 * time.Millisecond,
+		9 * time.Second: 1500 * time.Millisecond,
+	} {
+		t.Run(force.String(), func(t *testing.T) {
+			is := is.New(t)
+			ds, _, clock := groupIn(t, members{{Name: "a", Domain: "x"}, {Name: "b", Domain: "x"}, {Name: "c", Domain: "x"}}, force)
+			watcher, rest := split(t, ds)
+			d := rest[0]
+			is.NoErr(watcher.view.Step(t.Context()))
+			is.NoErr(watcher.view.Step(t.Context()))
+			is.Equal(watcher.store.held, held)
+			is.NoErr(d.view.Step(t.Context()))
+			start := clock.Now()
+			d.store.put("t2")
+			for d.targets() != "t1 t2" && clock.Since(start) < time.Minute {
+				is.NoErr(waited(t, clock, d))
+				clock.Advance(5 * time.Millisecond)
+			}
+			is.True(clock.Since(start) <= force-storeAnswer)
+		})
+	}
+}
+
+// waited makes a step; while its answer is held back, time passes.
+func waited(t *testing.T, clock *clockwork.FakeClock, d *daemon) error {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() { done <- d.view.Step(t.Context()) }()
+	for {
+		ctx, cancel := context.WithCancel(t.Context())
+		waits := make(chan error, 1)
+		go func() { waits <- clock.BlockUntilContext(ctx, 1) }()
+		select {
+		case err := <-done:
+			cancel()
+			return err
+		case <-waits:
+			clock.Advance(10 * time.Millisecond)
+		}
+		cancel()
+	}
+}
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -14,6 +14,7 @@
 // Serve answers other daemons from the view. It is called before the endpoint serves.
 func (f *Feed) Serve(view *directory.Directory) {
 	f.view = view
+	view.Hold(f.pace.watch)
 	f.peers.Handle(methodFollow, f.answer)
 	f.peers.Handle(methodPart, f.answerPart)
 }
@@ -31,7 +32,7 @@
 	}
 	wait := time.Duration(a.Wait) * time.Millisecond
 	end := f.clock.Now().Add(wait)
-	l, err := f.view.Since(ctx, a.After, wait, oldView)
+	l, err := f.view.Since(ctx, a.After, wait, f.pace.old)
 	if err == nil && f.late(a, l) {
 		l, err = f.view.Since(ctx, a.After, end.Sub(f.clock.Now()), unlimited)
 	}
@@ -64,11 +65,11 @@
 // store 309 times for that reason without this and never with it; all calls to the
 // store fell from 1,482 to 1,026.
 func (f *Feed) late(a ask, l fireflypath.Listing) bool {
-	if !a.Parts || a.Wait == 0 || l.Age < oldView || l.Revision > a.After {
+	if !a.Parts || a.Wait == 0 || l.Age < f.pace.old || l.Revision > a.After {
 		return false
 	}
 	s, ok := f.store.(fireflypath.Arrivals)
-	return ok && s.Arriving(arrivedWithin)
+	return ok && s.Arriving(f.pace.arrived)
 }
 
 // answerPart gives a part of a large value.
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -138,7 +138,7 @@
 
 // discover reads the records and connects to daemons that are not known.
 func (m *Membership) discover(ctx context.Context) {
-	es, err := m.store.List(ctx, recordPrefix)
+	es, err := m.list(ctx)
 	if err != nil {
 		return
 	}
@@ -155,6 +155,15 @@
 	}
 }
 
+// list reads the records. For a daemon that knows others, those of some seconds ago
+// are enough: it looks for daemons of which they have not heard.
+func (m *Membership) list(ctx context.Context) ([]fireflypath.Entry, error) {
+	if s, ok := m.store.(fireflypath.StaleLister); ok && len(m.Live()) > 1 {
+		return s.ListStale(ctx, recordPrefix)
+	}
+	return m.store.List(ctx, recordPrefix)
+}
+
 // knows reports whether a record tells nothing new.
 func (m *Membership) knows(o fireflypath.Member) bool {
 	m.mu.Lock()
--- a/routing.go
+++ b/routing.go
@@ -154,6 +154,8 @@
 	// Partial is true if a large value is still on its way. What Entries hold is in
 	// force, but the view is not that of Revision yet and proves nothing.
 	Partial bool
+	// Pause is how long to wait before the next question.
+	Pause time.Duration
 	// Age is how old a relayed view was when the question came.
 	Age time.Duration
 	// Hold is for how long a removal in a relayed view may be a registration that
--- a/store.go
+++ b/store.go
@@ -67,6 +67,13 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
+// StaleLister is a Store that also lists keys as they were some seconds ago, which
+// costs it a tenth.
+type StaleLister interface {
+	// ListStale reads the keys with a prefix, in order.
+	ListStale(ctx context.Context, prefix string) ([]Entry, error)
+}
+
 // HostState is what the platform's list says of a host.
 type HostState string
 
