feat(floor,slots): a tier that is starved gets the next place

Change: decide/floor counts what each tier asked for and got over ten seconds. One that is served less than 0.35 as often as all is due the next place, and is not refused on arrival as long as its turn comes by its goal. Ruled out: fixed parts of the places, which take them from the highest tier in each short burst; a queue for the lowest tier, of which most would wait in vain.

--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/floor"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
 )
@@ -62,6 +63,8 @@
 	lowest int
 	seed   uint64
 	share  fireflypath.Share
+	// floor keeps tiers from being starved.
+	floor *floor.Floor
 	// rivals are the other daemons that have work waiting.
 	rivals []rival
 }
@@ -84,7 +87,7 @@
 	s := &Sched{
 		pool: pool, seed: seed, tune: tune, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, flights: map[*fireflypath.Work]flight{},
-		drain: rate.Meter{Horizon: drainHorizon},
+		drain: rate.Meter{Horizon: drainHorizon}, floor: floor.New(tune.Floor),
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].Horizon = drainHorizon
@@ -96,8 +99,10 @@
 func (s *Sched) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
 	s.lowest = max(s.lowest, w.Rank)
 	s.arrivals[min(max(w.Rank, 0), ranks-1)].Add(now, 1)
+	s.floor.Ask(now, w.Rank)
 	s.drain.Pass(now, len(s.waiting) > 0)
-	if wait, ok := s.wait(now, w); ok && wait > time.Duration(s.tune.Hopeless*float64(end(w).Sub(now))) {
+	wait, known := s.wait(now, w)
+	if known && wait > time.Duration(s.tune.Hopeless*float64(end(w).Sub(now))) && !s.owed(now, w) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
@@ -227,19 +232,19 @@
 	return now.After(w.Goal.Add(-time.Duration(least * float64(time.Second))))
 }
 
-// Next chooses the next work and its target and counts it as in flight.
+// Next chooses the next work and its target and counts it as in flight. A tier that is
+// starved goes first.
 func (s *Sched) Next(now time.Time, p *fireflypath.Placement) bool {
 	if len(s.waiting) == 0 || !s.anyRoom(now) {
 		return false
 	}
-	best, at := (*target)(nil), -1
-	for i, w := range s.waiting {
-		if at >= 0 && !s.before(now, w, s.waiting[at]) {
-			continue
-		}
-		if t := s.choose(now, w); t != nil {
-			best, at = t, i
-		}
+	var best *target
+	at := -1
+	if rank, ok := s.starved(now); ok {
+		best, at = s.pick(now, func(w *fireflypath.Work) bool { return w.Rank == rank })
+	}
+	if at < 0 {
+		best, at = s.pick(now, func(*fireflypath.Work) bool { return true })
 	}
 	if at < 0 {
 		return false
@@ -250,6 +255,21 @@
 	return true
 }
 
+// pick is the work that goes before all other that is let through and has a target,
+// or -1.
+func (s *Sched) pick(now time.Time, let func(*fireflypath.Work) bool) (*target, int) {
+	best, at := (*target)(nil), -1
+	for i, w := range s.waiting {
+		if !let(w) || at >= 0 && !s.before(now, w, s.waiting[at]) {
+			continue
+		}
+		if t := s.choose(now, w); t != nil {
+			best, at = t, i
+		}
+	}
+	return best, at
+}
+
 func (s *Sched) anyRoom(now time.Time) bool {
 	for _, t := range s.order {
 		if s.takes(now, t, s.tune.Extra) {
@@ -261,6 +281,7 @@
 
 func (s *Sched) depart(now time.Time, w *fireflypath.Work, t *target, p *fireflypath.Placement) {
 	s.flights[w] = flight{target: t, sent: now, before: t.prefill + t.ahead}
+	s.floor.Serve(now, w.Rank)
 	t.requests++
 	t.prefill += w.Cost.Prompt
 	t.sent(now)
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -542,3 +542,50 @@
 		})
 	}
 }
+
+// More of the highest tier comes than can be served, for many seconds, and a little of
+// a lower tier. Of that everything was refused on arrival, and its callers had no
+// answer for as long as it lasted. Now they have one a good quarter as often as all,
+// nearly all of it by its goal, and the highest tier loses no more than that.
+func TestLowerTierIsNotStarved(t *testing.T) {
+	is := is.New(t)
+	s := slots.New(fireflypath.Pool{Name: "p", Stride: 3}, 7, slots.Shared())
+	s.SetTargets(start, targets(2))
+	type end struct {
+		at time.Time
+		p  fireflypath.Placement
+	}
+	var running []end
+	var asked, served, late [2]int
+	now := start
+	for i := range 3000 { // a minute; ten places serve ten a second
+		now = now.Add(20 * time.Millisecond)
+		for len(running) > 0 && !running[0].at.After(now) {
+			done(s, now, running[0].p, time.Second)
+			running = running[1:]
+		}
+		if i%4 == 0 { // 12.5 a second
+			asked[0]++
+			s.Offer(now, work(fmt.Sprint("high", i), 0, now), nil)
+		}
+		if i%10 == 0 { // 5 a second
+			asked[1]++
+			s.Offer(now, work(fmt.Sprint("low", i), 2, now), nil)
+		}
+		s.Expire(now, nil)
+		for _, p := range next(s, now) {
+			running = append(running, end{now.Add(time.Second), p})
+			tier := min(p.Work.Rank, 1)
+			served[tier]++
+			if now.After(p.Work.Goal) {
+				late[tier]++
+			}
+		}
+	}
+	all := float64(served[0]+served[1]) / float64(asked[0]+asked[1])
+	low := float64(served[1]) / float64(asked[1])
+	is.True(low >= 0.25*all)
+	is.True(low <= 0.45*all)
+	is.True(late[1] <= served[1]/10)
+	is.True(float64(served[0]) >= 0.85*10*60)
+}
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -28,6 +28,9 @@
 	// or be expected to wait on arrival. Refused then, its caller comes back while
 	// there is still time; kept longer, the caller leaves and has nothing.
 	Hopeless float64 `json:"hopeless"`
+	// Floor is the part of how often all work is served that each tier is served at
+	// least.
+	Floor float64 `json:"floor"`
 	// FailCost is how many times longer work seems to take at a target where all
 	// of it fails.
 	FailCost float64 `json:"fail"`
@@ -51,7 +54,7 @@
 // Alone is the tuning of a daemon that decides for itself beside others.
 func Alone() Tuning {
 	return Tuning{
-		Extra: 2, Hopeless: 0.6, FailCost: 20, SlotCost: 0.05, GapPart: 0.6, MuchSlower: 0.5, Hurry: 0.8, Spread: 0.1,
+		Extra: 2, Hopeless: 0.6, Floor: 0.35, FailCost: 20, SlotCost: 0.05, GapPart: 0.6, MuchSlower: 0.5, Hurry: 0.8, Spread: 0.1,
 	}
 }
 
