--- a/cmd/fireflypath/commands.go
+++ b/cmd/fireflypath/commands.go
@@ -19,7 +19,6 @@
 		newStandCommand(),
 		newLoadCommand(),
 		newTrialCommand(),
-		newFleetCommand(),
 		newSoakCommand(),
 		doCommand(),
 		askCommand(),
--- a/internal/exchange/borrow.go
+++ b/internal/exchange/borrow.go
@@ -19,7 +19,7 @@
 	// askEvery is the time between two rounds of questions, in which all pools
 	// that are short ask together. With nine daemons that are short half of the
 	// time, questions of each pool by itself four times a second cost 10 KB/s of
-	// the letter's 3, twice a second together 0.9 (fireflypath fleet).
+	// the letter's 3, twice a second together 0.9.
 	askEvery = time.Second
 	// askMax bounds the pause of a pool whose questions bring nothing, as when
 	// all daemons are short.
--- a/internal/route/pool/relief_test.go
+++ b/internal/route/pool/relief_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/decide/fifo"
+	"github.com/fireflypath/fireflypath/internal/testkit/fifo"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
