perf(directory): a lost history of the store is not lost to those who follow

Cause: when the store dropped its history, each daemon that watches it read everything and began its log anew; all who follow it had to read everything too, and most asked the store, as the watcher had no view for a moment. Change: what a full read does not bring is entered as removed; the log goes on, and the view that there was is served, with its age, until the read has ended. Ruled out: holding followers back until then; a removal of a target would wait. Test: TestLostHistoryIsNotLostToFollowers fails on the code before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -67,12 +67,14 @@
 	// revision is the store's at which the view was the newest; 0 before any
 	// read. Run alone changes it.
 	revision uint64
-	// floor is the revision of the last full read: what was removed before is not
-	// known. kept holds the newest entry of each key since, removed ones too.
+	// floor is the revision up to which it is not known what was removed. kept holds the
+	// newest entry of each key since, removed ones too.
 	floor uint64
 	kept  map[string]fireflypath.Entry
 
 	// The fields below belong to Run.
+	// unread is true if changes may be missing from the view.
+	unread bool
 	// written is the revision of the configuration in force; it never goes down.
 	written uint64
 	base    *fireflypath.Config
@@ -199,7 +201,7 @@
 	d.forget(d.clock.Now())
 	d.pause = 0
 	var err error
-	if d.revision == 0 {
+	if d.revision == 0 || d.unread {
 		err = d.read(ctx, sent)
 	} else {
 		err = d.watch(ctx, sent)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -339,3 +340,38 @@
 	cancel()
 	is.True(errors.Is(<-done, context.Canceled))
 }
+
+// The store drops its history while hundreds of daemons follow this one. They go on
+// with what it knows, and learn what was removed meanwhile from the difference. Each of
+// them read everything again, most from the store, which turned them away.
+func TestLostHistoryIsNotLostToFollowers(t *testing.T) {
+	is := is.New(t)
+	f, d, _ := start(t, config(t, 1, 5), target("a", 6), target("b", 7))
+	change(t, f, d, target("c", 11))
+	f.err = fireflypath.ErrCompacted
+	is.NoErr(d.Step(t.Context()))
+	l, err := d.Since(t.Context(), 10, 0, time.Second)
+	is.NoErr(err)
+	is.Equal(len(l.Entries), 1) // what was known before
+
+	f.err = nil
+	f.all = fireflypath.Listing{Entries: []fireflypath.Entry{config(t, 1, 5), target("a", 6), target("e", 20)}, Revision: 21}
+	is.NoErr(d.Step(t.Context()))
+	l, err = d.Since(t.Context(), 11, 0, time.Second)
+	is.NoErr(err)
+	is.Equal(l.Revision, uint64(21))
+	var gone, there []string
+	for _, e := range l.Entries {
+		if e.Deleted {
+			gone = append(gone, e.Key)
+		} else {
+			there = append(there, e.Key)
+		}
+	}
+	slices.Sort(gone)
+	is.Equal(gone, []string{"targets/b", "targets/c"})
+	is.Equal(there, []string{"targets/e"})
+	all, err := d.Since(t.Context(), 0, 0, time.Second)
+	is.NoErr(err)
+	is.Equal(len(all.Entries), 3)
+}
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -59,16 +59,28 @@
 	return l, d.moved, nil
 }
 
-// restart begins the log anew after a full read.
+// restart goes on with the log after a full read. What the read did not bring was
+// removed at some time since the last one, and those who follow are told so. If the log
+// began anew instead, hundreds of daemons would read everything again, from here or from
+// the store, each time that the store drops its history.
 func (d *Directory) restart(all fireflypath.Listing) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	clear(d.kept)
+	seen := make(map[string]bool, len(all.Entries))
 	for _, e := range all.Entries {
+		seen[e.Key] = true
 		d.keep(e)
 	}
-	d.floor = all.Revision
+	for key, e := range d.kept {
+		if !seen[key] && !e.Deleted {
+			d.kept[key] = fireflypath.Entry{Key: key, Revision: all.Revision, Deleted: true}
+		}
+	}
+	if d.floor == 0 {
+		d.floor = all.Revision
+	}
 	d.move(all.Revision)
+	d.trim()
 }
 
 // advance adds changes to the log.
@@ -128,11 +140,10 @@
 	d.moved = make(chan struct{})
 }
 
-// reset has the next step read everything. Meanwhile nobody can follow.
+// reset has the next step read everything. Those who follow go on with the view that
+// there is, whose age tells what it is worth.
 func (d *Directory) reset() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.revision = 0
+	d.unread = true
 }
 
 // extend takes over for how long removals may be lapses.
--- a/internal/directory/reading.go
+++ b/internal/directory/reading.go
@@ -30,6 +30,7 @@
 	}
 	maps.DeleteFunc(d.refused, func(name, _ string) bool { return !seen[d.codec.TargetPrefix()+name] })
 	d.restart(all)
+	d.unread = false
 	d.publish()
 	d.proved(sent - all.Age)
 	d.pause = settle
--- a/internal/route/panic_test.go
+++ b/internal/route/panic_test.go
@@ -11,11 +11,11 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/testkit/fifo"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/meter"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/testkit"
+	"github.com/fireflypath/fireflypath/internal/testkit/fifo"
 )
 
 // mistaken panics at its first call.
--- a/internal/route/pool/relief_test.go
+++ b/internal/route/pool/relief_test.go
@@ -10,9 +10,9 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/testkit/fifo"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/request"
+	"github.com/fireflypath/fireflypath/internal/testkit/fifo"
 )
 
 // full gives every offer back for want of room, unless peers make some.
