fix(dispatch): a dispatcher that decides for a part of its group hears of the rest

Daemons served by a dispatcher tell each other nothing, so one that was chosen a moment ago, or that decides for those who do not reach the first choice, filled places that were taken. Older: a daemon that decides for some and is served by another one did not count its own work; TestTwoDispatchersKnowOfEachOther fails on too (6 for 3 at a target). Change: a daemon that decides without knowing all of its group's work says so, and all of the group tell then, as they did before. A dispatcher that was just chosen places nothing for 0.1 s, or until all have told; own work at another dispatcher counts. Ruled out: telling for some seconds after each change of the dispatcher; the one that changed knows first. Tests: TestTwoDispatchersKnowOfEachOther, TestServedDaemonsTellEachOtherNothing; TestDispatcherThatLeaves failed while it was built, and holds.

--- a/internal/daemon/gatedmembers.go
+++ b/internal/daemon/gatedmembers.go
@@ -96,6 +96,22 @@
 	dispatch *dispatch.Dispatch
 }
 
+// Moves implements usage.Pools.
+func (h heard) Moves() uint64 {
+	n := 2 * h.Pools.Moves()
+	if h.dispatch.Partial() {
+		n++
+	}
+	return n
+}
+
+// Report implements usage.Pools.
+func (h heard) Report() fireflypath.Mate {
+	m := h.Pools.Report()
+	m.Apart = m.Apart || h.dispatch.Partial()
+	return m
+}
+
 // Hear implements usage.Pools.
 func (h heard) Hear(mates []fireflypath.Mate) {
 	h.Pools.Hear(mates)
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -42,6 +42,8 @@
 	sheds      []fireflypath.Shed
 	// orphans is work at targets whose daemon left its session.
 	orphans []orphan
+	// hold is until when nothing is placed.
+	hold time.Time
 }
 
 // orphan is work at a target that goes on, told of by nobody until its daemon does
@@ -221,8 +223,19 @@
 	}
 }
 
+// Hold has nothing placed until a time. A dispatcher that has just been chosen does not
+// know yet what those have at the targets that will choose it a moment later; it would
+// fill places that are taken.
+func (d *Dispatcher) Hold(now, until time.Time) {
+	d.hold = until
+	d.pump(now)
+}
+
 // pump carries out what the scheduler decides now.
 func (d *Dispatcher) pump(now time.Time) {
+	if now.Before(d.hold) {
+		return
+	}
 	for d.sched.Next(now, &d.place) {
 		e := d.entries[d.place.Work]
 		if e == nil {
@@ -249,6 +262,9 @@
 		return time.Time{}
 	}
 	at := d.sched.Wake(now)
+	if now.Before(d.hold) && (at.IsZero() || d.hold.Before(at)) {
+		at = d.hold
+	}
 	if len(d.orphans) > 0 {
 		if due := d.orphans[0].since.Add(orphanTime); at.IsZero() || due.Before(at) {
 			at = due
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -36,7 +36,9 @@
 	Local
 	// attached is true while a dispatcher decides.
 	attached bool
-	number   uint64
+	// asked is true if some other daemon has to know what this one has in flight.
+	asked  bool
+	number uint64
 	// numbers are those of work that the dispatcher knows; works are those of them
 	// that wait for its decision.
 	numbers map[*fireflypath.Work]uint64
@@ -141,16 +143,23 @@
 	return out
 }
 
-// Report tells the other daemons what this one has in flight, while it decides for
-// itself. Its dispatcher knows all that it does, and nobody else sends work to the same
-// targets by what daemons tell: told all the same, each request would cost three
-// messages to each daemon of the group.
+// Report tells the other daemons what this one has in flight, if work is placed by more
+// than one of them: each has to know what the others placed, or targets get as many
+// times what they can run. While one decides for all it knows everything, and told all
+// the same, each request would cost three messages to each daemon of the group.
 func (s *Scheduler) Report(m *fireflypath.Mate) {
-	if !s.attached {
+	m.Apart = m.Apart || !s.attached
+	if !s.attached || s.asked {
 		s.Local.Report(m)
 	}
 }
 
+// Hear takes in what the other daemons have in flight.
+func (s *Scheduler) Hear(now time.Time, mates []fireflypath.Mate) {
+	s.asked = slices.ContainsFunc(mates, func(m fireflypath.Mate) bool { return m.Apart })
+	s.Local.Hear(now, mates)
+}
+
 // Deliver takes in what the dispatcher decided. Refusals are appended to out;
 // placements come with Next.
 func (s *Scheduler) Deliver(now time.Time, turns []fireflypath.Turn, out []fireflypath.Shed) []fireflypath.Shed {
--- a/internal/decide/remote/remote_test.go
+++ b/internal/decide/remote/remote_test.go
@@ -193,19 +193,27 @@
 }
 
 // A dispatcher decides for a group of daemons and knows all their work. Told to each
-// other besides, every request cost each of them several messages. A daemon that
-// decides for itself tells what it has in flight.
-func TestServedDaemonTellsOthersNothing(t *testing.T) {
+// other besides, every request cost each of them several messages. As soon as some
+// other places work too, it tells what it has in flight.
+func TestServedDaemonsTellEachOtherNothing(t *testing.T) {
 	is := is.New(t)
 	s := scheduler(1)
 	s.Attach(start)
 	s.Offer(start, work(1, start), nil)
 	s.Deliver(start, []fireflypath.Turn{{Number: 1, Target: "t0"}}, nil)
 	is.Equal(len(next(s, start)), 1)
-	m := fireflypath.NewMate("a")
-	s.Report(&m)
-	is.Equal(len(m.Flights)+len(m.Prompts)+len(m.Waits), 0)
+	told := func() fireflypath.Mate {
+		m := fireflypath.NewMate("a")
+		s.Report(&m)
+		return m
+	}
+	is.Equal(len(told().Flights), 0)
+	s.Hear(start, []fireflypath.Mate{{Name: "b", Apart: true}})
+	is.Equal(told().Flights, map[string]int{"t0": 1})
+	is.True(!told().Apart) // or the two would go on for each other's sake
+	s.Hear(start, []fireflypath.Mate{{Name: "b"}})
+	is.Equal(len(told().Flights), 0)
 	s.Detach(start, nil)
-	s.Report(&m)
-	is.Equal(m.Flights, map[string]int{"t0": 1})
+	is.Equal(told().Flights, map[string]int{"t0": 1})
+	is.True(told().Apart)
 }
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	old, last := c.to, c.current()
-	c.to = to
+	c.to, c.told = to, time.Time{}
 	c.begin(session)
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 		c.sched.Attach(now)
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -27,6 +27,8 @@
 type session struct {
 	id    uint64
 	heard time.Time
+	// told is true once it has told what it has in flight.
+	told bool
 	// pushing is true while a goroutine tells it of decisions.
 	pushing bool
 }
@@ -41,8 +43,7 @@
 	defer k.mu.Unlock()
 	now := k.d.clock.Now()
 	if m.First {
-		k.sessions[from] = &session{id: m.Session}
-		k.queue.Begin(now, from, m.Session)
+		k.begin(now, from, m.Session)
 	}
 	s := k.sessions[from]
 	if s == nil || s.id != m.Session {
@@ -55,12 +56,47 @@
 		return turnsMessage{}, nil
 	}
 	k.queue.Take(now, from, &m.News)
+	if !m.First && !s.told {
+		s.told = true
+		k.gathered(now)
+	}
 	out := turnsMessage{Session: m.Session, Turns: k.queue.Turns(from)}
 	k.counted(out.Turns)
 	k.push(now)
 	return out, nil
 }
 
+// begin begins a session. The first one finds a dispatcher that knows nothing of the
+// rest of its group, which is on its way here or will tell.
+func (k *desk) begin(now time.Time, from string, id uint64) {
+	if len(k.sessions) == 0 {
+		k.queue.Hold(now, now.Add(gatherTime))
+	}
+	k.sessions[from] = &session{id: id}
+	k.queue.Begin(now, from, id)
+}
+
+// gathered has work placed once all of the group have told what they have in flight.
+func (k *desk) gathered(now time.Time) {
+	if !k.partial() {
+		k.queue.Hold(now, time.Time{})
+	}
+}
+
+// partial is true if this one decides without knowing what all of its group have in
+// flight. The caller holds mu.
+func (k *desk) partial() bool {
+	if len(k.sessions) == 0 {
+		return false
+	}
+	for _, m := range k.d.candidates() {
+		if s := k.sessions[m.Name]; s == nil || !s.told {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *desk) counted(turns []fireflypath.Turn) {
 	for _, t := range turns {
 		if t.Target == "" {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -41,6 +42,10 @@
 	aloneAfter = 300 * time.Millisecond
 	// avoidTime is how long a daemon is not asked to decide that did not answer.
 	avoidTime = 2 * time.Second
+	// gatherTime is how long a dispatcher that was just chosen waits for the rest of its
+	// group before it places anything: those that wait for it turn to it or tell what
+	// they have in flight in that time.
+	gatherTime = 100 * time.Millisecond
 	// stepEvery is how often the choice of the dispatcher is looked at.
 	stepEvery = 50 * time.Millisecond
 )
@@ -248,15 +253,31 @@
 	}
 }
 
-// Hear takes in what daemons have in flight that decide for themselves.
+// Partial is true if this daemon decides for others, but not for all of its group: it
+// has to hear what these have in flight.
+func (d *Dispatch) Partial() bool {
+	d.mu.Lock()
+	desks := slices.Collect(maps.Values(d.desks))
+	d.mu.Unlock()
+	return slices.ContainsFunc(desks, func(k *desk) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.partial()
+	})
+}
+
+// Hear takes in what daemons have in flight whose work is not placed here. This one may
+// be among them, if it has chosen another dispatcher than those that it decides for.
 func (d *Dispatch) Hear(mates []fireflypath.Mate) {
 	d.mu.Lock()
-	all := make([]*desk, 0, len(d.desks))
-	for _, k := range d.desks {
-		all = append(all, k)
-	}
+	desks, clients := slices.Collect(maps.Values(d.desks)), slices.Collect(maps.Values(d.clients))
 	d.mu.Unlock()
-	for _, k := range all {
+	own := fireflypath.NewMate(d.self)
+	for _, c := range clients {
+		c.pool.Report(&own)
+	}
+	mates = append(slices.Clip(mates), own)
+	for _, k := range desks {
 		k.hear(mates)
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -37,6 +37,8 @@
 	// silent daemons take calls and never answer; gone ones refuse them.
 	silent, gone map[string]bool
 	leaving      map[string]bool
+	// cut names pairs that do not reach each other.
+	cut map[[2]string]bool
 	// held counts requests at targets, most the most there were.
 	held, most map[string]int
 }
@@ -54,6 +56,7 @@
 func (n *node) Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error {
 	n.n.mu.Lock()
 	o, gone, silent := n.n.nodes[to.Name], n.n.gone[to.Name] || n.n.gone[n.name], n.n.silent[to.Name]
+	gone = gone || n.n.cut[[2]string{n.name, to.Name}] || n.n.cut[[2]string{to.Name, n.name}]
 	n.n.mu.Unlock()
 	if gone {
 		return peer.ErrUnreachable
@@ -101,6 +104,7 @@
 	t.Helper()
 	n := &net{
 		nodes: map[string]*node{}, silent: map[string]bool{}, gone: map[string]bool{}, leaving: map[string]bool{},
+		cut:  map[[2]string]bool{},
 		held: map[string]int{}, most: map[string]int{},
 	}
 	clock := clockwork.NewRealClock()
@@ -152,6 +156,7 @@
 				if o != d && !n.lost(o.name) {
 					m := fireflypath.NewMate(o.name)
 					o.pool.Report(&m)
+					m.Apart = m.Apart || o.d.Partial()
 					mates = append(mates, m)
 				}
 			}
@@ -300,3 +305,32 @@
 		is.True(time.Since(began) < 500*time.Millisecond)
 	})
 }
+
+// Two daemons of a group do not reach the one that decides for all, and another one
+// decides for them. Each of the two has to know what the other placed: the targets
+// would get twice what they can run, and callers would wait in line there, where the
+// highest tier is served no sooner than the lowest.
+func TestTwoDispatchersKnowOfEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := start(t, 4, 2)
+		n.mu.Lock()
+		for _, far := range []string{"d2", "d3"} {
+			n.cut[[2]string{far, "d0"}] = true
+		}
+		n.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		var wg sync.WaitGroup
+		for i := range 6 { // all places
+			wg.Go(func() { is.True(n.send(n.nodes["d1"], fmt.Sprint("near", i), 2*time.Second)) })
+		}
+		time.Sleep(200 * time.Millisecond)
+		for i := range 6 {
+			wg.Go(func() { is.True(n.send(n.nodes["d2"], fmt.Sprint("far", i), 200*time.Millisecond)) })
+		}
+		wg.Wait()
+		for _, most := range n.most {
+			is.Equal(most, slotsEach)
+		}
+	})
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -54,6 +54,8 @@
 	Waits map[string]int `json:"w,omitempty"`
 	// Speeds is what the sender learned of targets.
 	Speeds map[string]fireflypath.Speed `json:"v,omitempty"`
+	// Apart is true if the sender places work without knowing all that others place.
+	Apart bool `json:"x,omitempty"`
 	// Used is the sum of units of each team's quota since the daemon's start.
 	Used map[string]int64 `json:"q,omitempty"`
 	// Levels is what the sender's copies of the quotas' buckets hold; it is told
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -96,6 +96,7 @@
 	defer p.mu.Unlock()
 	if s, ok := p.sched.(shared); ok {
 		s.Hear(p.clock.Now(), mates)
+		p.moves.Add(1)
 		p.pump()
 	}
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -91,6 +91,7 @@
 	prompts map[string]int
 	waits   map[string]int
 	speeds  map[string]fireflypath.Speed
+	apart   bool
 	used    map[string]int64
 	// sent is what each peer was told.
 	sent map[string]*sent
@@ -110,6 +111,7 @@
 	prompts map[string]int
 	waits   map[string]int
 	speeds  map[string]fireflypath.Speed
+	apart   bool
 	used    map[string]int64
 	whole   time.Time
 }
@@ -126,6 +128,7 @@
 	waits      map[string]int
 	// speeds is what it told since they were last taken over.
 	speeds map[string]fireflypath.Speed
+	apart  bool
 	// used is by team; a team not in it was not heard of since the connection.
 	used map[string]int64
 	// known is true once all of used was told.
@@ -210,8 +213,9 @@
 	defer u.mu.Unlock()
 	u.reports++
 	u.moves = moves
-	changed := !maps.Equal(r.Flights, u.flights) || !maps.Equal(r.Prompts, u.prompts) || !maps.Equal(r.Waits, u.waits)
-	u.flights, u.prompts, u.waits, u.speeds = r.Flights, r.Prompts, r.Waits, r.Speeds
+	changed := !maps.Equal(r.Flights, u.flights) || !maps.Equal(r.Prompts, u.prompts) || !maps.Equal(r.Waits, u.waits) ||
+		r.Apart != u.apart
+	u.flights, u.prompts, u.waits, u.speeds, u.apart = r.Flights, r.Prompts, r.Waits, r.Speeds, r.Apart
 	return changed
 }
 
@@ -250,7 +254,7 @@
 		}
 		out = append(out, fireflypath.Mate{
 			Name: name, Flights: maps.Clone(m.flights), Prompts: maps.Clone(m.prompts),
-			Waits: maps.Clone(m.waits), Speeds: m.speeds,
+			Waits: maps.Clone(m.waits), Speeds: m.speeds, Apart: m.apart,
 		})
 		m.speeds = nil // each is taken over once
 	}
@@ -298,9 +302,11 @@
 			s.used[team] = n
 		}
 	}
-	if !whole && out.Flights == nil && out.Prompts == nil && out.Waits == nil && out.Speeds == nil && out.Used == nil {
+	news := out.Flights != nil || out.Prompts != nil || out.Waits != nil || out.Speeds != nil || out.Used != nil
+	if !whole && !news && s.apart == u.apart {
 		return
 	}
+	out.Apart, s.apart = u.apart, u.apart
 	u.number++
 	out.Life, out.Number = u.life, u.number
 	b.Usage = out
@@ -359,6 +365,7 @@
 		clear(m.prompts)
 		clear(m.waits)
 	}
+	m.apart = in.Apart
 	maps.Copy(m.flights, in.Flights)
 	maps.Copy(m.prompts, in.Prompts)
 	for pool, r := range in.Waits {
@@ -394,7 +401,7 @@
 	clear(m.flights)
 	clear(m.prompts)
 	clear(m.waits)
-	m.speeds = nil
+	m.speeds, m.apart = nil, false
 	clear(m.used)
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -221,6 +221,9 @@
 	Waits map[string]int
 	// Speeds is what it learned of targets.
 	Speeds map[string]Speed
+	// Apart is true if it places work without knowing all that others place: its own, or
+	// that of a part of its group.
+	Apart bool
 }
 
 // NewMate returns a Mate that has told nothing yet.
