fix(soak): ports are not given back before all daemons have theirs; a start that fails says why

The log was in the test's folder and is lost, so the cause is not shown. By reading: ports were found and given back for each daemon by itself, so that two daemons, or a proxy, could get one port; a daemon without its port ends at each start. Change: all ports are held until all daemons have theirs; the error carries the end of the daemon's log.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -88,18 +88,29 @@
 	return &process{name: name, program: program, file: file, log: log, callers: at(0), ready: at(1), store: p}, nil
 }
 
-// freePorts finds ports that nobody listens on.
-func freePorts() ([4]int, error) {
-	var out [4]int
-	for i := range out {
-		ln, err := net.Listen("tcp", loopback.Free())
-		if err != nil {
-			return out, err
+// reserve finds ports for so many daemons. They stay taken until release: given back one
+// by one, a port could go to two daemons or to a proxy, and a daemon without its port
+// ends at each start.
+func reserve(daemons int) (ports [][4]int, release func(), err error) {
+	var lns []net.Listener
+	release = func() {
+		for _, ln := range lns {
+			ln.Close()
 		}
-		defer ln.Close()
-		out[i] = ln.Addr().(*net.TCPAddr).Port
 	}
-	return out, nil
+	ports = make([][4]int, daemons)
+	for d := range ports {
+		for i := range ports[d] {
+			ln, err := net.Listen("tcp", loopback.Free())
+			if err != nil {
+				release()
+				return nil, nil, err
+			}
+			lns = append(lns, ln)
+			ports[d][i] = ln.Addr().(*net.TCPAddr).Port
+		}
+	}
+	return ports, release, nil
 }
 
 // hurt notes a fault of this daemon.
@@ -214,6 +225,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// lastWords is the end of what the daemon logged.
+func (p *process) lastWords() string {
+	b, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-lastBytes):])
+}
+
+// lastBytes bounds what an error repeats of a log.
+const lastBytes = 2 << 10
+
 func (p *process) kill() error {
 	err := errors.Join(p.signal(syscall.SIGCONT), p.end(syscall.SIGKILL))
 	p.store.close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -153,22 +153,26 @@
 	if err := r.configure(); err != nil {
 		return err
 	}
-	var ports [][4]int
+	ports, release, err := reserve(r.o.Daemons)
+	if err != nil {
+		return err
+	}
+	defer release()
 	var seeds []string
-	for range r.o.Daemons {
-		p, err := freePorts()
-		if err != nil {
-			return err
-		}
-		ports = append(ports, p)
+	for _, p := range ports {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", loopback.Addr(), p[2]))
 	}
+	var made []*process
 	for i, p := range ports {
 		d, err := newProcess(r.o.Dir, r.o.Program, fmt.Sprintf("d%d", i), ln.Addr().String(), seeds[:min(3, len(seeds))], p)
 		if err != nil {
 			return err
 		}
 		d.note = r.noteErr
+		made = append(made, d)
+	}
+	release()
+	for _, d := range made {
 		if err := d.start(); err != nil {
 			return err
 		}
@@ -183,7 +187,7 @@
 	for _, d := range r.daemons {
 		for !d.up() {
 			if time.Now().After(end) || ctx.Err() != nil {
-				return fmt.Errorf("%s is not ready", d.name)
+				return fmt.Errorf("%s is not ready; its log ends with %s", d.name, d.lastWords())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
