fix(limits): a daemon that has just started has no part of the repeats beyond the ratio

A daemon shares the fixed allowance by the number of daemons that it knows, and takes eight until it has met others: 295 daemons took 39 repeats each in place of one. Change: no part of the allowance in the first window of a daemon's life; the ratio of its own requests holds from the start. Ruled out: dividing by the members known, which are a few in the first second.

--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -42,6 +42,8 @@
 	// fraction of the quotas' rates that this one may count on.
 	daemons int
 	part    float64
+	// began is when this daemon started.
+	began time.Time
 	// split is true in a fleet that is too large to hear of all use: each team
 	// has a part of its own then.
 	split bool
@@ -159,6 +161,7 @@
 func (l *Limits) Apply(now time.Time, cfg *fireflypath.Config) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.begin(now)
 	for i := range cfg.Teams {
 		if t := &cfg.Teams[i]; t.Quota != nil {
 			l.team(now, t.Name, t.Quota)
@@ -258,14 +261,32 @@
 func (l *Limits) Request(now time.Time, pool string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.begin(now)
 	l.pool(pool).Request(now)
 }
 
+func (l *Limits) begin(now time.Time) {
+	if l.began.IsZero() {
+		l.began = now
+	}
+}
+
+// allowance is this daemon's part of the repeats beyond the ratio. One that has just
+// started has none: it knows neither how many share it nor what its life before took.
+// If all daemons lose power together, each would else take the part that it has in a
+// small fleet, while the targets refuse the most.
+func (l *Limits) allowance(now time.Time) float64 {
+	if now.Sub(l.began) < l.cfg.Window {
+		return 0
+	}
+	return allowanceMargin * l.cfg.Allowance / float64(l.daemons)
+}
+
 // Repeat takes one repeat from a pool's retry budget.
 func (l *Limits) Repeat(now time.Time, pool string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pool(pool).Repeat(now, allowanceMargin*l.cfg.Allowance/float64(l.daemons))
+	return l.pool(pool).Repeat(now, l.allowance(now))
 }
 
 func (l *Limits) pool(name string) *budget.Budget {
