feat(dispatch): one dispatcher places the work of a plain service for all daemons that share it

Cause: 3 targets of 6 slots before 86 daemons. Each daemon decided alone on reports that reach it about once a second and count for 0.4 s; together they kept the targets' own queues (24 deep, 240 ms of a goal of 300) full, two fifths of all arrivals were refused there, and nearly all answers were late.

Change: the daemons that share a pool's targets (cell.Sharing) have one dispatcher, on the host with the most processor time (a setting from the sheet), also across cells. It sends a target its slots and half as many again, so that it does not idle for the way of an answer and the next request (12 ms of 60). A failure ejects a target only from a failure rate of 0.25: a single lost answer would take a third of the pool from the fleet. A request counts as late from one mean answer before its goal. Idle heartbeats to a dispatcher are bounded to a hundred a second.

--- a/cluster.go
+++ b/cluster.go
@@ -84,6 +84,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Generation is the last configuration generation that the daemon reported as in force.
 	Generation uint64 `json:"generation"`
+	// CPU is the processor time of its host, in cores; 0 if unknown.
+	CPU float64 `json:"cpu,omitempty"`
 	// Leaving is true from the start of a planned stop.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -75,6 +75,7 @@
 	self := fireflypath.Member{
 		Name: d.cfg.Name, Domain: d.cfg.Domain, PeerAddr: ln.Addr().String(),
 		CallerAddr: d.cfg.Listen.Callers, OperatorAddr: d.cfg.Listen.Operators,
+		CPU: d.cfg.Host.CPUShare * d.cfg.Host.Cores,
 		// It grows with each start under this name. If the clock was set back, the
 		// incarnation that peers know from the earlier start corrects it.
 		Incarnation: uint64(d.deps.Clock.Now().UnixMilli()),
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -154,21 +154,25 @@
 	return nil
 }
 
-// gatedScheduler returns the scheduler of a pool. The work of model engines is placed by one daemon
-// for the whole cell. Requests to plain services are short, so for them one daemon's own view of
-// the targets is enough.
+// gatedScheduler returns the scheduler of a pool. Its work is placed by one of the daemons that
+// share the pool's targets.
 func (d *Daemon) gatedScheduler(p fireflypath.Pool) fireflypath.Scheduler {
 	seed, tuning := xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.StandaloneTuning()
-	if p.Kind != fireflypath.KindEngine || d.members == nil {
+	if d.members == nil {
 		return slots.New(p, seed, tuning)
 	}
 	tuning.UseTargetReports = true
 	return remote.New(slots.New(p, seed, tuning))
 }
 
-// dispatcherScheduler returns the scheduler that the dispatcher uses for all daemons of a cell.
+// dispatcherScheduler returns the scheduler that a dispatcher uses for all daemons that share the
+// pool's targets.
 func (d *Daemon) dispatcherScheduler(p fireflypath.Pool) dispatcher.Scheduler {
-	return slots.New(p, xxhash.Sum64String(p.Name), slots.DispatcherTuning())
+	tuning := slots.DispatcherTuning()
+	if p.Kind != fireflypath.KindEngine {
+		tuning = slots.ServiceDispatcherTuning()
+	}
+	return slots.New(p, xxhash.Sum64String(p.Name), tuning)
 }
 
 // addToDispatcher has the dispatcher place the work of a pool whose scheduler is remote.
--- a/internal/decide/cell/layout.go
+++ b/internal/decide/cell/layout.go
@@ -156,11 +156,28 @@
 	if i < 0 {
 		return nil, nil
 	}
+	from, to := l.hashRange(i, l.sharingBits(len(targets)))
+	ts := sortByHash(targets)
+	return ts[partitionStart(len(ts), from, len(l.names)):partitionStart(len(ts), to, len(l.names))], l.names[from:to]
+}
+
+// Sharing returns the daemons that dispatch to the same targets of a pool as self,
+// including self, if the pool has the given number of targets.
+func (l *Layout) Sharing(self string, targets int) []string {
+	i := l.index(self)
+	if i < 0 {
+		return nil
+	}
+	from, to := l.hashRange(i, l.sharingBits(targets))
+	return l.names[from:to]
+}
+
+// sharingBits returns the number of hash bits that daemons sharing the targets of a
+// pool have in common.
+func (l *Layout) sharingBits(targets int) int {
 	bits := l.prefixBits
-	for bits > 0 && len(targets) < minTargetsPerCell<<bits {
+	for bits > 0 && targets < minTargetsPerCell<<bits {
 		bits--
 	}
-	from, to := l.hashRange(i, bits)
-	ts := sortByHash(targets)
-	return ts[partitionStart(len(ts), from, len(l.names)):partitionStart(len(ts), to, len(l.names))], l.names[from:to]
+	return bits
 }
--- a/internal/decide/cell/layout_test.go
+++ b/internal/decide/cell/layout_test.go
@@ -56,6 +56,23 @@
 	assigned, sharedWith := New(daemons).AssignedTargets("d7", names("t", 3))
 	is.Equal(len(assigned), 3)
 	is.Equal(len(sharedWith), 370)
+	is.Equal(len(New(daemons).Sharing("d7", 3)), 370)
+}
+
+// Daemons that share targets are the same whichever of them asks, and the cell itself if the
+// pool has enough targets for each cell.
+func TestSharingDaemonsAgree(t *testing.T) {
+	is := is.New(t)
+	daemons := names("d", 370)
+	l := New(daemons)
+	for _, targets := range []int{1, 3, 8, 60, 128, 2700} {
+		for _, d := range daemons[:20] {
+			group := l.Sharing(d, targets)
+			is.True(slices.Contains(group, d))
+			is.Equal(l.Sharing(group[0], targets), group)
+		}
+	}
+	is.Equal(l.Sharing("d7", 2700), l.Members("d7"))
 }
 
 // A daemon that joins 370 others must not change their cells and connections.
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -37,6 +37,9 @@
 	Local
 	// attached is true while a dispatcher decides.
 	attached bool
+	// unknownSenders is true if the targets are shared with daemons that receive no report
+	// of this one.
+	unknownSenders bool
 	// peersNeedReports is true if another daemon needs to know this one's in-flight
 	// requests.
 	peersNeedReports bool
@@ -150,12 +153,18 @@
 // load they can run. While one dispatcher decides for all, it knows everything, and a
 // report would cost three messages to each daemon of the group for every request.
 func (s *Scheduler) Report(m *fireflypath.PeerLoad) {
-	m.PartialView = m.PartialView || !s.attached
+	m.PartialView = m.PartialView || !s.attached && !s.unknownSenders
 	if !s.attached || s.peersNeedReports {
 		s.Local.Report(m)
 	}
 }
 
+// SetShare sets which targets this daemon dispatches to while it is detached.
+func (s *Scheduler) SetShare(now time.Time, share fireflypath.Share) {
+	s.unknownSenders = share.UnknownSenders
+	s.Local.SetShare(now, share)
+}
+
 // UpdatePeers applies the peers' reports of in-flight requests.
 func (s *Scheduler) UpdatePeers(now time.Time, peers []fireflypath.PeerLoad) {
 	s.peersNeedReports = slices.ContainsFunc(peers, func(m fireflypath.PeerLoad) bool { return m.PartialView })
--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -24,9 +24,8 @@
 func (s *Scheduler) chooseTarget(now time.Time, w *fireflypath.Work) *target {
 	var best *target
 	bestScore := 0.0
-	extra := s.allowedExtra(w.Rank)
 	for _, t := range s.ordered {
-		if !s.accepts(now, t, extra) || !s.hasTurn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || !s.suits(now, t, w) {
+		if !s.accepts(now, t, s.allowedExtra(t, w.Rank)) || !s.hasTurn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || !s.suits(now, t, w) {
 			continue
 		}
 		if v := s.score(now, t, w); best == nil || v < bestScore {
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -82,16 +82,20 @@
 			t.probing = false
 			return
 		}
-		t.recordFailure(now, f.firstEventAt.IsZero())
+		minRate := s.tuning.MinEjectionRate
+		if !f.firstEventAt.IsZero() {
+			minRate = neverEject
+		}
+		t.recordFailure(now, minRate)
 	case fireflypath.EventDone:
 		t.recordSuccess()
 		if !f.firstEventAt.IsZero() {
 			t.speed.ObserveAnswer(e.Tokens, now.Sub(f.firstEventAt))
 		}
 	case fireflypath.EventRefused:
-		t.recordFailure(now, true)
+		t.recordFailure(now, s.tuning.MinEjectionRate)
 	case fireflypath.EventUnsent:
-		t.recordFailure(now, true)
+		t.recordFailure(now, 0)
 		if e.Work.Lifecycle.State() == fireflypath.StateWaiting {
 			s.waiting = append(s.waiting, e.Work)
 		}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -139,10 +139,17 @@
 
 // isLate reports whether the request can no longer begin in time.
 func (s *Scheduler) isLate(now time.Time, w *fireflypath.Work) bool {
-	if !s.tuning.PredictLateness || s.maxPrefillRate == 0 {
+	minSeconds := s.tuning.LatenessMargin
+	switch {
+	case !s.tuning.PredictLateness:
+		return now.After(w.Goal)
+	case s.maxPrefillRate > 0:
+		minSeconds += float64(w.Cost.Prompt) / s.maxPrefillRate
+	case s.pool.Kind != fireflypath.KindEngine && s.slotTime > 0:
+		minSeconds += s.slotTime
+	default:
 		return now.After(w.Goal)
 	}
-	minSeconds := float64(w.Cost.Prompt)/s.maxPrefillRate + s.tuning.LatenessMargin
 	return now.After(w.Goal.Add(-time.Duration(minSeconds * float64(time.Second))))
 }
 
@@ -187,7 +194,7 @@
 
 func (s *Scheduler) anyTargetAccepts(now time.Time) bool {
 	for _, t := range s.ordered {
-		if s.accepts(now, t, s.tuning.MaxTargetQueue) {
+		if s.accepts(now, t, s.pipelined(t)+s.tuning.MaxTargetQueue) {
 			return true
 		}
 	}
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -356,6 +356,30 @@
 	is.Equal(len(dispatchAll(s, later)), 1) // of the two waiting requests one is the probe
 }
 
+// A target of a plain service loses a few of its answers. The one dispatcher of all daemons
+// must not eject it for each of them, which would take a third of the pool from the fleet
+// all the time. Failures in a row do eject it.
+func TestSingleLostAnswerDoesNotEjectForFleet(t *testing.T) {
+	is := is.New(t)
+	s := slots.New(fireflypath.Pool{Name: "p", Kind: fireflypath.KindService}, 7, slots.ServiceDispatcherTuning())
+	s.SetTargets(start, newTargets(1))
+	// end offers requests, ends the dispatched ones and returns their number.
+	end := func(n int, kind fireflypath.EventKind) int {
+		for range n {
+			s.Offer(start, newWork("a", 0, start), nil)
+		}
+		placed := dispatchAll(s, start)
+		for _, p := range placed {
+			s.Observe(start, fireflypath.Event{Kind: kind, Target: p.Target, Work: p.Work})
+		}
+		return len(placed)
+	}
+	is.Equal(end(1, fireflypath.EventFailed), 1)
+	is.Equal(end(1, fireflypath.EventDone), 1)
+	is.Equal(end(3, fireflypath.EventFailed), 3)
+	is.Equal(end(1, fireflypath.EventDone), 0)
+}
+
 // A target restarts after a crash, and all daemons see it at the same moment, each
 // with a queue. If each daemon filled it, it would receive its number of slots from
 // every one.
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -23,6 +23,8 @@
 	maxEjection = 4 * time.Second
 	// failureWeight is the weight of a new outcome in the failure rate.
 	failureWeight = 0.15
+	// neverEject is a failure rate that no target reaches.
+	neverEject = 2
 	// takeoverPeriod is how long requests of a target's previous daemons are
 	// assumed to last. Requests occupy a slot for half a second at fast engines and
 	// for two seconds at the slowest; 0.8 s leaves few fast engines idle.
@@ -144,8 +146,13 @@
 
 // allowedExtra returns how many requests beyond its slots a target may have when
 // one of the rank is sent.
-func (s *Scheduler) allowedExtra(rank int) int {
-	return min(max(s.lowestRank-rank, 0), s.tuning.MaxTargetQueue)
+func (s *Scheduler) allowedExtra(t *target, rank int) int {
+	return s.pipelined(t) + min(max(s.lowestRank-rank, 0), s.tuning.MaxTargetQueue)
+}
+
+// pipelined returns how many requests beyond its slots the target may always have.
+func (s *Scheduler) pipelined(t *target) int {
+	return int(math.Ceil(s.tuning.PipelinedFraction * float64(t.slots())))
 }
 
 // skipReason returns why the target accepts no request, or "" if it does. extra is
@@ -186,13 +193,13 @@
 	t.ejection, t.ejectedUntil, t.probing = 0, time.Time{}, false
 }
 
-// recordFailure counts a failure and, if eject is set, ejects the target for some
-// time.
-func (t *target) recordFailure(now time.Time, eject bool) {
+// recordFailure counts a failure and, if the failure rate is at least minRate, ejects
+// the target for some time.
+func (t *target) recordFailure(now time.Time, minRate float64) {
 	t.failureRate += failureWeight * (1 - t.failureRate)
 	t.probing = false
 	t.ownFreedAt = time.Time{}
-	if eject {
+	if t.failureRate >= minRate {
 		t.ejection = min(max(2*t.ejection, minEjection), maxEjection)
 		t.ejectedUntil = now.Add(t.ejection)
 	}
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -51,6 +51,14 @@
 	// MaxDurationFraction is the fraction of the time to its deadline in which a
 	// request must be expected to end.
 	MaxDurationFraction float64 `json:"hurry"`
+	// PipelinedFraction is the number of requests beyond its slots that a target may always
+	// have, as a fraction of the slots. They keep it busy between an answer and the arrival
+	// of the next request.
+	PipelinedFraction float64 `json:"pipelined"`
+	// MinEjectionRate is the failure rate from which a failed request ejects its target.
+	// A single dispatcher's ejection takes the target from the whole fleet, so one lost
+	// answer among many must not cause it.
+	MinEjectionRate float64 `json:"eject"`
 	// ScoreNoise is the fraction of the expected time by which the scores of
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
@@ -74,6 +82,15 @@
 	return t
 }
 
+// ServiceDispatcherTuning returns the tuning of a dispatcher that decides for all daemons
+// in a pool of plain services. Their requests are short compared with the way to the
+// dispatcher and back.
+func ServiceDispatcherTuning() Tuning {
+	t := DispatcherTuning()
+	t.PipelinedFraction, t.MinEjectionRate = 0.5, 0.25
+	return t
+}
+
 // Apply returns the tuning with the parameters changed that the JSON object names.
 func (t Tuning) Apply(object []byte) (Tuning, error) {
 	d := json.NewDecoder(bytes.NewReader(object))
--- a/internal/decide/slots/views.go
+++ b/internal/decide/slots/views.go
@@ -14,7 +14,7 @@
 		}
 		c := fireflypath.Candidate{
 			Target: t.Name, InFlight: t.pendingPrefill, Reported: s.otherRequests(now, t), Age: now.Sub(t.reportedAt),
-			Window: t.slots(), Score: s.score(now, t, w), SkipReason: s.skipReason(now, t, s.allowedExtra(w.Rank)),
+			Window: t.slots(), Score: s.score(now, t, w), SkipReason: s.skipReason(now, t, s.allowedExtra(t, w.Rank)),
 		}
 		out = append(out, c)
 	}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -64,9 +64,9 @@
 		changes, waiting = c.sched.TakeUpdate(), c.sched.HasPending()
 		return out
 	})
-	interval := idleHeartbeat
-	if waiting {
-		interval = waitingHeartbeat
+	interval := waitingHeartbeat
+	if !waiting {
+		interval = c.idleInterval()
 	}
 	if changes.Empty() && c.d.clock.Since(c.lastSent) < interval {
 		return
@@ -101,10 +101,18 @@
 	return false
 }
 
+// idleInterval is the longest time between two updates while no work waits.
+func (c *client) idleInterval() time.Duration {
+	s := c.d.server(c.name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heartbeatInterval()
+}
+
 // bestCandidate returns the first candidate that was not unresponsive recently.
 func (c *client) bestCandidate() (fireflypath.Member, bool) {
 	now := c.d.clock.Now()
-	for _, m := range c.d.candidates() {
+	for _, m := range c.d.Candidates(c.name) {
 		if now.After(c.avoidUntil[m.Name]) {
 			return m, true
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,8 +39,12 @@
 	// hangs is detected within callTimeout after that.
 	waitingHeartbeat = 100 * time.Millisecond
 	idleHeartbeat    = time.Second
-	// sessionTimeout is when a dispatcher ends the session of a silent daemon.
-	sessionTimeout = 3 * time.Second
+	// idleHeartbeatPerDaemon bounds the heartbeats that a dispatcher receives to a hundred a
+	// second, however many daemons it serves.
+	idleHeartbeatPerDaemon = 10 * time.Millisecond
+	// heartbeatsPerSession is the number of idle heartbeats after which a dispatcher ends the
+	// session of a silent daemon.
+	heartbeatsPerSession = 3
 	// localFallbackDelay is how long work is held back while another dispatcher is
 	// selected.
 	localFallbackDelay = 300 * time.Millisecond
@@ -236,9 +240,6 @@
 		byPool[t.Pool] = append(byPool[t.Pool], t)
 	}
 	for _, p := range cfg.Pools {
-		if p.Kind != fireflypath.KindEngine {
-			continue
-		}
 		d.mu.Lock()
 		s := d.servers[p.Name]
 		if s == nil {
@@ -258,7 +259,8 @@
 }
 
 // HasPartialView reports whether this daemon places work for a part of its cell only. The
-// other daemons then have to send it their in-flight work.
+// other daemons then have to send it their in-flight work. Pools whose targets are shared
+// with other cells do not count: reports do not reach those.
 func (d *Dispatch) HasPartialView() bool {
 	d.mu.Lock()
 	servers := slices.Collect(maps.Values(d.servers))
@@ -266,7 +268,7 @@
 	return slices.ContainsFunc(servers, func(s *server) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.hasPartialView()
+		return s.cellOnly && s.hasPartialView()
 	})
 }
 
@@ -287,27 +289,43 @@
 	}
 }
 
-// candidates returns the daemons of this cell in the order in which all of its daemons
-// try them as dispatcher. The one that has run longest comes first, so that a daemon that
-// joins does not replace the dispatcher. Those that are leaving come last.
-func (d *Dispatch) candidates() []fireflypath.Member {
-	live := d.fleet.Live()
-	names := d.fleet.Layout().Members(d.self)
-	if len(names) == 0 {
-		names = []string{d.self}
+// Candidates returns the daemons that this one tries as dispatcher of a pool, in this order.
+func (d *Dispatch) Candidates(pool string) []fireflypath.Member {
+	s := d.server(pool)
+	if s == nil {
+		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.candidates()
+}
+
+// rank returns the members with the given names in the order in which daemons try them as
+// dispatcher.
+func rank(live []fireflypath.Member, names []string, compare func(a, b fireflypath.Member) int) []fireflypath.Member {
 	out := make([]fireflypath.Member, 0, len(names))
 	for _, name := range names {
 		if m, ok := fireflypath.FindMember(live, name); ok {
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, compareAge)
+	slices.SortFunc(out, compare)
 	return out
 }
 
-// compareAge sorts daemons by how long they have run, longest first. Those that are
-// leaving come last.
+// compareCapacity sorts daemons by the processor time of their hosts, most first, and then
+// by compareAge.
+func compareCapacity(a, b fireflypath.Member) int {
+	if a.Leaving == b.Leaving {
+		if c := cmp.Compare(b.CPU, a.CPU); c != 0 {
+			return c
+		}
+	}
+	return compareAge(a, b)
+}
+
+// compareAge sorts daemons by how long they have run, longest first, so that a daemon that
+// joins does not replace the dispatcher. Those that are leaving come last.
 func compareAge(a, b fireflypath.Member) int {
 	if a.Leaving != b.Leaving {
 		if a.Leaving {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,6 +39,8 @@
 	// silent daemons accept calls and never respond. Killed ones are unreachable.
 	silent, killed map[string]bool
 	leaving        map[string]bool
+	// cpu is the processor time of each host, in cores.
+	cpu map[string]float64
 	// cut holds the pairs of daemons that cannot reach each other.
 	cut map[[2]string]bool
 	// inFlight counts the requests at each target, maxInFlight is its highest value.
@@ -88,8 +92,9 @@
 	var out []fireflypath.Member
 	for i := range len(n.cluster.nodes) {
 		name := fmt.Sprintf("d%d", i)
-		out = append(out, fireflypath.Member{Name: name, Incarnation: uint64(i + 1), Leaving: n.cluster.leaving[name]})
+		out = append(out, fireflypath.Member{Name: name, Incarnation: uint64(i + 1), CPU: n.cluster.cpu[name], Leaving: n.cluster.leaving[name]})
 	}
+	slices.SortFunc(out, func(a, b fireflypath.Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -102,9 +107,15 @@
 }
 
 func start(t *testing.T, daemons, targets int) *cluster {
+	t.Helper()
+	return startPool(t, cfg, slots.DispatcherTuning(), daemons, targets)
+}
+
+// startPool starts a cluster for one pool, whose dispatcher uses the given tuning.
+func startPool(t *testing.T, cfg fireflypath.Pool, tuning slots.Tuning, daemons, targets int) *cluster {
 	t.Helper()
 	c := &cluster{
-		nodes: map[string]*node{}, silent: map[string]bool{}, killed: map[string]bool{}, leaving: map[string]bool{},
+		nodes: map[string]*node{}, silent: map[string]bool{}, killed: map[string]bool{}, leaving: map[string]bool{}, cpu: map[string]float64{},
 		cut:      map[[2]string]bool{},
 		inFlight: map[string]int{}, maxInFlight: map[string]int{},
 	}
@@ -119,7 +130,7 @@
 		d := &node{cluster: c, name: fmt.Sprintf("d%d", i), methods: map[string]peer.Handler{}}
 		c.nodes[d.name] = d
 		d.dispatch = dispatch.New(d.name, d, d, clock, tally.NoopScope, zap.NewNop(), func(p fireflypath.Pool) dispatcher.Scheduler {
-			return slots.New(p, 1, slots.DispatcherTuning())
+			return slots.New(p, 1, tuning)
 		})
 	}
 	for _, d := range c.nodes {
@@ -333,3 +344,25 @@
 		}
 	})
 }
+
+// A fleet of several cells shares the three targets of a plain service. With a dispatcher for
+// each cell, every target would get its slots' worth of requests from each of them.
+func TestServicePoolHasOneDispatcherForAllCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := fireflypath.Pool{Name: "p", Kind: fireflypath.KindService}
+		c := startPool(t, service, slots.ServiceDispatcherTuning(), 30, 3)
+		c.mu.Lock()
+		c.cpu["d7"] = 0.8
+		c.mu.Unlock()
+		time.Sleep(time.Second)
+		is.True(c.nodes["d0"].Layout().CellCount() > 1)
+		is.Equal(c.burst(3, 60*time.Millisecond), 90)
+		for _, most := range c.maxInFlight {
+			is.True(most <= slotsPerTarget+2) // the slots and half as many again
+		}
+		for _, name := range []string{"d0", "d7", "d29"} {
+			is.Equal(c.nodes[name].dispatch.Candidates("p")[0].Name, "d7") // the host with the most processor time
+		}
+	})
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 )
 
@@ -20,8 +21,15 @@
 	mu       sync.Mutex
 	queue    *dispatcher.Dispatcher
 	sessions map[string]*session
-	timer    clockwork.Timer
-	wakeAt   time.Time
+	// cellOnly is true if a dispatcher serves one cell only, and false if it serves all
+	// daemons that share the pool's targets.
+	cellOnly bool
+	// targets is the number of targets of the pool.
+	targets int
+	// ranking is the last result of candidates.
+	ranking ranking
+	timer   clockwork.Timer
+	wakeAt  time.Time
 }
 
 // session is a daemon whose work this one places.
@@ -35,7 +43,59 @@
 }
 
 func newServer(d *Dispatch, cfg fireflypath.Pool) *server {
-	return &server{d: d, pool: cfg.Name, queue: dispatcher.New(cfg.Name, d.newScheduler(cfg)), sessions: map[string]*session{}}
+	return &server{
+		d: d, pool: cfg.Name, queue: dispatcher.New(cfg.Name, d.newScheduler(cfg)), sessions: map[string]*session{},
+		cellOnly: cfg.Kind == fireflypath.KindEngine,
+	}
+}
+
+// candidates returns the daemons that use the same dispatcher as this one, in the order in
+// which all of them try each other as dispatcher. The caller holds mu.
+//
+// A pool of plain services has few targets and many short requests. Its targets are shared
+// by many cells, so that a dispatcher for each would send them several times what they can
+// run. The one dispatcher for all cells handles every request to the pool, which takes a
+// host with enough processor time.
+func (s *server) candidates() []fireflypath.Member {
+	live, layout := s.d.fleet.Live(), s.d.fleet.Layout()
+	if s.ranking.matches(live, layout, s.targets) {
+		return s.ranking.members
+	}
+	names, compare := layout.Members(s.d.self), compareAge
+	if !s.cellOnly {
+		names, compare = layout.Sharing(s.d.self, s.targets), compareCapacity
+	}
+	if len(names) == 0 {
+		names = []string{s.d.self}
+	}
+	s.ranking = ranking{live: live, layout: layout, targets: s.targets, members: rank(live, names, compare)}
+	return s.ranking.members
+}
+
+// ranking is a list of dispatcher candidates and what it was computed from. Without it, each
+// daemon would sort its whole fleet many times a second.
+type ranking struct {
+	live    []fireflypath.Member
+	layout  *cell.Layout
+	targets int
+	members []fireflypath.Member
+}
+
+// matches reports whether the ranking was computed from the given values. Views of the
+// membership are immutable, so equal slices share their first element.
+func (r *ranking) matches(live []fireflypath.Member, layout *cell.Layout, targets int) bool {
+	return r.layout == layout && r.targets == targets && len(r.live) == len(live) && len(live) > 0 && &r.live[0] == &live[0]
+}
+
+// heartbeatInterval is the longest time between two updates of a daemon that has no work
+// waiting. The caller holds mu.
+func (s *server) heartbeatInterval() time.Duration {
+	return max(idleHeartbeat, time.Duration(len(s.candidates()))*idleHeartbeatPerDaemon)
+}
+
+// sessionTimeout is when the session of a silent daemon ends. The caller holds mu.
+func (s *server) sessionTimeout() time.Duration {
+	return heartbeatsPerSession * s.heartbeatInterval()
 }
 
 // processUpdate applies an update of a daemon and returns the decisions for it.
@@ -92,7 +152,7 @@
 	if len(s.sessions) == 0 {
 		return false
 	}
-	for _, m := range s.d.candidates() {
+	for _, m := range s.candidates() {
 		if sess := s.sessions[m.Name]; sess == nil || !sess.synced {
 			return true
 		}
@@ -174,7 +234,7 @@
 
 // scheduleWake sets the timer if the queue has to be woken earlier. The caller holds mu.
 func (s *server) scheduleWake(now time.Time) {
-	at := now.Add(sessionTimeout)
+	at := now.Add(s.sessionTimeout())
 	if due := s.queue.Wake(now); !due.IsZero() && due.Before(at) {
 		at = due
 	}
@@ -206,8 +266,9 @@
 	}
 	now := s.d.clock.Now()
 	s.wakeAt = time.Time{}
+	timeout := s.sessionTimeout()
 	for name, sess := range s.sessions {
-		if now.Sub(sess.lastHeard) > sessionTimeout {
+		if now.Sub(sess.lastHeard) > timeout {
 			s.endSession(now, name)
 		}
 	}
@@ -216,7 +277,10 @@
 }
 
 func (s *server) setTargets(targets []fireflypath.Target) {
-	s.change(func(now time.Time) { s.queue.SetTargets(now, targets) })
+	s.change(func(now time.Time) {
+		s.targets = len(targets)
+		s.queue.SetTargets(now, targets)
+	})
 }
 
 func (s *server) setShare(share fireflypath.Share) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -16,6 +16,8 @@
 	Platform Platform `json:"platform"`
 	// Peers configures the connections to other daemons.
 	Peers Peers `json:"peers"`
+	// Host describes the host on which the daemon runs.
+	Host Host `json:"host"`
 	// Limits bounds the resources that callers can consume.
 	Limits Limits `json:"limits"`
 	// Stop configures a planned stop.
@@ -75,6 +77,14 @@
 	AllowPlaintext bool `json:"plain,omitempty"`
 }
 
+// Host is the capacity of a host. 0 means unknown.
+type Host struct {
+	// CPUShare is the fraction of its processor that the daemon may use, and Cores the speed
+	// of that processor in cores.
+	CPUShare float64 `json:"cpu,omitempty" validate:"min=0,max=1"`
+	Cores    float64 `json:"cores,omitempty" validate:"min=0"`
+}
+
 // Limits bounds memory use and malformed input. 0 selects the default.
 type Limits struct {
 	// Body is the maximum size of a request body in bytes.
