feat(member): a daemon that starts adopts the members that the store lists

Callers saw: in the two seconds after all hosts had lost power one answer in five was late. Cause: a daemon finds the others half a second after its start (it registers after 0.4 s, so that one write is enough). Until then each takes itself for the whole fleet, uses all targets and dispatches alone; afterwards cells place work at targets that still run what the others sent there.

Change: the first read of the store already holds the records of the earlier run, with the same names and addresses, at no further call. Their daemons count as alive, unconfirmed, for up to 2 s; cells and dispatchers are then the final ones at once. Among daemons that started within 4 s the dispatcher is chosen by the hash of the name, as which of them was first is not known yet to all; older ones still go first.

--- a/cluster.go
+++ b/cluster.go
@@ -88,6 +88,9 @@
 	CPU float64 `json:"cpu,omitempty"`
 	// Leaving is true from the start of a planned stop.
 	Leaving bool `json:"leaving,omitempty"`
+	// Unconfirmed is true if this daemon knows the member only from its record in the store,
+	// which may be of an earlier start. It is not sent to others.
+	Unconfirmed bool `json:"-"`
 }
 
 // Members provides the live daemons, including this one.
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -20,6 +20,7 @@
 	"github.com/fireflypath/fireflypath/internal/gate"
 	gatelimits "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -121,6 +122,7 @@
 	}
 	if relay != nil {
 		relay.Serve(d.directory)
+		d.directory.OnRead(member.RecordPrefix, d.members.AdoptRecords)
 	}
 	d.deps.Configs = d.directory
 	d.background.Go(func() { _ = d.directory.Run(d.ctx) })
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,6 +78,10 @@
 	subscribedPrefix string
 	subscriber       func(fireflypath.Entry)
 
+	// recordReader receives the entries with the prefix recordPrefix at each read of all keys.
+	recordPrefix string
+	recordReader func([]fireflypath.Entry)
+
 	// Only Run uses the fields below.
 	// subscribedKeys holds the existing keys with the prefix subscribedPrefix.
 	subscribedKeys map[string]bool
@@ -153,6 +157,12 @@
 	d.subscribedPrefix, d.subscriber = prefix, fn
 }
 
+// OnRead registers a function that is called at each read of all keys with the entries whose
+// keys have the prefix. It must be called before Run.
+func (d *Directory) OnRead(prefix string, fn func([]fireflypath.Entry)) {
+	d.recordPrefix, d.recordReader = prefix, fn
+}
+
 // Current returns the configuration in force with the currently known targets.
 func (d *Directory) Current() *fireflypath.Config {
 	return d.current.Load()
--- a/internal/directory/reading.go
+++ b/internal/directory/reading.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	if err != nil {
 		return err
 	}
+	d.passRecords(all.Entries)
 	seen := map[string]bool{}
 	for _, e := range all.Entries {
 		seen[e.Key] = true
@@ -38,6 +40,20 @@
 	return nil
 }
 
+// passRecords passes the entries with the prefix recordPrefix on.
+func (d *Directory) passRecords(entries []fireflypath.Entry) {
+	if d.recordReader == nil {
+		return
+	}
+	var records []fireflypath.Entry
+	for _, e := range entries {
+		if strings.HasPrefix(e.Key, d.recordPrefix) {
+			records = append(records, e)
+		}
+	}
+	d.recordReader(records)
+}
+
 // watch waits for changes. It always continues from the last change seen, never from the
 // store's own revision. Otherwise, a watch that missed changes would skip them for good,
 // instead of showing them as a difference between the two revisions.
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -86,6 +86,7 @@
 	for ctx.Err() == nil {
 		best, ok := c.bestCandidate()
 		if ok && best.Name == c.dispatcher.Name {
+			c.dispatcher = best // its address and confirmation may have changed
 			return true
 		}
 		if !ok || c.dispatcher.Name == "" && c.d.clock.Since(c.lostAt) > localFallbackDelay {
@@ -159,7 +160,11 @@
 // avoid does not try a daemon again for avoidPeriod.
 func (c *client) avoid(m fireflypath.Member, err error) {
 	if m.Name != c.d.self {
-		c.avoidUntil[m.Name] = c.d.clock.Now().Add(avoidPeriod)
+		period := avoidPeriod
+		if m.Unconfirmed {
+			period = unconfirmedAvoidPeriod
+		}
+		c.avoidUntil[m.Name] = c.d.clock.Now().Add(period)
 	}
 	c.d.log.Warn("dispatcher does not respond", zap.String("pool", c.name), zap.String("dispatcher", m.Name), logs.Err(err))
 }
@@ -205,7 +210,11 @@
 	if to.Name == c.d.self {
 		return c.d.processUpdate(c.d.self, &m)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if to.Unconfirmed {
+		timeout = unconfirmedTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var out decisionsMessage
 	err := c.d.peers.Call(ctx, to, methodUpdate, m, &out)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
@@ -54,6 +55,13 @@
 	// cell before it places work. In that time daemons that wait for it start their
 	// sessions or report their in-flight work.
 	gatherTimeout = 100 * time.Millisecond
+	// startPeriodMillis is the time in ms within which daemons count as started together. All
+	// hosts that regain power do so within half a second.
+	startPeriodMillis = 4000
+	// unconfirmedTimeout bounds the first call to a daemon that may not have started yet, and
+	// unconfirmedAvoidPeriod is how long it is not tried again.
+	unconfirmedTimeout     = 100 * time.Millisecond
+	unconfirmedAvoidPeriod = 300 * time.Millisecond
 	// pollInterval is how often the selection of the dispatcher is checked.
 	pollInterval = 50 * time.Millisecond
 )
@@ -313,28 +321,31 @@
 	return out
 }
 
-// compareCapacity sorts daemons by the processor time of their hosts, most first, and then
-// by compareAge.
-func compareCapacity(a, b fireflypath.Member) int {
-	if a.Leaving == b.Leaving {
-		if c := cmp.Compare(b.CPU, a.CPU); c != 0 {
-			return c
+// order returns how daemons that share a dispatcher are compared. Those that are leaving come
+// last. byCapacity puts those with more processor time first. Then come those that have run
+// longest, so that a daemon that joins does not replace the dispatcher; those that started
+// together are ordered by the hashes of their names. A member known only from its record
+// counts as started together with this daemon.
+func (d *Dispatch) order(live []fireflypath.Member, byCapacity bool) func(a, b fireflypath.Member) int {
+	self, _ := fireflypath.FindMember(live, d.self)
+	startPeriod := func(m fireflypath.Member) uint64 {
+		if m.Unconfirmed {
+			m.Incarnation = self.Incarnation
 		}
+		return m.Incarnation / startPeriodMillis
 	}
-	return compareAge(a, b)
-}
-
-// compareAge sorts daemons by how long they have run, longest first, so that a daemon that
-// joins does not replace the dispatcher. Those that are leaving come last.
-func compareAge(a, b fireflypath.Member) int {
-	if a.Leaving != b.Leaving {
-		if a.Leaving {
-			return 1
+	return func(a, b fireflypath.Member) int {
+		if a.Leaving != b.Leaving {
+			if a.Leaving {
+				return 1
+			}
+			return -1
 		}
-		return -1
-	}
-	if c := cmp.Compare(a.Incarnation, b.Incarnation); c != 0 {
-		return c
+		if c := cmp.Compare(b.CPU, a.CPU); byCapacity && c != 0 {
+			return c
+		}
+		return cmp.Or(cmp.Compare(startPeriod(a), startPeriod(b)), cmp.Compare(nameHash(a), nameHash(b)), strings.Compare(a.Name, b.Name))
 	}
-	return strings.Compare(a.Name, b.Name)
 }
+
+func nameHash(m fireflypath.Member) uint64 { return xxhash.Sum64String(m.Name) }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -92,7 +92,7 @@
 	var out []fireflypath.Member
 	for i := range len(n.cluster.nodes) {
 		name := fmt.Sprintf("d%d", i)
-		out = append(out, fireflypath.Member{Name: name, Incarnation: uint64(i + 1), CPU: n.cluster.cpu[name], Leaving: n.cluster.leaving[name]})
+		out = append(out, fireflypath.Member{Name: name, Incarnation: uint64(i+1) * 10_000, CPU: n.cluster.cpu[name], Leaving: n.cluster.leaving[name]})
 	}
 	slices.SortFunc(out, func(a, b fireflypath.Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -61,14 +61,14 @@
 	if s.ranking.matches(live, layout, s.targets) {
 		return s.ranking.members
 	}
-	names, compare := layout.Members(s.d.self), compareAge
+	names := layout.Members(s.d.self)
 	if !s.cellOnly {
-		names, compare = layout.Sharing(s.d.self, s.targets), compareCapacity
+		names = layout.Sharing(s.d.self, s.targets)
 	}
 	if len(names) == 0 {
 		names = []string{s.d.self}
 	}
-	s.ranking = ranking{live: live, layout: layout, targets: s.targets, members: rank(live, names, compare)}
+	s.ranking = ranking{live: live, layout: layout, targets: s.targets, members: rank(live, names, s.d.order(live, !s.cellOnly))}
 	return s.ranking.members
 }
 
--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -93,6 +93,9 @@
 	left    bool
 	entries map[string]*entry
 	changed chan struct{}
+	// startedAt is when this daemon started, adopted is signalled when it adopts members.
+	startedAt time.Time
+	adopted   chan struct{}
 	// updates is the queue of updates, numbered from firstUpdate. cursors holds the number
 	// of the next update for each peer.
 	updates     []queuedUpdate
@@ -147,7 +150,7 @@
 		entries: map[string]*entry{}, changed: make(chan struct{}), cursors: map[string]uint64{},
 		directUpdates: map[string][]peer.MemberUpdate{}, differsSince: map[string]time.Time{}, syncedAt: map[string]time.Time{},
 		sentViews: map[string]sentView{}, receivedViews: map[string]uint32{},
-		lastStep: clock.Now(),
+		lastStep: clock.Now(), startedAt: clock.Now(), adopted: make(chan struct{}, 1),
 	}
 	m.publish()
 	return m
@@ -205,7 +208,9 @@
 	for _, e := range m.entries {
 		switch {
 		case e.live():
-			live = append(live, e.member)
+			member := e.member
+			member.Unconfirmed = !e.adoptedAt.IsZero()
+			live = append(live, member)
 		case e.state == peer.Dead && now.Sub(e.stateSince) < missingPeriod:
 			missing++
 		}
@@ -291,8 +296,9 @@
 		e = &entry{}
 		m.entries[u.Member.Name] = e
 	} else if !e.supersedes(u) {
-		return false
+		return m.confirm(e, u)
 	}
+	e.adoptedAt = time.Time{}
 	wasLive := ok && e.live()
 	if u.Member.Incarnation != e.member.Incarnation {
 		// A new incarnation starts without dial failures, even at the same address.
@@ -308,6 +314,16 @@
 	return true
 }
 
+// confirm ends the adoption of a member if the update shows that it runs. It reports false,
+// as the member's state stays the same. The caller holds mu and publishes the view.
+func (m *Membership) confirm(e *entry, u peer.MemberUpdate) bool {
+	if u.State == peer.Alive && u.Member.Incarnation == e.member.Incarnation && !e.adoptedAt.IsZero() {
+		e.adoptedAt = time.Time{}
+		m.viewStale = true
+	}
+	return false
+}
+
 // reportChange counts and logs a change of the state of a member.
 func (m *Membership) reportChange(e *entry, wasLive bool) {
 	switch {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
 const (
-	// recordPrefix is the prefix of the keys of the daemons' records in the store.
-	recordPrefix = "members/"
+	// RecordPrefix is the prefix of the keys of the daemons' records in the store.
+	RecordPrefix = "members/"
 	// minRenewInterval is the time between two renewals of a lease in a small fleet. In a
 	// large one it is renewIntervalPerDaemon times the number of daemons, so that the
 	// whole fleet makes at most four calls a second at any size.
@@ -30,6 +32,10 @@
 	// with the TTL for a small fleet it would need a second lease a second later. The
 	// record that a dead daemon leaves until then costs each of the others one dial.
 	minTTL = time.Minute
+	// adoptionPeriod is how long after its start a daemon adopts the members listed in the
+	// store, and how long they count as unconfirmed. By its end, connections and updates
+	// have brought the current state of all that run.
+	adoptionPeriod = 2 * time.Second
 	// renewalsPerDiscovery is the number of renewals between two reads of the records.
 	renewalsPerDiscovery = 4
 )
@@ -120,7 +126,7 @@
 	}
 	// A record of an earlier run of this daemon may still exist under another lease.
 	// It is replaced regardless of its revision.
-	if _, err := m.store.Put(ctx, recordPrefix+self.Name, b, fireflypath.AnyRevision, rec.lease); err != nil {
+	if _, err := m.store.Put(ctx, RecordPrefix+self.Name, b, fireflypath.AnyRevision, rec.lease); err != nil {
 		return errors.Wrap(err, "write the member record")
 	}
 	rec.written = self
@@ -165,9 +171,9 @@
 // yet.
 func (m *Membership) listRecords(ctx context.Context) ([]fireflypath.Entry, error) {
 	if s, ok := m.store.(fireflypath.StaleLister); ok && len(m.Live()) > 1 {
-		return s.ListStale(ctx, recordPrefix)
+		return s.ListStale(ctx, RecordPrefix)
 	}
-	return m.store.List(ctx, recordPrefix)
+	return m.store.List(ctx, RecordPrefix)
 }
 
 // knows reports whether a record contains nothing new.
@@ -180,3 +186,53 @@
 	e, ok := m.entries[other.Name]
 	return ok && (e.live() || e.member.Incarnation >= other.Incarnation)
 }
+
+// AdoptRecords adds the daemons that have a record in the store, if this daemon has just
+// started. They count as alive until their neighbours find that they are not.
+//
+// After a loss of power all daemons start at once, and each needs half a second to find the
+// others by itself. Until then it would take itself for the whole fleet and use all targets,
+// as would all others. The records of the earlier run hold the same names and addresses.
+func (m *Membership) AdoptRecords(records []fireflypath.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if m.left || now.Sub(m.startedAt) > adoptionPeriod {
+		return
+	}
+	adopted := 0
+	for _, r := range records {
+		var other fireflypath.Member
+		if json.Unmarshal(r.Value, &other) != nil || other.Name == "" || other.PeerAddr == "" || other.Name == m.self.Name || other.Leaving {
+			continue
+		}
+		if _, ok := m.entries[other.Name]; ok || len(m.entries) >= maxEntries {
+			continue
+		}
+		m.entries[other.Name] = &entry{member: other, state: peer.Alive, stateSince: now, lastAlive: now, adoptedAt: now}
+		adopted++
+	}
+	if adopted == 0 {
+		return
+	}
+	m.publish()
+	m.log.Info("adopted members from their records", zap.Int("members", adopted))
+	select {
+	case m.adopted <- struct{}{}:
+	default:
+	}
+}
+
+// confirmAdopted ends the adoption of members after adoptionPeriod. The caller holds mu.
+func (m *Membership) confirmAdopted(now time.Time) {
+	confirmed := false
+	for _, e := range m.entries {
+		if !e.adoptedAt.IsZero() && now.Sub(e.adoptedAt) > adoptionPeriod {
+			e.adoptedAt = time.Time{}
+			confirmed = true
+		}
+	}
+	if confirmed {
+		m.publish()
+	}
+}
--- a/internal/member/run.go
+++ b/internal/member/run.go
@@ -36,8 +36,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.Chan():
-			m.step(ctx)
+		case <-m.adopted:
 		}
+		m.step(ctx)
 	}
 }
 
@@ -71,6 +72,7 @@
 			delete(m.receivedViews, name)
 		}
 	}
+	m.confirmAdopted(now)
 	if v := m.view.Load(); v.missing > 0 {
 		m.updateMissing()
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -19,6 +19,9 @@
 	stateSince time.Time
 	// lastAlive is when the daemon was last known to be alive, from a message or a helper.
 	lastAlive time.Time
+	// adoptedAt is when the daemon was added from its record in the store; zero once it is
+	// confirmed.
+	adoptedAt time.Time
 	// dialing and probing are true while a dial or a probe is in progress.
 	dialing, probing bool
 	// nextDial is the earliest time of the next dial, dialFailures the number of
