feat(slots): a daemon uses its part of the slots while the others report nothing

Callers saw: after all processes were killed under a burst, a wave of callers came back within half a second, and targets got several times what they can run, lowest tier included: first events of the highest tier after 1 s for one in ten. Cause: a daemon that has no dispatcher yet fills every slot that it sees free, and sees none of the others' requests.

Change: until as many daemons report as share the targets, one that decides alone has no more requests in flight than its equal part of the slots; the rest waits, by tier, for the dispatcher.

--- a/internal/daemon/gatemembership.go
+++ b/internal/daemon/gatemembership.go
@@ -69,14 +69,14 @@
 func (d *Daemon) poolShare(names []string) fireflypath.Share {
 	layout := d.members.Layout()
 	if layout.CellCount() == 1 {
-		return fireflypath.Share{Default: 1}
+		return fireflypath.Share{Default: 1, Senders: len(d.members.Live())}
 	}
 	assigned, peers := layout.AssignedTargets(d.cfg.Name, names)
 	unknownSenders := len(peers) > len(layout.Members(d.cfg.Name))
 	if len(assigned) == 0 || len(assigned) == len(names) {
-		return fireflypath.Share{Default: 1, UnknownSenders: unknownSenders}
+		return fireflypath.Share{Default: 1, UnknownSenders: unknownSenders, Senders: len(peers)}
 	}
-	s := fireflypath.Share{Fractions: make(map[string]float64, len(assigned)), UnknownSenders: unknownSenders}
+	s := fireflypath.Share{Fractions: make(map[string]float64, len(assigned)), UnknownSenders: unknownSenders, Senders: len(peers)}
 	for _, name := range assigned {
 		s.Fractions[name] = 1
 	}
--- a/internal/decide/slots/peers.go
+++ b/internal/decide/slots/peers.go
@@ -83,7 +83,7 @@
 // UpdatePeers replaces what is known of the requests that other daemons have in
 // flight and waiting.
 func (s *Scheduler) UpdatePeers(now time.Time, peers []fireflypath.PeerLoad) {
-	s.competitors = s.competitors[:0]
+	s.competitors, s.reporters = s.competitors[:0], len(peers)
 	for _, m := range peers {
 		if r, ok := m.WaitingRanks[s.pool.Name]; ok {
 			s.competitors = append(s.competitors, competitor{hash: xxhash.Sum64String(m.Name + "/" + s.pool.Name), rank: r})
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -66,6 +66,8 @@
 	share      fireflypath.Share
 	// floor guarantees each tier a minimum of service.
 	floor *floor.Floor
+	// reporters is the number of other daemons that report their requests.
+	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
 	competitors []competitor
 }
@@ -156,7 +158,7 @@
 // Next chooses the next request and its target and counts it as in flight. A
 // starved tier goes first.
 func (s *Scheduler) Next(now time.Time, p *fireflypath.Placement) bool {
-	if len(s.waiting) == 0 || !s.anyTargetAccepts(now) {
+	if len(s.waiting) == 0 || s.partUsed() || !s.anyTargetAccepts(now) {
 		return false
 	}
 	var best *target
@@ -192,6 +194,23 @@
 	return best, at
 }
 
+// partUsed reports whether this daemon uses its equal part of the slots that it shares with
+// daemons that report nothing. After a start of the whole fleet, daemons receive a wave of
+// returning callers before they can exchange anything. Without the limit they filled the
+// targets with several times what these can run, lowest tiers included.
+func (s *Scheduler) partUsed() bool {
+	if !s.tuning.LimitToPart || s.reporters+1 >= s.share.Senders {
+		return false
+	}
+	all := 0
+	for _, t := range s.ordered {
+		if !t.unassigned {
+			all += t.slots()
+		}
+	}
+	return len(s.inFlight)*s.share.Senders >= all
+}
+
 func (s *Scheduler) anyTargetAccepts(now time.Time) bool {
 	for _, t := range s.ordered {
 		if s.accepts(now, t, s.pipelined(t)+s.tuning.MaxTargetQueue) {
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -403,6 +403,33 @@
 	}
 }
 
+// All daemons start at the same time and receive a wave of returning callers before they hear
+// from each other. Each must leave the others their part of the slots, and use its own for
+// its highest tier. Requests beyond that wait for the dispatcher.
+func TestStartWaveLimitedToPart(t *testing.T) {
+	is := is.New(t)
+	const daemons, targets, slotsEach = 10, 10, 5
+	placed, highest := 0, 0
+	for d := range daemons {
+		s := slots.New(fireflypath.Pool{Name: "p", Stride: 3}, uint64(d+1), slots.StandaloneTuning())
+		s.SetTargets(start, newTargets(targets))
+		s.SetShare(start, fireflypath.Share{Default: 1, Senders: daemons})
+		for i := range 20 {
+			s.Offer(start, newWork(fmt.Sprint(i), i%2, start), nil)
+		}
+		for _, p := range dispatchAll(s, start) {
+			placed++
+			if p.Work.Rank == 0 {
+				highest++
+			}
+		}
+		s.UpdatePeers(start, make([]fireflypath.PeerLoad, daemons-1))
+		is.True(len(dispatchAll(s, start)) > 0) // once the others report, their requests are known
+	}
+	is.Equal(placed, targets*slotsEach)
+	is.True(highest >= placed*3/4) // the lower tier gets its minimum of service
+}
+
 // A target restarts after a crash, and all daemons see it at the same moment, each
 // with a queue. If each daemon filled it, it would receive its number of slots from
 // every one.
--- a/scheduler.go
+++ b/scheduler.go
@@ -171,6 +171,9 @@
 	// UnknownSenders is true if daemons that do not report to this one also send work to the
 	// targets, so that only the targets themselves know their load.
 	UnknownSenders bool
+	// Senders is the number of daemons that dispatch to the same targets, including this one; 0
+	// if unknown.
+	Senders int
 }
 
 // Demand is a daemon's summary of one pool, which daemons exchange.
