feat(rollout): a version that is ordered receives no work until its roll-out has a result

Cause: roll-out orders were not followed. The targets of a new version got as much work as any from the moment they registered, with as many of them as of the old ones half of all requests, where the bound is a tenth, and a bad one was never taken back.

Change: decide/rollout holds orders, results and the versions that were taken back; the directory publishes no target of a version on trial, also at a daemon that starts later: what it does not know is a no. rollout answers each order by conditional writes, first coordinator first: completed if the pool has no other version, taken back otherwise. A trial of new versions does not exist yet, so a good one is taken back as well: the price of that is paid, the bound on exposure holds with 0 requests.

--- a/config.go
+++ b/config.go
@@ -18,6 +18,9 @@
 	Pools []Pool `json:"pools" validate:"dive"`
 	// Targets have distinct names and refer to existing pools.
 	Targets []Target `json:"targets" validate:"dive"`
+	// Rollouts is what is known of ordered roll-outs. It comes from the store beside the
+	// configuration.
+	Rollouts []Rollout `json:"-"`
 	// Rules are evaluated in order; the first one that matches decides.
 	Rules []Rule `json:"rules,omitempty" validate:"dive"`
 	// Operators hold the keys for queries, configuration changes and orders.
@@ -119,6 +122,8 @@
 	Addr string `json:"addr" validate:"required,hostname_port"`
 	// Domain is the failure domain of the target.
 	Domain string `json:"domain" validate:"required"`
+	// Version is the version of the target's software; empty if unknown.
+	Version string `json:"version,omitempty"`
 	// Incarnation grows with each start under the same name; 0 if the target does not report
 	// one.
 	Incarnation uint64 `json:"incarnation,omitempty"`
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -22,6 +22,7 @@
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
+	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/platform"
@@ -125,10 +126,24 @@
 		d.directory.OnRead(member.RecordPrefix, d.members.AdoptRecords)
 	}
 	d.deps.Configs = d.directory
+	d.startRollouts()
 	d.background.Go(func() { _ = d.directory.Run(d.ctx) })
 	return nil
 }
 
+// startRollouts answers the operator's roll-out orders, if the platform has any.
+func (d *Daemon) startRollouts() {
+	codec, ok := d.deps.Codec.(fireflypath.RolloutCodec)
+	if !ok || d.members == nil {
+		return
+	}
+	k := rollout.New(rollout.Deps{
+		Self: d.cfg.Name, Members: d.members, Store: d.deps.Store, Codec: codec, Configs: d.directory,
+		Clock: d.deps.Clock, Scope: d.scope, Log: d.deps.Log,
+	})
+	d.background.Go(func() { k.Run(d.ctx) })
+}
+
 func (directoryStep) Stop(context.Context, *Daemon) error { return nil }
 
 // gatedScheduling creates the pools. Their targets report the number of their slots.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/boottime"
+	"github.com/fireflypath/fireflypath/internal/decide/rollout"
 	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
@@ -78,11 +79,16 @@
 	subscribedPrefix string
 	subscriber       func(fireflypath.Entry)
 
+	// rolloutCodec is nil if the platform has no roll-outs.
+	rolloutCodec fireflypath.RolloutCodec
 	// recordReader receives the entries with the prefix recordPrefix at each read of all keys.
 	recordPrefix string
 	recordReader func([]fireflypath.Entry)
 
 	// Only Run uses the fields below.
+	// rollouts holds what is known of roll-outs, rolloutKeys the keys that it comes from.
+	rollouts    *rollout.Ledger
+	rolloutKeys map[string]bool
 	// subscribedKeys holds the existing keys with the prefix subscribedPrefix.
 	subscribedKeys map[string]bool
 	// needsRead is true if changes may be missing from the view.
@@ -134,6 +140,8 @@
 		subscribedKeys: map[string]bool{},
 		incarnations:   map[string]targetIncarnation{},
 		missingSince:   map[string]time.Time{},
+		rollouts:       rollout.New(),
+		rolloutKeys:    map[string]bool{},
 		watchTimeout:   defaultWatchTimeout,
 		metrics: metrics{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
@@ -142,6 +150,7 @@
 			age:      scope.Gauge("age_seconds"), targets: scope.Gauge("targets"),
 		},
 	}
+	d.rolloutCodec, _ = codec.(fireflypath.RolloutCodec)
 	d.current.Store(d.config)
 	return d
 }
--- a/internal/directory/reading.go
+++ b/internal/directory/reading.go
@@ -31,6 +31,7 @@
 		}
 	}
 	d.notifyRemoved(seen)
+	d.removeRollouts(seen)
 	maps.DeleteFunc(d.rejected, func(name, _ string) bool { return !seen[d.codec.TargetPrefix()+name] })
 	d.replaceLog(all)
 	d.needsRead = false
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -13,7 +14,7 @@
 
 // isRelevant reports whether a key is part of the view or has a subscriber.
 func (d *Directory) isRelevant(key string) bool {
-	return key == d.codec.ConfigKey() || strings.HasPrefix(key, d.codec.TargetPrefix()) || d.isSubscribed(key)
+	return key == d.codec.ConfigKey() || strings.HasPrefix(key, d.codec.TargetPrefix()) || d.isSubscribed(key) || d.isRolloutKey(key)
 }
 
 func (d *Directory) isSubscribed(key string) bool {
@@ -48,6 +49,10 @@
 		d.notifySubscriber(e)
 		return
 	}
+	if d.isRolloutKey(e.Key) {
+		d.applyRollout(e)
+		return
+	}
 	name, ok := strings.CutPrefix(e.Key, d.codec.TargetPrefix())
 	if !ok {
 		return
@@ -91,12 +96,15 @@
 	for _, name := range slices.Sorted(maps.Keys(d.targets)) {
 		targets = append(targets, d.targets[name])
 	}
-	if old.Version == d.config.Version && slices.Equal(old.Targets, targets) {
+	rollouts := d.rollouts.Rollouts(targets)
+	targets = d.rollouts.Filter(targets)
+	if old.Version == d.config.Version && slices.Equal(old.Targets, targets) && reflect.DeepEqual(old.Rollouts, rollouts) {
 		return
 	}
 	next := *d.config
 	next.Generation = old.Generation + 1
 	next.Targets = targets
+	next.Rollouts = rollouts
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.current.Store(&next)
