feat(slots): late requests without hope are refused as soon as that is known

Change: every 100 ms a late request whose turn, with what keeps arriving, is not expected before its caller gives up is refused; a starved tier is left alone. One arrivalRate for this and for Retry-After.

--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,21 +66,28 @@
 	if rate <= 0 {
 		return minRetryAfter
 	}
-	ahead, arrivalRate := 1.0, 0.0
+	ahead := 1.0
 	for _, o := range s.waiting {
 		if o.Rank <= w.Rank {
 			ahead++
 		}
 	}
-	for r := range min(w.Rank+1, len(s.arrivals)) {
-		s.arrivals[r].Advance(now, true)
-		arrivalRate += s.arrivals[r].Rate()
-	}
-	spare := max(rate-arrivalRate, minSpareFraction*rate)
+	spare := max(rate-s.arrivalRate(now, w.Rank), minSpareFraction*rate)
 	sec := ahead / spare * (1 + retryJitter*(2*s.jitterFraction(w)-1))
 	return min(max(time.Duration(sec*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
 
+// arrivalRate returns the number of requests offered per second of the given rank and of
+// all higher tiers.
+func (s *Scheduler) arrivalRate(now time.Time, rank int) float64 {
+	sum := 0.0
+	for r := range min(rank+1, len(s.arrivals)) {
+		s.arrivals[r].Advance(now, true)
+		sum += s.arrivals[r].Rate()
+	}
+	return sum
+}
+
 // jitterFraction returns a number in [0, 1) derived from the request's ID, so that
 // callers refused together do not retry together.
 func (s *Scheduler) jitterFraction(w *fireflypath.Work) float64 {
@@ -104,6 +112,7 @@
 
 // Expire removes the waiting requests that have expired and appends their refusals.
 func (s *Scheduler) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	out = s.refuseHopeless(now, out)
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
 		if now.Before(s.expiresAt(w)) {
@@ -138,3 +147,57 @@
 	}
 	return out
 }
+
+// hopelessCheckInterval is the time between two checks of late requests.
+const hopelessCheckInterval = 100 * time.Millisecond
+
+// refuseHopeless refuses late requests whose turn is not expected before their callers give
+// up. They are served after all punctual ones, so that under lasting overload their turn
+// never comes. Told at once, callers need not wait for the refusal.
+func (s *Scheduler) refuseHopeless(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	if !s.tuning.RefuseHopeless || now.Sub(s.hopelessCheckedAt) < hopelessCheckInterval {
+		return out
+	}
+	s.hopelessCheckedAt = now
+	rate := s.completionRate()
+	if rate <= 0 || len(s.waiting) == 0 {
+		return out
+	}
+	order := s.serviceOrder(now)
+	refused := map[*fireflypath.Work]bool{}
+	ahead := 0
+	for _, w := range order {
+		ahead++
+		if !s.isLate(now, w) || s.floor.Due(now, w.Rank) {
+			continue
+		}
+		arrivals := s.arrivalRate(now, w.Rank+1)
+		spare := max(rate-arrivals, minSpareFraction*rate)
+		wait := time.Duration(float64(ahead) / spare * float64(time.Second))
+		if now.Add(wait).After(callerGivesUpAt(w)) {
+			refused[w] = true
+			ahead--
+			out = append(out, s.shed(now, w, fmt.Sprintf("late, turn expected in %v", wait.Round(time.Millisecond))))
+		}
+	}
+	if len(refused) > 0 {
+		s.waiting = slices.DeleteFunc(s.waiting, func(w *fireflypath.Work) bool { return refused[w] })
+	}
+	return out
+}
+
+// serviceOrder returns the waiting requests in the order in which they are served.
+func (s *Scheduler) serviceOrder(now time.Time) []*fireflypath.Work {
+	order := slices.Clone(s.waiting)
+	slices.SortStableFunc(order, func(a, b *fireflypath.Work) int {
+		switch {
+		case s.servedBefore(now, a, b):
+			return -1
+		case s.servedBefore(now, b, a):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return order
+}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -66,6 +66,8 @@
 	share      fireflypath.Share
 	// floor guarantees each tier a minimum of service.
 	floor *floor.Floor
+	// hopelessCheckedAt is when late requests were last checked.
+	hopelessCheckedAt time.Time
 	// reporters is the number of other daemons that report their requests.
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -62,6 +62,8 @@
 	// LimitToPart limits a daemon to its equal part of the slots while the others that use
 	// the same targets report nothing.
 	LimitToPart bool `json:"part"`
+	// RefuseHopeless refuses late requests as soon as their turn is not expected in time.
+	RefuseHopeless bool `json:"refuse_hopeless"`
 	// ScoreNoise is the fraction of the expected time by which the scores of
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
@@ -81,6 +83,7 @@
 func DispatcherTuning() Tuning {
 	t := StandaloneTuning()
 	t.MaxTargetQueue, t.ScoreNoise, t.LimitToPart = 0, 0, false
+	t.RefuseHopeless = true
 	t.PredictLateness, t.LatenessMargin, t.LatestGoalFirst = true, 0.03, true
 	return t
 }
