--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -137,11 +137,11 @@
 	if !ok || d.members == nil {
 		return
 	}
-	k := rollout.New(rollout.Deps{
+	c := rollout.New(rollout.Deps{
 		Self: d.cfg.Name, Members: d.members, Store: d.deps.Store, Codec: codec, Configs: d.directory,
 		Clock: d.deps.Clock, Scope: d.scope, Log: d.deps.Log,
 	})
-	d.background.Go(func() { k.Run(d.ctx) })
+	d.background.Go(func() { c.Run(d.ctx) })
 }
 
 func (directoryStep) Stop(context.Context, *Daemon) error { return nil }
--- a/internal/decide/rollout/ledger.go
+++ b/internal/decide/rollout/versions.go
@@ -12,13 +12,13 @@
 	"github.com/fireflypath/fireflypath"
 )
 
-// Ledger holds the orders of an operator, their status, and the versions that were taken back.
+// Versions holds the orders of an operator, their status, and the versions that were rolled back.
 // It is not safe for concurrent use.
 //
 // A version that was ordered receives no work until its status is completed, and none ever
-// after it was taken back. What a daemon does not know of a roll-out counts as a no: an order
+// after it was rolled back. What a daemon does not know of a roll-out counts as a no: an order
 // without a status is not tried.
-type Ledger struct {
+type Versions struct {
 	orders  map[string]order
 	status  map[string]status
 	refused map[string]refused
@@ -39,37 +39,37 @@
 	revision uint64
 }
 
-// New returns an empty ledger.
-func New() *Ledger {
-	return &Ledger{orders: map[string]order{}, status: map[string]status{}, refused: map[string]refused{}}
+// New returns a Versions without orders.
+func New() *Versions {
+	return &Versions{orders: map[string]order{}, status: map[string]status{}, refused: map[string]refused{}}
 }
 
 // SetOrder records an order for a pool, stored at the given revision.
-func (l *Ledger) SetOrder(pool string, o fireflypath.RolloutOrder, revision uint64) {
+func (v *Versions) SetOrder(pool string, o fireflypath.RolloutOrder, revision uint64) {
 	o.Pool = pool
-	l.orders[pool] = order{o, revision}
+	v.orders[pool] = order{o, revision}
 }
 
-// RemoveOrder forgets the order for a pool. Versions that were taken back stay so.
-func (l *Ledger) RemoveOrder(pool string) { delete(l.orders, pool) }
+// RemoveOrder forgets the order for a pool. Versions that were rolled back stay so.
+func (v *Versions) RemoveOrder(pool string) { delete(v.orders, pool) }
 
 // SetStatus records the status of a pool's roll-out, stored at the given revision.
-func (l *Ledger) SetStatus(s fireflypath.RolloutStatus, revision uint64) {
-	l.status[s.Pool] = status{s, revision}
+func (v *Versions) SetStatus(s fireflypath.RolloutStatus, revision uint64) {
+	v.status[s.Pool] = status{s, revision}
 }
 
 // RemoveStatus forgets the status of a pool's roll-out.
-func (l *Ledger) RemoveStatus(pool string) { delete(l.status, pool) }
+func (v *Versions) RemoveStatus(pool string) { delete(v.status, pool) }
 
-// SetRefused records the versions of a pool that were taken back.
-func (l *Ledger) SetRefused(pool string, versions []string, revision uint64) {
-	l.refused[pool] = refused{versions, revision}
+// SetRefused records the versions of a pool that were rolled back.
+func (v *Versions) SetRefused(pool string, versions []string, revision uint64) {
+	v.refused[pool] = refused{versions, revision}
 }
 
 // decided returns the state of a pool's newest order, if it is final. A status that is older
 // than the order belongs to an earlier one.
-func (l *Ledger) decided(pool string) (fireflypath.RolloutState, bool) {
-	o, s := l.orders[pool], l.status[pool]
+func (v *Versions) decided(pool string) (fireflypath.RolloutState, bool) {
+	o, s := v.orders[pool], v.status[pool]
 	if s.Version != o.Version || s.revision < o.revision || !s.State.Final() {
 		return "", false
 	}
@@ -78,15 +78,15 @@
 
 // admits reports whether targets of a version may receive work. onlyVersion is true if the
 // pool has targets of no other version.
-func (l *Ledger) admits(pool, version string, onlyVersion bool) bool {
-	if slices.Contains(l.refused[pool].versions, version) {
+func (v *Versions) admits(pool, version string, onlyVersion bool) bool {
+	if slices.Contains(v.refused[pool].versions, version) {
 		return false
 	}
-	o, ordered := l.orders[pool]
+	o, ordered := v.orders[pool]
 	if !ordered || o.Version != version {
 		return true
 	}
-	state, ok := l.decided(pool)
+	state, ok := v.decided(pool)
 	if !ok {
 		return onlyVersion
 	}
@@ -95,13 +95,13 @@
 
 // Filter returns the targets that may receive work. It leaves the order of the targets and
 // returns the argument itself if no order is known.
-func (l *Ledger) Filter(targets []fireflypath.Target) []fireflypath.Target {
-	if len(l.orders) == 0 && len(l.refused) == 0 {
+func (v *Versions) Filter(targets []fireflypath.Target) []fireflypath.Target {
+	if len(v.orders) == 0 && len(v.refused) == 0 {
 		return targets
 	}
 	single := singleVersions(targets)
 	return slices.DeleteFunc(slices.Clone(targets), func(t fireflypath.Target) bool {
-		return !l.admits(t.Pool, t.Version, single[t.Pool])
+		return !v.admits(t.Pool, t.Version, single[t.Pool])
 	})
 }
 
@@ -109,30 +109,30 @@
 func singleVersions(targets []fireflypath.Target) map[string]bool {
 	version, single := map[string]string{}, map[string]bool{}
 	for _, t := range targets {
-		v, known := version[t.Pool]
+		first, known := version[t.Pool]
 		if !known {
 			version[t.Pool], single[t.Pool] = t.Version, true
 			continue
 		}
-		single[t.Pool] = single[t.Pool] && v == t.Version
+		single[t.Pool] = single[t.Pool] && first == t.Version
 	}
 	return single
 }
 
 // Rollouts returns what is known of the roll-out of each pool with an order, by pool.
-func (l *Ledger) Rollouts(targets []fireflypath.Target) []fireflypath.Rollout {
-	if len(l.orders) == 0 {
+func (v *Versions) Rollouts(targets []fireflypath.Target) []fireflypath.Rollout {
+	if len(v.orders) == 0 {
 		return nil
 	}
 	single := singleVersions(targets)
 	var out []fireflypath.Rollout
-	for _, pool := range slices.Sorted(maps.Keys(l.orders)) {
-		o := l.orders[pool]
-		_, decided := l.decided(pool)
+	for _, pool := range slices.Sorted(maps.Keys(v.orders)) {
+		o := v.orders[pool]
+		_, decided := v.decided(pool)
 		served := slices.ContainsFunc(targets, func(t fireflypath.Target) bool { return t.Pool == pool && t.Version == o.Version })
 		out = append(out, fireflypath.Rollout{
 			RolloutOrder: o.RolloutOrder, Decided: decided, Fulfilled: single[pool] && served,
-			Refused: l.refused[pool].versions, StatusRevision: l.status[pool].revision, RefusedRevision: l.refused[pool].revision,
+			Refused: v.refused[pool].versions, StatusRevision: v.status[pool].revision, RefusedRevision: v.refused[pool].revision,
 		})
 	}
 	return out
--- a/internal/decide/rollout/ledger_test.go
+++ b/internal/decide/rollout/versions_test.go
@@ -21,7 +21,7 @@
 }
 
 // admitted returns the versions that may receive work.
-func admitted(l *rollout.Ledger, versions ...string) string {
+func admitted(l *rollout.Versions, versions ...string) string {
 	out := ""
 	for _, t := range l.Filter(targets(versions...)) {
 		out += t.Version + " "
@@ -39,7 +39,7 @@
 }
 
 // A bad version registers its targets beside the old ones. It must receive no work before
-// the roll-out has a result, and none after it was taken back, also when the next order has
+// the roll-out has a result, and none after it was rolled back, also when the next order has
 // replaced the one that named it.
 func TestVersionOnTrialReceivesNothing(t *testing.T) {
 	is := is.New(t)
@@ -50,7 +50,7 @@
 	l.SetStatus(status(fireflypath.RolloutRunning), 11)
 	is.Equal(admitted(l, "v1", "v2"), "v1 ")
 	l.SetRefused(pool, []string{"v2"}, 12)
-	l.SetStatus(status(fireflypath.RolloutTakenBack), 13)
+	l.SetStatus(status(fireflypath.RolloutRolledBack), 13)
 	is.Equal(admitted(l, "v1", "v2"), "v1 ")
 	l.SetOrder(pool, order("v3"), 14)
 	is.Equal(admitted(l, "v1", "v2", "v3"), "v1 ")
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -112,7 +112,7 @@
 
 // Expire removes the waiting requests that have expired and appends their refusals.
 func (s *Scheduler) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-	out = s.refuseHopeless(now, out)
+	out = s.refuseLate(now, out)
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
 		if now.Before(s.expiresAt(w)) {
@@ -148,17 +148,17 @@
 	return out
 }
 
-// hopelessCheckInterval is the time between two checks of late requests.
-const hopelessCheckInterval = 100 * time.Millisecond
+// lateCheckInterval is the time between two checks of late requests.
+const lateCheckInterval = 100 * time.Millisecond
 
-// refuseHopeless refuses late requests whose turn is not expected before their callers give
+// refuseLate refuses late requests whose turn is not expected before their callers give
 // up. They are served after all punctual ones, so that under lasting overload their turn
 // never comes. Told at once, callers need not wait for the refusal.
-func (s *Scheduler) refuseHopeless(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-	if !s.tuning.RefuseHopeless || now.Sub(s.hopelessCheckedAt) < hopelessCheckInterval {
+func (s *Scheduler) refuseLate(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+	if !s.tuning.RefuseLate || now.Sub(s.lateCheckedAt) < lateCheckInterval {
 		return out
 	}
-	s.hopelessCheckedAt = now
+	s.lateCheckedAt = now
 	rate := s.completionRate()
 	if rate <= 0 || len(s.waiting) == 0 {
 		return out
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -66,8 +66,8 @@
 	share      fireflypath.Share
 	// floor guarantees each tier a minimum of service.
 	floor *floor.Floor
-	// hopelessCheckedAt is when late requests were last checked.
-	hopelessCheckedAt time.Time
+	// lateCheckedAt is when late requests were last checked.
+	lateCheckedAt time.Time
 	// reporters is the number of other daemons that report their requests.
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
@@ -160,7 +160,7 @@
 // Next chooses the next request and its target and counts it as in flight. A
 // starved tier goes first.
 func (s *Scheduler) Next(now time.Time, p *fireflypath.Placement) bool {
-	if len(s.waiting) == 0 || s.partUsed() || !s.anyTargetAccepts(now) {
+	if len(s.waiting) == 0 || s.equalShareUsed() || !s.anyTargetAccepts(now) {
 		return false
 	}
 	var best *target
@@ -196,12 +196,12 @@
 	return best, at
 }
 
-// partUsed reports whether this daemon uses its equal part of the slots that it shares with
+// equalShareUsed reports whether this daemon uses its equal part of the slots that it shares with
 // daemons that report nothing. After a start of the whole fleet, daemons receive a wave of
 // returning callers before they can exchange anything. Without the limit they filled the
 // targets with several times what these can run, lowest tiers included.
-func (s *Scheduler) partUsed() bool {
-	if !s.tuning.LimitToPart || s.reporters+1 >= s.share.Senders {
+func (s *Scheduler) equalShareUsed() bool {
+	if !s.tuning.LimitToEqualShare || s.reporters+1 >= s.share.Senders {
 		return false
 	}
 	all := 0
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -189,11 +189,11 @@
 // served after all punctual ones, so their turn never comes. Their callers must be told
 // soon after, and not when most of their patience is used up; no punctual answer may be lost
 // for it.
-func TestLateRequestsWithoutHopeAreRefusedSoon(t *testing.T) {
+func TestLateRequestsAreRefusedBeforePatienceEnds(t *testing.T) {
 	is := is.New(t)
-	play := func(refuseHopeless bool) (inTime int, meanHeld time.Duration) {
+	play := func(refuseLate bool) (inTime int, meanHeld time.Duration) {
 		tuning := slots.DispatcherTuning()
-		tuning.RefuseHopeless = refuseHopeless
+		tuning.RefuseLate = refuseLate
 		s := slots.New(fireflypath.Pool{Name: "p", Stride: 3}, 7, tuning)
 		s.SetTargets(start, newTargets(1))
 		now, refused, held := start, 0, time.Duration(0)
@@ -449,7 +449,7 @@
 // All daemons start at the same time and receive a wave of returning callers before they hear
 // from each other. Each must leave the others their part of the slots, and use its own for
 // its highest tier. Requests beyond that wait for the dispatcher.
-func TestStartWaveLimitedToPart(t *testing.T) {
+func TestStartWaveLimitedToEqualShare(t *testing.T) {
 	is := is.New(t)
 	const daemons, targets, slotsEach = 10, 10, 5
 	placed, highest := 0, 0
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -59,11 +59,11 @@
 	// A single dispatcher's ejection takes the target from the whole fleet, so one lost
 	// answer among many must not cause it.
 	MinEjectionRate float64 `json:"eject"`
-	// LimitToPart limits a daemon to its equal part of the slots while the others that use
+	// LimitToEqualShare limits a daemon to its equal part of the slots while the others that use
 	// the same targets report nothing.
-	LimitToPart bool `json:"part"`
-	// RefuseHopeless refuses late requests as soon as their turn is not expected in time.
-	RefuseHopeless bool `json:"refuse_hopeless"`
+	LimitToEqualShare bool `json:"equal_share"`
+	// RefuseLate refuses late requests as soon as their turn is not expected in time.
+	RefuseLate bool `json:"refuse_late"`
 	// ScoreNoise is the fraction of the expected time by which the scores of
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
@@ -75,15 +75,15 @@
 func StandaloneTuning() Tuning {
 	return Tuning{
 		MaxTargetQueue: 2, MaxWaitFraction: 0.6, MinServedRatio: 0.35, FailurePenalty: 20, SlotPenalty: 0.05,
-		MaxStallFraction: 0.6, SlowPrefillRatio: 0.5, MaxDurationFraction: 0.8, ScoreNoise: 0.1, LimitToPart: true,
+		MaxStallFraction: 0.6, SlowPrefillRatio: 0.5, MaxDurationFraction: 0.8, ScoreNoise: 0.1, LimitToEqualShare: true,
 	}
 }
 
 // DispatcherTuning returns the tuning of a dispatcher that decides for all daemons.
 func DispatcherTuning() Tuning {
 	t := StandaloneTuning()
-	t.MaxTargetQueue, t.ScoreNoise, t.LimitToPart = 0, 0, false
-	t.RefuseHopeless = true
+	t.MaxTargetQueue, t.ScoreNoise, t.LimitToEqualShare = 0, 0, false
+	t.RefuseLate = true
 	t.PredictLateness, t.LatenessMargin, t.LatestGoalFirst = true, 0.03, true
 	return t
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -87,7 +87,7 @@
 
 	// Only Run uses the fields below.
 	// rollouts holds what is known of roll-outs, rolloutKeys the keys that it comes from.
-	rollouts    *rollout.Ledger
+	rollouts    *rollout.Versions
 	rolloutKeys map[string]bool
 	// subscribedKeys holds the existing keys with the prefix subscribedPrefix.
 	subscribedKeys map[string]bool
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -16,7 +16,7 @@
 // back; the pool's name follows.
 const RefusedPrefix = "versions/"
 
-// RefusedVersions is the stored list of the versions of a pool that were taken back.
+// RefusedVersions is the stored list of the versions of a pool that were rolled back.
 type RefusedVersions struct {
 	Refused []string `json:"refused"`
 }
@@ -80,7 +80,7 @@
 
 func (d *Directory) applyRefused(pool string, e fireflypath.Entry) error {
 	if e.Deleted {
-		return nil // a version that was taken back stays so
+		return nil // a version that was rolled back stays so
 	}
 	var stored RefusedVersions
 	if err := json.Unmarshal(e.Value, &stored); err != nil {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/coordinator.go
@@ -27,7 +27,7 @@
 	backupDelay      = 3 * time.Second
 )
 
-// Deps are the dependencies of a Keeper.
+// Deps are the dependencies of a Coordinator.
 type Deps struct {
 	// Self is this daemon's name.
 	Self    string
@@ -40,34 +40,34 @@
 	Log     *zap.Logger
 }
 
-// Keeper writes the result of each ordered roll-out to the store. A new version is not tried:
-// its order is completed if the pool has targets of no other version, and taken back
+// Coordinator writes the result of each ordered roll-out to the store. A new version is not tried:
+// its order is completed if the pool has targets of no other version, and rolled back
 // otherwise. All writes are conditional on what was read, so that of several daemons that
 // answer an order only one succeeds, and a result is never replaced by another one.
-type Keeper struct {
+type Coordinator struct {
 	deps   Deps
 	writes tally.Counter
 	// pendingSince is when an order without a result was first seen, by pool and version.
 	pendingSince map[string]time.Time
 }
 
-// New returns a Keeper.
-func New(deps Deps) *Keeper {
-	return &Keeper{deps: deps, writes: deps.Scope.SubScope("rollout").Counter("writes"), pendingSince: map[string]time.Time{}}
+// New returns a Coordinator.
+func New(deps Deps) *Coordinator {
+	return &Coordinator{deps: deps, writes: deps.Scope.SubScope("rollout").Counter("writes"), pendingSince: map[string]time.Time{}}
 }
 
 // Run answers orders until the context ends.
-func (k *Keeper) Run(ctx context.Context) {
+func (c *Coordinator) Run(ctx context.Context) {
 	for {
-		cfg := k.deps.Configs.Current()
+		cfg := c.deps.Configs.Current()
 		var retry <-chan time.Time
-		if k.Step(ctx) {
-			retry = k.deps.Clock.After(stepInterval)
+		if c.Step(ctx) {
+			retry = c.deps.Clock.After(stepInterval)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-k.deps.Configs.Changed(cfg.Generation):
+		case <-c.deps.Configs.Changed(cfg.Generation):
 		case <-retry:
 		}
 	}
@@ -75,72 +75,72 @@
 
 // Step answers the orders for which it is this daemon's turn. It reports whether orders
 // without a result remain.
-func (k *Keeper) Step(ctx context.Context) bool {
+func (c *Coordinator) Step(ctx context.Context) bool {
 	pending := map[string]time.Time{}
-	for _, r := range k.deps.Configs.Current().Rollouts {
+	for _, r := range c.deps.Configs.Current().Rollouts {
 		if r.Decided {
 			continue
 		}
 		id := r.Pool + "/" + r.Version
-		since, ok := k.pendingSince[id]
+		since, ok := c.pendingSince[id]
 		if !ok {
-			since = k.deps.Clock.Now()
+			since = c.deps.Clock.Now()
 		}
 		pending[id] = since
-		if !k.isTurn(since) {
+		if !c.isTurn(since) {
 			continue
 		}
-		if err := k.answer(ctx, r); err != nil {
-			k.deps.Log.Warn("roll-out not answered yet", zap.String("pool", r.Pool), zap.String("version", r.Version), logs.Err(err))
+		if err := c.answer(ctx, r); err != nil {
+			c.deps.Log.Warn("roll-out not answered yet", zap.String("pool", r.Pool), zap.String("version", r.Version), logs.Err(err))
 		}
 	}
-	k.pendingSince = pending
+	c.pendingSince = pending
 	return len(pending) > 0
 }
 
 // isTurn reports whether this daemon answers an order that it has known since the given time.
-func (k *Keeper) isTurn(since time.Time) bool {
-	chosen := coordinator.Choose(k.deps.Members.Live(), coordinatorCount)
-	i := slices.IndexFunc(chosen, func(m fireflypath.Member) bool { return m.Name == k.deps.Self })
-	return i >= 0 && k.deps.Clock.Since(since) >= time.Duration(i)*backupDelay
+func (c *Coordinator) isTurn(since time.Time) bool {
+	chosen := coordinator.Choose(c.deps.Members.Live(), coordinatorCount)
+	i := slices.IndexFunc(chosen, func(m fireflypath.Member) bool { return m.Name == c.deps.Self })
+	return i >= 0 && c.deps.Clock.Since(since) >= time.Duration(i)*backupDelay
 }
 
-// answer writes the result of an order. A version that is taken back is stored as such first:
+// answer writes the result of an order. A version that is rolled back is stored as such first:
 // the status holds one version only, so that the next order would make it available again.
-func (k *Keeper) answer(ctx context.Context, r fireflypath.Rollout) error {
-	state := fireflypath.RolloutTakenBack
+func (c *Coordinator) answer(ctx context.Context, r fireflypath.Rollout) error {
+	state := fireflypath.RolloutRolledBack
 	if r.Fulfilled && !slices.Contains(r.Refused, r.Version) {
 		state = fireflypath.RolloutCompleted
 	}
-	if state == fireflypath.RolloutTakenBack && !slices.Contains(r.Refused, r.Version) {
-		if err := k.refuse(ctx, r); err != nil {
+	if state == fireflypath.RolloutRolledBack && !slices.Contains(r.Refused, r.Version) {
+		if err := c.refuse(ctx, r); err != nil {
 			return err
 		}
 	}
-	_, prefix := k.deps.Codec.RolloutPrefixes()
-	b, err := k.deps.Codec.EncodeRolloutStatus(fireflypath.RolloutStatus{Pool: r.Pool, Version: r.Version, State: state})
+	_, prefix := c.deps.Codec.RolloutPrefixes()
+	b, err := c.deps.Codec.EncodeRolloutStatus(fireflypath.RolloutStatus{Pool: r.Pool, Version: r.Version, State: state})
 	if err != nil {
 		return err
 	}
-	if err := k.put(ctx, prefix+r.Pool, b, r.StatusRevision); err != nil {
+	if err := c.put(ctx, prefix+r.Pool, b, r.StatusRevision); err != nil {
 		return errors.Wrap(err, "write the status")
 	}
-	k.deps.Log.Info("roll-out answered", zap.String("pool", r.Pool), zap.String("version", r.Version), zap.String("state", string(state)))
+	c.deps.Log.Info("roll-out answered", zap.String("pool", r.Pool), zap.String("version", r.Version), zap.String("state", string(state)))
 	return nil
 }
 
-// refuse adds the version to the stored list of those that were taken back.
-func (k *Keeper) refuse(ctx context.Context, r fireflypath.Rollout) error {
+// refuse adds the version to the stored list of those that were rolled back.
+func (c *Coordinator) refuse(ctx context.Context, r fireflypath.Rollout) error {
 	b, err := json.Marshal(directory.RefusedVersions{Refused: append(slices.Clone(r.Refused), r.Version)})
 	if err != nil {
 		return errors.Wrap(err, "encode refused versions")
 	}
-	return errors.Wrap(k.put(ctx, directory.RefusedPrefix+r.Pool, b, r.RefusedRevision), "write refused versions")
+	return errors.Wrap(c.put(ctx, directory.RefusedPrefix+r.Pool, b, r.RefusedRevision), "write refused versions")
 }
 
 // put writes a value if its key still has the given revision.
-func (k *Keeper) put(ctx context.Context, key string, value []byte, revision uint64) error {
-	k.writes.Inc(1)
-	_, err := k.deps.Store.Put(ctx, key, value, revision, 0)
+func (c *Coordinator) put(ctx context.Context, key string, value []byte, revision uint64) error {
+	c.writes.Inc(1)
+	_, err := c.deps.Store.Put(ctx, key, value, revision, 0)
 	return err
 }
--- a/internal/rollout/keeper_test.go
+++ b/internal/rollout/coordinator_test.go
@@ -64,8 +64,8 @@
 
 // daemon is a view of the store and what answers orders from it.
 type daemon struct {
-	dir    *directory.Directory
-	keeper *rollout.Keeper
+	dir         *directory.Directory
+	coordinator *rollout.Coordinator
 }
 
 type world struct {
@@ -112,7 +112,7 @@
 	for range 24 {
 		for _, d := range w.daemons {
 			_ = d.dir.Step(w.t.Context()) // a store that is down fails the step
-			d.keeper.Step(w.t.Context())
+			d.coordinator.Step(w.t.Context())
 		}
 		w.clock.Advance(500 * time.Millisecond)
 	}
@@ -142,18 +142,18 @@
 
 // A version is ordered whose targets are bad. No daemon may send it anything, whether it saw
 // the order or starts later, and the operator must read a result.
-func TestOrderedVersionIsTakenBack(t *testing.T) {
+func TestOrderedVersionIsRolledBack(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, "a", "b", "c")
 	w.register("old", "v1")
 	w.order("v2")
 	w.register("new", "v2")
 	w.settle()
-	is.Equal(w.status(), "taken-back v2")
+	is.Equal(w.status(), "rolled-back v2")
 	w.order("v3")
 	w.register("newer", "v3")
 	w.settle()
-	is.Equal(w.status(), "taken-back v3")
+	is.Equal(w.status(), "rolled-back v3")
 	late := directory.New(feed{w.store}, codec{}, w.clock, boottime.System{}, tally.NoopScope, zap.NewNop())
 	is.NoErr(late.Step(t.Context()))
 	is.Equal(daemon{dir: late}.serving(), "old")
@@ -196,7 +196,7 @@
 			})
 			w.settle()
 			is.Equal(faults, 3)
-			is.Equal(w.status(), "taken-back v2")
+			is.Equal(w.status(), "rolled-back v2")
 			is.Equal(w.daemons[2].serving(), "old")
 		})
 	}
@@ -210,5 +210,5 @@
 	w.order("v2")
 	w.daemons = w.daemons[:1] // not the one whose turn it is first
 	w.settle()
-	is.Equal(w.status(), "taken-back v2")
+	is.Equal(w.status(), "rolled-back v2")
 }
--- a/rollout.go
+++ b/rollout.go
@@ -18,13 +18,13 @@
 	RolloutRunning RolloutState = "running"
 	// RolloutCompleted means that the new version serves all requests.
 	RolloutCompleted RolloutState = "completed"
-	// RolloutTakenBack means that the new version serves none and its targets may leave.
-	RolloutTakenBack RolloutState = "taken-back"
+	// RolloutRolledBack means that the new version serves none and its targets may leave.
+	RolloutRolledBack RolloutState = "rolled-back"
 )
 
 // Final reports whether the state never changes again.
 func (s RolloutState) Final() bool {
-	return s == RolloutCompleted || s == RolloutTakenBack
+	return s == RolloutCompleted || s == RolloutRolledBack
 }
 
 // RolloutStatus is the state of a roll-out to a version.
@@ -53,7 +53,7 @@
 	Decided bool
 	// Fulfilled is true if the pool has targets, all of the ordered version.
 	Fulfilled bool
-	// Refused lists the versions of the pool that were taken back.
+	// Refused lists the versions of the pool that were rolled back.
 	Refused []string
 	// StatusRevision and RefusedRevision are the revisions of the stored status and list; 0 if
 	// there is none.
