test(dispatch,directory): daemons that start together agree; a read passes the records on

Cause: the choice of a dispatcher before the others have reported, and the passing on of records, were tested only through the fleet. Change: a test for each, no code. go test -race of both packages: ok.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -372,3 +372,23 @@
 	is.NoErr(err)
 	is.Equal(len(all.Entries), 3)
 }
+
+// The records of the daemons are read along with everything else, so that a daemon that
+// starts knows the others without a further call. Keys of others must not be among them.
+func TestReadPassesRecords(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	f := &fakeFeed{clock: clock, snapshot: fireflypath.Listing{Revision: 10, Entries: []fireflypath.Entry{
+		config(t, 1, 5), target("a", 6), {Key: "members/d1", Revision: 7}, {Key: "members/d2", Revision: 8}, {Key: "other/x", Revision: 9},
+	}}}
+	d := directory.New(f, testkit.Codec{}, clock, &testkit.BootClock{Clock: clock}, tally.NoopScope, zap.NewNop())
+	var keys []string
+	d.OnRead("members/", func(entries []fireflypath.Entry) {
+		for _, e := range entries {
+			keys = append(keys, e.Key)
+		}
+	})
+	is.NoErr(d.Step(t.Context()))
+	is.Equal(keys, []string{"members/d1", "members/d2"})
+	is.Equal(targetNames(d.Current()), "a")
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -41,6 +41,10 @@
 	leaving        map[string]bool
 	// cpu is the processor time of each host, in cores.
 	cpu map[string]float64
+	// startedAt, if set, is when all daemons started again. Until confirmed is true, each
+	// knows the others only from their records of before.
+	startedAt uint64
+	confirmed bool
 	// cut holds the pairs of daemons that cannot reach each other.
 	cut map[[2]string]bool
 	// inFlight counts the requests at each target, maxInFlight is its highest value.
@@ -92,7 +96,14 @@
 	var out []fireflypath.Member
 	for i := range len(n.cluster.nodes) {
 		name := fmt.Sprintf("d%d", i)
-		out = append(out, fireflypath.Member{Name: name, Incarnation: uint64(i+1) * 10_000, CPU: n.cluster.cpu[name], Leaving: n.cluster.leaving[name]})
+		m := fireflypath.Member{Name: name, Incarnation: uint64(i+1) * 10_000, CPU: n.cluster.cpu[name], Leaving: n.cluster.leaving[name]}
+		if n.cluster.startedAt > 0 {
+			m.Unconfirmed = name != n.name && !n.cluster.confirmed
+			if !m.Unconfirmed {
+				m.Incarnation = n.cluster.startedAt + uint64(i)
+			}
+		}
+		out = append(out, m)
 	}
 	slices.SortFunc(out, func(a, b fireflypath.Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
@@ -366,3 +377,26 @@
 		}
 	})
 }
+
+// All daemons start at once and know each other only from records of the earlier run. They
+// must agree on the dispatcher before they have heard from each other: with the order of the
+// earlier run, each daemon that reports its new start would replace the dispatcher.
+func TestStartedTogetherAgreeOnDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 9, 3)
+		c.mu.Lock()
+		c.startedAt = 1_000_000
+		c.mu.Unlock()
+		first := c.nodes["d0"].dispatch.Candidates("p")[0].Name
+		for _, d := range c.nodes {
+			is.Equal(d.dispatch.Candidates("p")[0].Name, first)
+		}
+		c.mu.Lock()
+		c.confirmed = true // all have reported their new start
+		c.mu.Unlock()
+		for _, d := range c.nodes {
+			is.Equal(d.dispatch.Candidates("p")[0].Name, first)
+		}
+	})
+}
