--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -112,7 +111,6 @@
 
 // Expire removes the waiting requests that have expired and appends their refusals.
 func (s *Scheduler) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-	out = s.refuseLate(now, out)
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
 		if now.Before(s.expiresAt(w)) {
@@ -147,57 +145,3 @@
 	}
 	return out
 }
-
-// lateCheckInterval is the time between two checks of late requests.
-const lateCheckInterval = 100 * time.Millisecond
-
-// refuseLate refuses late requests whose turn is not expected before their callers give
-// up. They are served after all punctual ones, so that under lasting overload their turn
-// never comes. Told at once, callers need not wait for the refusal.
-func (s *Scheduler) refuseLate(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-	if !s.tuning.RefuseLate || now.Sub(s.lateCheckedAt) < lateCheckInterval {
-		return out
-	}
-	s.lateCheckedAt = now
-	rate := s.completionRate()
-	if rate <= 0 || len(s.waiting) == 0 {
-		return out
-	}
-	order := s.serviceOrder(now)
-	refused := map[*fireflypath.Work]bool{}
-	ahead := 0
-	for _, w := range order {
-		ahead++
-		if !s.isLate(now, w) || s.floor.Due(now, w.Rank) {
-			continue
-		}
-		arrivals := s.arrivalRate(now, w.Rank+1)
-		spare := max(rate-arrivals, minSpareFraction*rate)
-		wait := time.Duration(float64(ahead) / spare * float64(time.Second))
-		if now.Add(wait).After(callerGivesUpAt(w)) {
-			refused[w] = true
-			ahead--
-			out = append(out, s.shed(now, w, fmt.Sprintf("late, turn expected in %v", wait.Round(time.Millisecond))))
-		}
-	}
-	if len(refused) > 0 {
-		s.waiting = slices.DeleteFunc(s.waiting, func(w *fireflypath.Work) bool { return refused[w] })
-	}
-	return out
-}
-
-// serviceOrder returns the waiting requests in the order in which they are served.
-func (s *Scheduler) serviceOrder(now time.Time) []*fireflypath.Work {
-	order := slices.Clone(s.waiting)
-	slices.SortStableFunc(order, func(a, b *fireflypath.Work) int {
-		switch {
-		case s.servedBefore(now, a, b):
-			return -1
-		case s.servedBefore(now, b, a):
-			return 1
-		default:
-			return 0
-		}
-	})
-	return order
-}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -66,8 +66,6 @@
 	share      fireflypath.Share
 	// floor guarantees each tier a minimum of service.
 	floor *floor.Floor
-	// lateCheckedAt is when late requests were last checked.
-	lateCheckedAt time.Time
 	// reporters is the number of other daemons that report their requests.
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -62,8 +62,6 @@
 	// LimitToEqualShare limits a daemon to its equal part of the slots while the others that use
 	// the same targets report nothing.
 	LimitToEqualShare bool `json:"equal_share"`
-	// RefuseLate refuses late requests as soon as their turn is not expected in time.
-	RefuseLate bool `json:"refuse_late"`
 	// ScoreNoise is the fraction of the expected time by which the scores of
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
@@ -83,7 +81,6 @@
 func DispatcherTuning() Tuning {
 	t := StandaloneTuning()
 	t.MaxTargetQueue, t.ScoreNoise, t.LimitToEqualShare = 0, 0, false
-	t.RefuseLate = true
 	t.PredictLateness, t.LatenessMargin, t.LatestGoalFirst = true, 0.03, true
 	return t
 }
