docs(load,query): three comments say what the code counts

Cause: they said that the code measures, which reads as a note on where a figure comes from. Change: counts, value column; comments only, no figure.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -22,7 +22,7 @@
 	Refusal *fireflypath.Refusal
 	// Err is set if there was neither an answer nor a refusal.
 	Err error
-	// First and Took are measured from the scheduled arrival, so that a slow sender does
+	// First and Took count from the scheduled arrival, so that a slow sender does
 	// not hide latency.
 	First time.Duration
 	Took  time.Duration
--- a/internal/query/eval/transform.go
+++ b/internal/query/eval/transform.go
@@ -108,7 +108,7 @@
 	compute: func(rows []table.Row) table.Cell { return table.Num(len(rows)) },
 }
 
-// percentileOf computes the query's percentile of its measured column.
+// percentileOf computes the query's percentile of its value column.
 func percentileOf(q *query.Query, t *table.Table) aggregate {
 	i := t.Index(q.Measured)
 	return aggregate{
--- a/internal/query/table/table.go
+++ b/internal/query/table/table.go
@@ -71,7 +71,7 @@
 }
 
 // maxAge is larger than the age of any report. For a target that never reported, the age is
-// measured from the zero time.
+// counted from the zero time.
 const maxAge = 365 * 24 * time.Hour
 
 // Age returns the age of a report as a duration cell, which is empty if there never was a report.
