feat(gate): the rate limits that targets name are logged and counted

What a target says in the header of an answer about the rate it takes was logged nowhere, so a limit that no daemon reads could not be told from one that each daemon keeps alone. No decision uses it yet.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -220,7 +220,7 @@
 		}
 	}
 	defer a.Close()
-	g.observeLoad(att, a)
+	g.observeTarget(att, a)
 	return g.relayAnswer(c, att, a)
 }
 
@@ -284,18 +284,6 @@
 	att.Owner.Notify(&att.Request, fireflypath.EventDone, -1)
 }
 
-// observeLoad passes the load that the target reports in its response to the pools.
-func (g *Gate) observeLoad(att *attempt, a *http1.Response) {
-	l, ok := g.deps.Codec.Load(a.Header.Get(g.headers.Load))
-	if !ok {
-		return
-	}
-	g.deps.Pools.Observe(fireflypath.Event{
-		Kind: fireflypath.EventReport, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
-		Report: fireflypath.Report{MeasuredAt: g.deps.Clock.Now(), Running: l.Running, Waiting: l.Waiting, MaxRunning: l.Slots},
-	})
-}
-
 // hopByHopRequestHeaders are the request headers that apply to a single connection.
 var hopByHopRequestHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -36,7 +36,7 @@
 func (testCodec) Headers() fireflypath.Headers {
 	return fireflypath.Headers{
 		ID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Team: "T-Team", Target: "T-Target", Instance: "T-Self",
-		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Tokens: "T-Tokens", OutputHint: "T-Hint",
+		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Tokens: "T-Tokens", OutputHint: "T-Hint",
 		Event: "Last-Event-Id", DaemonOnly: []string{"T-Team", "T-Target", "T-Hold"},
 	}
 }
@@ -45,6 +45,10 @@
 func (testCodec) Config([]byte) (*fireflypath.Config, error)            { return nil, nil }
 func (testCodec) Target(string, []byte) (t fireflypath.Target, e error) { return t, e }
 func (testCodec) Load(string) (l fireflypath.Load, ok bool)             { return l, ok }
+func (testCodec) Limit(h string) (float64, bool) {
+	v, err := strconv.ParseFloat(h, 64)
+	return v, err == nil
+}
 func (testCodec) Cost(h string) (fireflypath.Cost, bool) {
 	prompt, output, ok := strings.Cut(h, ",")
 	p, _ := strconv.Atoi(prompt)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -18,7 +18,9 @@
 	// unconfirmedUnits counts quota units granted without a decision of the quota's
 	// coordinator.
 	unconfirmedUnits tally.Counter
-	byRank           [16]*rankMetrics
+	// limitsNamed counts answers in which the target named a rate limit.
+	limitsNamed tally.Counter
+	byRank      [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -28,7 +30,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = scope.SubScope("gate")
-	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged")}
+	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits")}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
 		m.byRank[i] = &rankMetrics{
--- /dev/null
+++ b/internal/gate/observe.go
@@ -0,0 +1,63 @@
+package gate
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/http1"
+)
+
+// maxLimitedTargets bounds the targets whose rate limits are kept for the log.
+const maxLimitedTargets = 4096
+
+// limitLog keeps which targets named a rate limit in their last answer, so that the log shows
+// when that begins and ends.
+type limitLog struct {
+	mu     sync.Mutex
+	limits map[string]float64
+}
+
+// record records the limit of an answer, if it names one. It reports whether that has begun or
+// ended with this answer.
+func (l *limitLog) record(t fireflypath.Target, limit float64, limited bool) (changed bool) {
+	id := t.Identity()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, before := l.limits[id]
+	if !limited {
+		delete(l.limits, id)
+		return before
+	}
+	if len(l.limits) >= maxLimitedTargets {
+		clear(l.limits)
+	}
+	l.limits[id] = limit
+	return !before
+}
+
+// observeTarget passes what the target says of itself in the header of an answer to the pools.
+func (g *Gate) observeTarget(att *attempt, a *http1.Response) {
+	limit, limited := g.deps.Codec.Limit(a.Header.Get(g.headers.Limit))
+	if limited {
+		g.metrics.limitsNamed.Inc(1)
+	}
+	if g.limitLog.record(att.target, limit, limited) {
+		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
+			zap.Bool("limited", limited), zap.Float64("per_second", limit))
+	}
+	g.observeLoad(att, a)
+}
+
+// observeLoad passes the load that the target reports in its answer to the pools.
+func (g *Gate) observeLoad(att *attempt, a *http1.Response) {
+	l, ok := g.deps.Codec.Load(a.Header.Get(g.headers.Load))
+	if !ok {
+		return
+	}
+	g.deps.Pools.Observe(fireflypath.Event{
+		Kind: fireflypath.EventReport, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
+		Report: fireflypath.Report{MeasuredAt: g.deps.Clock.Now(), Running: l.Running, Waiting: l.Waiting, MaxRunning: l.Slots},
+	})
+}
--- a/internal/testkit/codec.go
+++ b/internal/testkit/codec.go
@@ -28,6 +28,9 @@
 // Load never finds a load report.
 func (Codec) Load(string) (l fireflypath.Load, ok bool) { return l, ok }
 
+// Limit implements fireflypath.Codec.
+func (Codec) Limit(string) (perSecond float64, ok bool) { return perSecond, ok }
+
 // Cost never finds a cost.
 func (Codec) Cost(string) (c fireflypath.Cost, ok bool) { return c, ok }
 
--- a/routing.go
+++ b/routing.go
@@ -110,6 +110,8 @@
 	Signature string
 	// Load holds the number of running and waiting requests and of slots of a target.
 	Load string
+	// Limit is the number of requests a second that a target takes from all daemons together.
+	Limit string
 	// Tokens holds the number of prompt tokens and the maximum number of output tokens.
 	Tokens string
 	// OutputHint is the caller's estimate of the number of output tokens.
@@ -139,6 +141,9 @@
 	Target(key string, value []byte) (Target, error)
 	// Load decodes the load header of an answer. It reports false if there is none.
 	Load(header string) (Load, bool)
+	// Limit decodes the rate limit header of an answer, in requests per second. It reports
+	// false if there is none.
+	Limit(header string) (float64, bool)
 	// Cost decodes the token header, which holds the prompt and the maximum output.
 	Cost(header string) (Cost, bool)
 }
