--- /dev/null
+++ b/internal/daemon/statements_test.go
@@ -0,0 +1,120 @@
+package daemon_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/platform"
+	"github.com/fireflypath/fireflypath/platform/standin"
+)
+
+// statingTarget is a target that says something of itself in its answers.
+type statingTarget struct {
+	standin.Statements
+	name string
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// arrival is a request that reached a target.
+type arrival struct {
+	at time.Time
+	id string
+}
+
+// addStatingTarget starts and registers a target.
+func (s *crashCluster) addStatingTarget(t *testing.T, name string) *statingTarget {
+	t.Helper()
+	h := platform.Codec{}.Headers()
+	target := &statingTarget{name: name}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		target.mu.Lock()
+		target.arrivals = append(target.arrivals, arrival{time.Now(), r.Header.Get(h.ID)})
+		target.mu.Unlock()
+		w.Header().Set(h.ID, r.Header.Get(h.ID))
+		w.Header().Set(h.Signature, "by "+name)
+		target.WriteHeader(w.Header())
+		_, _ = io.WriteString(w, "whole")
+	}))
+	t.Cleanup(srv.Close)
+	s.is.NoErr(s.store.PutTarget(fireflypath.Target{
+		Name: name, Pool: crashPool, Addr: srv.Listener.Addr().String(), Domain: "a", Slots: 4,
+	}))
+	return target
+}
+
+// received returns the requests that reached the target from the given time on.
+func (t *statingTarget) received(from time.Time) []arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(t.arrivals, from, func(a arrival, from time.Time) int { return a.at.Compare(from) })
+	return slices.Clone(t.arrivals[i:])
+}
+
+// sendEvenly sends requests to all daemons in turn, at an even pace for the given time.
+func (s *crashCluster) sendEvenly(perSecond int, duration time.Duration) (served int) {
+	pause := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer pause.Stop()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range perSecond * int(duration/time.Second) {
+		<-pause.C
+		wg.Go(func() {
+			status, _ := s.send(i%len(s.daemons), fmt.Sprintf("%d-%d-%d", i%len(s.daemons), time.Now().UnixNano(), i), "/safe/x", fmt.Sprint("work ", i))
+			mu.Lock()
+			defer mu.Unlock()
+			if status == http.StatusOK {
+				served++
+			}
+		})
+	}
+	wg.Wait()
+	return served
+}
+
+const (
+	// limitWindow is the length of the spans in which a target's rate limit is checked. A span
+	// may hold half as much again as the limit allows, and a few requests more.
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5
+	// noticeDelay is the time after which a daemon keeps what a target said in an answer.
+	noticeDelay = 500 * time.Millisecond
+)
+
+// Guards against a target that is given more than it takes: it names a rate limit for all
+// daemons together, and each daemon keeps sending, or keeps the limit for itself only.
+func TestTargetRateLimitHoldsForAllDaemons(t *testing.T) {
+	t.Parallel()
+	s := newCrashCluster(t, 3, 2)
+	limited := s.addStatingTarget(t, "limited")
+	const limit, perSecond, duration = 2.0, 40, 7 * time.Second
+	limited.SetLimit(limit)
+	s.sendEvenly(perSecond, 2*time.Second) // each daemon gets an answer of the target
+	from := time.Now().Add(noticeDelay)
+	served := s.sendEvenly(perSecond, duration)
+	s.is.Equal(served, perSecond*int(duration/time.Second)) // the other targets take the rest
+	received := limited.received(from)
+	s.is.True(len(received) > 0) // it is used as far as it allows
+	allowed := int(limitOvershoot*limit*limitWindow.Seconds()) + limitSlack
+	for i := range received {
+		n := 0
+		for _, a := range received[i:] {
+			if a.at.Sub(received[i].at) < limitWindow {
+				n++
+			}
+		}
+		if n > allowed {
+			t.Fatalf("%d requests in %v, allowed %d", n, limitWindow, allowed)
+		}
+	}
+}
