fix(backpressure): a target's rate limit holds over all daemons

Callers of a service in need saw failures and late answers at the target that had said how much it takes: it was given several times that (24 requests in 4 s at 2.3 a second, allowed 19). Cause: no daemon read the header. Read by each daemon alone it would not have helped, as nine daemons would have sent nine times the limit.

The statement is now an event of the scheduler. The dispatcher of a pool keeps one token bucket per target for all daemons attached to it, learns the statement from any of them, and passes it on to all with its answers; daemons tell it to the next dispatcher. Who decides for a part of the daemons uses that part of the limit. An answer that was begun before the target was in need cannot end a limit. While all targets of a pool name limits, work beyond what they take by its goal is refused on arrival.

--- a/dispatch.go
+++ b/dispatch.go
@@ -50,6 +50,7 @@
 // DispatchUpdate is what a daemon reports to the dispatcher of one pool. The fields are applied
 // in order.
 type DispatchUpdate struct {
+	Notices   []TargetNotice `json:"t,omitempty"`
 	InFlight  []InFlightWork `json:"f,omitempty"`
 	Offers    []Offer        `json:"o,omitempty"`
 	Progress  []Progress     `json:"p,omitempty"`
@@ -58,7 +59,16 @@
 
 // Empty reports whether the update contains nothing.
 func (u *DispatchUpdate) Empty() bool {
-	return len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
+	return len(u.Notices)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
+}
+
+// TargetNotice is a target's notice as daemons pass it on.
+type TargetNotice struct {
+	// Target is the identity of the target.
+	Target string `json:"t"`
+	Notice
+	// Age is the time since the target declared it.
+	Age Micros `json:"a,omitempty"`
 }
 
 // Decision is a dispatcher's decision about one piece of work: a target or a refusal.
--- a/internal/daemon/gatemembership.go
+++ b/internal/daemon/gatemembership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -69,14 +70,19 @@
 func (d *Daemon) poolShare(names []string) fireflypath.Share {
 	layout := d.members.Layout()
 	if layout.CellCount() == 1 {
-		return fireflypath.Share{Default: 1, Senders: len(d.members.Live())}
+		live := d.members.Live()
+		index := slices.IndexFunc(live, func(m fireflypath.Member) bool { return m.Name == d.cfg.Name })
+		return fireflypath.Share{Default: 1, Senders: len(live), Index: max(index, 0)}
 	}
 	assigned, peers := layout.AssignedTargets(d.cfg.Name, names)
 	unknownSenders := len(peers) > len(layout.Members(d.cfg.Name))
+	index := max(slices.Index(peers, d.cfg.Name), 0)
 	if len(assigned) == 0 || len(assigned) == len(names) {
-		return fireflypath.Share{Default: 1, UnknownSenders: unknownSenders, Senders: len(peers)}
+		return fireflypath.Share{Default: 1, UnknownSenders: unknownSenders, Senders: len(peers), Index: index}
+	}
+	s := fireflypath.Share{
+		Fractions: make(map[string]float64, len(assigned)), UnknownSenders: unknownSenders, Senders: len(peers), Index: index,
 	}
-	s := fireflypath.Share{Fractions: make(map[string]float64, len(assigned)), UnknownSenders: unknownSenders, Senders: len(peers)}
 	for _, name := range assigned {
 		s.Fractions[name] = 1
 	}
--- /dev/null
+++ b/internal/decide/backpressure/book.go
@@ -0,0 +1,122 @@
+// Package backpressure keeps what targets declare in their answers about the requests that
+// they take.
+//
+// A target in need names a rate limit for all daemons together. A daemon that does not keep
+// it, or keeps it for itself only, sends the target several times what it can bear, and the
+// target fails under requests that others could have served. So the limit is passed on
+// between the daemons and divided between those that decide where requests go.
+package backpressure
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// absentRetention is how long the declarations of a target are kept after it was removed from
+// the list of targets. A registration that expired while the store was away comes back.
+const absentRetention = 10 * time.Minute
+
+// Book holds the declarations of the targets of one pool. It is not safe for concurrent use.
+type Book struct {
+	targets map[string]*Target
+	// share is the part of each rate limit that may be used here, between 0 and 1.
+	share float64
+	// version counts the changes that other daemons need to know.
+	version uint64
+}
+
+// New returns a book without declarations, which may use each limit as a whole.
+func New() *Book {
+	return &Book{targets: map[string]*Target{}, share: 1}
+}
+
+// Find returns the declarations of the target with the identity, or nil if there are none.
+func (b *Book) Find(identity string) *Target { return b.targets[identity] }
+
+// Len returns the number of targets with declarations.
+func (b *Book) Len() int { return len(b.targets) }
+
+// Version changes with each declaration that differs from the last one.
+func (b *Book) Version() uint64 { return b.version }
+
+// SetShare sets the part of each rate limit that may be used here, between 0 and 1.
+func (b *Book) SetShare(now time.Time, share float64) {
+	if share == b.share {
+		return
+	}
+	b.share = share
+	for _, t := range b.targets {
+		t.updateRate(now, share)
+	}
+}
+
+// Observe records what a target declared in the answer to a request that was sent at the given
+// time.
+//
+// An answer without a limit ends the limit only if its request was sent after the last answer
+// that named one. Answers arrive out of order: one that was begun before the target was in need
+// says nothing about the time since.
+func (b *Book) Observe(now time.Time, identity string, n fireflypath.Notice, sent time.Time) {
+	at := now
+	if !n.Limited {
+		at = sent
+	}
+	b.apply(now, identity, n, at)
+}
+
+// Apply records what other daemons have observed.
+func (b *Book) Apply(now time.Time, notices []fireflypath.TargetNotice) {
+	for i := range notices {
+		n := &notices[i]
+		b.apply(now, n.Target, n.Notice, now.Add(-n.Age.Std()))
+	}
+}
+
+// apply records a declaration that was observed at the given time, unless a later one is known.
+func (b *Book) apply(now time.Time, identity string, n fireflypath.Notice, at time.Time) {
+	t := b.targets[identity]
+	if t == nil {
+		if !n.Limited {
+			return
+		}
+		t = &Target{}
+		b.targets[identity] = t
+	}
+	if !at.After(t.observedAt) {
+		return
+	}
+	t.observedAt = at
+	if t.setLimit(now, n, b.share) {
+		b.version++
+	}
+}
+
+// Notices returns all declarations, for other daemons, sorted by target.
+func (b *Book) Notices(now time.Time) []fireflypath.TargetNotice {
+	out := make([]fireflypath.TargetNotice, 0, len(b.targets))
+	for _, identity := range slices.Sorted(maps.Keys(b.targets)) {
+		t := b.targets[identity]
+		out = append(out, fireflypath.TargetNotice{
+			Target: identity, Age: fireflypath.MicrosOf(now.Sub(t.observedAt)),
+			Notice: fireflypath.Notice{Limit: t.limit, Limited: t.limited()},
+		})
+	}
+	return out
+}
+
+// Retain forgets the declarations of targets that have not been listed for absentRetention.
+func (b *Book) Retain(now time.Time, listed func(identity string) bool) {
+	maps.DeleteFunc(b.targets, func(identity string, t *Target) bool {
+		if listed(identity) {
+			t.absentSince = time.Time{}
+			return false
+		}
+		if t.absentSince.IsZero() {
+			t.absentSince = now
+		}
+		return now.Sub(t.absentSince) >= absentRetention
+	})
+}
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -31,6 +31,13 @@
 	// UpdatePeers sets the in-flight work of daemons that schedule for
 	// themselves.
 	UpdatePeers(now time.Time, peers []fireflypath.PeerLoad)
+	// SetRepresented sets for how many daemons the scheduler decides.
+	SetRepresented(now time.Time, daemons int)
+	// Notices returns what targets have declared. NoticeVersion changes whenever they do.
+	Notices(now time.Time) []fireflypath.TargetNotice
+	NoticeVersion() uint64
+	// ApplyNotices records what daemons have observed of such declarations.
+	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
 }
 
 // Dispatcher schedules the work of one pool for several daemons. It is not safe
@@ -70,6 +77,8 @@
 	id        uint64
 	entries   map[uint64]*entry
 	decisions []fireflypath.Decision
+	// sentNotices is the version of the targets' notices that the daemon was sent.
+	sentNotices uint64
 }
 
 // entry is one request of a session.
@@ -93,6 +102,7 @@
 	d.CloseSession(now, daemon)
 	d.releaseOrphans(now, daemon)
 	d.sessions[daemon] = &session{id: id, entries: map[uint64]*entry{}}
+	d.scheduler.SetRepresented(now, len(d.sessions))
 }
 
 // CloseSession ends the session with a daemon and removes its waiting work. Its
@@ -103,6 +113,7 @@
 		return
 	}
 	delete(d.sessions, daemon)
+	d.scheduler.SetRepresented(now, len(d.sessions))
 	numbers := make([]uint64, 0, len(s.entries))
 	for n := range s.entries {
 		numbers = append(numbers, n)
@@ -147,6 +158,7 @@
 	if s == nil {
 		return
 	}
+	d.scheduler.ApplyNotices(now, update.Notices)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
@@ -299,6 +311,17 @@
 	return out
 }
 
+// TakeNotices returns what targets have declared if that has changed since the daemon was last
+// sent it, and nothing otherwise.
+func (d *Dispatcher) TakeNotices(now time.Time, daemon string) []fireflypath.TargetNotice {
+	s, version := d.sessions[daemon], d.scheduler.NoticeVersion()
+	if s == nil || s.sentNotices == version {
+		return nil
+	}
+	s.sentNotices = version
+	return d.scheduler.Notices(now)
+}
+
 // SetTargets replaces the targets of the pool.
 func (d *Dispatcher) SetTargets(now time.Time, list []fireflypath.Target) {
 	d.list.Update(list,
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -27,6 +27,11 @@
 	TakeWaiting() []*fireflypath.Work
 	// EachInFlight calls fn for every request at a target; targets are named by identity.
 	EachInFlight(fn func(w *fireflypath.Work, target string, sent time.Time, began bool))
+	// Notices returns what targets have declared. NoticeVersion changes whenever they do.
+	Notices(now time.Time) []fireflypath.TargetNotice
+	NoticeVersion() uint64
+	// ApplyNotices records what other daemons know of such declarations.
+	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
 }
 
 // replyGrace is how long a request on which the dispatcher has not decided is kept after
@@ -52,9 +57,11 @@
 	// placements were decided by the dispatcher and not yet returned by Next.
 	placements []placement
 	// targets holds those of list by identity.
-	targets     map[string]fireflypath.Target
-	list        targets.List
-	outbox      fireflypath.DispatchUpdate
+	targets map[string]fireflypath.Target
+	list    targets.List
+	outbox  fireflypath.DispatchUpdate
+	// sentNotices is the version of the notices that the dispatcher was sent.
+	sentNotices uint64
 	updateReady chan struct{}
 }
 
@@ -106,6 +113,7 @@
 func (s *Scheduler) reset() {
 	clear(s.numbers)
 	s.outbox = fireflypath.DispatchUpdate{}
+	s.sentNotices = 0
 }
 
 // takePending takes back all requests that Next has not returned: the undecided ones in
@@ -145,12 +153,25 @@
 func (s *Scheduler) HasPending() bool { return len(s.pending) > 0 }
 
 // TakeUpdate returns and clears the update not yet sent to the dispatcher.
-func (s *Scheduler) TakeUpdate() fireflypath.DispatchUpdate {
+func (s *Scheduler) TakeUpdate(now time.Time) fireflypath.DispatchUpdate {
 	out := s.outbox
 	s.outbox = fireflypath.DispatchUpdate{}
+	if version := s.NoticeVersion(); version != s.sentNotices {
+		out.Notices, s.sentNotices = s.Notices(now), version
+	}
 	return out
 }
 
+// ApplyNotices records what the dispatcher knows of declarations of targets. Those that it
+// sends are not sent back.
+func (s *Scheduler) ApplyNotices(now time.Time, notices []fireflypath.TargetNotice) {
+	known := s.NoticeVersion() == s.sentNotices
+	s.Local.ApplyNotices(now, notices)
+	if known {
+		s.sentNotices = s.NoticeVersion()
+	}
+}
+
 // Report adds this daemon's in-flight requests to the report for peers, if several daemons
 // place requests: each must know the others' placements, or targets get several times the
 // load they can run. While one dispatcher decides for all, it knows everything, and a
@@ -289,6 +310,9 @@
 	n, known := s.numbers[e.Work]
 	if e.Work == nil || !known {
 		s.Local.Observe(now, e)
+		if s.attached && s.NoticeVersion() != s.sentNotices {
+			s.signal()
+		}
 		return
 	}
 	if e.Kind == fireflypath.EventUnsent && s.attached {
--- a/internal/decide/remote/remote_test.go
+++ b/internal/decide/remote/remote_test.go
@@ -58,7 +58,7 @@
 		is.Equal(len(s.Offer(start, work(i, start), nil)), 0)
 	}
 	is.Equal(len(nextPlacements(s, start)), 0)
-	is.Equal(len(s.TakeUpdate().Offers), 4)
+	is.Equal(len(s.TakeUpdate(start).Offers), 4)
 	s.ApplyDecisions(start, []fireflypath.Decision{{Number: 1, Target: "t0"}}, nil)
 	is.Equal(len(nextPlacements(s, start)), 1)
 	is.Equal(len(s.Detach(start, nil)), 0)
@@ -80,14 +80,14 @@
 	is.Equal(len(sent), 3)
 	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventFirstOutput, Target: "t0", Work: sent[0].Work})
 	s.Attach(start.Add(time.Second))
-	update := s.TakeUpdate()
+	update := s.TakeUpdate(start)
 	is.Equal(len(update.InFlight), 3)
 	is.True(update.InFlight[0].Began)
 	is.Equal(update.InFlight[0].Sent.Std(), time.Second)
 	is.Equal(len(update.Offers), 4)
 	is.Equal(update.Offers[0].Waited.Std(), time.Second)
 	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventDone, Target: "t0", Work: sent[1].Work, Tokens: 9})
-	is.Equal(s.TakeUpdate().Progress, []fireflypath.Progress{{Number: update.InFlight[1].Number, Kind: fireflypath.EventDone, Tokens: 9}})
+	is.Equal(s.TakeUpdate(start).Progress, []fireflypath.Progress{{Number: update.InFlight[1].Number, Kind: fireflypath.EventDone, Tokens: 9}})
 }
 
 // The dispatcher does not know yet that a target is leaving. A daemon that does sends
@@ -97,13 +97,13 @@
 	s := scheduler(2)
 	s.Attach(start)
 	s.Offer(start, work(1, start), nil)
-	s.TakeUpdate()
+	s.TakeUpdate(start)
 	list := targets(2)
 	list[0].Drained = true
 	s.SetTargets(start, list)
 	s.ApplyDecisions(start, []fireflypath.Decision{{Number: 1, Target: "t0"}}, nil)
 	is.Equal(len(nextPlacements(s, start)), 0)
-	is.Equal(s.TakeUpdate().Progress, []fireflypath.Progress{{Number: 1, Kind: fireflypath.EventUnsent}})
+	is.Equal(s.TakeUpdate(start).Progress, []fireflypath.Progress{{Number: 1, Kind: fireflypath.EventUnsent}})
 	s.ApplyDecisions(start, []fireflypath.Decision{{Number: 1, Target: "t1"}}, nil)
 	is.Equal(len(nextPlacements(s, start)), 1)
 }
--- /dev/null
+++ b/internal/decide/slots/limits.go
@@ -0,0 +1,106 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+// maxLocalSenders is how many of the daemons that decide for themselves use a target with a
+// rate limit. Each of them may send a request at once whatever its part of the rate is.
+const maxLocalSenders = 4
+
+// Notices returns what the targets have declared, as far as known here.
+func (s *Scheduler) Notices(now time.Time) []fireflypath.TargetNotice { return s.book.Notices(now) }
+
+// NoticeVersion changes whenever the result of Notices does, apart from the ages.
+func (s *Scheduler) NoticeVersion() uint64 { return s.book.Version() }
+
+// ApplyNotices records what other daemons know of declarations of the targets.
+func (s *Scheduler) ApplyNotices(now time.Time, notices []fireflypath.TargetNotice) {
+	known := s.book.Len()
+	s.book.Apply(now, notices)
+	if s.book.Len() == known {
+		return
+	}
+	for _, t := range s.ordered {
+		t.declared = s.book.Find(t.id)
+	}
+}
+
+// SetRepresented sets for how many daemons this scheduler decides as their dispatcher.
+func (s *Scheduler) SetRepresented(now time.Time, daemons int) {
+	s.represented = daemons
+	s.updateLimitShare(now)
+}
+
+// updateLimitShare sets the part of the targets' rate limits that may be used here. All who
+// decide together use a limit once: a dispatcher in proportion to the daemons for which it
+// decides, a daemon that decides for itself for one.
+func (s *Scheduler) updateLimitShare(now time.Time) {
+	share := 1.0
+	if s.share.Senders > 1 {
+		share = min(1, float64(max(s.represented, 1))/float64(s.share.Senders))
+	}
+	s.book.SetShare(now, share)
+}
+
+// mayUseLimited reports whether this scheduler uses the target while it names a rate limit.
+func (s *Scheduler) mayUseLimited(t *target) bool {
+	n := s.share.Senders
+	return s.represented > 0 || n <= maxLocalSenders || (uint64(s.share.Index)+t.nameHash)%uint64(n) < maxLocalSenders
+}
+
+// limitAllows reports whether the target's rate limit allows a request now.
+func (s *Scheduler) limitAllows(now time.Time, t *target) bool {
+	n, limited := t.declared.Allows(now)
+	return !limited || n > 0 && s.mayUseLimited(t)
+}
+
+// limitAllowsAt returns when the target's rate limit allows the next request, or zero if it
+// allows one now or none from this scheduler.
+func (s *Scheduler) limitAllowsAt(now time.Time, t *target) time.Time {
+	if t.declared == nil || !s.mayUseLimited(t) {
+		return time.Time{}
+	}
+	return t.declared.AllowedAt(now)
+}
+
+// limitFreeSlots returns how many of the target's free slots its rate limit allows to use now.
+func (s *Scheduler) limitFreeSlots(now time.Time, t *target, free int) int {
+	if n, limited := t.declared.Allows(now); limited {
+		return min(n, free)
+	}
+	return free
+}
+
+// totalLimit returns the requests per second that the targets take together. It reports false
+// if one of them names no limit.
+func (s *Scheduler) totalLimit() (perSecond float64, ok bool) {
+	if s.book.Len() == 0 {
+		return 0, false
+	}
+	for _, t := range s.shared {
+		if t.Drained || t.leaving {
+			continue
+		}
+		r, limited := t.declared.Rate()
+		if !limited {
+			return 0, false
+		}
+		if s.mayUseLimited(t) {
+			perSecond += r
+		}
+	}
+	return perSecond, perSecond > 0
+}
+
+// isListed reports whether the list of targets contains the one with the identity.
+func (s *Scheduler) isListed(identity string) bool {
+	for _, t := range s.ordered {
+		if t.id == identity {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -22,6 +22,11 @@
 			t.reportedRequests = max(e.Report.Running+e.Report.Waiting-t.requests, 0)
 			t.reportedAt = now
 		}
+	case fireflypath.EventNotice:
+		if t != nil {
+			s.book.Observe(now, t.id, e.Notice, e.Sent)
+			t.declared = s.book.Find(t.id)
+		}
 	case fireflypath.EventLeaving, fireflypath.EventStaying:
 		if t != nil {
 			t.leaving = e.Kind == fireflypath.EventLeaving
--- a/internal/decide/slots/peers.go
+++ b/internal/decide/slots/peers.go
@@ -140,6 +140,9 @@
 	if now.Before(t.ejectedUntil) {
 		return t.ejectedUntil
 	}
+	if at := s.limitAllowsAt(now, t); !at.IsZero() {
+		return at
+	}
 	r, ok := s.highestWaitingRank()
 	if !ok || len(s.competitors) == 0 {
 		return time.Time{}
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -46,6 +46,35 @@
 	return time.Duration(float64(ahead) / r * float64(time.Second)), true
 }
 
+// hopeless reports whether the request is refused on arrival, because its turn is expected to
+// come too late, and when that is.
+func (s *Scheduler) hopeless(now time.Time, w *fireflypath.Work) (wait time.Duration, refuse bool) {
+	longest := time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(now)))
+	if limit, ok := s.totalLimit(); ok {
+		// The targets say what they take. More work than that waits in vain: if not this
+		// request, then an older one.
+		if untilGoal := w.Goal.Sub(now); untilGoal > 0 {
+			longest = min(longest, untilGoal)
+		}
+		wait = s.limitedWait(now, w, limit)
+		return wait, wait > longest
+	}
+	wait, known := s.expectedWait(now, w)
+	return wait, known && wait > longest
+}
+
+// limitedWait returns how long the request would wait behind all waiting work of its tier and
+// of higher ones, if the targets take the given number of requests per second.
+func (s *Scheduler) limitedWait(now time.Time, w *fireflypath.Work, perSecond float64) time.Duration {
+	ahead := 1 - s.freeSlots(now)
+	for _, o := range s.waiting {
+		if o.Rank <= w.Rank {
+			ahead++
+		}
+	}
+	return time.Duration(max(float64(ahead), 0) / perSecond * float64(time.Second))
+}
+
 // completionRate returns the number of requests that complete per second, or 0 if
 // unknown.
 func (s *Scheduler) completionRate() float64 {
@@ -53,6 +82,9 @@
 	if s.slotTime > 0 {
 		r = max(r, float64(len(s.inFlight))/s.slotTime)
 	}
+	if limit, ok := s.totalLimit(); ok && (r <= 0 || limit < r) {
+		return limit
+	}
 	return r
 }
 
@@ -98,7 +130,7 @@
 	n := 0
 	for _, t := range s.shared {
 		if s.accepts(now, t, 0) {
-			n += t.slots() - s.occupied(now, t)
+			n += s.limitFreeSlots(now, t, t.slots()-s.occupied(now, t))
 		}
 	}
 	return n
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/backpressure"
 	"github.com/fireflypath/fireflypath/internal/decide/floor"
 	"github.com/fireflypath/fireflypath/internal/decide/rate"
 	"github.com/fireflypath/fireflypath/internal/decide/targets"
@@ -71,6 +72,13 @@
 	lowestRank int
 	seed       uint64
 	share      fireflypath.Share
+	// book holds what targets declare about the requests that they take. represented is the
+	// number of daemons for which this scheduler decides as their dispatcher, or 0.
+	book        *backpressure.Book
+	represented int
+	// allLimited is true while all targets name rate limits. Only as much work is admitted then
+	// as can be served by its goal, so that no order of it leaves some of it behind.
+	allLimited bool
 	// floor guarantees each tier a minimum of service.
 	floor *floor.Floor
 	// reporters is the number of other daemons that report their requests.
@@ -99,6 +107,7 @@
 		pool: pool, seed: seed, tuning: tuning, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, replaced: map[string]*target{}, inFlight: map[*fireflypath.Work]dispatched{},
 		completions: rate.Meter{TimeConstant: rateHorizon}, floor: floor.New(tuning.MinServedRatio),
+		book: backpressure.New(),
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
@@ -112,8 +121,7 @@
 	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
-	wait, known := s.expectedWait(now, w)
-	if known && wait > time.Duration(s.tuning.MaxWaitFraction*float64(callerGivesUpAt(w).Sub(now))) && !s.admitStarved(now, w) {
+	if wait, refuse := s.hopeless(now, w); refuse && !s.admitStarved(now, w) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
@@ -129,7 +137,7 @@
 	if ra != rb {
 		return ra < rb
 	}
-	if s.tuning.LatestGoalFirst && ra%2 == 0 {
+	if s.tuning.LatestGoalFirst && !s.allLimited && ra%2 == 0 {
 		return a.Goal.After(b.Goal)
 	}
 	return a.Goal.Before(b.Goal)
@@ -168,6 +176,7 @@
 	if len(s.waiting) == 0 || s.equalShareUsed() || !s.anyTargetAccepts(now) {
 		return false
 	}
+	_, s.allLimited = s.totalLimit()
 	var best *target
 	at := -1
 	if rank, ok := s.starvedTier(now); ok {
@@ -231,6 +240,7 @@
 	t.requests++
 	t.pendingPrefill += w.Cost.Prompt
 	t.markProbe(now)
+	t.declared.CountSent(now)
 	p.Work, p.Target = w, t.Name
 	p.Waited = now.Sub(w.Arrived)
 	p.Ahead = len(s.waiting)
@@ -275,6 +285,7 @@
 		s.updateAssignment(now, t)
 	}
 	s.updateShared()
+	s.updateLimitShare(now)
 }
 
 // updateAssignment sets whether this daemon dispatches to the target.
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/backpressure"
 	"github.com/fireflypath/fireflypath/internal/decide/speed"
 )
 
@@ -74,6 +75,8 @@
 	// ejection is the length of the last ejection, ejectedUntil its end.
 	ejection     time.Duration
 	ejectedUntil time.Time
+	// declared is what the target declared in answers, or nil.
+	declared *backpressure.Target
 	// probing is true while a single request decides whether the target has
 	// recovered.
 	probing bool
@@ -89,6 +92,7 @@
 	s.list.Update(list, func(t fireflypath.Target) { s.removeTarget(t.Name) }, func(t fireflypath.Target) { s.setTarget(now, t) })
 	clear(s.replaced)
 	s.updateShared()
+	s.book.Retain(now, s.isListed)
 	s.maxPrefillRate, s.fastest = 0, nil
 	for _, t := range s.ordered {
 		s.updateFastest(t)
@@ -109,6 +113,7 @@
 		entry = &target{id: t.Identity(), nameHash: xxhash.Sum64String(t.Name), peerFreedAt: now, knownSince: now}
 	}
 	entry.Target = t
+	entry.declared = s.book.Find(entry.id)
 	s.updateAssignment(now, entry)
 	s.targets[t.Name] = entry
 	i, _ := slices.BinarySearchFunc(s.ordered, t.Name, compareTargetName)
@@ -186,6 +191,8 @@
 		return "ejected"
 	case t.probing:
 		return "probing"
+	case !s.limitAllows(now, t):
+		return "limited"
 	case s.occupied(now, t) >= t.slots()+extra:
 		return "full"
 	default:
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -65,8 +65,8 @@
 	}
 	var changes fireflypath.DispatchUpdate
 	waiting := false
-	c.pool.Update(func(_ time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-		changes, waiting = c.sched.TakeUpdate(), c.sched.HasPending()
+	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+		changes, waiting = c.sched.TakeUpdate(now), c.sched.HasPending()
 		return out
 	})
 	interval := waitingHeartbeat
@@ -235,8 +235,9 @@
 	if !known {
 		return false
 	}
-	if len(m.Decisions) > 0 {
+	if len(m.Notices)+len(m.Decisions) > 0 {
 		c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+			c.sched.ApplyNotices(now, m.Notices)
 			return c.sched.ApplyDecisions(now, m.Decisions, out)
 		})
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -161,9 +161,10 @@
 
 // decisionsMessage is sent by a dispatcher to a daemon, as a response or as a call.
 type decisionsMessage struct {
-	Pool      string                 `json:"pool,omitempty"`
-	Session   uint64                 `json:"s,omitempty"`
-	Decisions []fireflypath.Decision `json:"turns,omitempty"`
+	Pool      string                     `json:"pool,omitempty"`
+	Session   uint64                     `json:"s,omitempty"`
+	Notices   []fireflypath.TargetNotice `json:"notices,omitempty"`
+	Decisions []fireflypath.Decision     `json:"turns,omitempty"`
 }
 
 // ack says whether the daemon still has the session.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -121,7 +121,7 @@
 		sess.synced = true
 		s.releaseIfSynced(now)
 	}
-	out := decisionsMessage{Session: m.Session, Decisions: s.queue.TakeDecisions(from)}
+	out := decisionsMessage{Session: m.Session, Notices: s.queue.TakeNotices(now, from), Decisions: s.queue.TakeDecisions(from)}
 	s.countDecisions(out.Decisions)
 	s.pushDecisions(now)
 	return out, nil
@@ -199,7 +199,9 @@
 			s.mu.Unlock()
 			return
 		}
-		m := decisionsMessage{Pool: s.pool, Session: sess.id, Decisions: s.queue.TakeDecisions(name)}
+		m := decisionsMessage{
+			Pool: s.pool, Session: sess.id, Notices: s.queue.TakeNotices(s.d.clock.Now(), name), Decisions: s.queue.TakeDecisions(name),
+		}
 		s.countDecisions(m.Decisions)
 		s.mu.Unlock()
 		if s.send(name, &m) {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -49,6 +49,7 @@
 	v, err := strconv.ParseFloat(h, 64)
 	return v, err == nil
 }
+
 func (testCodec) Cost(h string) (fireflypath.Cost, bool) {
 	prompt, output, ok := strings.Cut(h, ",")
 	p, _ := strconv.Atoi(prompt)
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -47,6 +47,10 @@
 		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
 			zap.Bool("limited", limited), zap.Float64("per_second", limit))
 	}
+	g.deps.Pools.Observe(fireflypath.Event{
+		Kind: fireflypath.EventNotice, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
+		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited},
+	})
 	g.observeLoad(att, a)
 }
 
--- a/internal/sim/dispatch.go
+++ b/internal/sim/dispatch.go
@@ -98,7 +98,7 @@
 	if c.node == nil || c.awaitingReply {
 		return
 	}
-	updates := c.scheduler.TakeUpdate()
+	updates := c.scheduler.TakeUpdate(c.d.w.loop.Now())
 	if updates.Empty() {
 		return
 	}
@@ -109,14 +109,14 @@
 			return
 		}
 		to.Apply(loop.Now(), c.d.name, &updates)
-		decisions := to.TakeDecisions(c.d.name)
+		notices, decisions := to.TakeNotices(loop.Now(), c.d.name), to.TakeDecisions(c.d.name)
 		to.pushDecisions()
 		loop.After(c.replyDelay(to), func() {
 			if c.node != to || c.sessionID != id {
 				return
 			}
 			c.awaitingReply = false
-			c.applyDecisions(decisions)
+			c.applyDecisions(notices, decisions)
 			c.sendUpdates()
 		})
 	})
@@ -129,7 +129,8 @@
 	return c.d.w.options.Fleet.Hop.Duration() + messageOverhead
 }
 
-func (c *dispatchClient) applyDecisions(decisions []fireflypath.Decision) {
+func (c *dispatchClient) applyDecisions(notices []fireflypath.TargetNotice, decisions []fireflypath.Decision) {
+	c.scheduler.ApplyNotices(c.d.w.loop.Now(), notices)
 	c.d.applySheds(c.scheduler.ApplyDecisions(c.d.w.loop.Now(), decisions, nil))
 	c.d.runScheduler()
 }
@@ -146,7 +147,7 @@
 		id := o.dispatchClient.sessionID
 		loop.After(o.dispatchClient.replyDelay(k), func() {
 			if o.dispatchClient != nil && o.dispatchClient.node == k && o.dispatchClient.sessionID == id {
-				o.dispatchClient.applyDecisions(decisions)
+				o.dispatchClient.applyDecisions(nil, decisions)
 				o.dispatchClient.sendUpdates()
 			}
 		})
--- a/scheduler.go
+++ b/scheduler.go
@@ -119,6 +119,8 @@
 	EventLeaving
 	// EventStaying withdraws EventLeaving.
 	EventStaying
+	// EventNotice is the header of an answer, with what the target declares in it.
+	EventNotice
 )
 
 // Event is something that happened at a target. Fields that the kind does not use are zero.
@@ -139,13 +141,22 @@
 	// CallerLeft is true for an EventFailed that says nothing about the target, because the
 	// caller left.
 	CallerLeft bool
-	// Report is set for EventReport.
+	// Report is set for EventReport, Notice for EventNotice.
 	Report Report
+	Notice Notice
 	// Blocks holds the cumulative hashes stored (or evicted, if Dropped), for EventCache.
 	Blocks  []uint64
 	Dropped bool
 }
 
+// Notice is what a target declares in an answer about the requests that it takes.
+type Notice struct {
+	// Limit is the number of requests a second that the target takes from all daemons
+	// together, if Limited. It holds until an answer names none.
+	Limit   float64 `json:"l,omitempty"`
+	Limited bool    `json:"m,omitempty"`
+}
+
 // Report is a load report of a target. It arrives with a delay.
 type Report struct {
 	// MeasuredAt is when the target measured its load, by the reader's clock.
@@ -172,8 +183,9 @@
 	// targets, so that only the targets themselves know their load.
 	UnknownSenders bool
 	// Senders is the number of daemons that dispatch to the same targets, including this one; 0
-	// if unknown.
-	Senders int
+	// if unknown. Index is the position of this daemon among them, which differs between any
+	// two of them.
+	Senders, Index int
 }
 
 // Demand is a daemon's summary of one pool, which daemons exchange.
