test(sim): engines in need name rate limits

The simulation's engines can name a limit for a time; a run reports by how many requests the worst span of 4 s exceeds it, counted over daemons that have had an answer with the limit since their last start.

--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -10,13 +10,15 @@
 
 // call is one attempt of a caller through one daemon.
 type call struct {
-	r             *request
-	d             *daemon
-	number        int
-	work          fireflypath.Work
-	tries         int
-	avoid         []string
-	target        *target
+	r      *request
+	d      *daemon
+	number int
+	work   fireflypath.Work
+	tries  int
+	avoid  []string
+	target *target
+	// sentAt is when the request was sent to the target.
+	sentAt        time.Time
 	engineRequest *engine.Request
 	finished      bool
 	events        int
@@ -99,7 +101,7 @@
 func (c *call) send(name string) {
 	w := c.r.w
 	c.avoid = append(c.avoid, name)
-	c.target = w.findTarget(name)
+	c.target, c.sentAt = w.findTarget(name), w.loop.Now()
 	if c.number == 1 && c.tries == 1 {
 		c.r.dispatchedAt = w.loop.Now()
 	}
@@ -111,6 +113,9 @@
 	req.OnFailure = func(time.Time) { w.loop.After(w.options.Fleet.Hop.Duration(), func() { c.handleEngineFailure(req) }) }
 	c.engineRequest = req
 	w.loop.After(w.options.Fleet.Hop.Duration(), func() {
+		if c.target != nil {
+			c.target.recordArrival(w.loop.Now(), c.d)
+		}
 		if c.target == nil || !c.target.Submit(req) {
 			w.loop.After(w.options.Fleet.Hop.Duration(), c.handleEngineRefusal)
 		}
@@ -139,6 +144,10 @@
 	}
 	r, now := c.r, c.r.w.loop.Now()
 	if c.events == 0 {
+		c.target.recordAnswer(now, c.d)
+		c.d.observe(fireflypath.Event{
+			Kind: fireflypath.EventNotice, Target: c.target.Name, Cached: -1, Sent: c.sentAt, Notice: c.target.notice,
+		})
 		c.d.observe(fireflypath.Event{
 			Kind: fireflypath.EventReport, Target: c.target.Name, Cached: -1,
 			Report: fireflypath.Report{MeasuredAt: now, Running: running, Waiting: waiting},
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -23,6 +23,8 @@
 	Outages []Outage
 	// Slowdowns make engines slower.
 	Slowdowns []Slowdown
+	// Limits make engines name a rate limit.
+	Limits []Limit
 	// Restarts kill and restart daemons.
 	Restarts []Restart
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
@@ -57,6 +59,12 @@
 	Fraction, Factor float64
 }
 
+// Limit makes a fraction of the engines name a rate limit, in requests per second.
+type Limit struct {
+	At, Duration        time.Duration
+	Fraction, PerSecond float64
+}
+
 // Restart kills a fraction of the daemons; they restart immediately with empty state.
 type Restart struct {
 	At       time.Duration
@@ -91,6 +99,11 @@
 		},
 		{Name: "release", Rate: 1, Outages: []Outage{{At: seconds(4), Fraction: 0.5, Stagger: seconds(1.1), Planned: true}}},
 		{Name: "slow", Rate: 0.8, Slowdowns: []Slowdown{{At: seconds(4), Duration: seconds(8), Fraction: 0.25, Factor: 6}}},
+		{Name: "limits", Rate: 1, Limits: []Limit{{At: seconds(6), Duration: seconds(14), Fraction: 0.17, PerSecond: 2}}},
+		{
+			Name: "limits-restarts", Rate: 1, Limits: []Limit{{At: seconds(4), Duration: seconds(20), Fraction: 0.34, PerSecond: 1.5}},
+			Restarts: []Restart{{At: seconds(8), Fraction: 1}, {At: seconds(14), Fraction: 0.5}},
+		},
 		{Name: "restarts", Rate: 1, Restarts: []Restart{{At: seconds(6), Fraction: 1}, {At: seconds(14), Fraction: 0.5}}},
 		{Name: "abuse", Rate: 1, Bursts: flashBursts(), Impatient: 0.3},
 		{Name: "overload", Rate: 1.6},
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -69,6 +69,21 @@
 	is.True(meanWorth(t, "norte", "restarts", true) > meanWorth(t, "norte", "restarts", false)-0.01)
 }
 
+// Engines name rate limits for all daemons together, while these restart or not. No span may
+// hold more than such a limit allows.
+func TestRateLimitsOfEnginesAreKept(t *testing.T) {
+	for _, pattern := range []string{"limits", "limits-restarts"} {
+		for _, mix := range []string{"gent", "norte"} {
+			t.Run(pattern+" "+mix, func(t *testing.T) {
+				is := is.New(t)
+				for seed := range uint64(3) {
+					is.Equal(simulate(t, mix, pattern, seed+1, true).OverLimit, 0)
+				}
+			})
+		}
+	}
+}
+
 func TestRunIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	for _, dispatched := range []bool{false, true} {
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -56,6 +56,8 @@
 	// RefusalPenalty is the penalty for requests that were refused more than once.
 	RefusalPenalty float64 `json:"again"`
 	Kinds          []Kind  `json:"kinds"`
+	// OverLimit is by how many requests an engine's rate limit was exceeded in the worst span.
+	OverLimit int `json:"over_limit"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
@@ -91,6 +93,7 @@
 	meanWeights []float64
 	samples     map[*request]*sample
 	order       []*sample
+	overLimit   int
 }
 
 func newTally(f fleet.Fleet) *tally {
@@ -135,7 +138,7 @@
 }
 
 func (t *tally) result() Result {
-	res := Result{Whole: earnedFraction(t.order), Class: 1}
+	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.overLimit}
 	total, repeated := 0.0, 0.0
 	for _, s := range t.order {
 		total += s.worth
