test(soak): targets name rate limits, and no span may hold more

While faults are injected, targets name 4 requests a second in their answers for 7 s. A request counts if its daemon was sent such an answer half a second before and had no fault since; a span of 4 s may hold 29.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -89,7 +89,7 @@
 	r.Header.Set(c.headers.ID, id)
 	r.Header.Set(c.headers.Key, key)
 	r.Header.Set(c.headers.Deadline, strconv.FormatInt(limit.Milliseconds(), 10))
-	c.history.recordRequest(id, &request{atMostOnce: path == "/once/" || path == "/stream/", body: body, sentAt: time.Now(), key: key})
+	c.history.recordRequest(id, &request{atMostOnce: path == "/once/" || path == "/stream/", body: body, sentAt: time.Now(), key: key, daemon: d})
 	c.attempted.Add(1)
 	resp, err := c.client.Do(r)
 	if err != nil {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -17,6 +17,7 @@
 	invariantBody       invariant = "targets receive a request as it was sent"
 	invariantRevoked    invariant = "no request runs with a key that was revoked longer ago than allowed"
 	invariantDrained    invariant = "a target that is leaving gets no requests after two seconds"
+	invariantLimited    invariant = "a target gets no more requests than it says it takes"
 	invariantVersion    invariant = "a configuration is in force everywhere and never goes back"
 	invariantHeld       invariant = "a request that crashes targets is held by all daemons"
 	invariantNotHeld    invariant = "no other request is held because of it"
@@ -26,7 +27,7 @@
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
 	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantBody,
-	invariantRevoked, invariantDrained, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
+	invariantRevoked, invariantDrained, invariantLimited, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
 }
 
 // violation is one failed check of an invariant.
@@ -41,6 +42,8 @@
 	body       string
 	sentAt     time.Time
 	key        string
+	// daemon is the one that it was sent to.
+	daemon *process
 	// runs counts how often targets ran the request.
 	runs int
 	// refusedStatus is the status of a response that says that the request did not run.
@@ -82,6 +85,16 @@
 	h.requests[id] = s
 }
 
+// daemonOf returns the daemon that a request was sent to, or nil.
+func (h *history) daemonOf(id string) *process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.requests[id]; s != nil {
+		return s.daemon
+	}
+	return nil
+}
+
 // recordRun records that a target ran a request.
 func (h *history) recordRun(id, body, target string) {
 	h.mu.Lock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/platform"
+	"github.com/fireflypath/fireflypath/platform/standin"
 )
 
 const (
@@ -26,6 +27,7 @@
 
 // target is one incarnation of a target.
 type target struct {
+	standin.Statements
 	name string
 	pool string
 	// incarnation is unique among all targets of the run and increases with each start.
@@ -41,6 +43,10 @@
 	// truncateRate is the fraction of responses that are truncated, dropRate the
 	// fraction that is never sent. Both are in thousandths.
 	truncateRate, dropRate atomic.Uint64
+	// statements records what became of the target's statements; claimed is true while it makes
+	// one.
+	statements statementLog
+	claimed    atomic.Bool
 	// onPoison is called when the target starts to run the poison request, and crashes it.
 	onPoison func()
 
@@ -108,8 +114,12 @@
 		late := time.Since(time.Unix(0, at))
 		t.history.check(invariantDrained, late < drainTime, "%s reached %s %v after the target announced that it is leaving", id, t.name, late)
 	}
+	from := t.history.daemonOf(id)
+	t.checkLimit(from)
 	t.history.recordRun(id, string(body), t.name)
 	h.Set(t.headers.Signature, "by "+t.name)
+	t.WriteHeader(h)
+	defer func() { t.statements.recordAnswer(time.Now(), from) }()
 	if string(body) == poisonBody {
 		time.Sleep(workTime)
 		go t.onPoison() // closing the server must not wait for this handler
