feat(gate): targets that announce their leaving in answers are logged and counted

Whether a daemon had an answer that says so could not be seen from its logs, so a header that nobody reads looked like one that the registration in the store overrules. No decision uses it yet.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -63,7 +63,7 @@
 	droppedHeaders map[string]bool
 	tables         table.Cache
 	metrics        *metrics
-	limitLog       limitLog
+	noticeLog      noticeLog
 	steps          []step
 	mu             sync.Mutex
 	// retryDetectors distinguish callers that retry from new ones, by route.
@@ -82,7 +82,7 @@
 func New(deps Deps) *Gate {
 	g := &Gate{
 		deps: deps, headers: deps.Codec.Headers(), droppedHeaders: map[string]bool{}, metrics: newMetrics(deps.Scope),
-		limitLog: limitLog{limits: map[string]float64{}}, retryDetectors: map[string]*retrydetect.Detector{},
+		noticeLog: newNoticeLog(), retryDetectors: map[string]*retrydetect.Detector{},
 	}
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -36,7 +36,7 @@
 func (testCodec) Headers() fireflypath.Headers {
 	return fireflypath.Headers{
 		ID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Team: "T-Team", Target: "T-Target", Instance: "T-Self",
-		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Tokens: "T-Tokens", OutputHint: "T-Hint",
+		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", Tokens: "T-Tokens", OutputHint: "T-Hint",
 		Event: "Last-Event-Id", DaemonOnly: []string{"T-Team", "T-Target", "T-Hold"},
 	}
 }
@@ -50,6 +50,8 @@
 	return v, err == nil
 }
 
+func (testCodec) Leaving(h string) bool { return h != "" }
+
 func (testCodec) Cost(h string) (fireflypath.Cost, bool) {
 	prompt, output, ok := strings.Cut(h, ",")
 	p, _ := strconv.Atoi(prompt)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -18,9 +18,10 @@
 	// unconfirmedUnits counts quota units granted without a decision of the quota's
 	// coordinator.
 	unconfirmedUnits tally.Counter
-	// limitsNamed counts answers in which the target named a rate limit.
-	limitsNamed tally.Counter
-	byRank      [16]*rankMetrics
+	// limitsNamed counts answers in which the target named a rate limit, leavingNamed those in
+	// which it announced that it is leaving.
+	limitsNamed, leavingNamed tally.Counter
+	byRank                    [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -30,7 +31,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = scope.SubScope("gate")
-	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits")}
+	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving")}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
 		m.byRank[i] = &rankMetrics{
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -9,19 +9,40 @@
 	"github.com/fireflypath/fireflypath/internal/http1"
 )
 
-// maxLimitedTargets bounds the targets whose rate limits are kept for the log.
-const maxLimitedTargets = 4096
+// maxLoggedTargets bounds the targets whose notices are kept for the log.
+const maxLoggedTargets = 4096
 
-// limitLog keeps which targets named a rate limit in their last answer, so that the log shows
-// when that begins and ends.
-type limitLog struct {
-	mu     sync.Mutex
-	limits map[string]float64
+// noticeLog keeps which targets named a rate limit in their last answer and which announced that
+// they are leaving, so that the log shows when that begins and ends.
+type noticeLog struct {
+	mu      sync.Mutex
+	limits  map[string]float64
+	leaving map[string]bool
 }
 
-// record records the limit of an answer, if it names one. It reports whether that has begun or
+func newNoticeLog() noticeLog {
+	return noticeLog{limits: map[string]float64{}, leaving: map[string]bool{}}
+}
+
+// recordLeaving records that a target announced that it is leaving. It reports whether that is
+// new.
+func (l *noticeLog) recordLeaving(t fireflypath.Target) (first bool) {
+	id := t.Identity()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leaving[id] {
+		return false
+	}
+	if len(l.leaving) >= maxLoggedTargets {
+		clear(l.leaving)
+	}
+	l.leaving[id] = true
+	return true
+}
+
+// recordLimit records the limit of an answer, if it names one. It reports whether that has begun or
 // ended with this answer.
-func (l *limitLog) record(t fireflypath.Target, limit float64, limited bool) (changed bool) {
+func (l *noticeLog) recordLimit(t fireflypath.Target, limit float64, limited bool) (changed bool) {
 	id := t.Identity()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -30,7 +51,7 @@
 		delete(l.limits, id)
 		return before
 	}
-	if len(l.limits) >= maxLimitedTargets {
+	if len(l.limits) >= maxLoggedTargets {
 		clear(l.limits)
 	}
 	l.limits[id] = limit
@@ -43,7 +64,13 @@
 	if limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
-	if g.limitLog.record(att.target, limit, limited) {
+	if g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)) {
+		g.metrics.leavingNamed.Inc(1)
+		if g.noticeLog.recordLeaving(att.target) {
+			g.deps.Log.Info("target announced in an answer that it is leaving", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool))
+		}
+	}
+	if g.noticeLog.recordLimit(att.target, limit, limited) {
 		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
 			zap.Bool("limited", limited), zap.Float64("per_second", limit))
 	}
--- a/internal/testkit/codec.go
+++ b/internal/testkit/codec.go
@@ -31,6 +31,9 @@
 // Limit implements fireflypath.Codec.
 func (Codec) Limit(string) (perSecond float64, ok bool) { return perSecond, ok }
 
+// Leaving implements fireflypath.Codec.
+func (Codec) Leaving(string) bool { return false }
+
 // Cost never finds a cost.
 func (Codec) Cost(string) (c fireflypath.Cost, ok bool) { return c, ok }
 
--- a/routing.go
+++ b/routing.go
@@ -112,6 +112,8 @@
 	Load string
 	// Limit is the number of requests a second that a target takes from all daemons together.
 	Limit string
+	// Leaving marks the answers of a target that is shutting down.
+	Leaving string
 	// Tokens holds the number of prompt tokens and the maximum number of output tokens.
 	Tokens string
 	// OutputHint is the caller's estimate of the number of output tokens.
@@ -144,6 +146,8 @@
 	// Limit decodes the rate limit header of an answer, in requests per second. It reports
 	// false if there is none.
 	Limit(header string) (float64, bool)
+	// Leaving decodes the header by which a target announces that it is shutting down.
+	Leaving(header string) bool
 	// Cost decodes the token header, which holds the prompt and the maximum output.
 	Cost(header string) (Cost, bool)
 }
