--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -18,7 +18,7 @@
 // statingTarget is a target that says something of itself in its answers.
 type statingTarget struct {
 	standin.Statements
-	name string
+	registration fireflypath.Target
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -34,7 +34,7 @@
 func (s *crashCluster) addStatingTarget(t *testing.T, name string) *statingTarget {
 	t.Helper()
 	h := platform.Codec{}.Headers()
-	target := &statingTarget{name: name}
+	target := &statingTarget{}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		target.mu.Lock()
@@ -46,9 +46,8 @@
 		_, _ = io.WriteString(w, "whole")
 	}))
 	t.Cleanup(srv.Close)
-	s.is.NoErr(s.store.PutTarget(fireflypath.Target{
-		Name: name, Pool: crashPool, Addr: srv.Listener.Addr().String(), Domain: "a", Slots: 4,
-	}))
+	target.registration = fireflypath.Target{Name: name, Pool: crashPool, Addr: srv.Listener.Addr().String(), Domain: "a", Slots: 4}
+	s.is.NoErr(s.store.PutTarget(target.registration))
 	return target
 }
 
@@ -118,3 +117,32 @@
 		}
 	}
 }
+
+// drainTime is how long after an answer that says that its target is leaving a daemon may still
+// send it requests.
+const drainTime = 2 * time.Second
+
+// Guards against requests that are cut off at a target that is shutting down: it says so in its
+// answers, while its registration still says that it is ready, or lapses and comes back.
+func TestLeavingTargetGetsNothingMore(t *testing.T) {
+	for _, lapses := range []bool{false, true} {
+		t.Run(fmt.Sprintf("registration lapses: %v", lapses), func(t *testing.T) {
+			t.Parallel()
+			s := newCrashCluster(t, 3, 2)
+			leaving := s.addStatingTarget(t, "leaving")
+			s.sendEvenly(40, time.Second)
+			s.is.True(len(leaving.received(time.Time{})) > 0)
+			leaving.SetLeaving()
+			s.sendEvenly(40, time.Second)
+			from := time.Now().Add(drainTime)
+			if lapses {
+				s.store.RemoveTarget(leaving.registration.Name)
+				s.sendEvenly(40, time.Second)
+				s.is.NoErr(s.store.PutTarget(leaving.registration))
+			}
+			const perSecond, duration = 40, 4 * time.Second
+			s.is.Equal(s.sendEvenly(perSecond, duration), perSecond*int(duration/time.Second)) // the others serve all
+			s.is.Equal(len(leaving.received(from)), 0)
+		})
+	}
+}
