fix(backpressure): a target that announces its leaving in an answer gets nothing more

Callers' requests were sent to an engine 12 s after an answer had said that it leaves (allowed 2 s); such requests are cut off when it exits. Cause: the registration in the store was the only source. The store was away from 7 to 20 s, and its entry said ready for 0.7 s after its return.

The announcement is now part of the notices that daemons and dispatchers pass on. It holds for the life of the target, also when its registration lapses and comes back. A daemon that has read it refuses a dispatcher's decision for that target and offers the work again, without blaming the target. The fastest target, for which long prompts wait, is none that leaves.

--- a/internal/decide/backpressure/book.go
+++ b/internal/decide/backpressure/book.go
@@ -5,6 +5,10 @@
 // it, or keeps it for itself only, sends the target several times what it can bear, and the
 // target fails under requests that others could have served. So the limit is passed on
 // between the daemons and divided between those that decide where requests go.
+//
+// A target that is shutting down says so as well. Its registration in the store may say that
+// it is ready for as long as the store is away, and again when the store is back; requests sent
+// on its word are cut off when the target exits.
 package backpressure
 
 import (
@@ -79,12 +83,16 @@
 func (b *Book) apply(now time.Time, identity string, n fireflypath.Notice, at time.Time) {
 	t := b.targets[identity]
 	if t == nil {
-		if !n.Limited {
+		if !n.Limited && !n.Leaving {
 			return
 		}
 		t = &Target{}
 		b.targets[identity] = t
 	}
+	if n.Leaving && !t.leaving {
+		t.leaving = true
+		b.version++
+	}
 	if !at.After(t.observedAt) {
 		return
 	}
@@ -101,7 +109,7 @@
 		t := b.targets[identity]
 		out = append(out, fireflypath.TargetNotice{
 			Target: identity, Age: fireflypath.MicrosOf(now.Sub(t.observedAt)),
-			Notice: fireflypath.Notice{Limit: t.limit, Limited: t.limited()},
+			Notice: fireflypath.Notice{Limit: t.limit, Limited: t.limited(), Leaving: t.leaving},
 		})
 	}
 	return out
--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -24,6 +24,8 @@
 	// it; it is nil without a limit.
 	limit   float64
 	limiter *rate.Limiter
+	// leaving is true once the target has announced that it is shutting down.
+	leaving bool
 	// observedAt is when the last declaration was made, as far as known here.
 	observedAt  time.Time
 	absentSince time.Time
@@ -61,6 +63,9 @@
 	t.limiter.SetBurstAt(now, 1+int(perSecond*burstTime))
 }
 
+// Leaving reports whether the target has announced that it is shutting down.
+func (t *Target) Leaving() bool { return t != nil && t.leaving }
+
 // Allows returns how many requests the rate limit allows now. It reports false if there is no
 // limit.
 func (t *Target) Allows(now time.Time) (n int, limited bool) {
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -30,6 +30,8 @@
 	// Notices returns what targets have declared. NoticeVersion changes whenever they do.
 	Notices(now time.Time) []fireflypath.TargetNotice
 	NoticeVersion() uint64
+	// Refuses reports whether a target has declared that it takes no requests of this daemon.
+	Refuses(identity string) bool
 	// ApplyNotices records what other daemons know of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
 }
@@ -257,6 +259,12 @@
 			s.resubmit(next.work)
 			continue
 		}
+		if s.Refuses(next.decision.Target) {
+			// The dispatcher does not know that yet. It is no failure of the target.
+			s.withdrawPending(next.decision.Number, next.work)
+			s.submit(now, next.work)
+			continue
+		}
 		s.AddInFlight(now, next.work, next.decision.Target, now, false)
 		*p = fireflypath.Placement{
 			Work: next.work, Target: t.Name, Waited: now.Sub(next.work.Arrived), PromptAhead: next.decision.PromptAhead,
--- a/internal/decide/slots/limits.go
+++ b/internal/decide/slots/declared.go
@@ -18,16 +18,26 @@
 
 // ApplyNotices records what other daemons know of declarations of the targets.
 func (s *Scheduler) ApplyNotices(now time.Time, notices []fireflypath.TargetNotice) {
-	known := s.book.Len()
 	s.book.Apply(now, notices)
-	if s.book.Len() == known {
+	s.updateDeclared()
+}
+
+// updateDeclared applies the declarations if they have changed.
+func (s *Scheduler) updateDeclared() {
+	if s.book.Version() == s.appliedNotices {
 		return
 	}
+	s.appliedNotices = s.book.Version()
 	for _, t := range s.ordered {
 		t.declared = s.book.Find(t.id)
 	}
+	s.findFastest()
 }
 
+// Refuses reports whether the target with the identity has declared that it takes no more
+// requests of this daemon.
+func (s *Scheduler) Refuses(identity string) bool { return s.book.Find(identity).Leaving() }
+
 // SetRepresented sets for how many daemons this scheduler decides as their dispatcher.
 func (s *Scheduler) SetRepresented(now time.Time, daemons int) {
 	s.represented = daemons
@@ -81,7 +91,7 @@
 		return 0, false
 	}
 	for _, t := range s.shared {
-		if t.Drained || t.leaving {
+		if t.isLeaving() {
 			continue
 		}
 		r, limited := t.declared.Rate()
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -25,7 +25,7 @@
 	case fireflypath.EventNotice:
 		if t != nil {
 			s.book.Observe(now, t.id, e.Notice, e.Sent)
-			t.declared = s.book.Find(t.id)
+			s.updateDeclared()
 		}
 	case fireflypath.EventLeaving, fireflypath.EventStaying:
 		if t != nil {
@@ -56,9 +56,9 @@
 }
 
 // updateFastest makes the target the fastest one if its prefill rate exceeds all
-// known ones.
+// known ones. Work does not wait for a target that is leaving.
 func (s *Scheduler) updateFastest(t *target) {
-	if t.speed.PrefillRate() > s.maxPrefillRate {
+	if t.speed.PrefillRate() > s.maxPrefillRate && !t.isLeaving() {
 		s.maxPrefillRate, s.fastest = t.speed.PrefillRate(), t
 	}
 }
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -76,6 +76,8 @@
 	// number of daemons for which this scheduler decides as their dispatcher, or 0.
 	book        *backpressure.Book
 	represented int
+	// appliedNotices is the version of the book that the targets' state reflects.
+	appliedNotices uint64
 	// allLimited is true while all targets name rate limits. Only as much work is admitted then
 	// as can be served by its goal, so that no order of it leaves some of it behind.
 	allLimited bool
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -93,6 +93,11 @@
 	clear(s.replaced)
 	s.updateShared()
 	s.book.Retain(now, s.isListed)
+	s.findFastest()
+}
+
+// findFastest finds the fastest target again.
+func (s *Scheduler) findFastest() {
 	s.maxPrefillRate, s.fastest = 0, nil
 	for _, t := range s.ordered {
 		s.updateFastest(t)
@@ -179,13 +184,17 @@
 	return int(math.Ceil(s.tuning.PipelinedFraction * float64(t.slots())))
 }
 
+// isLeaving reports whether the target takes no more requests because it is shutting down,
+// according to its registration, its answers or this daemon's own observation.
+func (t *target) isLeaving() bool { return t.Drained || t.leaving || t.declared.Leaving() }
+
 // skipReason returns why the target accepts no request, or "" if it does. extra is
 // the number of requests allowed beyond its slots.
 func (s *Scheduler) skipReason(now time.Time, t *target, extra int) string {
 	switch {
 	case t.unassigned:
 		return "foreign"
-	case t.Drained, t.leaving:
+	case t.isLeaving():
 		return "leaving"
 	case now.Before(t.ejectedUntil):
 		return "ejected"
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -64,7 +64,8 @@
 	if limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
-	if g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)) {
+	leaving := g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving))
+	if leaving {
 		g.metrics.leavingNamed.Inc(1)
 		if g.noticeLog.recordLeaving(att.target) {
 			g.deps.Log.Info("target announced in an answer that it is leaving", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool))
@@ -76,7 +77,7 @@
 	}
 	g.deps.Pools.Observe(fireflypath.Event{
 		Kind: fireflypath.EventNotice, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
-		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited},
+		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited, Leaving: leaving},
 	})
 	g.observeLoad(att, a)
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -155,6 +155,9 @@
 	// together, if Limited. It holds until an answer names none.
 	Limit   float64 `json:"l,omitempty"`
 	Limited bool    `json:"m,omitempty"`
+	// Leaving is true if the target is shutting down. That holds until its end, whatever its
+	// registration and later answers say.
+	Leaving bool `json:"g,omitempty"`
 }
 
 // Report is a load report of a target. It arrives with a delay.
