feat(gate): targets that ask for rest are logged and counted

The log named the status 503 of a target but not the time for which the target wanted nothing more, so a header that nobody reads looked like a rest that ends too early. It is logged with the request, target and time, and counted. No decision uses it yet.

--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -1,7 +1,11 @@
 package gate
 
 import (
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -58,12 +62,33 @@
 	return !before
 }
 
+// maxRest bounds the time for which a target is left alone on its own word.
+const maxRest = 10 * time.Minute
+
+// requestedRest returns for how long the target wants no more requests of this daemon. It says so
+// when it turns a request away.
+func requestedRest(a *http1.Response) time.Duration {
+	if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(a.Header.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
+}
+
 // observeTarget passes what the target says of itself in the header of an answer to the pools.
 func (g *Gate) observeTarget(att *attempt, a *http1.Response) {
 	limit, limited := g.deps.Codec.Limit(a.Header.Get(g.headers.Limit))
 	if limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
+	if rest := requestedRest(a); rest > 0 {
+		g.metrics.restsAsked.Inc(1)
+		g.deps.Log.Info("target turned a request away and asked for rest", zap.String("request", att.Work.ID), zap.String("target", att.target.Name),
+			zap.String("pool", att.target.Pool), zap.Duration("rest", rest))
+	}
 	leaving := g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving))
 	if leaving {
 		g.metrics.leavingNamed.Inc(1)
