--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -28,6 +28,8 @@
 const (
 	crashPool = "p"
 	crashHost = "h.example"
+	// crashDaemons is the number of daemons.
+	crashDaemons = 3
 	// crashingBody is the body that crashes each target that starts to run it.
 	crashingBody = "the work that no target survives"
 	// detectionTime is how long after the third crash it may take until all daemons know the
@@ -51,7 +53,7 @@
 	delay time.Duration
 }
 
-func newCrashCluster(t *testing.T, daemons, targets int) *crashCluster {
+func newCrashCluster(t *testing.T, targets int) *crashCluster {
 	t.Helper()
 	s := &crashCluster{is: is.New(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond}
 	srv := httptest.NewServer(s.store)
@@ -74,7 +76,7 @@
 	}
 	free := loopback.ListenAddr()
 	seed := freePeerPort(t)
-	for i := range daemons {
+	for i := range crashDaemons {
 		listen := settings.Listen{Callers: free, Ready: free, Peers: free, Operators: free}
 		if i == 0 {
 			listen.Peers = seed
@@ -201,7 +203,7 @@
 		t.Run(name, func(t *testing.T) {
 			path := "/" + name + "/x"
 			t.Parallel()
-			s := newCrashCluster(t, 3, 8)
+			s := newCrashCluster(t, 8)
 			const sends, pause = 24, 250 * time.Millisecond
 			refused := 0
 			for i := range sends {
--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,21 +29,35 @@
 type arrival struct {
 	at time.Time
 	id string
+	// rest is the time that the target asked for when it turned the request away, or 0.
+	rest time.Duration
 }
 
-// addStatingTarget starts and registers a target.
-func (s *crashCluster) addStatingTarget(t *testing.T, name string) *statingTarget {
+// daemon returns the daemon that sent the request.
+func (a arrival) daemon() string {
+	name, _, _ := strings.Cut(a.id, "-")
+	return name
+}
+
+// addStatingTarget starts and registers a target, which works for the given time before it answers.
+func (s *crashCluster) addStatingTarget(t *testing.T, name string, delay time.Duration) *statingTarget {
 	t.Helper()
 	h := platform.Codec{}.Headers()
 	target := &statingTarget{}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		target.mu.Lock()
-		target.arrivals = append(target.arrivals, arrival{time.Now(), r.Header.Get(h.ID)})
-		target.mu.Unlock()
-		w.Header().Set(h.ID, r.Header.Get(h.ID))
+		at, id := time.Now(), r.Header.Get(h.ID)
+		w.Header().Set(h.ID, id)
 		w.Header().Set(h.Signature, "by "+name)
 		target.WriteHeader(w.Header())
+		rest := target.TurnAway(w)
+		target.mu.Lock()
+		target.arrivals = append(target.arrivals, arrival{at, id, rest})
+		target.mu.Unlock()
+		if rest > 0 {
+			return
+		}
+		time.Sleep(delay)
 		_, _ = io.WriteString(w, "whole")
 	}))
 	t.Cleanup(srv.Close)
@@ -97,8 +112,8 @@
 // daemons together, and each daemon keeps sending, or keeps the limit for itself only.
 func TestTargetRateLimitHoldsForAllDaemons(t *testing.T) {
 	t.Parallel()
-	s := newCrashCluster(t, 3, 2)
-	limited := s.addStatingTarget(t, "limited")
+	s := newCrashCluster(t, 2)
+	limited := s.addStatingTarget(t, "limited", 0)
 	const limit, duration = 2.0, 7 * time.Second
 	limited.SetLimit(limit)
 	s.sendEvenly(2 * time.Second) // each daemon gets an answer of the target
@@ -131,8 +146,8 @@
 	for _, lapses := range []bool{false, true} {
 		t.Run(fmt.Sprintf("registration lapses: %v", lapses), func(t *testing.T) {
 			t.Parallel()
-			s := newCrashCluster(t, 3, 2)
-			leaving := s.addStatingTarget(t, "leaving")
+			s := newCrashCluster(t, 2)
+			leaving := s.addStatingTarget(t, "leaving", 0)
 			s.sendEvenly(time.Second)
 			s.is.True(len(leaving.received(time.Time{})) > 0)
 			leaving.SetLeaving()
@@ -149,3 +164,43 @@
 		})
 	}
 }
+
+// maxDuringRest is how many requests a daemon may send a target in the time for which that wants
+// none.
+const maxDuringRest = 2
+
+// Guards against a target that is pressed while it recovers: it turns a request away, asks for
+// rest and serves again soon, but has not had the rest that it asked for.
+func TestTargetGetsRestItAskedFor(t *testing.T) {
+	t.Parallel()
+	s := newCrashCluster(t, 1)
+	s.store.RemoveTarget("t1")
+	tired := s.addStatingTarget(t, "tired", 0)
+	for _, name := range []string{"slow1", "slow2"} {
+		s.addStatingTarget(t, name, 200*time.Millisecond) // four slots each, just enough for all requests
+	}
+	s.sendEvenly(time.Second)
+	const rest, duration = 3 * time.Second, 5 * time.Second
+	time.AfterFunc(time.Second, func() { tired.SetRest(rest) })
+	time.AfterFunc(1500*time.Millisecond, func() { tired.SetRest(0) })
+	s.is.Equal(s.sendEvenly(duration), perSecond*int(duration/time.Second)) // the others serve what it turns away
+	received := tired.received(time.Time{})
+	turnedAway, most := 0, 0
+	for i, a := range received {
+		if a.rest == 0 {
+			continue
+		}
+		turnedAway++
+		during := 0
+		for _, o := range received[i:] {
+			if since := o.at.Sub(a.at); o.daemon() == a.daemon() && since > noticeDelay && since < a.rest {
+				during++
+			}
+		}
+		most = max(most, during)
+	}
+	s.is.True(turnedAway > 0)
+	if most > maxDuringRest {
+		t.Errorf("a daemon sent %d requests during a rest, allowed %d", most, maxDuringRest)
+	}
+}
