fix(backpressure): a target gets the rest that it asked a daemon for

A target that turned a request away and asked for 3 s without more got three requests of that daemon in that time (allowed two); requests sent to a target that still recovers come back refused or late. Cause: no daemon read the header. The ejection of 0.3 s that follows a refusal stood in for it by chance, and one success ended it.

The daemon that is turned away keeps the time, tells its dispatcher, and refuses decisions that break it without blaming the target; the dispatcher places that daemon's work elsewhere. Neither the end of an ejection nor a success ends a rest. Work that could not begin by its goal because all targets rest is refused on arrival.

--- a/dispatch.go
+++ b/dispatch.go
@@ -51,6 +51,7 @@
 // in order.
 type DispatchUpdate struct {
 	Notices   []TargetNotice `json:"t,omitempty"`
+	Rests     []TargetRest   `json:"x,omitempty"`
 	InFlight  []InFlightWork `json:"f,omitempty"`
 	Offers    []Offer        `json:"o,omitempty"`
 	Progress  []Progress     `json:"p,omitempty"`
@@ -59,7 +60,7 @@
 
 // Empty reports whether the update contains nothing.
 func (u *DispatchUpdate) Empty() bool {
-	return len(u.Notices)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
+	return len(u.Notices)+len(u.Rests)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
 }
 
 // TargetNotice is a target's notice as daemons pass it on.
@@ -71,6 +72,14 @@
 	Age Micros `json:"a,omitempty"`
 }
 
+// TargetRest is a time for which a target wants no more requests of the daemon that reports it.
+type TargetRest struct {
+	// Target is the identity of the target.
+	Target string `json:"t"`
+	// Remaining is the time until the daemon may send the target requests again.
+	Remaining Micros `json:"r,omitempty"`
+}
+
 // Decision is a dispatcher's decision about one piece of work: a target or a refusal.
 type Decision struct {
 	Number uint64 `json:"n"`
--- a/internal/decide/backpressure/book.go
+++ b/internal/decide/backpressure/book.go
@@ -9,6 +9,9 @@
 // A target that is shutting down says so as well. Its registration in the store may say that
 // it is ready for as long as the store is away, and again when the store is back; requests sent
 // on its word are cut off when the target exits.
+//
+// A target that turns a request away may ask the daemon that sent it for a time without more. A
+// request of another daemon that succeeds meanwhile does not end that time.
 package backpressure
 
 import (
@@ -28,8 +31,11 @@
 	targets map[string]*Target
 	// share is the part of each rate limit that may be used here, between 0 and 1.
 	share float64
-	// version counts the changes that other daemons need to know.
-	version uint64
+	// version counts the changes that other daemons need to know, restVersion the rests that
+	// targets asked this daemon for.
+	version, restVersion uint64
+	// restsEnd is when the last rest of any daemon ends.
+	restsEnd time.Time
 }
 
 // New returns a book without declarations, which may use each limit as a whole.
@@ -64,6 +70,10 @@
 // that named one. Answers arrive out of order: one that was begun before the target was in need
 // says nothing about the time since.
 func (b *Book) Observe(now time.Time, identity string, n fireflypath.Notice, sent time.Time) {
+	if n.Rest > 0 {
+		b.setRest(identity, self, now.Add(n.Rest))
+		b.restVersion++
+	}
 	at := now
 	if !n.Limited {
 		at = sent
@@ -93,6 +103,9 @@
 		t.leaving = true
 		b.version++
 	}
+	if !n.Limited && t.observedAt.IsZero() {
+		return // it never named a limit that this could end
+	}
 	if !at.After(t.observedAt) {
 		return
 	}
@@ -107,6 +120,9 @@
 	out := make([]fireflypath.TargetNotice, 0, len(b.targets))
 	for _, identity := range slices.Sorted(maps.Keys(b.targets)) {
 		t := b.targets[identity]
+		if !t.hasNotice() {
+			continue
+		}
 		out = append(out, fireflypath.TargetNotice{
 			Target: identity, Age: fireflypath.MicrosOf(now.Sub(t.observedAt)),
 			Notice: fireflypath.Notice{Limit: t.limit, Limited: t.limited(), Leaving: t.leaving},
--- a/internal/decide/backpressure/book_test.go
+++ b/internal/decide/backpressure/book_test.go
@@ -102,3 +102,38 @@
 	b.Retain(start.Add(time.Hour), absent)
 	is.True(b.Find("t") == nil)
 }
+
+// Guards against requests to a target that is shutting down, on the word of an older answer or
+// of another daemon that knows less.
+func TestLeavingHoldsForLife(t *testing.T) {
+	is := is.New(t)
+	a, b := backpressure.New(), backpressure.New()
+	a.Observe(start, "t", fireflypath.Notice{Leaving: true}, start)
+	a.Observe(start.Add(time.Second), "t", fireflypath.Notice{}, start.Add(time.Second))
+	is.True(a.Find("t").Leaving())
+	b.Observe(start, "t", limit(1), start)
+	a.Apply(start.Add(2*time.Second), b.Notices(start.Add(2*time.Second)))
+	b.Apply(start.Add(2*time.Second), a.Notices(start.Add(2*time.Second)))
+	is.True(a.Find("t").Leaving())
+	is.True(b.Find("t").Leaving())
+	_, limited := b.Find("t").Rate()
+	is.True(limited)
+	is.True(a.Find("other") == nil)
+	is.True(!a.Find("other").Leaving())
+}
+
+// Guards against a rest that ends early, or that is kept from daemons that were not turned away.
+func TestRestConcernsOneDaemon(t *testing.T) {
+	is := is.New(t)
+	own, dispatcher := backpressure.New(), backpressure.New()
+	own.Observe(start, "t", fireflypath.Notice{Rest: 3 * time.Second}, start)
+	own.Observe(start.Add(time.Second), "t", fireflypath.Notice{Rest: time.Second}, start)
+	own.Observe(start.Add(time.Second), "t", fireflypath.Notice{}, start.Add(time.Second))
+	is.Equal(own.Find("t").RestEnds(start.Add(time.Second), ""), start.Add(3*time.Second))
+	is.Equal(len(own.Notices(start)), 0) // no other daemon is concerned
+	dispatcher.ApplyRests(start.Add(time.Second), "d1", own.Rests(start.Add(time.Second)))
+	is.Equal(dispatcher.Find("t").RestEnds(start.Add(time.Second), "d1"), start.Add(3*time.Second))
+	is.True(dispatcher.Find("t").RestEnds(start.Add(time.Second), "d2").IsZero())
+	is.True(dispatcher.Find("t").RestEnds(start.Add(3*time.Second), "d1").IsZero())
+	is.Equal(len(own.Rests(start.Add(3*time.Second))), 0)
+}
--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -27,12 +27,17 @@
 	// leaving is true once the target has announced that it is shutting down.
 	leaving bool
 	// observedAt is when the last declaration was made, as far as known here.
-	observedAt  time.Time
+	observedAt time.Time
+	// rests holds until when the target wants no requests of a daemon, by the daemon's name.
+	rests       map[string]time.Time
 	absentSince time.Time
 }
 
 func (t *Target) limited() bool { return t.limiter != nil }
 
+// hasNotice reports whether the target has declared anything to all daemons.
+func (t *Target) hasNotice() bool { return t.leaving || !t.observedAt.IsZero() }
+
 // setLimit sets or ends the rate limit and reports whether that changes it.
 func (t *Target) setLimit(now time.Time, n fireflypath.Notice, share float64) (changed bool) {
 	if !n.Limited {
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -38,6 +38,8 @@
 	NoticeVersion() uint64
 	// ApplyNotices records what daemons have observed of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
+	// ApplyRests records the times for which targets want no requests of a daemon.
+	ApplyRests(now time.Time, daemon string, rests []fireflypath.TargetRest)
 }
 
 // Dispatcher schedules the work of one pool for several daemons. It is not safe
@@ -159,6 +161,7 @@
 		return
 	}
 	d.scheduler.ApplyNotices(now, update.Notices)
+	d.scheduler.ApplyRests(now, daemon, update.Rests)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
@@ -187,7 +190,7 @@
 	e.work = fireflypath.Work{
 		ID: daemon + "." + strconv.FormatUint(o.Number, 10), Rank: o.Rank, Pool: d.pool, Weight: 1,
 		Arrived: now.Add(-o.Waited.Std()), Deadline: now.Add(o.Deadline.Std()), Goal: now.Add(o.Goal.Std()),
-		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid,
+		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid, Sender: daemon,
 	}
 	if o.Patience > 0 {
 		e.work.PatienceEnds = now.Add(o.Patience.Std())
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -31,7 +31,11 @@
 	Notices(now time.Time) []fireflypath.TargetNotice
 	NoticeVersion() uint64
 	// Refuses reports whether a target has declared that it takes no requests of this daemon.
-	Refuses(identity string) bool
+	Refuses(now time.Time, identity string) bool
+	// Rests returns the times for which targets want no requests of this daemon. RestVersion
+	// changes whenever a target asks for one.
+	Rests(now time.Time) []fireflypath.TargetRest
+	RestVersion() uint64
 	// ApplyNotices records what other daemons know of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
 }
@@ -62,9 +66,10 @@
 	targets map[string]fireflypath.Target
 	list    targets.List
 	outbox  fireflypath.DispatchUpdate
-	// sentNotices is the version of the notices that the dispatcher was sent.
-	sentNotices uint64
-	updateReady chan struct{}
+	// sentNotices and sentRests are the versions of the notices and the rests that the
+	// dispatcher was sent.
+	sentNotices, sentRests uint64
+	updateReady            chan struct{}
 }
 
 type placement struct {
@@ -115,7 +120,7 @@
 func (s *Scheduler) reset() {
 	clear(s.numbers)
 	s.outbox = fireflypath.DispatchUpdate{}
-	s.sentNotices = 0
+	s.sentNotices, s.sentRests = 0, 0
 }
 
 // takePending takes back all requests that Next has not returned: the undecided ones in
@@ -161,6 +166,9 @@
 	if version := s.NoticeVersion(); version != s.sentNotices {
 		out.Notices, s.sentNotices = s.Notices(now), version
 	}
+	if version := s.RestVersion(); version != s.sentRests {
+		out.Rests, s.sentRests = s.Rests(now), version
+	}
 	return out
 }
 
@@ -259,7 +267,7 @@
 			s.resubmit(next.work)
 			continue
 		}
-		if s.Refuses(next.decision.Target) {
+		if s.Refuses(now, next.decision.Target) {
 			// The dispatcher does not know that yet. It is no failure of the target.
 			s.withdrawPending(next.decision.Number, next.work)
 			s.submit(now, next.work)
@@ -318,7 +326,7 @@
 	n, known := s.numbers[e.Work]
 	if e.Work == nil || !known {
 		s.Local.Observe(now, e)
-		if s.attached && s.NoticeVersion() != s.sentNotices {
+		if s.attached && (s.NoticeVersion() != s.sentNotices || s.RestVersion() != s.sentRests) {
 			s.signal()
 		}
 		return
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -28,15 +28,81 @@
 		return
 	}
 	s.appliedNotices = s.book.Version()
+	s.linkDeclared()
+	s.findFastest()
+}
+
+// linkDeclared links the targets with their declarations.
+func (s *Scheduler) linkDeclared() {
 	for _, t := range s.ordered {
 		t.declared = s.book.Find(t.id)
 	}
-	s.findFastest()
 }
 
 // Refuses reports whether the target with the identity has declared that it takes no more
-// requests of this daemon.
-func (s *Scheduler) Refuses(identity string) bool { return s.book.Find(identity).Leaving() }
+// requests of this daemon, or none for some time.
+func (s *Scheduler) Refuses(now time.Time, identity string) bool {
+	t := s.book.Find(identity)
+	return t.Leaving() || !t.RestEnds(now, "").IsZero()
+}
+
+// Rests returns the times for which targets want no requests of this daemon.
+func (s *Scheduler) Rests(now time.Time) []fireflypath.TargetRest { return s.book.Rests(now) }
+
+// RestVersion changes whenever a target asks this daemon for rest.
+func (s *Scheduler) RestVersion() uint64 { return s.book.RestVersion() }
+
+// ApplyRests records the times for which targets want no requests of another daemon.
+func (s *Scheduler) ApplyRests(now time.Time, daemon string, rests []fireflypath.TargetRest) {
+	if len(rests) == 0 {
+		return
+	}
+	s.book.ApplyRests(now, daemon, rests)
+	s.linkDeclared()
+}
+
+// restsFrom reports whether the target wants no requests of the daemon that sends the work.
+func (s *Scheduler) restsFrom(now time.Time, t *target, w *fireflypath.Work) bool {
+	return !t.declared.RestEnds(now, w.Sender).IsZero()
+}
+
+// earliestRestEnd returns when the first target takes work of the sender again, or zero if one of
+// those that are in service takes it now.
+func (s *Scheduler) earliestRestEnd(now time.Time, w *fireflypath.Work) time.Time {
+	var first time.Time
+	if !s.book.AnyRest(now) {
+		return first
+	}
+	for _, t := range s.shared {
+		if t.isLeaving() {
+			continue
+		}
+		until := t.declared.RestEnds(now, w.Sender)
+		if until.IsZero() {
+			return time.Time{}
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
+// nextRestEnd returns when the next rest from a daemon with waiting work ends, or zero.
+func (s *Scheduler) nextRestEnd(now time.Time) time.Time {
+	var next time.Time
+	if !s.book.AnyRest(now) {
+		return next
+	}
+	for _, w := range s.waiting {
+		for _, t := range s.shared {
+			if until := t.declared.RestEnds(now, w.Sender); !until.IsZero() && (next.IsZero() || until.Before(next)) {
+				next = until
+			}
+		}
+	}
+	return next
+}
 
 // SetRepresented sets for how many daemons this scheduler decides as their dispatcher.
 func (s *Scheduler) SetRepresented(now time.Time, daemons int) {
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -25,6 +25,7 @@
 	case fireflypath.EventNotice:
 		if t != nil {
 			s.book.Observe(now, t.id, e.Notice, e.Sent)
+			t.declared = s.book.Find(t.id)
 			s.updateDeclared()
 		}
 	case fireflypath.EventLeaving, fireflypath.EventStaying:
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -30,7 +30,7 @@
 // Free slots serve requests at once: a completion rate measured at low load says
 // nothing about them.
 func (s *Scheduler) expectedWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
-	ahead := 1 - s.freeSlots(now)
+	ahead := 1 - s.freeSlots(now, w)
 	for _, o := range s.waiting {
 		if !s.servedBefore(now, w, o) {
 			ahead++
@@ -50,23 +50,34 @@
 // come too late, and when that is.
 func (s *Scheduler) hopeless(now time.Time, w *fireflypath.Work) (wait time.Duration, refuse bool) {
 	longest := time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(now)))
-	if limit, ok := s.totalLimit(); ok {
-		// The targets say what they take. More work than that waits in vain: if not this
-		// request, then an older one.
+	if wait, declared := s.declaredWait(now, w); declared {
+		// The targets say when they take more. Work that they cannot take by its goal waits in
+		// vain: if not this request, then an older one.
 		if untilGoal := w.Goal.Sub(now); untilGoal > 0 {
 			longest = min(longest, untilGoal)
 		}
-		wait = s.limitedWait(now, w, limit)
 		return wait, wait > longest
 	}
 	wait, known := s.expectedWait(now, w)
 	return wait, known && wait > longest
 }
 
+// declaredWait returns how long the request would wait by what the targets have declared. It
+// reports false if one of them is free to take it.
+func (s *Scheduler) declaredWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
+	if until := s.earliestRestEnd(now, w); !until.IsZero() {
+		return until.Sub(now), true
+	}
+	if perSecond, ok := s.totalLimit(); ok {
+		return s.limitedWait(now, w, perSecond), true
+	}
+	return 0, false
+}
+
 // limitedWait returns how long the request would wait behind all waiting work of its tier and
 // of higher ones, if the targets take the given number of requests per second.
 func (s *Scheduler) limitedWait(now time.Time, w *fireflypath.Work, perSecond float64) time.Duration {
-	ahead := 1 - s.freeSlots(now)
+	ahead := 1 - s.freeSlots(now, w)
 	for _, o := range s.waiting {
 		if o.Rank <= w.Rank {
 			ahead++
@@ -125,11 +136,11 @@
 	return float64(place.Mix64(xxhash.Sum64String(w.ID))>>11) / (1 << 53)
 }
 
-// freeSlots returns the number of free slots at targets that accept requests.
-func (s *Scheduler) freeSlots(now time.Time) int {
+// freeSlots returns the number of free slots at targets that accept requests of the work's sender.
+func (s *Scheduler) freeSlots(now time.Time, w *fireflypath.Work) int {
 	n := 0
 	for _, t := range s.shared {
-		if s.accepts(now, t, 0) {
+		if s.accepts(now, t, 0) && !s.restsFrom(now, t, w) {
 			n += s.limitFreeSlots(now, t, t.slots()-s.occupied(now, t))
 		}
 	}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -275,6 +275,9 @@
 			at = due
 		}
 	}
+	if due := s.nextRestEnd(now); !due.IsZero() && (at.IsZero() || due.Before(at)) {
+		at = due
+	}
 	return at
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -304,6 +304,30 @@
 	is.True(got[0].Header.Get("T-Target") != got[1].Header.Get("T-Target"))
 }
 
+// Guards against a target that is pressed while it recovers: the time that it asks for when it
+// turns a request away is kept, whatever form of number it has.
+func TestTargetThatAsksForRestIsLeftAlone(t *testing.T) {
+	for text, rests := range map[string]bool{"30": true, "29.5": true, "0": false, "-1": false, "x": false, "": false, "NaN": false} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			s := startSite(t, func(cfg *fireflypath.Config) { cfg.Targets = cfg.Targets[:1] }, func(n int, w http.ResponseWriter, _ *http.Request) {
+				if n == 1 {
+					w.Header().Set("T-Not-Run", "1")
+					w.Header().Set("Retry-After", text)
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+			for range 2 {
+				r := s.request(t.Context(), "/once/x", "body")
+				r.Header.Set("T-Deadline", "600") // the first is turned away, the second is refused at once or served
+				_, _, err := s.do(r)
+				is.NoErr(err)
+			}
+			is.Equal(len(s.requests()) == 1, rests)
+		})
+	}
+}
+
 // Two registrations have one address, as when a target starts where another one crashed. A
 // request for the old one must not be run by the new one, and every caller must get its
 // response from a single run.
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -84,7 +84,8 @@
 	if limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
-	if rest := requestedRest(a); rest > 0 {
+	rest := requestedRest(a)
+	if rest > 0 {
 		g.metrics.restsAsked.Inc(1)
 		g.deps.Log.Info("target turned a request away and asked for rest", zap.String("request", att.Work.ID), zap.String("target", att.target.Name),
 			zap.String("pool", att.target.Pool), zap.Duration("rest", rest))
@@ -102,7 +103,7 @@
 	}
 	g.deps.Pools.Observe(fireflypath.Event{
 		Kind: fireflypath.EventNotice, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
-		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited, Leaving: leaving},
+		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited, Leaving: leaving, Rest: rest},
 	})
 	g.observeLoad(att, a)
 }
--- a/request.go
+++ b/request.go
@@ -113,6 +113,8 @@
 	ExpectedOutput int
 	// Avoid lists the targets that the request was already sent to.
 	Avoid []string
+	// Sender is the daemon that sends the work, if another one decides where.
+	Sender string
 	// RetriedEarly is true if the caller retried before the time given in its last refusal.
 	RetriedEarly bool
 	// Lifecycle is the state, which the route and the scheduler change concurrently.
