fix(slots): a request that all targets have turned away is refused at once

A request is never sent to a target twice. Once all targets in service had turned it away, it waited to its deadline for a target that could not come, and its caller learned nothing for seconds. TestRequestTriedAtAllTargetsIsRefusedAtOnce fails without the change.

--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,15 @@
 	return wait, known && wait > longest
 }
 
+// triedAllTargets reports whether the request was sent to all targets that are in service. It
+// would wait to its deadline for another one.
+func (s *Scheduler) triedAllTargets(w *fireflypath.Work) bool {
+	if len(w.Avoid) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(s.shared, func(t *target) bool { return !t.isLeaving() && !slices.Contains(w.Avoid, t.Name) })
+}
+
 // declaredWait returns how long the request would wait by what the targets have declared. It
 // reports false if one of them is free to take it.
 func (s *Scheduler) declaredWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -123,6 +123,9 @@
 	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
+	if s.triedAllTargets(w) {
+		return append(out, s.shed(now, w, "no target is left that has not been tried"))
+	}
 	if wait, refuse := s.hopeless(now, w); refuse && !s.admitStarved(now, w) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -667,3 +667,23 @@
 	is.True(late[1] <= served[1]/10)
 	is.True(float64(served[0]) >= 0.85*10*60)
 }
+
+// Guards against requests that are held to their deadline for nothing: all targets have turned
+// them away, and none is left to try.
+func TestRequestTriedAtAllTargetsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(2)
+	w := newWork("a", 0, start)
+	w.Avoid = []string{"t0"}
+	is.Equal(len(s.Offer(start, w, nil)), 0)
+	is.Equal(dispatchAll(s, start)[0].Target, "t1")
+	again := newWork("b", 0, start)
+	again.Avoid = []string{"t0", "t1"}
+	shed := s.Offer(start, again, nil)
+	is.Equal(len(shed), 1)
+	is.True(shed[0].RetryAfter > 0)
+	s.SetTargets(start, newTargets(3))
+	third := newWork("c", 0, start)
+	third.Avoid = again.Avoid
+	is.Equal(len(s.Offer(start, third, nil)), 0)
+}
