test(sim): engines announce their leaving in answers and ask for rest

Loads release-answers, rests and rests-restarts; a run counts the requests that daemons sent against what an engine had told them.

--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -25,6 +25,8 @@
 	Slowdowns []Slowdown
 	// Limits make engines name a rate limit.
 	Limits []Limit
+	// Rests make engines turn requests away and ask for rest.
+	Rests []Rest
 	// Restarts kill and restart daemons.
 	Restarts []Restart
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
@@ -51,6 +53,9 @@
 	// Planned outages are announced: replacement engines start first and the leaving
 	// engines finish their work.
 	Planned bool
+	// AnnouncedInAnswers is true if a leaving engine of a planned outage says so in its
+	// answers only, for leavingTime before its registration does.
+	AnnouncedInAnswers bool
 }
 
 // Slowdown makes a fraction of the engines slower.
@@ -65,6 +70,14 @@
 	Fraction, PerSecond float64
 }
 
+// Rest makes a fraction of the engines turn requests away. Each asks the daemon whose request it
+// turns away for a time without more.
+type Rest struct {
+	At, Duration time.Duration
+	Fraction     float64
+	Time         time.Duration
+}
+
 // Restart kills a fraction of the daemons; they restart immediately with empty state.
 type Restart struct {
 	At       time.Duration
@@ -98,6 +111,12 @@
 			Outages: []Outage{{At: seconds(3), Duration: seconds(4), Fraction: 0.5}},
 		},
 		{Name: "release", Rate: 1, Outages: []Outage{{At: seconds(4), Fraction: 0.5, Stagger: seconds(1.1), Planned: true}}},
+		{Name: "release-answers", Rate: 0.8, Outages: []Outage{{At: seconds(4), Fraction: 0.5, Stagger: seconds(1.1), Planned: true, AnnouncedInAnswers: true}}},
+		{Name: "rests", Rate: 1, Rests: []Rest{{At: seconds(6), Duration: seconds(1.5), Fraction: 0.5, Time: 3 * time.Second}}},
+		{
+			Name: "rests-restarts", Rate: 0.8, Rests: []Rest{{At: seconds(5), Duration: seconds(2), Fraction: 0.34, Time: 4 * time.Second}},
+			Restarts: []Restart{{At: seconds(7), Fraction: 0.34}},
+		},
 		{Name: "slow", Rate: 0.8, Slowdowns: []Slowdown{{At: seconds(4), Duration: seconds(8), Fraction: 0.25, Factor: 6}}},
 		{Name: "limits", Rate: 1, Limits: []Limit{{At: seconds(6), Duration: seconds(14), Fraction: 0.17, PerSecond: 2}}},
 		{
--- /dev/null
+++ b/internal/sim/statements.go
@@ -0,0 +1,125 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/sim/load"
+)
+
+const (
+	// limitWindow is the length of the spans in which a rate limit is checked. A span may hold
+	// limitOvershoot times what the limit allows and limitSlack requests more.
+	limitWindow    = 4 * time.Second
+	limitOvershoot = 1.5
+	limitSlack     = 5
+	// statementDelay is how long after an answer a daemon need not keep a limit or a rest that
+	// it names, drainDelay the same for an engine that says that it is leaving.
+	statementDelay = 500 * time.Millisecond
+	drainDelay     = 2 * time.Second
+	// maxDuringRest is how many requests a daemon may send an engine while that rests.
+	maxDuringRest = 2
+)
+
+// statements are what an engine says of itself in its answers, and what became of it.
+type statements struct {
+	// notice is what the engine declares; with a rest it turns requests away.
+	notice fireflypath.Notice
+	// daemons holds what each run of a daemon has been told.
+	daemons map[daemonRun]*toldDaemon
+	// arrivals holds when requests reached the engine whose daemons know its limit.
+	arrivals []time.Time
+	broken   brokenStatements
+}
+
+// brokenStatements counts the requests that engines got against their statements.
+type brokenStatements struct {
+	overLimit, leaving, duringRest int
+}
+
+// daemonRun is one run of a daemon.
+type daemonRun struct {
+	name        string
+	incarnation int
+}
+
+// toldDaemon is when a daemon was first told each statement.
+type toldDaemon struct {
+	limitAt, leavingAt time.Time
+	// restAt is when the daemon was last asked for rest, restEnd the end of that time, and
+	// duringRest counts its requests in between.
+	restAt, restEnd time.Time
+	duringRest      int
+}
+
+func newStatements() statements { return statements{daemons: map[daemonRun]*toldDaemon{}} }
+
+func (s *statements) told(d *daemon) *toldDaemon {
+	key := daemonRun{d.name, d.incarnation}
+	if s.daemons[key] == nil {
+		s.daemons[key] = &toldDaemon{}
+	}
+	return s.daemons[key]
+}
+
+// recordArrival checks a request that was sent at the given time and reaches the engine now.
+func (s *statements) recordArrival(now, sent time.Time, d *daemon) {
+	told := s.told(d)
+	if !told.limitAt.IsZero() && now.Sub(told.limitAt) >= statementDelay {
+		s.arrivals = append(s.arrivals, now)
+	}
+	if !told.leavingAt.IsZero() && sent.Sub(told.leavingAt) > drainDelay {
+		s.broken.leaving++
+	}
+	if now.Before(told.restEnd) && now.Sub(told.restAt) >= statementDelay {
+		told.duringRest++
+		s.broken.duringRest = max(s.broken.duringRest, told.duringRest-maxDuringRest)
+	}
+}
+
+// recordAnswer records that a daemon receives an answer with the engine's statements.
+func (s *statements) recordAnswer(now time.Time, d *daemon, n fireflypath.Notice) {
+	told := s.told(d)
+	if n.Limited && told.limitAt.IsZero() {
+		told.limitAt = now
+	}
+	if n.Leaving && told.leavingAt.IsZero() {
+		told.leavingAt = now
+	}
+	if n.Rest > 0 {
+		told.restAt, told.restEnd, told.duringRest = now, now.Add(n.Rest), 0
+	}
+}
+
+// endLimit ends the limit and counts by how many requests it was exceeded in the worst span.
+func (s *statements) endLimit() {
+	allowed := limitSlack + int(limitOvershoot*s.notice.Limit*limitWindow.Seconds())
+	most, first := 0, 0
+	for i, at := range s.arrivals {
+		for s.arrivals[first].Before(at.Add(-limitWindow)) {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	s.broken.overLimit = max(s.broken.overLimit, most-allowed)
+	s.notice.Limit, s.notice.Limited, s.arrivals = 0, false, nil
+	for _, told := range s.daemons {
+		told.limitAt = time.Time{}
+	}
+}
+
+// applyLimit makes engines name a rate limit for some time.
+func (w *world) applyLimit(l load.Limit) {
+	for _, t := range w.randomTargets(l.Fraction) {
+		t.notice.Limit, t.notice.Limited = l.PerSecond, true
+		w.loop.After(l.Duration, t.endLimit)
+	}
+}
+
+// applyRest makes engines turn requests away for some time.
+func (w *world) applyRest(r load.Rest) {
+	for _, t := range w.randomTargets(r.Fraction) {
+		t.notice.Rest = r.Time
+		w.loop.After(r.Duration, func() { t.notice.Rest = 0 })
+	}
+}
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -57,7 +57,12 @@
 	RefusalPenalty float64 `json:"again"`
 	Kinds          []Kind  `json:"kinds"`
 	// OverLimit is by how many requests an engine's rate limit was exceeded in the worst span.
-	OverLimit int `json:"over_limit"`
+	// Leaving is the number of requests that daemons sent to engines that had told them that
+	// they are leaving, DuringRest the most that one sent above what is allowed while an engine
+	// rested.
+	OverLimit  int `json:"over_limit"`
+	Leaving    int `json:"leaving"`
+	DuringRest int `json:"during_rest"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
@@ -93,7 +98,7 @@
 	meanWeights []float64
 	samples     map[*request]*sample
 	order       []*sample
-	overLimit   int
+	broken      brokenStatements
 }
 
 func newTally(f fleet.Fleet) *tally {
@@ -112,6 +117,13 @@
 	t.order = append(t.order, s)
 }
 
+// addBroken adds what an engine counted.
+func (t *tally) addBroken(b brokenStatements) {
+	t.broken.overLimit = max(t.broken.overLimit, b.overLimit)
+	t.broken.leaving += b.leaving
+	t.broken.duringRest = max(t.broken.duringRest, b.duringRest)
+}
+
 func (t *tally) finish(r *request, o outcome) {
 	s := t.samples[r]
 	s.outcome = o
@@ -138,7 +150,7 @@
 }
 
 func (t *tally) result() Result {
-	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.overLimit}
+	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.broken.overLimit, Leaving: t.broken.leaving, DuringRest: t.broken.duringRest}
 	total, repeated := 0.0, 0.0
 	for _, s := range t.order {
 		total += s.worth
