test(soak): targets announce their leaving in answers and ask for rest

Beside the faults a target says in its answers that it leaves, 4 s before its registration does, or turns requests away for 0.4 s and asks for 3 s of rest. A daemon counts from the moment when it was told, unless it had a fault since.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -103,16 +103,7 @@
 		if r.disturbances.Load() == 0 {
 			t.leavingSince.Store(time.Now().UnixNano())
 		}
-		reg := t.registration()
-		reg.Drained = true
-		r.reportError(r.store.PutTarget(reg))
-		sleep(ctx, drainTime+time.Second)
-		r.history.check(invariantDrained, true, "")
-		t.leavingSince.Store(0)
-		r.store.RemoveTarget(t.name)
-		sleep(ctx, drainTime+time.Second)
-		t.crash()
-		r.addReplacement()
+		r.retire(ctx, t)
 	}},
 	{"target silent", func(r *run, ctx context.Context, d time.Duration) {
 		if t := r.randomTarget(); t != nil {
@@ -146,6 +137,21 @@
 	{"key revoked", func(r *run, _ context.Context, _ time.Duration) { r.revokeOldestKey() }},
 }
 
+// retire has the registration of a target say that it is leaving, ends the target later and
+// replaces it.
+func (r *run) retire(ctx context.Context, t *target) {
+	reg := t.registration()
+	reg.Drained = true
+	r.reportError(r.store.PutTarget(reg))
+	sleep(ctx, drainTime+time.Second)
+	r.history.check(invariantDrained, true, "")
+	t.leavingSince.Store(0)
+	r.store.RemoveTarget(t.name)
+	sleep(ctx, drainTime+time.Second)
+	t.crash()
+	r.addReplacement()
+}
+
 // injectFaults starts random faults at random intervals. Faults may overlap.
 func (r *run) injectFaults(ctx context.Context) {
 	var wg conc.WaitGroup
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -18,6 +18,7 @@
 	invariantRevoked    invariant = "no request runs with a key that was revoked longer ago than allowed"
 	invariantDrained    invariant = "a target that is leaving gets no requests after two seconds"
 	invariantLimited    invariant = "a target gets no more requests than it says it takes"
+	invariantRested     invariant = "a target gets the rest that it asks for"
 	invariantVersion    invariant = "a configuration is in force everywhere and never goes back"
 	invariantHeld       invariant = "a request that crashes targets is held by all daemons"
 	invariantNotHeld    invariant = "no other request is held because of it"
@@ -27,7 +28,7 @@
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
 	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantBody,
-	invariantRevoked, invariantDrained, invariantLimited, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
+	invariantRevoked, invariantDrained, invariantLimited, invariantRested, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
 }
 
 // violation is one failed check of an invariant.
@@ -85,14 +86,15 @@
 	h.requests[id] = s
 }
 
-// daemonOf returns the daemon that a request was sent to, or nil.
-func (h *history) daemonOf(id string) *process {
+// originOf returns the daemon that a request was sent to, and when. The daemon is nil if that is
+// not known.
+func (h *history) originOf(id string) (*process, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s := h.requests[id]; s != nil {
-		return s.daemon
+		return s.daemon, s.sentAt
 	}
-	return nil
+	return nil, time.Time{}
 }
 
 // recordRun records that a target ran a request.
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -18,82 +18,139 @@
 	limitSettleTime = 3 * time.Second
 	limitOvershoot  = 1.5
 	limitSlack      = 5
+	// announceTime is how long a target says in its answers only that it is leaving.
+	announceTime = 4 * time.Second
+	// turnAwayTime is how long a target turns requests away, restTime the time without more that
+	// it asks for. It may get maxDuringRest requests of each daemon in that time.
+	turnAwayTime  = 400 * time.Millisecond
+	restTime      = 3 * time.Second
+	maxDuringRest = 2
 	// statementDelay is how long after an answer a daemon need not keep what it says.
 	statementDelay = 500 * time.Millisecond
 	// maxStatementPause is the longest time between two statements of targets.
 	maxStatementPause = 3 * time.Second
 )
 
-// statementLog records which daemons have received a target's statements, and the requests that
+// statementLog records what daemons were told of a target's statements, and the requests that
 // they sent it since.
 type statementLog struct {
 	mu sync.Mutex
-	// limitedSince is when the target named a limit for the first time, or zero.
+	// limitedSince is when the target named its limit for the first time, or zero.
 	limitedSince time.Time
-	// informedAt is when each daemon was first sent the limit; a daemon that had a fault since
-	// is not in it.
-	informedAt map[*process]time.Time
-	// arrivals holds the times of the requests that informed daemons sent.
-	arrivals []time.Time
+	// daemons holds what each daemon was told since it last had a fault.
+	daemons map[*process]*toldDaemon
+	// limited holds the times of the requests of daemons that know the limit.
+	limited []time.Time
 }
 
-// begin starts to record after the target has named a limit.
-func (l *statementLog) begin() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limitedSince, l.informedAt, l.arrivals = time.Now(), map[*process]time.Time{}, nil
+// toldDaemon is when a daemon was first told each statement.
+type toldDaemon struct {
+	limitAt, leavingAt time.Time
+	// restAt is when the daemon was last asked for rest, restEnd the end of that time, and
+	// duringRest counts its requests in between.
+	restAt, restEnd time.Time
+	duringRest      int
 }
 
-// end stops recording.
-func (l *statementLog) end() {
+// setLimited starts or ends the check of the limit.
+func (l *statementLog) setLimited(since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limitedSince = time.Time{}
+	l.limitedSince, l.limited = since, nil
+	for _, told := range l.daemons {
+		told.limitAt = time.Time{}
+	}
 }
 
-// recordArrival records a request of a daemon. It returns the number of requests within
-// limitWindow, or 0 if the limit is not checked yet.
-func (l *statementLog) recordArrival(now time.Time, d *process) int {
+// told returns what the daemon was told, or nil if it had a fault recently: a daemon that was
+// stopped, paused or cut off is excused. The caller holds mu.
+func (l *statementLog) told(d *process) *toldDaemon {
+	if d == nil {
+		return nil
+	}
+	if !d.isStable() {
+		delete(l.daemons, d)
+		return nil
+	}
+	if l.daemons[d] == nil {
+		if l.daemons == nil {
+			l.daemons = map[*process]*toldDaemon{}
+		}
+		l.daemons[d] = &toldDaemon{}
+	}
+	return l.daemons[d]
+}
+
+// arrival is what a request that reaches a target means for the target's statements.
+type arrival struct {
+	// inWindow is the number of requests within limitWindow, or 0 if the limit is not checked.
+	inWindow int
+	// leaving is how long before the request was sent its daemon was told that the target is
+	// leaving, or 0.
+	leaving time.Duration
+	// duringRest is the number of requests of its daemon while the target rests from it, or 0.
+	duringRest int
+}
+
+// recordArrival records a request that a caller sent to a daemon at the given time.
+func (l *statementLog) recordArrival(now, sentAt time.Time, d *process) (a arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limitedSince.IsZero() || d == nil {
-		return 0
+	told := l.told(d)
+	if told == nil {
+		return a
 	}
-	if !d.isStable() {
-		delete(l.informedAt, d) // a daemon that was stopped or cut off is excused
-		return 0
+	if !told.leavingAt.IsZero() {
+		a.leaving = sentAt.Sub(told.leavingAt)
 	}
-	at, informed := l.informedAt[d]
-	if !informed || now.Sub(at) < statementDelay {
-		return 0
+	if now.Before(told.restEnd) && now.Sub(told.restAt) >= statementDelay {
+		told.duringRest++
+		a.duringRest = told.duringRest
 	}
-	l.arrivals = append(l.arrivals, now)
-	for l.arrivals[0].Before(now.Add(-limitWindow)) {
-		l.arrivals = l.arrivals[1:]
+	if told.limitAt.IsZero() || now.Sub(told.limitAt) < statementDelay {
+		return a
 	}
-	if now.Sub(l.limitedSince) < limitSettleTime {
-		return 0
+	l.limited = append(l.limited, now)
+	for l.limited[0].Before(now.Add(-limitWindow)) {
+		l.limited = l.limited[1:]
 	}
-	return len(l.arrivals)
+	if now.Sub(l.limitedSince) >= limitSettleTime {
+		a.inWindow = len(l.limited)
+	}
+	return a
 }
 
-// recordAnswer records that a daemon is sent an answer that names the limit.
-func (l *statementLog) recordAnswer(now time.Time, d *process) {
+// recordAnswer records that a daemon is sent an answer with the target's statements.
+func (l *statementLog) recordAnswer(now time.Time, d *process, leaving bool, rest time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limitedSince.IsZero() || d == nil {
+	told := l.told(d)
+	if told == nil {
 		return
 	}
-	if _, informed := l.informedAt[d]; !informed {
-		l.informedAt[d] = now
+	if !l.limitedSince.IsZero() && told.limitAt.IsZero() {
+		told.limitAt = now
+	}
+	if leaving && told.leavingAt.IsZero() {
+		told.leavingAt = now
+	}
+	if rest > 0 {
+		told.restAt, told.restEnd, told.duringRest = now, now.Add(rest), 0
 	}
 }
 
-// checkLimit checks the rate limit of the target when a request of a daemon arrives.
-func (t *target) checkLimit(d *process) {
-	if n := t.statements.recordArrival(time.Now(), d); n > 0 {
+// checkStatements checks the target's statements when a request of a daemon arrives.
+func (t *target) checkStatements(id string, d *process, sentAt time.Time) {
+	a := t.statements.recordArrival(time.Now(), sentAt, d)
+	if a.inWindow > 0 {
 		allowed := int(limitOvershoot*namedLimit*limitWindow.Seconds()) + limitSlack
-		t.history.check(invariantLimited, n <= allowed, "%s got %d requests in %v, allowed %d", t.name, n, limitWindow, allowed)
+		t.history.check(invariantLimited, a.inWindow <= allowed, "%s got %d requests in %v, allowed %d", t.name, a.inWindow, limitWindow, allowed)
+	}
+	if a.leaving > 0 {
+		t.history.check(invariantDrained, a.leaving <= drainTime, "%s reached %s from %s, sent %v after an answer said that it is leaving", id, t.name, d.name, a.leaving)
+	}
+	if a.duringRest > 0 {
+		t.history.check(invariantRested, a.duringRest <= maxDuringRest, "%s reached %s from %s, request %d while it rests", id, t.name, d.name, a.duringRest)
 	}
 }
 
@@ -101,31 +158,51 @@
 // random numbers are its own, so that it does not change the meaning of a seed.
 func (r *run) makeStatements(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(r.options.Seed, 2))
+	statements := []func(context.Context, *target){r.limitTarget, r.announceLeaving, r.restTarget}
 	end := time.Now().Add(r.options.Duration)
 	var wg sync.WaitGroup
-	for time.Now().Before(end) && ctx.Err() == nil {
-		wg.Go(func() { r.limitTarget(ctx) })
+	for i := rnd.IntN(len(statements)); time.Now().Before(end) && ctx.Err() == nil; i++ {
+		if t := r.claimTarget(); t != nil {
+			wg.Go(func() { statements[i%len(statements)](ctx, t) })
+		}
 		sleep(ctx, time.Duration(rnd.Int64N(int64(maxStatementPause))))
 	}
 	wg.Wait()
 }
 
-// limitTarget has the first target that names no limit name one for limitTime.
-func (r *run) limitTarget(ctx context.Context) {
-	t := r.claimTarget()
-	if t == nil {
-		return
-	}
+// limitTarget has a target name a rate limit for limitTime.
+func (r *run) limitTarget(ctx context.Context, t *target) {
+	t.statements.setLimited(time.Now())
 	t.SetLimit(namedLimit)
-	t.statements.begin()
 	sleep(ctx, limitTime)
-	t.statements.end()
+	t.statements.setLimited(time.Time{})
 	t.SetLimit(0)
 	t.claimed.Store(false)
 }
 
-// claimTarget returns a target that makes no statement, or nil if no more than half of the
-// targets are left without.
+// announceLeaving has a target say in its answers that it is leaving. Its registration says so
+// announceTime later, and it is replaced.
+func (r *run) announceLeaving(ctx context.Context, t *target) {
+	if !r.removeTarget(t) {
+		return // a fault has removed it
+	}
+	t.SetLeaving()
+	sleep(ctx, announceTime)
+	r.retire(ctx, t)
+}
+
+// restTarget has a target turn requests away for turnAwayTime and ask for rest.
+func (r *run) restTarget(ctx context.Context, t *target) {
+	t.SetRest(restTime)
+	sleep(ctx, turnAwayTime)
+	t.SetRest(0)
+	sleep(ctx, restTime)
+	r.history.check(invariantRested, true, "")
+	t.claimed.Store(false)
+}
+
+// claimTarget returns a target for a statement, or nil if no more than half of the targets are
+// left without one.
 func (r *run) claimTarget() *target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -114,12 +114,17 @@
 		late := time.Since(time.Unix(0, at))
 		t.history.check(invariantDrained, late < drainTime, "%s reached %s %v after the target announced that it is leaving", id, t.name, late)
 	}
-	from := t.history.daemonOf(id)
-	t.checkLimit(from)
+	from, sentAt := t.history.originOf(id)
+	t.checkStatements(id, from, sentAt)
+	t.WriteHeader(h)
+	if rest := t.TurnAway(w); rest > 0 {
+		t.statements.recordAnswer(time.Now(), from, t.Leaving(), rest)
+		return
+	}
 	t.history.recordRun(id, string(body), t.name)
 	h.Set(t.headers.Signature, "by "+t.name)
-	t.WriteHeader(h)
-	defer func() { t.statements.recordAnswer(time.Now(), from) }()
+	leaving := t.Leaving()
+	defer func() { t.statements.recordAnswer(time.Now(), from, leaving, 0) }()
 	if string(body) == poisonBody {
 		time.Sleep(workTime)
 		go t.onPoison() // closing the server must not wait for this handler
