--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -141,24 +141,26 @@
 const drainTime = 2 * time.Second
 
 // Guards against requests that are cut off at a target that is shutting down: it says so in its
-// answers, while its registration still says that it is ready, or lapses and comes back.
+// answers, while its registration still says that it is ready, lapses and comes back, or cannot be read.
 func TestLeavingTargetGetsNothingMore(t *testing.T) {
-	for _, lapses := range []bool{false, true} {
-		t.Run(fmt.Sprintf("registration lapses: %v", lapses), func(t *testing.T) {
+	for _, registration := range []string{"says ready", "lapses", "is out of reach"} {
+		t.Run("registration "+registration, func(t *testing.T) {
 			t.Parallel()
 			s := newCrashCluster(t, 2)
 			leaving := s.addStatingTarget(t, "leaving", 0)
 			s.sendEvenly(time.Second)
 			s.is.True(len(leaving.received(time.Time{})) > 0)
 			leaving.SetLeaving()
+			s.store.SetFault(standin.Fault{Down: registration == "is out of reach"})
 			s.sendEvenly(time.Second)
 			from := time.Now().Add(drainTime)
-			if lapses {
+			if registration == "lapses" {
 				s.store.RemoveTarget(leaving.registration.Name)
 				s.sendEvenly(time.Second)
 				s.is.NoErr(s.store.PutTarget(leaving.registration))
 			}
 			const duration = 4 * time.Second
+			defer s.store.SetFault(standin.Fault{})
 			s.is.Equal(s.sendEvenly(duration), perSecond*int(duration/time.Second)) // the others serve all
 			s.is.Equal(len(leaving.received(from)), 0)
 		})
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -197,6 +197,31 @@
 	is.Equal(tg.conns.Load(), int32(2))
 }
 
+// Guards against requests with an unknown outcome on a connection that its target is about to
+// close: the target has said so, or for how long it keeps an idle one.
+func TestConnectionIsNotReusedAgainstTargetsWord(t *testing.T) {
+	for header, reused := range map[string]bool{
+		"Connection: close": false, "Keep-Alive: timeout=2": false, "Keep-Alive: timeout=4": true, "Keep-Alive: max=9, timeout=1": false,
+	} {
+		t.Run(header, func(t *testing.T) {
+			is := is.New(t)
+			tg := startTarget(t, func(c net.Conn, _ int, r *http.Request) bool {
+				b, _ := io.ReadAll(r.Body)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n"+header+"\r\nContent-Length: 1\r\n\r\n"+string(b))
+				return true
+			})
+			clock := clockwork.NewFakeClock()
+			c := http1.New(clock, idHeader)
+			for _, name := range []string{"1", "2"} {
+				_, err := readBody(t, c, tg.addr(), name)
+				is.NoErr(err)
+				clock.Advance(1900 * time.Millisecond)
+			}
+			is.Equal(tg.conns.Load() == 1, reused)
+		})
+	}
+}
+
 // The target responds before it has read a long body. The response is returned, and the
 // connection is closed, because the rest of the body would have to follow on it.
 func TestEarlyResponseToLongBody(t *testing.T) {
