--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/ratewindow"
 	"github.com/fireflypath/fireflypath/platform"
 	"github.com/fireflypath/fireflypath/platform/standin"
 )
@@ -98,15 +99,8 @@
 	return served
 }
 
-const (
-	// limitWindow is the length of the spans in which a target's rate limit is checked. A span
-	// may hold half as much again as the limit allows, and a few requests more.
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
-	// noticeDelay is the time after which a daemon keeps what a target said in an answer.
-	noticeDelay = 500 * time.Millisecond
-)
+// noticeDelay is the time after which a daemon keeps what a target said in an answer.
+const noticeDelay = 500 * time.Millisecond
 
 // Guards against a target that is given more than it takes: it names a rate limit for all
 // daemons together, and each daemon keeps sending, or keeps the limit for itself only.
@@ -122,17 +116,12 @@
 	s.is.Equal(served, perSecond*int(duration/time.Second)) // the other targets take the rest
 	received := limited.received(from)
 	s.is.True(len(received) > 0) // it is used as far as it allows
-	allowed := int(limitOvershoot*limit*limitWindow.Seconds()) + limitSlack
-	for i := range received {
-		n := 0
-		for _, a := range received[i:] {
-			if a.at.Sub(received[i].at) < limitWindow {
-				n++
-			}
-		}
-		if n > allowed {
-			t.Fatalf("%d requests in %v, allowed %d", n, limitWindow, allowed)
-		}
+	var c ratewindow.Counter
+	for _, a := range received {
+		c.Add(a.at)
+	}
+	if allowed := ratewindow.Allowed(limit); c.Most() > allowed {
+		t.Errorf("%d requests in %v, allowed %d", c.Most(), ratewindow.Length, allowed)
 	}
 }
 
--- a/internal/decide/dispatcher/notice_test.go
+++ b/internal/decide/dispatcher/notice_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -11,15 +10,12 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
+	"github.com/fireflypath/fireflypath/internal/ratewindow"
 )
 
 const (
-	// limitWindow is the length of the spans in which a rate limit is checked. A span may hold
-	// half as much again as the limit allows, and a few requests more.
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
-	namedLimit     = 2.0
+	// namedLimit is in requests per second.
+	namedLimit = 2.0
 	// limitedTarget is the target that names the limit.
 	limitedTarget = "t0"
 )
@@ -29,19 +25,6 @@
 	return []fireflypath.TargetNotice{{Target: limitedTarget, Notice: fireflypath.Notice{Limit: namedLimit, Limited: true}}}
 }
 
-// mostInWindow returns the largest number of times within limitWindow.
-func mostInWindow(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	most, first := 0, 0
-	for i, at := range times {
-		for times[first].Before(at.Add(-limitWindow)) {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Guards against a rate limit that holds for a few daemons and not for many: all send to the
 // target, through one dispatcher or, while there is none, each for itself.
 func TestRateLimitHoldsInFleetOfAnySize(t *testing.T) {
@@ -55,7 +38,11 @@
 				} else {
 					sent = sendThroughDispatcher(daemons)
 				}
-				is.True(mostInWindow(sent) <= int(limitOvershoot*namedLimit*limitWindow.Seconds())+limitSlack)
+				var c ratewindow.Counter
+				for _, at := range sent {
+					c.Add(at)
+				}
+				is.True(c.Most() <= ratewindow.Allowed(namedLimit))
 			})
 		}
 	}
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -12,18 +12,12 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/ratewindow"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
 
-const (
-	// limitWindow is the length of the spans in which a rate limit is checked. A span may hold
-	// half as much again as the limit allows, and a few requests more.
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
-	// requestTime is how long a target takes for a request.
-	requestTime = 50 * time.Millisecond
-)
+// requestTime is how long a target takes for a request.
+const requestTime = 50 * time.Millisecond
 
 // noticeFleet is a cluster whose targets declare something in their answers.
 type noticeFleet struct {
@@ -117,27 +111,17 @@
 	return sent
 }
 
-// mostInWindow returns the most requests that reached a target in limitWindow since the given
-// time.
+// mostInWindow returns the most requests that reached a target in a span since the given time.
 func (f *noticeFleet) mostInWindow(target string, from time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	most, first := 0, 0
-	for i, a := range f.arrivals[target] {
-		if a.at.Before(from) {
-			first = i + 1
-			continue
-		}
-		for f.arrivals[target][first].at.Before(a.at.Add(-limitWindow)) {
-			first++
+	var c ratewindow.Counter
+	for _, a := range f.arrivals[target] {
+		if !a.at.Before(from) {
+			c.Add(a.at)
 		}
-		most = max(most, i-first+1)
 	}
-	return most
-}
-
-func allowedInWindow(perSecond float64) int {
-	return int(limitOvershoot*perSecond*limitWindow.Seconds()) + limitSlack
+	return c.Most()
 }
 
 const noticeDaemons = 9
@@ -186,7 +170,7 @@
 					sent += f.run(perSecond, 4*time.Second)
 					f.disturb(name)
 					sent += f.run(perSecond, 8*time.Second)
-					is.True(f.mostInWindow("t0", from) <= allowedInWindow(limit))
+					is.True(f.mostInWindow("t0", from) <= ratewindow.Allowed(limit))
 					is.True(float64(f.served) >= 0.99*float64(sent))
 				})
 			})
@@ -284,7 +268,7 @@
 		is.True(len(f.refusedAfter) >= 100)
 		is.True(f.refusedAfter[len(f.refusedAfter)*9/10] < 100*time.Millisecond)
 		for _, target := range []string{"t0", "t1"} {
-			is.True(f.mostInWindow(target, from) <= allowedInWindow(2))
+			is.True(f.mostInWindow(target, from) <= ratewindow.Allowed(2))
 		}
 	})
 }
--- a/internal/sim/statements.go
+++ b/internal/sim/statements.go
@@ -4,15 +4,11 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/ratewindow"
 	"github.com/fireflypath/fireflypath/internal/sim/load"
 )
 
 const (
-	// limitWindow is the length of the spans in which a rate limit is checked. A span may hold
-	// limitOvershoot times what the limit allows and limitSlack requests more.
-	limitWindow    = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
 	// statementDelay is how long after an answer a daemon need not keep a limit or a rest that
 	// it names, drainDelay the same for an engine that says that it is leaving.
 	statementDelay = 500 * time.Millisecond
@@ -27,9 +23,9 @@
 	notice fireflypath.Notice
 	// daemons holds what each run of a daemon has been told.
 	daemons map[daemonRun]*toldDaemon
-	// arrivals holds when requests reached the engine whose daemons know its limit.
-	arrivals []time.Time
-	broken   brokenStatements
+	// limited counts the requests of daemons that know the engine's limit.
+	limited ratewindow.Counter
+	broken  brokenStatements
 }
 
 // brokenStatements counts the requests that engines got against their statements.
@@ -66,7 +62,7 @@
 func (s *statements) recordArrival(now, sent time.Time, d *daemon) {
 	told := s.told(d)
 	if !told.limitAt.IsZero() && now.Sub(told.limitAt) >= statementDelay {
-		s.arrivals = append(s.arrivals, now)
+		s.limited.Add(now)
 	}
 	if !told.leavingAt.IsZero() && sent.Sub(told.leavingAt) > drainDelay {
 		s.broken.leaving++
@@ -93,16 +89,8 @@
 
 // endLimit ends the limit and counts by how many requests it was exceeded in the worst span.
 func (s *statements) endLimit() {
-	allowed := limitSlack + int(limitOvershoot*s.notice.Limit*limitWindow.Seconds())
-	most, first := 0, 0
-	for i, at := range s.arrivals {
-		for s.arrivals[first].Before(at.Add(-limitWindow)) {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	s.broken.overLimit = max(s.broken.overLimit, most-allowed)
-	s.notice.Limit, s.notice.Limited, s.arrivals = 0, false, nil
+	s.broken.overLimit = max(s.broken.overLimit, s.limited.Most()-ratewindow.Allowed(s.notice.Limit))
+	s.notice.Limit, s.notice.Limited, s.limited = 0, false, ratewindow.Counter{}
 	for _, told := range s.daemons {
 		told.limitAt = time.Time{}
 	}
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -5,19 +5,16 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/fireflypath/fireflypath/internal/ratewindow"
 )
 
 const (
 	// namedLimit is the rate limit in requests per second that a target names, for limitTime.
 	namedLimit = 4.0
 	limitTime  = 7 * time.Second
-	// limitWindow is the length of the spans in which the limit is checked, from limitSettleTime
-	// after it was first named. A span may hold limitOvershoot times what the limit allows and
-	// limitSlack requests more.
-	limitWindow     = 4 * time.Second
+	// limitSettleTime is how long after the limit was first named it is not checked.
 	limitSettleTime = 3 * time.Second
-	limitOvershoot  = 1.5
-	limitSlack      = 5
 	// announceTime is how long a target says in its answers only that it is leaving.
 	announceTime = 4 * time.Second
 	// turnAwayTime is how long a target turns requests away, restTime the time without more that
@@ -39,8 +36,8 @@
 	limitedSince time.Time
 	// daemons holds what each daemon was told since it last had a fault.
 	daemons map[*process]*toldDaemon
-	// limited holds the times of the requests of daemons that know the limit.
-	limited []time.Time
+	// limited counts the requests of daemons that know the limit.
+	limited ratewindow.Counter
 }
 
 // toldDaemon is when a daemon was first told each statement.
@@ -56,7 +53,7 @@
 func (l *statementLog) setLimited(since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limitedSince, l.limited = since, nil
+	l.limitedSince, l.limited = since, ratewindow.Counter{}
 	for _, told := range l.daemons {
 		told.limitAt = time.Time{}
 	}
@@ -83,7 +80,7 @@
 
 // arrival is what a request that reaches a target means for the target's statements.
 type arrival struct {
-	// inWindow is the number of requests within limitWindow, or 0 if the limit is not checked.
+	// inWindow is the number of requests within the last span, or 0 if the limit is not checked.
 	inWindow int
 	// leaving is how long before the request was sent its daemon was told that the target is
 	// leaving, or 0.
@@ -110,12 +107,9 @@
 	if told.limitAt.IsZero() || now.Sub(told.limitAt) < statementDelay {
 		return a
 	}
-	l.limited = append(l.limited, now)
-	for l.limited[0].Before(now.Add(-limitWindow)) {
-		l.limited = l.limited[1:]
-	}
+	n := l.limited.Add(now)
 	if now.Sub(l.limitedSince) >= limitSettleTime {
-		a.inWindow = len(l.limited)
+		a.inWindow = n
 	}
 	return a
 }
@@ -143,8 +137,8 @@
 func (t *target) checkStatements(id string, d *process, sentAt time.Time) {
 	a := t.statements.recordArrival(time.Now(), sentAt, d)
 	if a.inWindow > 0 {
-		allowed := int(limitOvershoot*namedLimit*limitWindow.Seconds()) + limitSlack
-		t.history.check(invariantLimited, a.inWindow <= allowed, "%s got %d requests in %v, allowed %d", t.name, a.inWindow, limitWindow, allowed)
+		allowed := ratewindow.Allowed(namedLimit)
+		t.history.check(invariantLimited, a.inWindow <= allowed, "%s got %d requests in %v, allowed %d", t.name, a.inWindow, ratewindow.Length, allowed)
 	}
 	if a.leaving > 0 {
 		t.history.check(invariantDrained, a.leaving <= drainTime, "%s reached %s from %s, sent %v after an answer said that it is leaving", id, t.name, d.name, a.leaving)
