fix(gate): another target's answer declares nothing about the one that was meant

An address is used again by another target, which answers 421 and speaks of itself: its announcement of leaving, limit or load was taken for that of the target whose name the request bore, which then got nothing any more. Answers with 421 are not read; an answer that is neither signed nor marked as not run does not end a limit by saying nothing. TestOnlyTargetItselfDeclares fails without the first condition (its second case). Found by reading the table of what targets say.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -328,6 +328,41 @@
 	}
 }
 
+// Guards against a target that is taken for leaving, limited or free on the word of another one:
+// its address is used again, or the answer is not authentic.
+func TestOnlyTargetItselfDeclares(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		first func(w http.ResponseWriter)
+		// arrivals is how many of the last ten requests reach the only target.
+		arrivals int
+	}{
+		{"leaving target", func(w http.ResponseWriter) { w.Header().Set("T-Leaving", "1") }, 0},
+		{"another target at the address", func(w http.ResponseWriter) {
+			w.Header().Set("T-Leaving", "1")
+			w.Header().Set("T-Limit", "0")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, 10},
+		{"limited target", func(w http.ResponseWriter) { w.Header().Set("T-Limit", "0") }, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := startSite(t, func(cfg *fireflypath.Config) { cfg.Targets = cfg.Targets[:1] }, func(n int, w http.ResponseWriter, _ *http.Request) {
+				if n == 1 {
+					tt.first(w)
+				}
+			})
+			for range 11 {
+				r := s.request(t.Context(), "/once/x", "body")
+				r.Header.Set("T-Deadline", "400")
+				_, _, err := s.do(r)
+				is.NoErr(err)
+			}
+			is.Equal(len(s.requests())-1, tt.arrivals)
+		})
+	}
+}
+
 // Two registrations have one address, as when a target starts where another one crashed. A
 // request for the old one must not be run by the new one, and every caller must get its
 // response from a single run.
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -80,32 +80,49 @@
 
 // observeTarget passes what the target says of itself in the header of an answer to the pools.
 func (g *Gate) observeTarget(att *attempt, a *http1.Response) {
+	if a.Status == http.StatusMisdirectedRequest {
+		return // another target answers at this address, and speaks of itself
+	}
+	n := g.decodeNotice(a)
+	g.logNotice(att, n)
+	authentic := a.Header.Get(g.headers.Signature) != "" || a.Header.Get(g.headers.NotRun) != ""
+	if n != (fireflypath.Notice{}) || authentic { // only an authentic answer ends a limit by saying nothing
+		g.deps.Pools.Observe(fireflypath.Event{
+			Kind: fireflypath.EventNotice, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
+			Sent: att.Sent, Notice: n,
+		})
+	}
+	g.observeLoad(att, a)
+}
+
+// decodeNotice returns what the target declares in the header of an answer.
+func (g *Gate) decodeNotice(a *http1.Response) fireflypath.Notice {
 	limit, limited := g.deps.Codec.Limit(a.Header.Get(g.headers.Limit))
-	if limited {
+	return fireflypath.Notice{
+		Limit: limit, Limited: limited, Leaving: g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)), Rest: requestedRest(a),
+	}
+}
+
+// logNotice counts what a target declares, and logs what it has not declared before.
+func (g *Gate) logNotice(att *attempt, n fireflypath.Notice) {
+	target := []zap.Field{zap.String("target", att.target.Name), zap.String("pool", att.target.Pool)}
+	if n.Limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
-	rest := requestedRest(a)
-	if rest > 0 {
-		g.metrics.restsAsked.Inc(1)
-		g.deps.Log.Info("target turned a request away and asked for rest", zap.String("request", att.Work.ID), zap.String("target", att.target.Name),
-			zap.String("pool", att.target.Pool), zap.Duration("rest", rest))
+	if g.noticeLog.recordLimit(att.target, n.Limit, n.Limited) {
+		g.deps.Log.Info("target's rate limit changed", append(target, zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))...)
 	}
-	leaving := g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving))
-	if leaving {
+	if n.Leaving {
 		g.metrics.leavingNamed.Inc(1)
 		if g.noticeLog.recordLeaving(att.target) {
-			g.deps.Log.Info("target announced in an answer that it is leaving", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool))
+			g.deps.Log.Info("target announced in an answer that it is leaving", target...)
 		}
 	}
-	if g.noticeLog.recordLimit(att.target, limit, limited) {
-		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
-			zap.Bool("limited", limited), zap.Float64("per_second", limit))
+	if n.Rest > 0 {
+		g.metrics.restsAsked.Inc(1)
+		g.deps.Log.Info("target turned a request away and asked for rest",
+			append(target, zap.String("request", att.Work.ID), zap.Duration("rest", n.Rest))...)
 	}
-	g.deps.Pools.Observe(fireflypath.Event{
-		Kind: fireflypath.EventNotice, Target: att.target.Name, Incarnation: att.target.Incarnation, Cached: -1,
-		Sent: att.Sent, Notice: fireflypath.Notice{Limit: limit, Limited: limited, Leaving: leaving, Rest: rest},
-	})
-	g.observeLoad(att, a)
 }
 
 // observeLoad passes the load that the target reports in its answer to the pools.
