perf(targets): lists are searched instead of copied into maps

Each daemon knows all targets of the fleet, and held them in three maps beside the list that it has anyway: by name in the pool, by identity for the dispatcher's decisions, and names to identities in its own dispatcher. The sorted list is searched now.

--- a/config.go
+++ b/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -147,6 +148,14 @@
 	return t.Name + "@" + strconv.FormatUint(t.Incarnation, 10)
 }
 
+// NameOfIdentity returns the name of the target with an identity that holds an incarnation.
+func NameOfIdentity(identity string) string {
+	if i := strings.LastIndexByte(identity, '@'); i >= 0 {
+		return identity[:i]
+	}
+	return identity
+}
+
 // RuleAction is what a rule does with matching work.
 type RuleAction string
 
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -49,11 +49,9 @@
 	scheduler Scheduler
 	sessions  map[string]*session
 	entries   map[*fireflypath.Work]*entry
-	// identities maps target names to target identities, for the targets of list.
-	identities map[string]string
-	list       targets.List
-	placement  fireflypath.Placement
-	sheds      []fireflypath.Shed
+	list      targets.List
+	placement fireflypath.Placement
+	sheds     []fireflypath.Shed
 	// orphans is work in flight whose daemon closed its session.
 	orphans []orphan
 	// pausedUntil is the time until which no work is dispatched.
@@ -94,7 +92,6 @@
 func New(pool string, sched Scheduler) *Dispatcher {
 	return &Dispatcher{
 		pool: pool, scheduler: sched, sessions: map[string]*session{}, entries: map[*fireflypath.Work]*entry{},
-		identities: map[string]string{},
 	}
 }
 
@@ -267,11 +264,20 @@
 		}
 		e.work.Lifecycle.Transition(fireflypath.StateWaiting, fireflypath.StateDispatched)
 		e.session.decisions = append(e.session.decisions, fireflypath.Decision{
-			Number: e.number, Target: d.identities[d.placement.Target], PromptAhead: d.placement.PromptAhead, TimeToFirst: fireflypath.MicrosOf(d.placement.TimeToFirst),
+			Number: e.number, Target: d.identityOf(d.placement.Target), PromptAhead: d.placement.PromptAhead, TimeToFirst: fireflypath.MicrosOf(d.placement.TimeToFirst),
 		})
 	}
 }
 
+// identityOf returns the identity of the target with the name, or "" if there is none.
+func (d *Dispatcher) identityOf(name string) string {
+	t, ok := d.list.Find(name)
+	if !ok {
+		return ""
+	}
+	return t.Identity()
+}
+
 // Tick sheds work that has waited too long and dispatches what can be placed.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.releaseOrphans(now, "")
@@ -327,9 +333,7 @@
 
 // SetTargets replaces the targets of the pool.
 func (d *Dispatcher) SetTargets(now time.Time, list []fireflypath.Target) {
-	d.list.Update(list,
-		func(t fireflypath.Target) { delete(d.identities, t.Name) },
-		func(t fireflypath.Target) { d.identities[t.Name] = t.Identity() })
+	d.list.Replace(list)
 	d.scheduler.SetTargets(now, list)
 	d.dispatchWaiting(now)
 }
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -62,10 +62,8 @@
 	pending map[uint64]*fireflypath.Work
 	// placements were decided by the dispatcher and not yet returned by Next.
 	placements []placement
-	// targets holds those of list by identity.
-	targets map[string]fireflypath.Target
-	list    targets.List
-	outbox  fireflypath.DispatchUpdate
+	list       targets.List
+	outbox     fireflypath.DispatchUpdate
 	// sentNotices and sentRests are the versions of the notices and the rests that the
 	// dispatcher was sent.
 	sentNotices, sentRests uint64
@@ -83,7 +81,6 @@
 func New(local Local) *Scheduler {
 	return &Scheduler{
 		Local: local, updateReady: make(chan struct{}, 1), numbers: map[*fireflypath.Work]uint64{}, pending: map[uint64]*fireflypath.Work{},
-		targets: map[string]fireflypath.Target{},
 	}
 }
 
@@ -260,7 +257,7 @@
 	for len(s.placements) > 0 {
 		next := s.placements[0]
 		s.placements = s.placements[1:]
-		t, ok := s.targets[next.decision.Target]
+		t, ok := s.list.FindIdentity(next.decision.Target)
 		if !ok || t.Drained {
 			// The target is unknown here, or this daemon already knows that it is leaving,
 			// and then sends it nothing.
@@ -349,9 +346,7 @@
 // SetTargets replaces the targets.
 func (s *Scheduler) SetTargets(now time.Time, targets []fireflypath.Target) {
 	s.Local.SetTargets(now, targets)
-	s.list.Update(targets,
-		func(t fireflypath.Target) { delete(s.targets, t.Identity()) },
-		func(t fireflypath.Target) { s.targets[t.Identity()] = t })
+	s.list.Replace(targets)
 }
 
 // Demand summarizes waiting and running requests for the other daemons.
--- a/internal/decide/targets/list.go
+++ b/internal/decide/targets/list.go
@@ -18,15 +18,21 @@
 	current []fireflypath.Target
 }
 
-// Update replaces the targets. It calls remove for each that is gone or was replaced, then set for
-// each that is new or has changed.
-func (l *List) Update(next []fireflypath.Target, remove, set func(fireflypath.Target)) {
+// Replace replaces the targets.
+func (l *List) Replace(next []fireflypath.Target) {
 	if !slices.IsSortedFunc(next, compareNames) {
 		next = slices.Clone(next)
 		slices.SortStableFunc(next, compareNames)
 	}
-	old := l.current
 	l.current = next
+}
+
+// Update replaces the targets. It calls remove for each that is gone or was replaced, then set for
+// each that is new or has changed.
+func (l *List) Update(next []fireflypath.Target, remove, set func(fireflypath.Target)) {
+	old := l.current
+	l.Replace(next)
+	next = l.current
 	var added []fireflypath.Target
 	i, j := 0, 0
 	for i < len(old) || j < len(next) {
@@ -51,4 +57,22 @@
 	}
 }
 
+// Find returns the target with the name.
+func (l *List) Find(name string) (fireflypath.Target, bool) {
+	i, ok := slices.BinarySearchFunc(l.current, name, func(t fireflypath.Target, name string) int { return strings.Compare(t.Name, name) })
+	if !ok {
+		return fireflypath.Target{}, false
+	}
+	return l.current[i], true
+}
+
+// FindIdentity returns the target with the identity.
+func (l *List) FindIdentity(identity string) (fireflypath.Target, bool) {
+	t, ok := l.Find(identity)
+	if !ok {
+		t, ok = l.Find(fireflypath.NameOfIdentity(identity))
+	}
+	return t, ok && t.Identity() == identity
+}
+
 func compareNames(a, b fireflypath.Target) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/decide/targets/list_test.go
+++ b/internal/decide/targets/list_test.go
@@ -52,6 +52,12 @@
 				if held[n.Name] != n {
 					t.Fatalf("%s is held as %v", n.Name, held[n.Name])
 				}
+				if found, ok := l.FindIdentity(n.Identity()); !ok || found != n {
+					t.Fatalf("%s is found as %v", n.Identity(), found)
+				}
+				if _, ok := l.FindIdentity(n.Name + "@9"); ok {
+					t.Fatalf("another incarnation of %s is found", n.Name)
+				}
 			}
 		}
 	})
--- a/internal/route/pool/events.go
+++ b/internal/route/pool/events.go
@@ -41,9 +41,7 @@
 func (p *Pool) SetTargets(list []fireflypath.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list.Update(list,
-		func(t fireflypath.Target) { delete(p.targets, t.Name) },
-		func(t fireflypath.Target) { p.targets[t.Name] = t })
+	p.list.Replace(list)
 	p.scheduler.SetTargets(p.clock.Now(), list)
 	p.version.Add(1)
 	p.dispatchReady()
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -46,8 +46,6 @@
 	scheduler fireflypath.Scheduler
 	waiting   map[*fireflypath.Work]*request.Request
 	running   map[*fireflypath.Work]runningRequest
-	// targets holds those of list by name.
-	targets   map[string]fireflypath.Target
 	list      targets.List
 	closed    *fireflypath.Refusal
 	placement fireflypath.Placement
@@ -71,7 +69,6 @@
 		name: name, clock: clock, relief: relief, scheduler: scheduler, bytes: &atomic.Int64{},
 		waiting: map[*fireflypath.Work]*request.Request{},
 		running: map[*fireflypath.Work]runningRequest{},
-		targets: map[string]fireflypath.Target{},
 		ctx:     ctx, cancel: cancel,
 	}
 }
@@ -207,7 +204,8 @@
 	r.Sent = now
 	p.running[w] = runningRequest{request: r, target: p.placement.Target}
 	r.Draft.Placed(now, &p.placement)
-	r.WaitResult <- request.WaitResult{Target: p.targets[p.placement.Target]}
+	t, _ := p.list.Find(p.placement.Target)
+	r.WaitResult <- request.WaitResult{Target: t}
 }
 
 // scheduleWake resets the timer if the scheduler wants to be woken earlier than
