refactor(backpressure): backoff is the name for the time that a target asks for

The field's word for what a target asks for with Retry-After; rest was the users'. No logic changed.

--- a/dispatch.go
+++ b/dispatch.go
@@ -50,17 +50,17 @@
 // DispatchUpdate is what a daemon reports to the dispatcher of one pool. The fields are applied
 // in order.
 type DispatchUpdate struct {
-	Notices   []TargetNotice `json:"t,omitempty"`
-	Rests     []TargetRest   `json:"x,omitempty"`
-	InFlight  []InFlightWork `json:"f,omitempty"`
-	Offers    []Offer        `json:"o,omitempty"`
-	Progress  []Progress     `json:"p,omitempty"`
-	Withdrawn []uint64       `json:"w,omitempty"`
+	Notices   []TargetNotice  `json:"t,omitempty"`
+	Backoffs  []TargetBackoff `json:"x,omitempty"`
+	InFlight  []InFlightWork  `json:"f,omitempty"`
+	Offers    []Offer         `json:"o,omitempty"`
+	Progress  []Progress      `json:"p,omitempty"`
+	Withdrawn []uint64        `json:"w,omitempty"`
 }
 
 // Empty reports whether the update contains nothing.
 func (u *DispatchUpdate) Empty() bool {
-	return len(u.Notices)+len(u.Rests)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
+	return len(u.Notices)+len(u.Backoffs)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
 }
 
 // TargetNotice is a target's notice as daemons pass it on.
@@ -72,8 +72,8 @@
 	Age Micros `json:"a,omitempty"`
 }
 
-// TargetRest is a time for which a target wants no more requests of the daemon that reports it.
-type TargetRest struct {
+// TargetBackoff is a time for which a target wants no more requests of the daemon that reports it.
+type TargetBackoff struct {
 	// Target is the identity of the target.
 	Target string `json:"t"`
 	// Remaining is the time until the daemon may send the target requests again.
--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/statements_test.go
@@ -30,8 +30,8 @@
 type arrival struct {
 	at time.Time
 	id string
-	// rest is the time that the target asked for when it turned the request away, or 0.
-	rest time.Duration
+	// backoff is the time that the target asked for when it turned the request away, or 0.
+	backoff time.Duration
 }
 
 // daemon returns the daemon that sent the request.
@@ -51,11 +51,11 @@
 		w.Header().Set(h.ID, id)
 		w.Header().Set(h.Signature, "by "+name)
 		target.WriteHeader(w.Header())
-		rest := target.TurnAway(w)
+		backoff := target.TurnAway(w)
 		target.mu.Lock()
-		target.arrivals = append(target.arrivals, arrival{at, id, rest})
+		target.arrivals = append(target.arrivals, arrival{at, id, backoff})
 		target.mu.Unlock()
-		if rest > 0 {
+		if backoff > 0 {
 			return
 		}
 		time.Sleep(delay)
@@ -156,13 +156,13 @@
 	}
 }
 
-// maxDuringRest is how many requests a daemon may send a target in the time for which that wants
+// maxDuringBackoff is how many requests a daemon may send a target in the time for which that wants
 // none.
-const maxDuringRest = 2
+const maxDuringBackoff = 2
 
 // Guards against a target that is pressed while it recovers: it turns a request away, asks for
-// rest and serves again soon, but has not had the rest that it asked for.
-func TestTargetGetsRestItAskedFor(t *testing.T) {
+// backoff and serves again soon, but has not had the backoff that it asked for.
+func TestTargetGetsBackoffItAskedFor(t *testing.T) {
 	t.Parallel()
 	s := newCrashCluster(t, 1)
 	s.store.RemoveTarget("t1")
@@ -171,27 +171,27 @@
 		s.addStatingTarget(t, name, 200*time.Millisecond) // four slots each, just enough for all requests
 	}
 	s.sendEvenly(time.Second)
-	const rest, duration = 3 * time.Second, 5 * time.Second
-	time.AfterFunc(time.Second, func() { tired.SetRest(rest) })
-	time.AfterFunc(1500*time.Millisecond, func() { tired.SetRest(0) })
+	const backoff, duration = 3 * time.Second, 5 * time.Second
+	time.AfterFunc(time.Second, func() { tired.SetBackoff(backoff) })
+	time.AfterFunc(1500*time.Millisecond, func() { tired.SetBackoff(0) })
 	s.is.Equal(s.sendEvenly(duration), perSecond*int(duration/time.Second)) // the others serve what it turns away
 	received := tired.received(time.Time{})
 	turnedAway, most := 0, 0
 	for i, a := range received {
-		if a.rest == 0 {
+		if a.backoff == 0 {
 			continue
 		}
 		turnedAway++
 		during := 0
 		for _, o := range received[i:] {
-			if since := o.at.Sub(a.at); o.daemon() == a.daemon() && since > noticeDelay && since < a.rest {
+			if since := o.at.Sub(a.at); o.daemon() == a.daemon() && since > noticeDelay && since < a.backoff {
 				during++
 			}
 		}
 		most = max(most, during)
 	}
 	s.is.True(turnedAway > 0)
-	if most > maxDuringRest {
-		t.Errorf("a daemon sent %d requests during a rest, allowed %d", most, maxDuringRest)
+	if most > maxDuringBackoff {
+		t.Errorf("a daemon sent %d requests during a backoff, allowed %d", most, maxDuringBackoff)
 	}
 }
--- a/internal/decide/backpressure/book.go
+++ b/internal/decide/backpressure/book.go
@@ -31,11 +31,11 @@
 	targets map[string]*Target
 	// share is the part of each rate limit that may be used here, between 0 and 1.
 	share float64
-	// version counts the changes that other daemons need to know, restVersion the rests that
+	// version counts the changes that other daemons need to know, backoffVersion the backoffs that
 	// targets asked this daemon for.
-	version, restVersion uint64
-	// restsEnd is when the last rest of any daemon ends.
-	restsEnd time.Time
+	version, backoffVersion uint64
+	// lastBackoffEnd is when the last backoff of any daemon ends.
+	lastBackoffEnd time.Time
 }
 
 // New returns a book without declarations, which may use each limit as a whole.
@@ -70,9 +70,9 @@
 // that named one. Answers arrive out of order: one that was begun before the target was in need
 // says nothing about the time since.
 func (b *Book) Observe(now time.Time, identity string, n fireflypath.Notice, sent time.Time) {
-	if n.Rest > 0 {
-		b.setRest(identity, self, now.Add(n.Rest))
-		b.restVersion++
+	if n.Backoff > 0 {
+		b.setBackoff(identity, self, now.Add(n.Backoff))
+		b.backoffVersion++
 	}
 	at := now
 	if !n.Limited {
--- a/internal/decide/backpressure/book_test.go
+++ b/internal/decide/backpressure/book_test.go
@@ -122,18 +122,18 @@
 	is.True(!a.Find("other").Leaving())
 }
 
-// Guards against a rest that ends early, or that is kept from daemons that were not turned away.
-func TestRestConcernsOneDaemon(t *testing.T) {
+// Guards against a backoff that ends early, or that is kept from daemons that were not turned away.
+func TestBackoffConcernsOneDaemon(t *testing.T) {
 	is := is.New(t)
 	own, dispatcher := backpressure.New(), backpressure.New()
-	own.Observe(start, "t", fireflypath.Notice{Rest: 3 * time.Second}, start)
-	own.Observe(start.Add(time.Second), "t", fireflypath.Notice{Rest: time.Second}, start)
+	own.Observe(start, "t", fireflypath.Notice{Backoff: 3 * time.Second}, start)
+	own.Observe(start.Add(time.Second), "t", fireflypath.Notice{Backoff: time.Second}, start)
 	own.Observe(start.Add(time.Second), "t", fireflypath.Notice{}, start.Add(time.Second))
-	is.Equal(own.Find("t").RestEnds(start.Add(time.Second), ""), start.Add(3*time.Second))
+	is.Equal(own.Find("t").BackoffEnds(start.Add(time.Second), ""), start.Add(3*time.Second))
 	is.Equal(len(own.Notices(start)), 0) // no other daemon is concerned
-	dispatcher.ApplyRests(start.Add(time.Second), "d1", own.Rests(start.Add(time.Second)))
-	is.Equal(dispatcher.Find("t").RestEnds(start.Add(time.Second), "d1"), start.Add(3*time.Second))
-	is.True(dispatcher.Find("t").RestEnds(start.Add(time.Second), "d2").IsZero())
-	is.True(dispatcher.Find("t").RestEnds(start.Add(3*time.Second), "d1").IsZero())
-	is.Equal(len(own.Rests(start.Add(3*time.Second))), 0)
+	dispatcher.ApplyBackoffs(start.Add(time.Second), "d1", own.Backoffs(start.Add(time.Second)))
+	is.Equal(dispatcher.Find("t").BackoffEnds(start.Add(time.Second), "d1"), start.Add(3*time.Second))
+	is.True(dispatcher.Find("t").BackoffEnds(start.Add(time.Second), "d2").IsZero())
+	is.True(dispatcher.Find("t").BackoffEnds(start.Add(3*time.Second), "d1").IsZero())
+	is.Equal(len(own.Backoffs(start.Add(3*time.Second))), 0)
 }
--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -28,8 +28,8 @@
 	leaving bool
 	// observedAt is when the last declaration was made, as far as known here.
 	observedAt time.Time
-	// rests holds until when the target wants no requests of a daemon, by the daemon's name.
-	rests       map[string]time.Time
+	// backoffs holds until when the target wants no requests of a daemon, by the daemon's name.
+	backoffs    map[string]time.Time
 	absentSince time.Time
 }
 
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -38,8 +38,8 @@
 	NoticeVersion() uint64
 	// ApplyNotices records what daemons have observed of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
-	// ApplyRests records the times for which targets want no requests of a daemon.
-	ApplyRests(now time.Time, daemon string, rests []fireflypath.TargetRest)
+	// ApplyBackoffs records the times for which targets want no requests of a daemon.
+	ApplyBackoffs(now time.Time, daemon string, backoffs []fireflypath.TargetBackoff)
 }
 
 // Dispatcher schedules the work of one pool for several daemons. It is not safe
@@ -158,7 +158,7 @@
 		return
 	}
 	d.scheduler.ApplyNotices(now, update.Notices)
-	d.scheduler.ApplyRests(now, daemon, update.Rests)
+	d.scheduler.ApplyBackoffs(now, daemon, update.Backoffs)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -32,10 +32,10 @@
 	NoticeVersion() uint64
 	// Refuses reports whether a target has declared that it takes no requests of this daemon.
 	Refuses(now time.Time, identity string) bool
-	// Rests returns the times for which targets want no requests of this daemon. RestVersion
+	// Backoffs returns the times for which targets want no requests of this daemon. BackoffVersion
 	// changes whenever a target asks for one.
-	Rests(now time.Time) []fireflypath.TargetRest
-	RestVersion() uint64
+	Backoffs(now time.Time) []fireflypath.TargetBackoff
+	BackoffVersion() uint64
 	// ApplyNotices records what other daemons know of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
 }
@@ -64,10 +64,10 @@
 	placements []placement
 	list       targets.List
 	outbox     fireflypath.DispatchUpdate
-	// sentNotices and sentRests are the versions of the notices and the rests that the
+	// sentNotices and sentBackoffs are the versions of the notices and the backoffs that the
 	// dispatcher was sent.
-	sentNotices, sentRests uint64
-	updateReady            chan struct{}
+	sentNotices, sentBackoffs uint64
+	updateReady               chan struct{}
 }
 
 type placement struct {
@@ -117,7 +117,7 @@
 func (s *Scheduler) reset() {
 	clear(s.numbers)
 	s.outbox = fireflypath.DispatchUpdate{}
-	s.sentNotices, s.sentRests = 0, 0
+	s.sentNotices, s.sentBackoffs = 0, 0
 }
 
 // takePending takes back all requests that Next has not returned: the undecided ones in
@@ -163,8 +163,8 @@
 	if version := s.NoticeVersion(); version != s.sentNotices {
 		out.Notices, s.sentNotices = s.Notices(now), version
 	}
-	if version := s.RestVersion(); version != s.sentRests {
-		out.Rests, s.sentRests = s.Rests(now), version
+	if version := s.BackoffVersion(); version != s.sentBackoffs {
+		out.Backoffs, s.sentBackoffs = s.Backoffs(now), version
 	}
 	return out
 }
@@ -323,7 +323,7 @@
 	n, known := s.numbers[e.Work]
 	if e.Work == nil || !known {
 		s.Local.Observe(now, e)
-		if s.attached && (s.NoticeVersion() != s.sentNotices || s.RestVersion() != s.sentRests) {
+		if s.attached && (s.NoticeVersion() != s.sentNotices || s.BackoffVersion() != s.sentBackoffs) {
 			s.signal()
 		}
 		return
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -43,41 +43,41 @@
 // requests of this daemon, or none for some time.
 func (s *Scheduler) Refuses(now time.Time, identity string) bool {
 	t := s.book.Find(identity)
-	return t.Leaving() || !t.RestEnds(now, "").IsZero()
+	return t.Leaving() || !t.BackoffEnds(now, "").IsZero()
 }
 
-// Rests returns the times for which targets want no requests of this daemon.
-func (s *Scheduler) Rests(now time.Time) []fireflypath.TargetRest { return s.book.Rests(now) }
+// Backoffs returns the times for which targets want no requests of this daemon.
+func (s *Scheduler) Backoffs(now time.Time) []fireflypath.TargetBackoff { return s.book.Backoffs(now) }
 
-// RestVersion changes whenever a target asks this daemon for rest.
-func (s *Scheduler) RestVersion() uint64 { return s.book.RestVersion() }
+// BackoffVersion changes whenever a target asks this daemon for a backoff.
+func (s *Scheduler) BackoffVersion() uint64 { return s.book.BackoffVersion() }
 
-// ApplyRests records the times for which targets want no requests of another daemon.
-func (s *Scheduler) ApplyRests(now time.Time, daemon string, rests []fireflypath.TargetRest) {
-	if len(rests) == 0 {
+// ApplyBackoffs records the times for which targets want no requests of another daemon.
+func (s *Scheduler) ApplyBackoffs(now time.Time, daemon string, backoffs []fireflypath.TargetBackoff) {
+	if len(backoffs) == 0 {
 		return
 	}
-	s.book.ApplyRests(now, daemon, rests)
+	s.book.ApplyBackoffs(now, daemon, backoffs)
 	s.linkDeclared()
 }
 
-// restsFrom reports whether the target wants no requests of the daemon that sends the work.
-func (s *Scheduler) restsFrom(now time.Time, t *target, w *fireflypath.Work) bool {
-	return !t.declared.RestEnds(now, w.Sender).IsZero()
+// backsOffFrom reports whether the target wants no requests of the daemon that sends the work.
+func (s *Scheduler) backsOffFrom(now time.Time, t *target, w *fireflypath.Work) bool {
+	return !t.declared.BackoffEnds(now, w.Sender).IsZero()
 }
 
-// earliestRestEnd returns when the first target takes work of the sender again, or zero if one of
+// earliestBackoffEnd returns when the first target takes work of the sender again, or zero if one of
 // those that are in service takes it now.
-func (s *Scheduler) earliestRestEnd(now time.Time, w *fireflypath.Work) time.Time {
+func (s *Scheduler) earliestBackoffEnd(now time.Time, w *fireflypath.Work) time.Time {
 	var first time.Time
-	if !s.book.AnyRest(now) {
+	if !s.book.AnyBackoff(now) {
 		return first
 	}
 	for _, t := range s.shared {
 		if t.isLeaving() {
 			continue
 		}
-		until := t.declared.RestEnds(now, w.Sender)
+		until := t.declared.BackoffEnds(now, w.Sender)
 		if until.IsZero() {
 			return time.Time{}
 		}
@@ -88,15 +88,15 @@
 	return first
 }
 
-// nextRestEnd returns when the next rest from a daemon with waiting work ends, or zero.
-func (s *Scheduler) nextRestEnd(now time.Time) time.Time {
+// nextBackoffEnd returns when the next backoff from a daemon with waiting work ends, or zero.
+func (s *Scheduler) nextBackoffEnd(now time.Time) time.Time {
 	var next time.Time
-	if !s.book.AnyRest(now) {
+	if !s.book.AnyBackoff(now) {
 		return next
 	}
 	for _, w := range s.waiting {
 		for _, t := range s.shared {
-			if until := t.declared.RestEnds(now, w.Sender); !until.IsZero() && (next.IsZero() || until.Before(next)) {
+			if until := t.declared.BackoffEnds(now, w.Sender); !until.IsZero() && (next.IsZero() || until.Before(next)) {
 				next = until
 			}
 		}
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -75,7 +75,7 @@
 // declaredWait returns how long the request would wait by what the targets have declared. It
 // reports false if one of them is free to take it.
 func (s *Scheduler) declaredWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
-	if until := s.earliestRestEnd(now, w); !until.IsZero() {
+	if until := s.earliestBackoffEnd(now, w); !until.IsZero() {
 		return until.Sub(now), true
 	}
 	if perSecond, ok := s.totalLimit(); ok {
@@ -150,7 +150,7 @@
 func (s *Scheduler) freeSlots(now time.Time, w *fireflypath.Work) int {
 	n := 0
 	for _, t := range s.shared {
-		if s.accepts(now, t, 0) && !s.restsFrom(now, t, w) {
+		if s.accepts(now, t, 0) && !s.backsOffFrom(now, t, w) {
 			n += s.limitFreeSlots(now, t, t.slots()-s.occupied(now, t))
 		}
 	}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -278,7 +278,7 @@
 			at = due
 		}
 	}
-	if due := s.nextRestEnd(now); !due.IsZero() && (at.IsZero() || due.Before(at)) {
+	if due := s.nextBackoffEnd(now); !due.IsZero() && (at.IsZero() || due.Before(at)) {
 		at = due
 	}
 	return at
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -35,8 +35,8 @@
 type noticeArrival struct {
 	at     time.Time
 	daemon string
-	// rest is the time that the target asked for when it turned the request away, or 0.
-	rest time.Duration
+	// backoff is the time that the target asked for when it turned the request away, or 0.
+	backoff time.Duration
 }
 
 func startNoticeFleet(t *testing.T, daemons, targets int) *noticeFleet {
@@ -79,9 +79,9 @@
 	name := r.Target.Name
 	f.mu.Lock()
 	notice := f.notices[name]
-	f.arrivals[name] = append(f.arrivals[name], noticeArrival{time.Now(), d.name, notice.Rest})
+	f.arrivals[name] = append(f.arrivals[name], noticeArrival{time.Now(), d.name, notice.Backoff})
 	f.mu.Unlock()
-	if notice.Rest > 0 {
+	if notice.Backoff > 0 {
 		d.pool.Observe(fireflypath.Event{Kind: fireflypath.EventNotice, Target: name, Sent: r.Sent, Notice: notice, Cached: -1})
 		d.pool.Notify(r, fireflypath.EventRefused, -1)
 		return
@@ -203,29 +203,29 @@
 	}
 }
 
-// Guards against a target that is pressed while it recovers: the dispatcher that knew of its rest
+// Guards against a target that is pressed while it recovers: the dispatcher that knew of its backoff
 // is lost, or the daemon decides for itself.
-func TestRestHoldsWhileDispatcherMoves(t *testing.T) {
-	const targets, perSecond, rest = 2, 90, 3 * time.Second
+func TestBackoffHoldsWhileDispatcherMoves(t *testing.T) {
+	const targets, perSecond, backoff = 2, 90, 3 * time.Second
 	for name := range disturbances {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := startNoticeFleet(t, noticeDaemons, targets)
 				f.run(perSecond, time.Second)
-				f.declare("t0", fireflypath.Notice{Rest: rest})
+				f.declare("t0", fireflypath.Notice{Backoff: backoff})
 				f.run(perSecond, time.Second)
 				f.declare("t0", fireflypath.Notice{})
 				f.disturb(name)
 				f.run(perSecond, 4*time.Second)
 				turnedAway := 0
 				for i, a := range f.arrivals["t0"] {
-					if a.rest == 0 {
+					if a.backoff == 0 {
 						continue
 					}
 					turnedAway++
 					for _, o := range f.arrivals["t0"][i+1:] {
-						is.True(o.daemon != a.daemon || o.at.Sub(a.at) >= rest || o.at.Sub(a.at) < 500*time.Millisecond)
+						is.True(o.daemon != a.daemon || o.at.Sub(a.at) >= backoff || o.at.Sub(a.at) < 500*time.Millisecond)
 					}
 				}
 				is.True(turnedAway > 0)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -306,7 +306,7 @@
 
 // Guards against a target that is pressed while it recovers: the time that it asks for when it
 // turns a request away is kept, whatever form of number it has.
-func TestTargetThatAsksForRestIsLeftAlone(t *testing.T) {
+func TestTargetThatAsksForBackoffIsLeftAlone(t *testing.T) {
 	for text, rests := range map[string]bool{"30": true, "29.5": true, "0": false, "-1": false, "x": false, "": false, "NaN": false} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -62,12 +62,12 @@
 	return !before
 }
 
-// maxRest bounds the time for which a target is left alone on its own word.
-const maxRest = 10 * time.Minute
+// maxBackoff bounds the time for which a target is left alone on its own word.
+const maxBackoff = 10 * time.Minute
 
-// requestedRest returns for how long the target wants no more requests of this daemon. It says so
+// requestedBackoff returns for how long the target wants no more requests of this daemon. It says so
 // when it turns a request away.
-func requestedRest(a *http1.Response) time.Duration {
+func requestedBackoff(a *http1.Response) time.Duration {
 	if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
 		return 0
 	}
@@ -75,7 +75,7 @@
 	if err != nil || !(seconds > 0) {
 		return 0
 	}
-	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
+	return time.Duration(min(seconds, maxBackoff.Seconds()) * float64(time.Second))
 }
 
 // observeTarget passes what the target says of itself in the header of an answer to the pools.
@@ -99,7 +99,7 @@
 func (g *Gate) decodeNotice(a *http1.Response) fireflypath.Notice {
 	limit, limited := g.deps.Codec.Limit(a.Header.Get(g.headers.Limit))
 	return fireflypath.Notice{
-		Limit: limit, Limited: limited, Leaving: g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)), Rest: requestedRest(a),
+		Limit: limit, Limited: limited, Leaving: g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)), Backoff: requestedBackoff(a),
 	}
 }
 
@@ -118,10 +118,10 @@
 			g.deps.Log.Info("target announced in an answer that it is leaving", target...)
 		}
 	}
-	if n.Rest > 0 {
-		g.metrics.restsAsked.Inc(1)
-		g.deps.Log.Info("target turned a request away and asked for rest",
-			append(target, zap.String("request", att.Work.ID), zap.Duration("rest", n.Rest))...)
+	if n.Backoff > 0 {
+		g.metrics.backoffsAsked.Inc(1)
+		g.deps.Log.Info("target turned a request away and asked for a backoff",
+			append(target, zap.String("request", att.Work.ID), zap.Duration("backoff", n.Backoff))...)
 	}
 }
 
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -116,7 +116,7 @@
 		if c.target != nil {
 			c.target.recordArrival(w.loop.Now(), c.sentAt, c.d)
 		}
-		if c.target != nil && c.target.notice.Rest > 0 {
+		if c.target != nil && c.target.notice.Backoff > 0 {
 			notice := c.target.notice
 			w.loop.After(w.options.Fleet.Hop.Duration(), func() { c.observeNotice(notice); c.handleEngineRefusal() })
 			return
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -25,8 +25,8 @@
 	Slowdowns []Slowdown
 	// Limits make engines name a rate limit.
 	Limits []Limit
-	// Rests make engines turn requests away and ask for rest.
-	Rests []Rest
+	// Backoffs make engines turn requests away and ask for a backoff.
+	Backoffs []Backoff
 	// Restarts kill and restart daemons.
 	Restarts []Restart
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
@@ -70,9 +70,9 @@
 	Fraction, PerSecond float64
 }
 
-// Rest makes a fraction of the engines turn requests away. Each asks the daemon whose request it
+// Backoff makes a fraction of the engines turn requests away. Each asks the daemon whose request it
 // turns away for a time without more.
-type Rest struct {
+type Backoff struct {
 	At, Duration time.Duration
 	Fraction     float64
 	Time         time.Duration
@@ -112,9 +112,9 @@
 		},
 		{Name: "release", Rate: 1, Outages: []Outage{{At: seconds(4), Fraction: 0.5, Stagger: seconds(1.1), Planned: true}}},
 		{Name: "release-answers", Rate: 0.8, Outages: []Outage{{At: seconds(4), Fraction: 0.5, Stagger: seconds(1.1), Planned: true, AnnouncedInAnswers: true}}},
-		{Name: "rests", Rate: 1, Rests: []Rest{{At: seconds(6), Duration: seconds(1.5), Fraction: 0.5, Time: 3 * time.Second}}},
+		{Name: "backoffs", Rate: 1, Backoffs: []Backoff{{At: seconds(6), Duration: seconds(1.5), Fraction: 0.5, Time: 3 * time.Second}}},
 		{
-			Name: "rests-restarts", Rate: 0.8, Rests: []Rest{{At: seconds(5), Duration: seconds(2), Fraction: 0.34, Time: 4 * time.Second}},
+			Name: "backoffs-restarts", Rate: 0.8, Backoffs: []Backoff{{At: seconds(5), Duration: seconds(2), Fraction: 0.34, Time: 4 * time.Second}},
 			Restarts: []Restart{{At: seconds(7), Fraction: 0.34}},
 		},
 		{Name: "slow", Rate: 0.8, Slowdowns: []Slowdown{{At: seconds(4), Duration: seconds(8), Fraction: 0.25, Factor: 6}}},
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -140,8 +140,8 @@
 	for _, l := range w.options.Load.Limits {
 		w.loop.After(l.At, func() { w.applyLimit(l) })
 	}
-	for _, r := range w.options.Load.Rests {
-		w.loop.After(r.At, func() { w.applyRest(r) })
+	for _, r := range w.options.Load.Backoffs {
+		w.loop.After(r.At, func() { w.applyBackoff(r) })
 	}
 	for _, r := range w.options.Load.Restarts {
 		w.loop.After(r.At, func() {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -70,10 +70,10 @@
 }
 
 // Engines name rate limits for all daemons together, say in their answers that they are leaving,
-// or ask daemons for rest, while daemons restart or not. No engine may get requests against its
+// or ask daemons for a backoff, while daemons restart or not. No engine may get requests against its
 // word.
 func TestStatementsOfEnginesAreKept(t *testing.T) {
-	for _, pattern := range []string{"limits", "limits-restarts", "release-answers", "rests", "rests-restarts"} {
+	for _, pattern := range []string{"limits", "limits-restarts", "release-answers", "backoffs", "backoffs-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
 				is := is.New(t)
@@ -81,7 +81,7 @@
 					res := simulate(t, mix, pattern, seed+1, seed == 0) // with a dispatcher, then without
 					is.Equal(res.OverLimit, 0)
 					is.Equal(res.Leaving, 0)
-					is.Equal(res.DuringRest, 0)
+					is.Equal(res.DuringBackoff, 0)
 				}
 			})
 		}
--- a/internal/sim/statements.go
+++ b/internal/sim/statements.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// statementDelay is how long after an answer a daemon need not keep a limit or a rest that
+	// statementDelay is how long after an answer a daemon need not keep a limit or a backoff that
 	// it names, drainDelay the same for an engine that says that it is leaving.
 	statementDelay = 500 * time.Millisecond
 	drainDelay     = 2 * time.Second
-	// maxDuringRest is how many requests a daemon may send an engine while that rests.
-	maxDuringRest = 2
+	// maxDuringBackoff is how many requests a daemon may send an engine during its backoff.
+	maxDuringBackoff = 2
 )
 
 // statements are what an engine says of itself in its answers, and what became of it.
 type statements struct {
-	// notice is what the engine declares; with a rest it turns requests away.
+	// notice is what the engine declares; with a backoff it turns requests away.
 	notice fireflypath.Notice
 	// daemons holds what each run of a daemon has been told.
 	daemons map[daemonRun]*toldDaemon
@@ -30,7 +30,7 @@
 
 // brokenStatements counts the requests that engines got against their statements.
 type brokenStatements struct {
-	overLimit, leaving, duringRest int
+	overLimit, leaving, duringBackoff int
 }
 
 // daemonRun is one run of a daemon.
@@ -42,10 +42,10 @@
 // toldDaemon is when a daemon was first told each statement.
 type toldDaemon struct {
 	limitAt, leavingAt time.Time
-	// restAt is when the daemon was last asked for rest, restEnd the end of that time, and
-	// duringRest counts its requests in between.
-	restAt, restEnd time.Time
-	duringRest      int
+	// backoffAt is when the daemon was last asked for a backoff, backoffEnd the end of that time, and
+	// duringBackoff counts its requests in between.
+	backoffAt, backoffEnd time.Time
+	duringBackoff         int
 }
 
 func newStatements() statements { return statements{daemons: map[daemonRun]*toldDaemon{}} }
@@ -67,9 +67,9 @@
 	if !told.leavingAt.IsZero() && sent.Sub(told.leavingAt) > drainDelay {
 		s.broken.leaving++
 	}
-	if now.Before(told.restEnd) && now.Sub(told.restAt) >= statementDelay {
-		told.duringRest++
-		s.broken.duringRest = max(s.broken.duringRest, told.duringRest-maxDuringRest)
+	if now.Before(told.backoffEnd) && now.Sub(told.backoffAt) >= statementDelay {
+		told.duringBackoff++
+		s.broken.duringBackoff = max(s.broken.duringBackoff, told.duringBackoff-maxDuringBackoff)
 	}
 }
 
@@ -82,8 +82,8 @@
 	if n.Leaving && told.leavingAt.IsZero() {
 		told.leavingAt = now
 	}
-	if n.Rest > 0 {
-		told.restAt, told.restEnd, told.duringRest = now, now.Add(n.Rest), 0
+	if n.Backoff > 0 {
+		told.backoffAt, told.backoffEnd, told.duringBackoff = now, now.Add(n.Backoff), 0
 	}
 }
 
@@ -104,10 +104,10 @@
 	}
 }
 
-// applyRest makes engines turn requests away for some time.
-func (w *world) applyRest(r load.Rest) {
+// applyBackoff makes engines turn requests away for some time.
+func (w *world) applyBackoff(r load.Backoff) {
 	for _, t := range w.randomTargets(r.Fraction) {
-		t.notice.Rest = r.Time
-		w.loop.After(r.Duration, func() { t.notice.Rest = 0 })
+		t.notice.Backoff = r.Time
+		w.loop.After(r.Duration, func() { t.notice.Backoff = 0 })
 	}
 }
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -58,11 +58,11 @@
 	Kinds          []Kind  `json:"kinds"`
 	// OverLimit is by how many requests an engine's rate limit was exceeded in the worst span.
 	// Leaving is the number of requests that daemons sent to engines that had told them that
-	// they are leaving, DuringRest the most that one sent above what is allowed while an engine
-	// rested.
-	OverLimit  int `json:"over_limit"`
-	Leaving    int `json:"leaving"`
-	DuringRest int `json:"during_rest"`
+	// they are leaving, DuringBackoff the most that one sent above what is allowed while an engine
+	// asked for a backoff.
+	OverLimit     int `json:"over_limit"`
+	Leaving       int `json:"leaving"`
+	DuringBackoff int `json:"during_backoff"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
@@ -121,7 +121,7 @@
 func (t *tally) addBroken(b brokenStatements) {
 	t.broken.overLimit = max(t.broken.overLimit, b.overLimit)
 	t.broken.leaving += b.leaving
-	t.broken.duringRest = max(t.broken.duringRest, b.duringRest)
+	t.broken.duringBackoff = max(t.broken.duringBackoff, b.duringBackoff)
 }
 
 func (t *tally) finish(r *request, o outcome) {
@@ -150,7 +150,7 @@
 }
 
 func (t *tally) result() Result {
-	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.broken.overLimit, Leaving: t.broken.leaving, DuringRest: t.broken.duringRest}
+	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.broken.overLimit, Leaving: t.broken.leaving, DuringBackoff: t.broken.duringBackoff}
 	total, repeated := 0.0, 0.0
 	for _, s := range t.order {
 		total += s.worth
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -18,7 +18,7 @@
 	invariantRevoked    invariant = "no request runs with a key that was revoked longer ago than allowed"
 	invariantDrained    invariant = "a target that is leaving gets no requests after two seconds"
 	invariantLimited    invariant = "a target gets no more requests than it says it takes"
-	invariantRested     invariant = "a target gets the rest that it asks for"
+	invariantBackoff    invariant = "a target gets the backoff that it asks for"
 	invariantVersion    invariant = "a configuration is in force everywhere and never goes back"
 	invariantHeld       invariant = "a request that crashes targets is held by all daemons"
 	invariantNotHeld    invariant = "no other request is held because of it"
@@ -28,7 +28,7 @@
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
 	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantBody,
-	invariantRevoked, invariantDrained, invariantLimited, invariantRested, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
+	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
 }
 
 // violation is one failed check of an invariant.
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -17,11 +17,11 @@
 	limitSettleTime = 3 * time.Second
 	// announceTime is how long a target says in its answers only that it is leaving.
 	announceTime = 4 * time.Second
-	// turnAwayTime is how long a target turns requests away, restTime the time without more that
-	// it asks for. It may get maxDuringRest requests of each daemon in that time.
-	turnAwayTime  = 400 * time.Millisecond
-	restTime      = 3 * time.Second
-	maxDuringRest = 2
+	// turnAwayTime is how long a target turns requests away, backoffTime the time without more that
+	// it asks for. It may get maxDuringBackoff requests of each daemon in that time.
+	turnAwayTime     = 400 * time.Millisecond
+	backoffTime      = 3 * time.Second
+	maxDuringBackoff = 2
 	// statementDelay is how long after an answer a daemon need not keep what it says.
 	statementDelay = 500 * time.Millisecond
 	// maxStatementPause is the longest time between two statements of targets.
@@ -43,10 +43,10 @@
 // toldDaemon is when a daemon was first told each statement.
 type toldDaemon struct {
 	limitAt, leavingAt time.Time
-	// restAt is when the daemon was last asked for rest, restEnd the end of that time, and
-	// duringRest counts its requests in between.
-	restAt, restEnd time.Time
-	duringRest      int
+	// backoffAt is when the daemon was last asked for a backoff, backoffEnd the end of that time, and
+	// duringBackoff counts its requests in between.
+	backoffAt, backoffEnd time.Time
+	duringBackoff         int
 }
 
 // setLimited starts or ends the check of the limit.
@@ -85,8 +85,8 @@
 	// leaving is how long before the request was sent its daemon was told that the target is
 	// leaving, or 0.
 	leaving time.Duration
-	// duringRest is the number of requests of its daemon while the target rests from it, or 0.
-	duringRest int
+	// duringBackoff is the number of requests of its daemon during the backoff that it was asked for, or 0.
+	duringBackoff int
 }
 
 // recordArrival records a request that a caller sent to a daemon at the given time.
@@ -100,9 +100,9 @@
 	if !told.leavingAt.IsZero() {
 		a.leaving = sentAt.Sub(told.leavingAt)
 	}
-	if now.Before(told.restEnd) && now.Sub(told.restAt) >= statementDelay {
-		told.duringRest++
-		a.duringRest = told.duringRest
+	if now.Before(told.backoffEnd) && now.Sub(told.backoffAt) >= statementDelay {
+		told.duringBackoff++
+		a.duringBackoff = told.duringBackoff
 	}
 	if told.limitAt.IsZero() || now.Sub(told.limitAt) < statementDelay {
 		return a
@@ -115,7 +115,7 @@
 }
 
 // recordAnswer records that a daemon is sent an answer with the target's statements.
-func (l *statementLog) recordAnswer(now time.Time, d *process, leaving bool, rest time.Duration) {
+func (l *statementLog) recordAnswer(now time.Time, d *process, leaving bool, backoff time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	told := l.told(d)
@@ -128,8 +128,8 @@
 	if leaving && told.leavingAt.IsZero() {
 		told.leavingAt = now
 	}
-	if rest > 0 {
-		told.restAt, told.restEnd, told.duringRest = now, now.Add(rest), 0
+	if backoff > 0 {
+		told.backoffAt, told.backoffEnd, told.duringBackoff = now, now.Add(backoff), 0
 	}
 }
 
@@ -143,8 +143,8 @@
 	if a.leaving > 0 {
 		t.history.check(invariantDrained, a.leaving <= drainTime, "%s reached %s from %s, sent %v after an answer said that it is leaving", id, t.name, d.name, a.leaving)
 	}
-	if a.duringRest > 0 {
-		t.history.check(invariantRested, a.duringRest <= maxDuringRest, "%s reached %s from %s, request %d while it rests", id, t.name, d.name, a.duringRest)
+	if a.duringBackoff > 0 {
+		t.history.check(invariantBackoff, a.duringBackoff <= maxDuringBackoff, "%s reached %s from %s, request %d during its backoff", id, t.name, d.name, a.duringBackoff)
 	}
 }
 
@@ -152,7 +152,7 @@
 // random numbers are its own, so that it does not change the meaning of a seed.
 func (r *run) makeStatements(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(r.options.Seed, 2))
-	statements := []func(context.Context, *target){r.limitTarget, r.announceLeaving, r.restTarget}
+	statements := []func(context.Context, *target){r.limitTarget, r.announceLeaving, r.turnRequestsAway}
 	end := time.Now().Add(r.options.Duration)
 	var wg sync.WaitGroup
 	for i := rnd.IntN(len(statements)); time.Now().Before(end) && ctx.Err() == nil; i++ {
@@ -185,13 +185,13 @@
 	r.retire(ctx, t)
 }
 
-// restTarget has a target turn requests away for turnAwayTime and ask for rest.
-func (r *run) restTarget(ctx context.Context, t *target) {
-	t.SetRest(restTime)
+// turnRequestsAway has a target turn requests away for turnAwayTime and ask for a backoff.
+func (r *run) turnRequestsAway(ctx context.Context, t *target) {
+	t.SetBackoff(backoffTime)
 	sleep(ctx, turnAwayTime)
-	t.SetRest(0)
-	sleep(ctx, restTime)
-	r.history.check(invariantRested, true, "")
+	t.SetBackoff(0)
+	sleep(ctx, backoffTime)
+	r.history.check(invariantBackoff, true, "")
 	t.claimed.Store(false)
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -117,8 +117,8 @@
 	from, sentAt := t.history.originOf(id)
 	t.checkStatements(id, from, sentAt)
 	t.WriteHeader(h)
-	if rest := t.TurnAway(w); rest > 0 {
-		t.statements.recordAnswer(time.Now(), from, t.Leaving(), rest)
+	if backoff := t.TurnAway(w); backoff > 0 {
+		t.statements.recordAnswer(time.Now(), from, t.Leaving(), backoff)
 		return
 	}
 	t.history.recordRun(id, string(body), t.name)
--- a/scheduler.go
+++ b/scheduler.go
@@ -158,9 +158,9 @@
 	// Leaving is true if the target is shutting down. That holds until its end, whatever its
 	// registration and later answers say.
 	Leaving bool `json:"g,omitempty"`
-	// Rest is the time for which the target wants no more requests of this daemon; other
+	// Backoff is the time for which the target wants no more requests of this daemon; other
 	// daemons are not concerned.
-	Rest time.Duration `json:"-"`
+	Backoff time.Duration `json:"-"`
 }
 
 // Report is a load report of a target. It arrives with a delay.
