refactor(gate,slots): no fields are built for lines that are not written

The fields of the log lines about a target's notices were built for each answer, and its identity for each answer without a limit. inBackoff says what backsOffFrom checks. No logic changed.

--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -28,7 +28,7 @@
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.shared {
-		if !s.accepts(now, t, s.allowedExtra(t, w.Rank)) || !s.hasTurn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || s.backsOffFrom(now, t, w) || !s.suits(now, t, w) {
+		if !s.accepts(now, t, s.allowedExtra(t, w.Rank)) || !s.hasTurn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || s.inBackoff(now, t, w) || !s.suits(now, t, w) {
 			continue
 		}
 		v := s.score(now, t, w)
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -61,8 +61,8 @@
 	s.linkDeclared()
 }
 
-// backsOffFrom reports whether the target wants no requests of the daemon that sends the work.
-func (s *Scheduler) backsOffFrom(now time.Time, t *target, w *fireflypath.Work) bool {
+// inBackoff reports whether the target wants no requests of the daemon that sends the work.
+func (s *Scheduler) inBackoff(now time.Time, t *target, w *fireflypath.Work) bool {
 	return !t.declared.BackoffEnds(now, w.Sender).IsZero()
 }
 
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -150,7 +150,7 @@
 func (s *Scheduler) freeSlots(now time.Time, w *fireflypath.Work) int {
 	n := 0
 	for _, t := range s.shared {
-		if s.accepts(now, t, 0) && !s.backsOffFrom(now, t, w) {
+		if s.accepts(now, t, 0) && !s.inBackoff(now, t, w) {
 			n += s.limitFreeSlots(now, t, t.slots()-s.occupied(now, t))
 		}
 	}
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -47,9 +47,12 @@
 // recordLimit records the limit of an answer, if it names one. It reports whether that has begun or
 // ended with this answer.
 func (l *noticeLog) recordLimit(t fireflypath.Target, limit float64, limited bool) (changed bool) {
-	id := t.Identity()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !limited && len(l.limits) == 0 {
+		return false
+	}
+	id := t.Identity()
 	_, before := l.limits[id]
 	if !limited {
 		delete(l.limits, id)
@@ -105,23 +108,23 @@
 
 // logNotice counts what a target declares, and logs what it has not declared before.
 func (g *Gate) logNotice(att *attempt, n fireflypath.Notice) {
-	target := []zap.Field{zap.String("target", att.target.Name), zap.String("pool", att.target.Pool)}
 	if n.Limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
 	if g.noticeLog.recordLimit(att.target, n.Limit, n.Limited) {
-		g.deps.Log.Info("target's rate limit changed", append(target, zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))...)
+		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
+			zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))
 	}
 	if n.Leaving {
 		g.metrics.leavingNamed.Inc(1)
 		if g.noticeLog.recordLeaving(att.target) {
-			g.deps.Log.Info("target announced in an answer that it is leaving", target...)
+			g.deps.Log.Info("target announced in an answer that it is leaving", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool))
 		}
 	}
 	if n.Backoff > 0 {
 		g.metrics.backoffsAsked.Inc(1)
-		g.deps.Log.Info("target turned a request away and asked for a backoff",
-			append(target, zap.String("request", att.Work.ID), zap.Duration("backoff", n.Backoff))...)
+		g.deps.Log.Info("target turned a request away and asked for a backoff", zap.String("request", att.Work.ID),
+			zap.String("target", att.target.Name), zap.String("pool", att.target.Pool), zap.Duration("backoff", n.Backoff))
 	}
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -213,7 +213,7 @@
 type TargetView struct {
 	Target string `json:"target"`
 	Pool   string `json:"pool"`
-	// State is one of ready, slow, ejected, probing, leaving, drained.
+	// State is one of ready, slow, ejected, probing, leaving, drained, limited, full, foreign.
 	State string `json:"state"`
 	// Window is the learned window of the whole target in tokens, Share this daemon's fraction
 	// of it.
