refactor(sim,soak,standin): what targets declare are notices, as in the product

Statements, told and similar words become the names that the product uses for the same: notice, informed, received.

--- a/internal/daemon/statements_test.go
+++ b/internal/daemon/notices_test.go
@@ -17,9 +17,9 @@
 	"github.com/fireflypath/fireflypath/platform/standin"
 )
 
-// statingTarget is a target that says something of itself in its answers.
-type statingTarget struct {
-	standin.Statements
+// noticeTarget is a target that says something of itself in its answers.
+type noticeTarget struct {
+	standin.Notices
 	registration fireflypath.Target
 
 	mu       sync.Mutex
@@ -40,11 +40,11 @@
 	return name
 }
 
-// addStatingTarget starts and registers a target, which works for the given time before it answers.
-func (s *crashCluster) addStatingTarget(t *testing.T, name string, delay time.Duration) *statingTarget {
+// addNoticeTarget starts and registers a target, which works for the given time before it answers.
+func (s *crashCluster) addNoticeTarget(t *testing.T, name string, delay time.Duration) *noticeTarget {
 	t.Helper()
 	h := platform.Codec{}.Headers()
-	target := &statingTarget{}
+	target := &noticeTarget{}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		at, id := time.Now(), r.Header.Get(h.ID)
@@ -68,7 +68,7 @@
 }
 
 // received returns the requests that reached the target from the given time on.
-func (t *statingTarget) received(from time.Time) []arrival {
+func (t *noticeTarget) received(from time.Time) []arrival {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i, _ := slices.BinarySearchFunc(t.arrivals, from, func(a arrival, from time.Time) int { return a.at.Compare(from) })
@@ -107,7 +107,7 @@
 func TestTargetRateLimitHoldsForAllDaemons(t *testing.T) {
 	t.Parallel()
 	s := newCrashCluster(t, 2)
-	limited := s.addStatingTarget(t, "limited", 0)
+	limited := s.addNoticeTarget(t, "limited", 0)
 	const limit, duration = 2.0, 7 * time.Second
 	limited.SetLimit(limit)
 	s.sendEvenly(2 * time.Second) // each daemon gets an answer of the target
@@ -136,7 +136,7 @@
 		t.Run("registration "+registration, func(t *testing.T) {
 			t.Parallel()
 			s := newCrashCluster(t, 2)
-			leaving := s.addStatingTarget(t, "leaving", 0)
+			leaving := s.addNoticeTarget(t, "leaving", 0)
 			s.sendEvenly(time.Second)
 			s.is.True(len(leaving.received(time.Time{})) > 0)
 			leaving.SetLeaving()
@@ -166,9 +166,9 @@
 	t.Parallel()
 	s := newCrashCluster(t, 1)
 	s.store.RemoveTarget("t1")
-	tired := s.addStatingTarget(t, "tired", 0)
+	tired := s.addNoticeTarget(t, "tired", 0)
 	for _, name := range []string{"slow1", "slow2"} {
-		s.addStatingTarget(t, name, 200*time.Millisecond) // four slots each, just enough for all requests
+		s.addNoticeTarget(t, name, 200*time.Millisecond) // four slots each, just enough for all requests
 	}
 	s.sendEvenly(time.Second)
 	const backoff, duration = 3 * time.Second, 5 * time.Second
--- a/internal/sim/statements.go
+++ b/internal/sim/notices.go
@@ -9,27 +9,27 @@
 )
 
 const (
-	// statementDelay is how long after an answer a daemon need not keep a limit or a backoff that
+	// noticeDelay is how long after an answer a daemon need not keep a limit or a backoff that
 	// it names, drainDelay the same for an engine that says that it is leaving.
-	statementDelay = 500 * time.Millisecond
-	drainDelay     = 2 * time.Second
+	noticeDelay = 500 * time.Millisecond
+	drainDelay  = 2 * time.Second
 	// maxDuringBackoff is how many requests a daemon may send an engine during its backoff.
 	maxDuringBackoff = 2
 )
 
-// statements are what an engine says of itself in its answers, and what became of it.
-type statements struct {
+// notices are what an engine says of itself in its answers, and what became of it.
+type notices struct {
 	// notice is what the engine declares; with a backoff it turns requests away.
 	notice fireflypath.Notice
-	// daemons holds what each run of a daemon has been told.
-	daemons map[daemonRun]*toldDaemon
+	// daemons holds what each run of a daemon has received.
+	daemons map[daemonRun]*informedDaemon
 	// limited counts the requests of daemons that know the engine's limit.
 	limited ratewindow.Counter
-	broken  brokenStatements
+	broken  brokenNotices
 }
 
-// brokenStatements counts the requests that engines got against their statements.
-type brokenStatements struct {
+// brokenNotices counts the requests that engines got against their notices.
+type brokenNotices struct {
 	overLimit, leaving, duringBackoff int
 }
 
@@ -39,8 +39,8 @@
 	incarnation int
 }
 
-// toldDaemon is when a daemon was first told each statement.
-type toldDaemon struct {
+// informedDaemon is when a daemon was first received each notice.
+type informedDaemon struct {
 	limitAt, leavingAt time.Time
 	// backoffAt is when the daemon was last asked for a backoff, backoffEnd the end of that time, and
 	// duringBackoff counts its requests in between.
@@ -48,51 +48,51 @@
 	duringBackoff         int
 }
 
-func newStatements() statements { return statements{daemons: map[daemonRun]*toldDaemon{}} }
+func newNotices() notices { return notices{daemons: map[daemonRun]*informedDaemon{}} }
 
-func (s *statements) told(d *daemon) *toldDaemon {
+func (s *notices) informed(d *daemon) *informedDaemon {
 	key := daemonRun{d.name, d.incarnation}
 	if s.daemons[key] == nil {
-		s.daemons[key] = &toldDaemon{}
+		s.daemons[key] = &informedDaemon{}
 	}
 	return s.daemons[key]
 }
 
 // recordArrival checks a request that was sent at the given time and reaches the engine now.
-func (s *statements) recordArrival(now, sent time.Time, d *daemon) {
-	told := s.told(d)
-	if !told.limitAt.IsZero() && now.Sub(told.limitAt) >= statementDelay {
+func (s *notices) recordArrival(now, sent time.Time, d *daemon) {
+	informed := s.informed(d)
+	if !informed.limitAt.IsZero() && now.Sub(informed.limitAt) >= noticeDelay {
 		s.limited.Add(now)
 	}
-	if !told.leavingAt.IsZero() && sent.Sub(told.leavingAt) > drainDelay {
+	if !informed.leavingAt.IsZero() && sent.Sub(informed.leavingAt) > drainDelay {
 		s.broken.leaving++
 	}
-	if now.Before(told.backoffEnd) && now.Sub(told.backoffAt) >= statementDelay {
-		told.duringBackoff++
-		s.broken.duringBackoff = max(s.broken.duringBackoff, told.duringBackoff-maxDuringBackoff)
+	if now.Before(informed.backoffEnd) && now.Sub(informed.backoffAt) >= noticeDelay {
+		informed.duringBackoff++
+		s.broken.duringBackoff = max(s.broken.duringBackoff, informed.duringBackoff-maxDuringBackoff)
 	}
 }
 
-// recordAnswer records that a daemon receives an answer with the engine's statements.
-func (s *statements) recordAnswer(now time.Time, d *daemon, n fireflypath.Notice) {
-	told := s.told(d)
-	if n.Limited && told.limitAt.IsZero() {
-		told.limitAt = now
+// recordAnswer records that a daemon receives an answer with the engine's notices.
+func (s *notices) recordAnswer(now time.Time, d *daemon, n fireflypath.Notice) {
+	informed := s.informed(d)
+	if n.Limited && informed.limitAt.IsZero() {
+		informed.limitAt = now
 	}
-	if n.Leaving && told.leavingAt.IsZero() {
-		told.leavingAt = now
+	if n.Leaving && informed.leavingAt.IsZero() {
+		informed.leavingAt = now
 	}
 	if n.Backoff > 0 {
-		told.backoffAt, told.backoffEnd, told.duringBackoff = now, now.Add(n.Backoff), 0
+		informed.backoffAt, informed.backoffEnd, informed.duringBackoff = now, now.Add(n.Backoff), 0
 	}
 }
 
 // endLimit ends the limit and counts by how many requests it was exceeded in the worst span.
-func (s *statements) endLimit() {
+func (s *notices) endLimit() {
 	s.broken.overLimit = max(s.broken.overLimit, s.limited.Most()-ratewindow.Allowed(s.notice.Limit))
 	s.notice.Limit, s.notice.Limited, s.limited = 0, false, ratewindow.Counter{}
-	for _, told := range s.daemons {
-		told.limitAt = time.Time{}
+	for _, informed := range s.daemons {
+		informed.limitAt = time.Time{}
 	}
 }
 
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -52,7 +52,7 @@
 	fireflypath.Target
 	*engine.Engine
 	speed float64
-	statements
+	notices
 }
 
 // Run simulates one run. Equal options give equal results.
@@ -83,7 +83,7 @@
 			Name: fmt.Sprintf("t%03d", n), Pool: poolName, Addr: fmt.Sprintf("10.0.0.1:%d", n),
 			Domain: "d", Slots: w.options.Fleet.Engines.Slots,
 		},
-		Engine: engine.New(w.loop, w.options.Fleet.Engines, speed), speed: speed, statements: newStatements(),
+		Engine: engine.New(w.loop, w.options.Fleet.Engines, speed), speed: speed, notices: newNotices(),
 	}
 	w.targets = append(w.targets, t)
 	w.startedTargets = append(w.startedTargets, t)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -72,7 +72,7 @@
 // Engines name rate limits for all daemons together, say in their answers that they are leaving,
 // or ask daemons for a backoff, while daemons restart or not. No engine may get requests against its
 // word.
-func TestStatementsOfEnginesAreKept(t *testing.T) {
+func TestNoticesOfEnginesAreKept(t *testing.T) {
 	for _, pattern := range []string{"limits", "limits-restarts", "release-answers", "backoffs", "backoffs-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -57,7 +57,7 @@
 	RefusalPenalty float64 `json:"again"`
 	Kinds          []Kind  `json:"kinds"`
 	// OverLimit is by how many requests an engine's rate limit was exceeded in the worst span.
-	// Leaving is the number of requests that daemons sent to engines that had told them that
+	// Leaving is the number of requests that daemons sent to engines after they had received that
 	// they are leaving, DuringBackoff the most that one sent above what is allowed while an engine
 	// asked for a backoff.
 	OverLimit     int `json:"over_limit"`
@@ -98,7 +98,7 @@
 	meanWeights []float64
 	samples     map[*request]*sample
 	order       []*sample
-	broken      brokenStatements
+	broken      brokenNotices
 }
 
 func newTally(f fleet.Fleet) *tally {
@@ -118,7 +118,7 @@
 }
 
 // addBroken adds what an engine counted.
-func (t *tally) addBroken(b brokenStatements) {
+func (t *tally) addBroken(b brokenNotices) {
 	t.broken.overLimit = max(t.broken.overLimit, b.overLimit)
 	t.broken.leaving += b.leaving
 	t.broken.duringBackoff = max(t.broken.duringBackoff, b.duringBackoff)
--- a/internal/soak/statements.go
+++ b/internal/soak/notices.go
@@ -22,26 +22,26 @@
 	turnAwayTime     = 400 * time.Millisecond
 	backoffTime      = 3 * time.Second
 	maxDuringBackoff = 2
-	// statementDelay is how long after an answer a daemon need not keep what it says.
-	statementDelay = 500 * time.Millisecond
-	// maxStatementPause is the longest time between two statements of targets.
-	maxStatementPause = 3 * time.Second
+	// noticeDelay is how long after an answer a daemon need not keep its notice.
+	noticeDelay = 500 * time.Millisecond
+	// maxNoticePause is the longest time between two notices of targets.
+	maxNoticePause = 3 * time.Second
 )
 
-// statementLog records what daemons were told of a target's statements, and the requests that
+// noticeLog records which notices of a target daemons received, and the requests that
 // they sent it since.
-type statementLog struct {
+type noticeLog struct {
 	mu sync.Mutex
 	// limitedSince is when the target named its limit for the first time, or zero.
 	limitedSince time.Time
-	// daemons holds what each daemon was told since it last had a fault.
-	daemons map[*process]*toldDaemon
+	// daemons holds what each daemon received since it last had a fault.
+	daemons map[*process]*informedDaemon
 	// limited counts the requests of daemons that know the limit.
 	limited ratewindow.Counter
 }
 
-// toldDaemon is when a daemon was first told each statement.
-type toldDaemon struct {
+// informedDaemon is when a daemon was first received each notice.
+type informedDaemon struct {
 	limitAt, leavingAt time.Time
 	// backoffAt is when the daemon was last asked for a backoff, backoffEnd the end of that time, and
 	// duringBackoff counts its requests in between.
@@ -50,18 +50,18 @@
 }
 
 // setLimited starts or ends the check of the limit.
-func (l *statementLog) setLimited(since time.Time) {
+func (l *noticeLog) setLimited(since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.limitedSince, l.limited = since, ratewindow.Counter{}
-	for _, told := range l.daemons {
-		told.limitAt = time.Time{}
+	for _, informed := range l.daemons {
+		informed.limitAt = time.Time{}
 	}
 }
 
-// told returns what the daemon was told, or nil if it had a fault recently: a daemon that was
+// informed returns what the daemon received, or nil if it had a fault recently: a daemon that was
 // stopped, paused or cut off is excused. The caller holds mu.
-func (l *statementLog) told(d *process) *toldDaemon {
+func (l *noticeLog) informed(d *process) *informedDaemon {
 	if d == nil {
 		return nil
 	}
@@ -71,18 +71,18 @@
 	}
 	if l.daemons[d] == nil {
 		if l.daemons == nil {
-			l.daemons = map[*process]*toldDaemon{}
+			l.daemons = map[*process]*informedDaemon{}
 		}
-		l.daemons[d] = &toldDaemon{}
+		l.daemons[d] = &informedDaemon{}
 	}
 	return l.daemons[d]
 }
 
-// arrival is what a request that reaches a target means for the target's statements.
+// arrival is what a request that reaches a target means for the target's notices.
 type arrival struct {
 	// inWindow is the number of requests within the last span, or 0 if the limit is not checked.
 	inWindow int
-	// leaving is how long before the request was sent its daemon was told that the target is
+	// leaving is how long before the request was sent its daemon received the notice that the target is
 	// leaving, or 0.
 	leaving time.Duration
 	// duringBackoff is the number of requests of its daemon during the backoff that it was asked for, or 0.
@@ -90,21 +90,21 @@
 }
 
 // recordArrival records a request that a caller sent to a daemon at the given time.
-func (l *statementLog) recordArrival(now, sentAt time.Time, d *process) (a arrival) {
+func (l *noticeLog) recordArrival(now, sentAt time.Time, d *process) (a arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	told := l.told(d)
-	if told == nil {
+	informed := l.informed(d)
+	if informed == nil {
 		return a
 	}
-	if !told.leavingAt.IsZero() {
-		a.leaving = sentAt.Sub(told.leavingAt)
+	if !informed.leavingAt.IsZero() {
+		a.leaving = sentAt.Sub(informed.leavingAt)
 	}
-	if now.Before(told.backoffEnd) && now.Sub(told.backoffAt) >= statementDelay {
-		told.duringBackoff++
-		a.duringBackoff = told.duringBackoff
+	if now.Before(informed.backoffEnd) && now.Sub(informed.backoffAt) >= noticeDelay {
+		informed.duringBackoff++
+		a.duringBackoff = informed.duringBackoff
 	}
-	if told.limitAt.IsZero() || now.Sub(told.limitAt) < statementDelay {
+	if informed.limitAt.IsZero() || now.Sub(informed.limitAt) < noticeDelay {
 		return a
 	}
 	n := l.limited.Add(now)
@@ -114,28 +114,28 @@
 	return a
 }
 
-// recordAnswer records that a daemon is sent an answer with the target's statements.
-func (l *statementLog) recordAnswer(now time.Time, d *process, leaving bool, backoff time.Duration) {
+// recordAnswer records that a daemon is sent an answer with the target's notices.
+func (l *noticeLog) recordAnswer(now time.Time, d *process, leaving bool, backoff time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	told := l.told(d)
-	if told == nil {
+	informed := l.informed(d)
+	if informed == nil {
 		return
 	}
-	if !l.limitedSince.IsZero() && told.limitAt.IsZero() {
-		told.limitAt = now
+	if !l.limitedSince.IsZero() && informed.limitAt.IsZero() {
+		informed.limitAt = now
 	}
-	if leaving && told.leavingAt.IsZero() {
-		told.leavingAt = now
+	if leaving && informed.leavingAt.IsZero() {
+		informed.leavingAt = now
 	}
 	if backoff > 0 {
-		told.backoffAt, told.backoffEnd, told.duringBackoff = now, now.Add(backoff), 0
+		informed.backoffAt, informed.backoffEnd, informed.duringBackoff = now, now.Add(backoff), 0
 	}
 }
 
-// checkStatements checks the target's statements when a request of a daemon arrives.
-func (t *target) checkStatements(id string, d *process, sentAt time.Time) {
-	a := t.statements.recordArrival(time.Now(), sentAt, d)
+// checkNotices checks the target's notices when a request of a daemon arrives.
+func (t *target) checkNotices(id string, d *process, sentAt time.Time) {
+	a := t.notices.recordArrival(time.Now(), sentAt, d)
 	if a.inWindow > 0 {
 		allowed := ratewindow.Allowed(namedLimit)
 		t.history.check(invariantLimited, a.inWindow <= allowed, "%s got %d requests in %v, allowed %d", t.name, a.inWindow, ratewindow.Length, allowed)
@@ -148,28 +148,28 @@
 	}
 }
 
-// makeStatements has targets make statements about themselves while faults are injected. Its
+// announceNotices has targets announce notices while faults are injected. Its
 // random numbers are its own, so that it does not change the meaning of a seed.
-func (r *run) makeStatements(ctx context.Context) {
+func (r *run) announceNotices(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(r.options.Seed, 2))
-	statements := []func(context.Context, *target){r.limitTarget, r.announceLeaving, r.turnRequestsAway}
+	notices := []func(context.Context, *target){r.limitTarget, r.announceLeaving, r.turnRequestsAway}
 	end := time.Now().Add(r.options.Duration)
 	var wg sync.WaitGroup
-	for i := rnd.IntN(len(statements)); time.Now().Before(end) && ctx.Err() == nil; i++ {
+	for i := rnd.IntN(len(notices)); time.Now().Before(end) && ctx.Err() == nil; i++ {
 		if t := r.claimTarget(); t != nil {
-			wg.Go(func() { statements[i%len(statements)](ctx, t) })
+			wg.Go(func() { notices[i%len(notices)](ctx, t) })
 		}
-		sleep(ctx, time.Duration(rnd.Int64N(int64(maxStatementPause))))
+		sleep(ctx, time.Duration(rnd.Int64N(int64(maxNoticePause))))
 	}
 	wg.Wait()
 }
 
 // limitTarget has a target name a rate limit for limitTime.
 func (r *run) limitTarget(ctx context.Context, t *target) {
-	t.statements.setLimited(time.Now())
+	t.notices.setLimited(time.Now())
 	t.SetLimit(namedLimit)
 	sleep(ctx, limitTime)
-	t.statements.setLimited(time.Time{})
+	t.notices.setLimited(time.Time{})
 	t.SetLimit(0)
 	t.claimed.Store(false)
 }
@@ -195,7 +195,7 @@
 	t.claimed.Store(false)
 }
 
-// claimTarget returns a target for a statement, or nil if no more than half of the targets are
+// claimTarget returns a target for a notice, or nil if no more than half of the targets are
 // left without one.
 func (r *run) claimTarget() *target {
 	r.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -256,7 +256,7 @@
 		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.disturbances.Load() == 0 && d.isStable() }) })
 	}
 	if !r.options.NoFaults {
-		wg.Go(func() { r.makeStatements(ctx) })
+		wg.Go(func() { r.announceNotices(ctx) })
 		r.injectFaults(ctx)
 	}
 	sleep(ctx, recoveryTime)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -27,7 +27,7 @@
 
 // target is one incarnation of a target.
 type target struct {
-	standin.Statements
+	standin.Notices
 	name string
 	pool string
 	// incarnation is unique among all targets of the run and increases with each start.
@@ -43,10 +43,10 @@
 	// truncateRate is the fraction of responses that are truncated, dropRate the
 	// fraction that is never sent. Both are in thousandths.
 	truncateRate, dropRate atomic.Uint64
-	// statements records what became of the target's statements; claimed is true while it makes
+	// notices records what became of the target's notices; claimed is true while it has
 	// one.
-	statements statementLog
-	claimed    atomic.Bool
+	notices noticeLog
+	claimed atomic.Bool
 	// onPoison is called when the target starts to run the poison request, and crashes it.
 	onPoison func()
 
@@ -115,16 +115,16 @@
 		t.history.check(invariantDrained, late < drainTime, "%s reached %s %v after the target announced that it is leaving", id, t.name, late)
 	}
 	from, sentAt := t.history.originOf(id)
-	t.checkStatements(id, from, sentAt)
+	t.checkNotices(id, from, sentAt)
 	t.WriteHeader(h)
 	if backoff := t.TurnAway(w); backoff > 0 {
-		t.statements.recordAnswer(time.Now(), from, t.Leaving(), backoff)
+		t.notices.recordAnswer(time.Now(), from, t.Leaving(), backoff)
 		return
 	}
 	t.history.recordRun(id, string(body), t.name)
 	h.Set(t.headers.Signature, "by "+t.name)
 	leaving := t.Leaving()
-	defer func() { t.statements.recordAnswer(time.Now(), from, leaving, 0) }()
+	defer func() { t.notices.recordAnswer(time.Now(), from, leaving, 0) }()
 	if string(body) == poisonBody {
 		time.Sleep(workTime)
 		go t.onPoison() // closing the server must not wait for this handler
