--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -20,8 +20,8 @@
 // Target holds the declarations of one incarnation of a target. A nil Target has declared
 // nothing.
 type Target struct {
-	// limit is in requests per second from all daemons. limiter allows this decider's part of
-	// it; it is nil without a limit.
+	// limit is in requests per second from all daemons. limiter allows the part of it that
+	// may be used here; it is nil without a limit.
 	limit   float64
 	limiter *rate.Limiter
 	// leaving is true once the target has announced that it is shutting down.
--- a/internal/decide/backpressure/book.go
+++ b/internal/decide/backpressure/tracker.go
@@ -26,8 +26,8 @@
 // the list of targets. A registration that expired while the store was away comes back.
 const absentRetention = 10 * time.Minute
 
-// Book holds the declarations of the targets of one pool. It is not safe for concurrent use.
-type Book struct {
+// Tracker tracks the declarations of the targets of one pool. It is not safe for concurrent use.
+type Tracker struct {
 	targets map[string]*Target
 	// share is the part of each rate limit that may be used here, between 0 and 1.
 	share float64
@@ -38,27 +38,27 @@
 	lastBackoffEnd time.Time
 }
 
-// New returns a book without declarations, which may use each limit as a whole.
-func New() *Book {
-	return &Book{targets: map[string]*Target{}, share: 1}
+// New returns a tracker without declarations, which may use each limit as a whole.
+func New() *Tracker {
+	return &Tracker{targets: map[string]*Target{}, share: 1}
 }
 
 // Find returns the declarations of the target with the identity, or nil if there are none.
-func (b *Book) Find(identity string) *Target { return b.targets[identity] }
+func (tr *Tracker) Find(identity string) *Target { return tr.targets[identity] }
 
 // Len returns the number of targets with declarations.
-func (b *Book) Len() int { return len(b.targets) }
+func (tr *Tracker) Len() int { return len(tr.targets) }
 
 // Version changes with each declaration that differs from the last one.
-func (b *Book) Version() uint64 { return b.version }
+func (tr *Tracker) Version() uint64 { return tr.version }
 
 // SetShare sets the part of each rate limit that may be used here, between 0 and 1.
-func (b *Book) SetShare(now time.Time, share float64) {
-	if share == b.share {
+func (tr *Tracker) SetShare(now time.Time, share float64) {
+	if share == tr.share {
 		return
 	}
-	b.share = share
-	for _, t := range b.targets {
+	tr.share = share
+	for _, t := range tr.targets {
 		t.updateRate(now, share)
 	}
 }
@@ -69,39 +69,39 @@
 // An answer without a limit ends the limit only if its request was sent after the last answer
 // that named one. Answers arrive out of order: one that was begun before the target was in need
 // says nothing about the time since.
-func (b *Book) Observe(now time.Time, identity string, n fireflypath.Notice, sent time.Time) {
+func (tr *Tracker) Observe(now time.Time, identity string, n fireflypath.Notice, sent time.Time) {
 	if n.Backoff > 0 {
-		b.setBackoff(identity, self, now.Add(n.Backoff))
-		b.backoffVersion++
+		tr.setBackoff(identity, self, now.Add(n.Backoff))
+		tr.backoffVersion++
 	}
 	at := now
 	if !n.Limited {
 		at = sent
 	}
-	b.apply(now, identity, n, at)
+	tr.apply(now, identity, n, at)
 }
 
 // Apply records what other daemons have observed.
-func (b *Book) Apply(now time.Time, notices []fireflypath.TargetNotice) {
+func (tr *Tracker) Apply(now time.Time, notices []fireflypath.TargetNotice) {
 	for i := range notices {
 		n := &notices[i]
-		b.apply(now, n.Target, n.Notice, now.Add(-n.Age.Std()))
+		tr.apply(now, n.Target, n.Notice, now.Add(-n.Age.Std()))
 	}
 }
 
 // apply records a declaration that was observed at the given time, unless a later one is known.
-func (b *Book) apply(now time.Time, identity string, n fireflypath.Notice, at time.Time) {
-	t := b.targets[identity]
+func (tr *Tracker) apply(now time.Time, identity string, n fireflypath.Notice, at time.Time) {
+	t := tr.targets[identity]
 	if t == nil {
 		if !n.Limited && !n.Leaving {
 			return
 		}
 		t = &Target{}
-		b.targets[identity] = t
+		tr.targets[identity] = t
 	}
 	if n.Leaving && !t.leaving {
 		t.leaving = true
-		b.version++
+		tr.version++
 	}
 	if !n.Limited && t.observedAt.IsZero() {
 		return // it never named a limit that this could end
@@ -110,16 +110,16 @@
 		return
 	}
 	t.observedAt = at
-	if t.setLimit(now, n, b.share) {
-		b.version++
+	if t.setLimit(now, n, tr.share) {
+		tr.version++
 	}
 }
 
 // Notices returns all declarations, for other daemons, sorted by target.
-func (b *Book) Notices(now time.Time) []fireflypath.TargetNotice {
-	out := make([]fireflypath.TargetNotice, 0, len(b.targets))
-	for _, identity := range slices.Sorted(maps.Keys(b.targets)) {
-		t := b.targets[identity]
+func (tr *Tracker) Notices(now time.Time) []fireflypath.TargetNotice {
+	out := make([]fireflypath.TargetNotice, 0, len(tr.targets))
+	for _, identity := range slices.Sorted(maps.Keys(tr.targets)) {
+		t := tr.targets[identity]
 		if !t.hasNotice() {
 			continue
 		}
@@ -132,8 +132,8 @@
 }
 
 // Retain forgets the declarations of targets that have not been listed for absentRetention.
-func (b *Book) Retain(now time.Time, listed func(identity string) bool) {
-	maps.DeleteFunc(b.targets, func(identity string, t *Target) bool {
+func (tr *Tracker) Retain(now time.Time, listed func(identity string) bool) {
+	maps.DeleteFunc(tr.targets, func(identity string, t *Target) bool {
 		if listed(identity) {
 			t.absentSince = time.Time{}
 			return false
--- a/internal/decide/backpressure/book_test.go
+++ b/internal/decide/backpressure/tracker_test.go
@@ -17,7 +17,7 @@
 }
 
 // countAllowed counts the requests that a target allows within a time, tried each ms.
-func countAllowed(b *backpressure.Book, from time.Time, d time.Duration) int {
+func countAllowed(b *backpressure.Tracker, from time.Time, d time.Duration) int {
 	n := 0
 	for at := from; at.Before(from.Add(d)); at = at.Add(time.Millisecond) {
 		for {
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -11,23 +11,25 @@
 const maxLocalSenders = 4
 
 // Notices returns what the targets have declared, as far as known here.
-func (s *Scheduler) Notices(now time.Time) []fireflypath.TargetNotice { return s.book.Notices(now) }
+func (s *Scheduler) Notices(now time.Time) []fireflypath.TargetNotice {
+	return s.backpressure.Notices(now)
+}
 
 // NoticeVersion changes whenever the result of Notices does, apart from the ages.
-func (s *Scheduler) NoticeVersion() uint64 { return s.book.Version() }
+func (s *Scheduler) NoticeVersion() uint64 { return s.backpressure.Version() }
 
 // ApplyNotices records what other daemons know of declarations of the targets.
 func (s *Scheduler) ApplyNotices(now time.Time, notices []fireflypath.TargetNotice) {
-	s.book.Apply(now, notices)
+	s.backpressure.Apply(now, notices)
 	s.updateDeclared()
 }
 
 // updateDeclared applies the declarations if they have changed.
 func (s *Scheduler) updateDeclared() {
-	if s.book.Version() == s.appliedNotices {
+	if s.backpressure.Version() == s.appliedNotices {
 		return
 	}
-	s.appliedNotices = s.book.Version()
+	s.appliedNotices = s.backpressure.Version()
 	s.linkDeclared()
 	s.findFastest()
 }
@@ -35,29 +37,31 @@
 // linkDeclared links the targets with their declarations.
 func (s *Scheduler) linkDeclared() {
 	for _, t := range s.ordered {
-		t.declared = s.book.Find(t.id)
+		t.declared = s.backpressure.Find(t.id)
 	}
 }
 
 // Refuses reports whether the target with the identity has declared that it takes no more
 // requests of this daemon, or none for some time.
 func (s *Scheduler) Refuses(now time.Time, identity string) bool {
-	t := s.book.Find(identity)
+	t := s.backpressure.Find(identity)
 	return t.Leaving() || !t.BackoffEnds(now, "").IsZero()
 }
 
 // Backoffs returns the times for which targets want no requests of this daemon.
-func (s *Scheduler) Backoffs(now time.Time) []fireflypath.TargetBackoff { return s.book.Backoffs(now) }
+func (s *Scheduler) Backoffs(now time.Time) []fireflypath.TargetBackoff {
+	return s.backpressure.Backoffs(now)
+}
 
 // BackoffVersion changes whenever a target asks this daemon for a backoff.
-func (s *Scheduler) BackoffVersion() uint64 { return s.book.BackoffVersion() }
+func (s *Scheduler) BackoffVersion() uint64 { return s.backpressure.BackoffVersion() }
 
 // ApplyBackoffs records the times for which targets want no requests of another daemon.
 func (s *Scheduler) ApplyBackoffs(now time.Time, daemon string, backoffs []fireflypath.TargetBackoff) {
 	if len(backoffs) == 0 {
 		return
 	}
-	s.book.ApplyBackoffs(now, daemon, backoffs)
+	s.backpressure.ApplyBackoffs(now, daemon, backoffs)
 	s.linkDeclared()
 }
 
@@ -70,7 +74,7 @@
 // those that are in service takes it now.
 func (s *Scheduler) earliestBackoffEnd(now time.Time, w *fireflypath.Work) time.Time {
 	var first time.Time
-	if !s.book.AnyBackoff(now) {
+	if !s.backpressure.AnyBackoff(now) {
 		return first
 	}
 	for _, t := range s.shared {
@@ -91,7 +95,7 @@
 // nextBackoffEnd returns when the next backoff from a daemon with waiting work ends, or zero.
 func (s *Scheduler) nextBackoffEnd(now time.Time) time.Time {
 	var next time.Time
-	if !s.book.AnyBackoff(now) {
+	if !s.backpressure.AnyBackoff(now) {
 		return next
 	}
 	for _, w := range s.waiting {
@@ -118,7 +122,7 @@
 	if s.share.Senders > 1 {
 		share = min(1, float64(max(s.represented, 1))/float64(s.share.Senders))
 	}
-	s.book.SetShare(now, share)
+	s.backpressure.SetShare(now, share)
 }
 
 // mayUseLimited reports whether this scheduler uses the target while it names a rate limit.
@@ -153,7 +157,7 @@
 // totalLimit returns the requests per second that the targets take together. It reports false
 // if one of them names no limit.
 func (s *Scheduler) totalLimit() (perSecond float64, ok bool) {
-	if s.book.Len() == 0 {
+	if s.backpressure.Len() == 0 {
 		return 0, false
 	}
 	for _, t := range s.shared {
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -24,8 +24,8 @@
 		}
 	case fireflypath.EventNotice:
 		if t != nil {
-			s.book.Observe(now, t.id, e.Notice, e.Sent)
-			t.declared = s.book.Find(t.id)
+			s.backpressure.Observe(now, t.id, e.Notice, e.Sent)
+			t.declared = s.backpressure.Find(t.id)
 			s.updateDeclared()
 		}
 	case fireflypath.EventLeaving, fireflypath.EventStaying:
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -72,11 +72,11 @@
 	lowestRank int
 	seed       uint64
 	share      fireflypath.Share
-	// book holds what targets declare about the requests that they take. represented is the
+	// backpressure holds what targets declare about the requests that they take. represented is the
 	// number of daemons for which this scheduler decides as their dispatcher, or 0.
-	book        *backpressure.Book
-	represented int
-	// appliedNotices is the version of the book that the targets' state reflects.
+	backpressure *backpressure.Tracker
+	represented  int
+	// appliedNotices is the version of backpressure that the targets' state reflects.
 	appliedNotices uint64
 	// allLimited is true while all targets name rate limits. Only as much work is admitted then
 	// as can be served by its goal, so that no order of it leaves some of it behind.
@@ -109,7 +109,7 @@
 		pool: pool, seed: seed, tuning: tuning, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, replaced: map[string]*target{}, inFlight: map[*fireflypath.Work]dispatched{},
 		completions: rate.Meter{TimeConstant: rateHorizon}, floor: floor.New(tuning.MinServedRatio),
-		book: backpressure.New(),
+		backpressure: backpressure.New(),
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -92,7 +92,7 @@
 	s.list.Update(list, func(t fireflypath.Target) { s.removeTarget(t.Name) }, func(t fireflypath.Target) { s.setTarget(now, t) })
 	clear(s.replaced)
 	s.updateShared()
-	s.book.Retain(now, s.isListed)
+	s.backpressure.Retain(now, s.isListed)
 	s.findFastest()
 }
 
@@ -118,7 +118,7 @@
 		entry = &target{id: t.Identity(), nameHash: xxhash.Sum64String(t.Name), peerFreedAt: now, knownSince: now}
 	}
 	entry.Target = t
-	entry.declared = s.book.Find(entry.id)
+	entry.declared = s.backpressure.Find(entry.id)
 	s.updateAssignment(now, entry)
 	s.targets[t.Name] = entry
 	i, _ := slices.BinarySearchFunc(s.ordered, t.Name, compareTargetName)
