test(soak): a notice that was lost on its way binds no daemon

The logs show that no daemon had the refusal: the target's connections were silent at that moment, the attempts end with a reset, and no line names a backoff of that target. The checker held the daemon to an answer that never arrived. TestNoticesAreCheckedIfReceived covers both cases.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -63,3 +63,20 @@
 		is.Equal(len(h.violations) == 0, ok)
 	}
 }
+
+// A daemon is held to a notice that it received, and not to one that was lost on the way.
+func TestNoticesAreCheckedIfReceived(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		is := is.New(t)
+		now := time.Now()
+		l := &noticeLog{lostBetween: func(from, to time.Time) bool { return lost && from.Before(now.Add(time.Millisecond)) && to.After(now) }}
+		d := &process{}
+		l.setLimited(now.Add(-limitSettleTime))
+		l.recordAnswer(now, d, true, backoffTime)
+		later := now.Add(backoffTime - time.Millisecond)
+		a := l.recordArrival(later, later, d)
+		is.Equal(a.duringBackoff == 1, !lost)
+		is.Equal(a.leaving > 0, !lost)
+		is.Equal(a.inWindow == 1, !lost)
+	}
+}
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -32,6 +32,8 @@
 // they sent it since.
 type noticeLog struct {
 	mu sync.Mutex
+	// lostBetween reports whether answers may have been lost between two times.
+	lostBetween func(from, to time.Time) bool
 	// limitedSince is when the target named its limit for the first time, or zero.
 	limitedSince time.Time
 	// daemons holds what each daemon received since it last had a fault.
@@ -69,6 +71,7 @@
 		delete(l.daemons, d)
 		return nil
 	}
+	l.forgetLost(l.daemons[d])
 	if l.daemons[d] == nil {
 		if l.daemons == nil {
 			l.daemons = map[*process]*informedDaemon{}
@@ -78,6 +81,24 @@
 	return l.daemons[d]
 }
 
+// forgetLost forgets the notices whose answers may have been lost on the way: the daemon does not
+// know of them. The caller holds mu.
+func (l *noticeLog) forgetLost(d *informedDaemon) {
+	if d == nil {
+		return
+	}
+	lost := func(at time.Time) bool { return !at.IsZero() && l.lostBetween(at, at.Add(noticeDelay)) }
+	if lost(d.limitAt) {
+		d.limitAt = time.Time{}
+	}
+	if lost(d.leavingAt) {
+		d.leavingAt = time.Time{}
+	}
+	if lost(d.backoffAt) {
+		d.backoffAt, d.backoffEnd = time.Time{}, time.Time{}
+	}
+}
+
 // arrival is what a request that reaches a target means for the target's notices.
 type arrival struct {
 	// inWindow is the number of requests within the last span, or 0 if the limit is not checked.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,21 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// losses holds when bytes were lost or connections reset.
+	losses []time.Time
+}
+
+func (p *proxy) recordLoss() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losses = append(p.losses, time.Now())
+}
+
+// lostBetween reports whether bytes were lost or connections reset between two times.
+func (p *proxy) lostBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.losses, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 func newProxy(ps *ports, to string) (*proxy, error) {
@@ -79,6 +95,9 @@
 			time.Sleep(time.Duration(d))
 		}
 		lost = lost || n > 0 && drop.Load()
+		if n > 0 && lost {
+			p.recordLoss()
+		}
 		if n > 0 && !lost {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				break
@@ -99,6 +118,7 @@
 
 // resetAll resets the open connections.
 func (p *proxy) resetAll() {
+	p.recordLoss()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -67,6 +67,7 @@
 		name: name, pool: pool, incarnation: incarnation, headers: platform.Codec{}.Headers(), history: h, ln: ln, proxy: p,
 		rnd: rand.New(rand.NewPCG(seed, 3)),
 	}
+	t.notices.lostBetween = p.lostBetween
 	t.srv = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	go func() { _ = t.srv.Serve(ln) }()
 	return t, nil
