--- a/internal/sim/notices.go
+++ b/internal/sim/notices.go
@@ -39,7 +39,7 @@
 	incarnation int
 }
 
-// informedDaemon is when a daemon was first received each notice.
+// informedDaemon holds when a daemon first received each notice.
 type informedDaemon struct {
 	limitAt, leavingAt time.Time
 	// backoffAt is when the daemon was last asked for a backoff, backoffEnd the end of that time, and
