--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -170,12 +172,33 @@
 			kept = append(kept, w)
 			continue
 		}
-		out = append(out, s.shed(now, w, fmt.Sprintf("waited %v, its time is over", now.Sub(w.Arrived).Round(time.Millisecond))))
+		out = append(out, s.shed(now, w, fmt.Sprintf("waited %v, its time is over (targets: %s)", now.Sub(w.Arrived).Round(time.Millisecond), s.describeTargets(now))))
 	}
 	s.waiting = kept
 	return out
 }
 
+// describeTargets counts the targets by the reason for which they accept no request. It tells a
+// lack of slots from targets that are out of use.
+func (s *Scheduler) describeTargets(now time.Time) string {
+	counts := map[string]int{}
+	for _, t := range s.shared {
+		reason := s.skipReason(now, t, 0)
+		if reason == "" {
+			reason = "free"
+		}
+		counts[reason]++
+	}
+	var b strings.Builder
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		if b.Len() > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, "%d %s", counts[reason], reason)
+	}
+	return b.String()
+}
+
 // Relieve refuses waiting requests of tiers lower than rank, lowest first, until
 // the given number of tokens is freed.
 func (s *Scheduler) Relieve(now time.Time, rank, tokens int, out []fireflypath.Shed) []fireflypath.Shed {
