fix(tunnel): a daemon without a path connects to targets through its peers

Cause: work was tied to the path of the daemon that accepted it, and a lost path was taken for a target that is down. Each dial of 0.4 s held a slot, ended as 'unsent' and ejected the target for all daemons of the dispatcher.

Now a dial that fails or is not done in 0.1 s goes through a peer, which passes the bytes on. The daemon that accepted the request still sends it, once, and keeps deadline, quota, retry budget, answer and the caller's going away; the peer closes its end with it, tells a broken connection from the end of an answer, connects only to targets that it uses itself and over its own path, and ends its tunnels before it stops. Only a target that peers do not reach either counts as unsent. A connection that broke while no path works says nothing about its target, neither to the scheduler nor to the quarantine. Idle connections from before the losses are not used again.

internal/decide/path holds which paths work; lines 'path to target lost', 'paths to targets in general', counters tunnel_*.

--- a/dispatch.go
+++ b/dispatch.go
@@ -41,10 +41,10 @@
 
 // Progress reports an event of work that the dispatcher placed or that was reported to it.
 type Progress struct {
-	Number     uint64    `json:"n"`
-	Kind       EventKind `json:"k,omitempty"`
-	Tokens     int       `json:"t,omitempty"`
-	CallerLeft bool      `json:"l,omitempty"`
+	Number      uint64    `json:"n"`
+	Kind        EventKind `json:"k,omitempty"`
+	Tokens      int       `json:"t,omitempty"`
+	NotByTarget bool      `json:"l,omitempty"`
 }
 
 // DispatchUpdate is what a daemon reports to the dispatcher of one pool. The fields are applied
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/service"
+	"github.com/fireflypath/fireflypath/internal/tunnel"
 	"github.com/fireflypath/fireflypath/internal/windowshare"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 )
@@ -109,6 +110,7 @@
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
 	targetClient *http1.Client
+	tunnel       *tunnel.Tunnel
 	gate         *gate.Gate
 	gateServer   *http.Server
 	gateAddr     string
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -26,6 +26,7 @@
 	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
+	"github.com/fireflypath/fireflypath/internal/tunnel"
 	"github.com/fireflypath/fireflypath/platform"
 )
 
@@ -233,7 +234,7 @@
 		Ratio: g.Retries.Ratio, Window: g.Retries.Window.Std(), Allowance: g.Retries.Allowance,
 		Quotas: d.quotaTolerance(),
 	}, initialDaemonCount, 1.0/initialDaemonCount)
-	d.targetClient = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID, http1.Direct{Source: net.ParseIP(d.cfg.Host.Source)})
+	d.targetClient = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID, d.targetDialer())
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
 		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder,
@@ -251,6 +252,16 @@
 	return nil
 }
 
+// targetDialer returns what connects to targets, through a peer where this daemon's own path is lost.
+func (d *Daemon) targetDialer() http1.Dialer {
+	direct := http1.Direct{Source: net.ParseIP(d.cfg.Host.Source)}
+	if d.members == nil {
+		return direct
+	}
+	d.tunnel = tunnel.New(d.cfg.Name, direct, d.peers, d.members, d.deps.Configs, d.deps.Clock, d.scope, d.deps.Log)
+	return d.tunnel
+}
+
 // updateQuotas applies each new configuration to the teams' quotas.
 func (d *Daemon) updateQuotas() {
 	for {
@@ -282,7 +293,11 @@
 			return
 		case <-t.Chan():
 		}
-		d.targetClient.Sweep(d.deps.Configs.Current().Targets)
+		targets := d.deps.Configs.Current().Targets
+		d.targetClient.Sweep(targets)
+		if d.tunnel != nil {
+			d.tunnel.Retain(targets)
+		}
 	}
 }
 
--- a/internal/daemon/gatelisteners.go
+++ b/internal/daemon/gatelisteners.go
@@ -76,6 +76,9 @@
 	if err := d.gateServer.Shutdown(ctx); err != nil {
 		d.deps.Log.Info("planned stop timed out", logs.Err(err))
 	}
+	if d.tunnel != nil {
+		d.tunnel.Drain(ctx)
+	}
 	return d.gateServer.Close()
 }
 
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -207,7 +207,7 @@
 		e.work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	}
 	d.scheduler.Observe(now, fireflypath.Event{
-		Kind: p.Kind, Work: &e.work, Tokens: p.Tokens, CallerLeft: p.CallerLeft, Cached: -1,
+		Kind: p.Kind, Work: &e.work, Tokens: p.Tokens, NotByTarget: p.NotByTarget, Cached: -1,
 	})
 	if p.Kind != fireflypath.EventUnsent && p.Kind != fireflypath.EventFirstOutput {
 		d.removeEntry(e)
@@ -218,7 +218,7 @@
 // in flight.
 func (d *Dispatcher) withdraw(now time.Time, e *entry) {
 	if !d.scheduler.Withdraw(now, &e.work) {
-		d.scheduler.Observe(now, fireflypath.Event{Kind: fireflypath.EventFailed, Work: &e.work, CallerLeft: true, Cached: -1})
+		d.scheduler.Observe(now, fireflypath.Event{Kind: fireflypath.EventFailed, Work: &e.work, NotByTarget: true, Cached: -1})
 	}
 	d.removeEntry(e)
 }
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -337,7 +337,7 @@
 		return
 	}
 	s.Local.Observe(now, e)
-	s.addProgress(fireflypath.Progress{Number: n, Kind: e.Kind, Tokens: e.Tokens, CallerLeft: e.CallerLeft})
+	s.addProgress(fireflypath.Progress{Number: n, Kind: e.Kind, Tokens: e.Tokens, NotByTarget: e.NotByTarget})
 	if e.Kind != fireflypath.EventFirstOutput {
 		delete(s.numbers, e.Work)
 	}
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -84,7 +84,7 @@
 	s.slotTime = movingAverage(s.slotTime, held)
 	switch e.Kind {
 	case fireflypath.EventFailed:
-		if e.CallerLeft {
+		if e.NotByTarget {
 			t.probing = false
 			return
 		}
--- a/internal/decide/slots/slots_test.go
+++ b/internal/decide/slots/slots_test.go
@@ -528,7 +528,7 @@
 	s := newScheduler(1)
 	s.Offer(start, newWork("a", 0, start), nil)
 	p := dispatchAll(s, start)[0]
-	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventFailed, Target: p.Target, Work: p.Work, CallerLeft: true})
+	s.Observe(start, fireflypath.Event{Kind: fireflypath.EventFailed, Target: p.Target, Work: p.Work, NotByTarget: true})
 	s.Offer(start, newWork("b", 0, start), nil)
 	is.Equal(len(dispatchAll(s, start)), 1)
 }
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -81,6 +81,8 @@
 	started bool
 	// timedOut is true once the attempt was cancelled because the target stayed silent.
 	timedOut atomic.Bool
+	// pathLost is true if the connection was lost for a reason other than the target.
+	pathLost bool
 	// result describes the outcome, for logs and refusals.
 	result string
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -268,7 +268,7 @@
 	att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateFailed)
 	att.pool.Observe(fireflypath.Event{
 		Kind: fireflypath.EventFailed, Target: att.target.Name, Work: &att.Work, Sent: att.Sent, Tokens: att.Tokens, Cached: -1,
-		CallerLeft: c.r.Context().Err() != nil,
+		NotByTarget: att.pathLost || c.r.Context().Err() != nil,
 	})
 }
 
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -33,13 +35,14 @@
 	att.result = string(reasonHeld)
 	att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateWithdrawn)
 	att.pool.Observe(fireflypath.Event{
-		Kind: fireflypath.EventFailed, Target: att.target.Name, Work: &att.Work, Sent: att.Sent, Cached: -1, CallerLeft: true,
+		Kind: fireflypath.EventFailed, Target: att.target.Name, Work: &att.Work, Sent: att.Sent, Cached: -1, NotByTarget: true,
 	})
 }
 
 // reportCrash reports an attempt whose connection was ended by the target, or whose target's
 // host fell silent.
 func (g *Gate) reportCrash(c *call, att *attempt, err error) {
+	att.pathLost = errors.Is(err, http1.ErrPathLost)
 	if c.ctx.Err() != nil || att.timedOut.Load() || !http1.ConnectionLost(err) {
 		return // the connection was ended by this daemon or the caller
 	}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -68,9 +68,18 @@
 	return &Client{clock: clock, dialer: dialer, idHeader: idHeader, idle: map[endpoint][]*conn{}}
 }
 
+// ErrPathLost marks the loss of a connection that says nothing about its target, because the path to
+// it was lost or led through another daemon.
+var ErrPathLost = errors.New("path to the target was lost")
+
 // ConnectionLost reports whether err says that the target closed or reset the connection
 // while it ran a request, or that its host stopped responding.
 func ConnectionLost(err error) bool {
+	return !errors.Is(err, ErrPathLost) && isLoss(err)
+}
+
+// isLoss reports whether err says that a connection was closed or reset while it carried a request.
+func isLoss(err error) bool {
 	if errors.Is(err, fireflypath.ErrUnsent) || errors.Is(err, fireflypath.ErrRequestMismatch) {
 		return false
 	}
@@ -106,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{client: c, endpoint: ep, conn: cn}
+	resp := &Response{client: c, endpoint: ep, target: target, conn: cn}
 	resp.stopWatch = context.AfterFunc(ctx, func() { cn.Close() })
 	writtenBefore := cn.written.Load()
 	if err := resp.write(req); err != nil {
@@ -115,11 +124,11 @@
 		if !sent {
 			return nil, errors.Mark(err, fireflypath.ErrUnsent)
 		}
-		return nil, errors.Wrap(err, "write request")
+		return nil, errors.Wrap(resp.reportLoss(err), "write request")
 	}
 	if err := resp.readHeader(req); err != nil {
 		resp.Close()
-		return nil, errors.Wrap(err, "read answer header")
+		return nil, errors.Wrap(resp.reportLoss(err), "read answer header")
 	}
 	return resp, nil
 }
@@ -132,7 +141,7 @@
 		if cn == nil {
 			return c.dial(ctx, target)
 		}
-		if now.Sub(cn.idleSince) < maxIdleTime && !cn.stale(now) {
+		if now.Sub(cn.idleSince) < maxIdleTime && c.dialer.Trusted(cn.Conn, target, cn.idleSince) && !cn.stale(now) {
 			return cn, nil
 		}
 		cn.Close()
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,7 +11,7 @@
 
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
-	net.Conn
+	Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	// written counts the bytes that the kernel accepted. Only 0 proves that nothing
--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/socket"
 )
 
 const (
@@ -39,6 +40,12 @@
 	// Dial returns a new connection. Its errors are marked with fireflypath.ErrUnsent, and also
 	// with fireflypath.ErrUnreachable if the target accepted no connection.
 	Dial(ctx context.Context, target fireflypath.Target) (Conn, error)
+	// Trusted reports whether a connection that has been idle since the given time may carry
+	// another request.
+	Trusted(c Conn, target fireflypath.Target, idleSince time.Time) bool
+	// ReportLoss records that a connection was lost while it carried a request. It reports whether
+	// the target may have caused that, and not the path to it.
+	ReportLoss(c Conn, target fireflypath.Target) (byTarget bool)
 }
 
 // Direct connects to targets without a daemon in between.
@@ -51,9 +58,7 @@
 
 // Dial implements Dialer.
 func (d Direct) Dial(ctx context.Context, target fireflypath.Target) (Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	if d.Source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: d.Source}
 	}
@@ -66,18 +71,22 @@
 		return nil, err
 	}
 	tc := nc.(*net.TCPConn)
-	raw, err := tc.SyscallConn()
-	if err != nil {
-		nc.Close()
-		return nil, errors.Mark(err, fireflypath.ErrUnsent)
-	}
 	// The connection works without the option as well, but a dead one is detected later.
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+	_ = DetectLoss(tc)
 	return tc, nil
 }
 
+// DetectLoss has the connection closed when its other end no longer acknowledges anything.
+func DetectLoss(c syscall.Conn) error {
+	return socket.SetKeepAlive(c, keepAliveIdle, keepAliveInterval, keepAliveCount, userTimeout)
+}
+
+// Trusted implements Dialer.
+func (Direct) Trusted(Conn, fireflypath.Target, time.Time) bool { return true }
+
+// ReportLoss implements Dialer.
+func (Direct) ReportLoss(Conn, fireflypath.Target) bool { return true }
+
 // isUnreachable reports whether dialing failed because of the target or the network, and
 // not because of a local cause such as a lack of file descriptors.
 func isUnreachable(err error) bool {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -22,6 +22,7 @@
 
 	client    *Client
 	endpoint  endpoint
+	target    fireflypath.Target
 	conn      *conn
 	stopWatch func() bool
 	httpResp  *http.Response
@@ -117,11 +118,22 @@
 	case errors.Is(err, io.EOF):
 		resp.complete = true
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		err = errors.Mark(err, fireflypath.ErrTruncated)
+		err = errors.Mark(resp.reportLoss(err), fireflypath.ErrTruncated)
+	case err != nil:
+		err = resp.reportLoss(err)
 	}
 	return n, err
 }
 
+// reportLoss reports a lost connection to the dialer and marks the error if the target did not cause
+// it.
+func (resp *Response) reportLoss(err error) error {
+	if isLoss(err) && !resp.client.dialer.ReportLoss(resp.conn.Conn, resp.target) {
+		return errors.Mark(err, ErrPathLost)
+	}
+	return err
+}
+
 // SelfDelimited reports whether the message itself marks the end of the body. It is
 // false for a body that ends when the connection closes.
 func (resp *Response) SelfDelimited() bool {
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -53,6 +53,15 @@
 		e.metrics.handshakeFailures.Inc(1)
 		return
 	}
+	nc, isStream, err := readStreamMarker(ctx, nc)
+	switch {
+	case err != nil:
+		e.metrics.handshakeFailures.Inc(1)
+		return
+	case isStream:
+		e.serveStream(nc)
+		return
+	}
 	c := e.newConnection(nc, false)
 	select {
 	case <-c.ready:
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -83,6 +83,8 @@
 	sources   []Source
 	sinks     []Sink
 	onConnect []func(fireflypath.Member)
+	// streamHandler is nil if this daemon serves no streams.
+	streamHandler StreamHandler
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -94,7 +94,7 @@
 		return
 	}
 	c.target.Cancel(c.engineRequest)
-	c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventFailed, CallerLeft: true, Tokens: c.events})
+	c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventFailed, NotByTarget: true, Tokens: c.events})
 }
 
 // send sends the request to an engine.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -3,6 +3,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,3 +19,33 @@
 	})
 	return ready || err != nil
 }
+
+// SetKeepAlive has the system probe an idle connection, first after idle and then once in each
+// interval, and close it when several probes remain unanswered, or when sent bytes or probes have not
+// been acknowledged for the time userTimeout. Where that is set, the system ignores the number of
+// probes, and the time of a connection that was idle counts from the last packet received on it.
+func SetKeepAlive(c syscall.Conn, idle, interval time.Duration, probes int, userTimeout time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var result error
+	err = raw.Control(func(fd uintptr) {
+		options := []struct{ level, name, value int }{
+			{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(idle.Seconds())},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(interval.Seconds())},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probes},
+			{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())},
+		}
+		for _, o := range options {
+			if err := unix.SetsockoptInt(int(fd), o.level, o.name, o.value); err != nil {
+				result = err
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return result
+}
--- a/internal/testkit/lossy/lossy.go
+++ b/internal/testkit/lossy/lossy.go
@@ -65,7 +65,7 @@
 	for _, c := range l.connsFrom(clients) {
 		// An error means that the connection is closed already.
 		_ = c.SetLinger(0)
-		c.Close()
+		_ = c.Close()
 	}
 }
 
