fix(http1): a target that is silent for a second keeps its connections

What callers saw: a request, or a stream, that was cut off at a sound target which fell silent for a second or so.

Cause: a TCP_USER_TIMEOUT of 2 s also ends the keep-alive probes, whatever their number, and counts from the last packet received. With a first probe after 1 s, one lost probe sufficed: any silence around it, however short, ended the connection a second later.

Now it takes 4 s, which is the loss of three probes in a row. Idle connections on which a probe is unanswered are not used, so that the longer time costs no requests there.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -30,12 +30,12 @@
 }
 
 // stale reports whether an idle connection must not be used: the target closed it or is
-// about to, or unsolicited bytes arrived. Such bytes would be read as the response to the
+// about to, does not acknowledge probes, or unsolicited bytes arrived. Such bytes would be read as the response to the
 // next request. A request written to a closed connection may or may not have been
 // read, so it could not be sent again.
 func (c *conn) stale(now time.Time) bool {
 	if c.reader.Buffered() > 0 || !c.closesAt.IsZero() && !now.Before(c.closesAt) {
 		return true
 	}
-	return socket.Readable(c.raw)
+	return socket.Readable(c.raw) || socket.Unanswered(c.raw)
 }
--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -18,15 +18,15 @@
 	// host of a target that is down accepts no connection, and the request is then sent
 	// to another target.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout closes a connection whose bytes are not acknowledged: a host that lost
-	// power sends nothing, not even a reset.
-	userTimeout = 2 * time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP keep-alive
-	// probes. They detect a dead connection while a target works on a long response and
-	// sends nothing.
+	// keepAliveIdle and keepAliveInterval configure the TCP keep-alive probes. They detect a dead
+	// connection while a target works on a long response and sends nothing.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	// userTimeout closes a connection on which nothing is acknowledged: a host that lost power
+	// sends nothing, not even a reset. It also ends the probes, and then counts from the last
+	// packet received, a second before the first probe. So it takes the loss of three probes in a
+	// row; a sound target that is silent for less than two seconds answers one of them.
+	userTimeout = 4 * time.Second
 )
 
 // Conn is a connection whose socket can be inspected.
@@ -78,7 +78,7 @@
 
 // DetectLoss has the connection closed when its other end no longer acknowledges anything.
 func DetectLoss(c syscall.Conn) error {
-	return socket.SetKeepAlive(c, keepAliveIdle, keepAliveInterval, keepAliveCount, userTimeout)
+	return socket.SetKeepAlive(c, keepAliveIdle, keepAliveInterval, userTimeout)
 }
 
 // Trusted implements Dialer.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -21,10 +21,10 @@
 }
 
 // SetKeepAlive has the system probe an idle connection, first after idle and then once in each
-// interval, and close it when several probes remain unanswered, or when sent bytes or probes have not
-// been acknowledged for the time userTimeout. Where that is set, the system ignores the number of
-// probes, and the time of a connection that was idle counts from the last packet received on it.
-func SetKeepAlive(c syscall.Conn, idle, interval time.Duration, probes int, userTimeout time.Duration) error {
+// interval, and close it when sent bytes or probes have not been acknowledged for the time
+// userTimeout. Of a connection that was idle, that time counts from the last packet received on it.
+// A number of probes is not set, as the system ignores it beside userTimeout.
+func SetKeepAlive(c syscall.Conn, idle, interval, userTimeout time.Duration) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
@@ -35,7 +35,6 @@
 			{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
 			{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(idle.Seconds())},
 			{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(interval.Seconds())},
-			{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probes},
 			{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())},
 		}
 		for _, o := range options {
@@ -49,3 +48,14 @@
 	}
 	return result
 }
+
+// Unanswered reports whether the other end has not acknowledged the last probe or bytes of an idle
+// connection. It is false where the system does not tell.
+func Unanswered(raw syscall.RawConn) bool {
+	unanswered := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		unanswered = err == nil && (info.Probes > 0 || info.Unacked > 0 || info.Retransmits > 0)
+	})
+	return unanswered && err == nil
+}
