fix(backpressure): brittle targets get no more requests than they have room for

What callers saw: targets that say in all their answers that they fail when they turn away too much fell over again and again, and took their work with them.

Cause: no daemon read the header. Plain services get half of their slots on top, higher tiers two requests more, and a target that turns requests away is only ejected for 0.3 s and then pressed again, by all daemons.

Now the notice travels like rate limits do: with the next message to the pool's dispatcher, to all daemons of its group, to the next dispatcher. Line 'target's tolerance of overload changed', counter gate_target_brittle.

--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -24,6 +24,8 @@
 	// may be used here; it is nil without a limit.
 	limit   float64
 	limiter *rate.Limiter
+	// brittle is nil unless the target has said that it fails when it turns away too much.
+	brittle *brittle
 	// leaving is true once the target has announced that it is shutting down.
 	leaving bool
 	// observedAt is when the last declaration was made, as far as known here.
@@ -58,6 +60,22 @@
 	return true
 }
 
+// setBrittle sets or ends what a brittle target bears and reports whether that changes it.
+func (t *Target) setBrittle(n fireflypath.Notice) (changed bool) {
+	if !n.Brittle {
+		changed = t.brittle != nil
+		t.brittle = nil
+		return changed
+	}
+	if t.brittle == nil {
+		t.brittle = &brittle{}
+	} else if t.brittle.maxTurnedAway == n.MaxTurnedAway {
+		return false
+	}
+	t.brittle.maxTurnedAway = n.MaxTurnedAway
+	return true
+}
+
 // updateRate sets the limiter to the given part of the limit.
 func (t *Target) updateRate(now time.Time, share float64) {
 	if t.limiter == nil {
--- a/internal/decide/backpressure/tracker.go
+++ b/internal/decide/backpressure/tracker.go
@@ -10,6 +10,9 @@
 // it is ready for as long as the store is away, and again when the store is back; requests sent
 // on its word are cut off when the target exits.
 //
+// A brittle target fails when it has to turn away more than a few requests in a second for want of
+// room. It gets no more requests than it has slots, and fewer after it has turned one away.
+//
 // A target that turns a request away may ask the daemon that sent it for a time without more. A
 // request of another daemon that succeeds meanwhile does not end that time.
 package backpressure
@@ -75,7 +78,7 @@
 		tr.backoffVersion++
 	}
 	at := now
-	if !n.Limited {
+	if !n.Limited && !n.Brittle {
 		at = sent
 	}
 	tr.apply(now, identity, n, at)
@@ -93,7 +96,7 @@
 func (tr *Tracker) apply(now time.Time, identity string, n fireflypath.Notice, at time.Time) {
 	t := tr.targets[identity]
 	if t == nil {
-		if !n.Limited && !n.Leaving {
+		if !n.Limited && !n.Brittle && !n.Leaving {
 			return
 		}
 		t = &Target{}
@@ -103,18 +106,22 @@
 		t.leaving = true
 		tr.version++
 	}
-	if !n.Limited && t.observedAt.IsZero() {
-		return // it never named a limit that this could end
+	if !n.Limited && !n.Brittle && t.observedAt.IsZero() {
+		return // it never declared anything that this could end
 	}
 	if !at.After(t.observedAt) {
 		return
 	}
 	t.observedAt = at
-	if t.setLimit(now, n, tr.share) {
+	limitChanged, brittleChanged := t.setLimit(now, n, tr.share), t.setBrittle(n)
+	if limitChanged || brittleChanged {
 		tr.version++
 	}
 }
 
+// Share returns the part of what targets bear that may be used here, between 0 and 1.
+func (tr *Tracker) Share() float64 { return tr.share }
+
 // Notices returns all declarations, for other daemons, sorted by target.
 func (tr *Tracker) Notices(now time.Time) []fireflypath.TargetNotice {
 	out := make([]fireflypath.TargetNotice, 0, len(tr.targets))
@@ -125,7 +132,7 @@
 		}
 		out = append(out, fireflypath.TargetNotice{
 			Target: identity, Age: fireflypath.MicrosOf(now.Sub(t.observedAt)),
-			Notice: fireflypath.Notice{Limit: t.limit, Limited: t.limited(), Leaving: t.leaving},
+			Notice: t.notice(),
 		})
 	}
 	return out
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -131,6 +131,20 @@
 	return s.represented > 0 || n <= maxLocalSenders || (uint64(s.share.Index)+t.nameHash)%uint64(n) < maxLocalSenders
 }
 
+// brittleSkipReason returns why a brittle target accepts no request, or "" if it does. It gets none
+// beyond its slots, whatever the tier, since it may have no room to wait for them.
+func (s *Scheduler) brittleSkipReason(now time.Time, t *target) string {
+	share := s.backpressure.Share()
+	switch {
+	case !s.mayUseLimited(t), !t.declared.BearsRefusal(now, share):
+		return "brittle"
+	case s.occupied(now, t) >= t.declared.MaxInFlight(now, t.slots(), share):
+		return "full"
+	default:
+		return ""
+	}
+}
+
 // limitAllows reports whether the target's rate limit allows a request now.
 func (s *Scheduler) limitAllows(now time.Time, t *target) bool {
 	n, limited := t.declared.Allows(now)
@@ -143,6 +157,9 @@
 	if t.declared == nil || !s.mayUseLimited(t) {
 		return time.Time{}
 	}
+	if t.declared.Brittle() && !t.declared.BearsRefusal(now, s.backpressure.Share()) {
+		return t.declared.BearsRefusalAt(now)
+	}
 	return t.declared.AllowedAt(now)
 }
 
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -99,6 +99,7 @@
 			t.speed.ObserveAnswer(e.Tokens, now.Sub(f.firstEventAt))
 		}
 	case fireflypath.EventRefused:
+		t.declared.CountTurnedAway(now, t.requests)
 		t.recordFailure(now, s.tuning.MinEjectionRate)
 	case fireflypath.EventUnsent:
 		t.recordFailure(now, 0)
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -151,7 +151,7 @@
 	if t.peersReported {
 		n = t.peerRequests
 	}
-	useReport := !t.peersReported || s.share.UnknownSenders || s.tuning.UseTargetReports
+	useReport := !t.peersReported || s.share.UnknownSenders || s.tuning.UseTargetReports || t.declared.Brittle()
 	if useReport && now.Sub(t.reportedAt) <= reportTTL {
 		n = max(n, t.reportedRequests)
 	}
@@ -202,6 +202,8 @@
 		return "probing"
 	case !s.limitAllows(now, t):
 		return "limited"
+	case t.declared.Brittle():
+		return s.brittleSkipReason(now, t)
 	case s.occupied(now, t) >= t.slots()+extra:
 		return "full"
 	default:
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -52,6 +52,8 @@
 
 func (testCodec) Leaving(h string) bool { return h != "" }
 
+func (testCodec) Brittle(string) (int, bool) { return 0, false }
+
 func (testCodec) Cost(h string) (fireflypath.Cost, bool) {
 	prompt, output, ok := strings.Cut(h, ",")
 	p, _ := strconv.Atoi(prompt)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -21,6 +21,8 @@
 	// limitsNamed counts answers in which the target named a rate limit, leavingNamed those in
 	// which it announced that it is leaving.
 	limitsNamed, leavingNamed tally.Counter
+	// brittleNamed counts answers in which the target said that it is brittle.
+	brittleNamed tally.Counter
 	// backoffsAsked counts requests that a target turned away asking for a time without more.
 	backoffsAsked tally.Counter
 	byRank        [16]*rankMetrics
@@ -33,7 +35,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = scope.SubScope("gate")
-	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs")}
+	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle")}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
 		m.byRank[i] = &rankMetrics{
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -22,10 +22,11 @@
 	mu      sync.Mutex
 	limits  map[string]float64
 	leaving map[string]bool
+	brittle map[string]bool
 }
 
 func newNoticeLog() noticeLog {
-	return noticeLog{limits: map[string]float64{}, leaving: map[string]bool{}}
+	return noticeLog{limits: map[string]float64{}, leaving: map[string]bool{}, brittle: map[string]bool{}}
 }
 
 // recordLeaving records that a target announced that it is leaving. It reports whether that is
@@ -44,6 +45,27 @@
 	return true
 }
 
+// recordBrittle records whether an answer says that its target is brittle. It reports whether that has
+// changed.
+func (l *noticeLog) recordBrittle(t fireflypath.Target, brittle bool) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !brittle && len(l.brittle) == 0 {
+		return false
+	}
+	id := t.Identity()
+	before := l.brittle[id]
+	if !brittle {
+		delete(l.brittle, id)
+		return before
+	}
+	if len(l.brittle) >= maxLoggedTargets {
+		clear(l.brittle)
+	}
+	l.brittle[id] = true
+	return !before
+}
+
 // recordLimit records the limit of an answer, if it names one. It reports whether that has begun or
 // ended with this answer.
 func (l *noticeLog) recordLimit(t fireflypath.Target, limit float64, limited bool) (changed bool) {
@@ -101,8 +123,10 @@
 // decodeNotice returns what the target declares in the header of an answer.
 func (g *Gate) decodeNotice(a *http1.Response) fireflypath.Notice {
 	limit, limited := g.deps.Codec.Limit(a.Header.Get(g.headers.Limit))
+	maxTurnedAway, brittle := g.deps.Codec.Brittle(a.Header.Get(g.headers.Brittle))
 	return fireflypath.Notice{
-		Limit: limit, Limited: limited, Leaving: g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)), Backoff: requestedBackoff(a),
+		Limit: limit, Limited: limited, Brittle: brittle, MaxTurnedAway: maxTurnedAway,
+		Leaving: g.deps.Codec.Leaving(a.Header.Get(g.headers.Leaving)), Backoff: requestedBackoff(a),
 	}
 }
 
@@ -115,6 +139,13 @@
 		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
 			zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))
 	}
+	if n.Brittle {
+		g.metrics.brittleNamed.Inc(1)
+	}
+	if g.noticeLog.recordBrittle(att.target, n.Brittle) {
+		g.deps.Log.Info("target's tolerance of overload changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
+			zap.Bool("brittle", n.Brittle), zap.Int("max_turned_away_per_second", n.MaxTurnedAway))
+	}
 	if n.Leaving {
 		g.metrics.leavingNamed.Inc(1)
 		if g.noticeLog.recordLeaving(att.target) {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -66,7 +66,9 @@
 
 func newClient() *http1.Client { return newClientWith(http1.Direct{}) }
 
-func newClientWith(d http1.Dialer) *http1.Client { return http1.New(clockwork.NewRealClock(), idHeader, d) }
+func newClientWith(d http1.Dialer) *http1.Client {
+	return http1.New(clockwork.NewRealClock(), idHeader, d)
+}
 
 func newRequest(name string) *http1.Request {
 	return &http1.Request{ID: name, Method: http.MethodPost, URI: "/a/b?c=%2F", Host: "h", Header: http.Header{idHeader: {name}}, Body: []byte("x"), HasBody: true}
--- a/internal/testkit/codec.go
+++ b/internal/testkit/codec.go
@@ -34,6 +34,9 @@
 // Leaving implements fireflypath.Codec.
 func (Codec) Leaving(string) bool { return false }
 
+// Brittle implements fireflypath.Codec.
+func (Codec) Brittle(string) (maxTurnedAway int, ok bool) { return maxTurnedAway, ok }
+
 // Cost never finds a cost.
 func (Codec) Cost(string) (c fireflypath.Cost, ok bool) { return c, ok }
 
--- a/routing.go
+++ b/routing.go
@@ -114,6 +114,9 @@
 	Limit string
 	// Leaving marks the answers of a target that is shutting down.
 	Leaving string
+	// Brittle is in the answers of a target that fails when it has to turn away more requests in a
+	// second than the number.
+	Brittle string
 	// Tokens holds the number of prompt tokens and the maximum number of output tokens.
 	Tokens string
 	// OutputHint is the caller's estimate of the number of output tokens.
@@ -146,6 +149,9 @@
 	// Limit decodes the rate limit header of an answer, in requests per second. It reports
 	// false if there is none.
 	Limit(header string) (float64, bool)
+	// Brittle decodes the header by which a target says that it fails when it has to turn away more
+	// requests in a second than the number. It reports false if there is none.
+	Brittle(header string) (maxTurnedAway int, ok bool)
 	// Leaving decodes the header by which a target announces that it is shutting down.
 	Leaving(header string) bool
 	// Cost decodes the token header, which holds the prompt and the maximum output.
--- a/scheduler.go
+++ b/scheduler.go
@@ -158,6 +158,10 @@
 	// Leaving is true if the target is shutting down. That holds until its end, whatever its
 	// registration and later answers say.
 	Leaving bool `json:"g,omitempty"`
+	// Brittle is true if the target fails when it has to turn away more than MaxTurnedAway requests
+	// in a second for want of room. It holds until an answer does not say so.
+	Brittle       bool `json:"b,omitempty"`
+	MaxTurnedAway int  `json:"n,omitempty"`
 	// Backoff is the time for which the target wants no more requests of this daemon; other
 	// daemons are not concerned.
 	Backoff time.Duration `json:"-"`
