fix(platform,directory): revisions grow across a store that was restored

What callers saw: requests with a revoked key ran, and routes that had been added were unknown, for seconds after the store had come back from a copy.

Cause: revisions of the store were compared as if it never went back. The configuration in force had revision 43; after the restore the versions 65, 69 and 73 were given revisions up to 43 once more and taken for old reads. The class: state that trusts the order of revisions, or that it is still in the store.

Now the store's client puts the era of the header above the number of the change, so that revisions grow for everyone who compares them: views, followers, relays, their caches and patches. A watch, a condition or a lease of an earlier era ends there with what its callers handle already (compacted, conflict, expired), so that records under leases are written again. The directory merges a restored listing with what it has seen: a configuration does not go back, targets that leave or are gone stay so, those that the copy lacks have the usual time to register again. For a second the view is not confirmed, since the copy does not show which revoked keys it lacks. Followers merge as well.

--- a/config.go
+++ b/config.go
@@ -128,6 +128,9 @@
 	// Incarnation grows with each start under the same name; 0 if the target does not report
 	// one.
 	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Sequence counts the writes of the registration, of which the last one holds. It is not part of
+	// the view of the targets, since it says nothing about them.
+	Sequence int64 `json:"sequence,omitempty"`
 	// Window limits the tokens that may be in flight at the target; 0 means that the limit is
 	// learned.
 	Window int `json:"window,omitempty" validate:"min=0"`
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,6 +81,9 @@
 	subscribedPrefix string
 	subscriber       func(fireflypath.Entry)
 
+	// restoreSubscriber receives what daemons have written and a restored store lacks; it may be nil.
+	restoreSubscriber func([]LostEntry)
+
 	// rolloutCodec is nil if the platform has no roll-outs.
 	rolloutCodec fireflypath.RolloutCodec
 	// recordReader receives the entries with the prefix recordPrefix at each read of all keys.
@@ -116,6 +119,12 @@
 	pause time.Duration
 	// watchTimeout is how long a watch is held.
 	watchTimeout time.Duration
+	// outdated holds the entries of a restored store that are older than the view, as the revision of
+	// each key.
+	outdated map[string]uint64
+	// confirmableAt is when the view can be confirmed again after the store was restored, as a time
+	// of bootClock.
+	confirmableAt time.Duration
 	// storeDown is true while calls to the store fail.
 	storeDown bool
 	// lapsesUntil is the time until which a removal may be a registration that lapsed
@@ -150,6 +159,7 @@
 		missingSince:   map[string]time.Time{},
 		rollouts:       rollout.New(),
 		rolloutKeys:    map[string]bool{},
+		outdated:       map[string]uint64{},
 		watchTimeout:   defaultWatchTimeout,
 		metrics: metrics{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
@@ -260,7 +270,7 @@
 	d.metrics.failures.Inc(1)
 	if errors.Is(err, fireflypath.ErrCompacted) {
 		// Changes may be missing from the view, so all keys are read again.
-		d.log.Info("store history was compacted, reading all keys", zap.Uint64("revision", d.revision))
+		d.log.Info("store history was compacted or the store restored, reading all keys", zap.Uint64("revision", d.revision))
 		d.scheduleRead()
 		return nil
 	}
@@ -285,6 +295,9 @@
 
 // confirm records that the view was current at the given time.
 func (d *Directory) confirm(at time.Duration) {
+	if at < d.confirmableAt {
+		return
+	}
 	if n := max(int64(at), 1); n > d.confirmedAt.Load() {
 		d.confirmedAt.Store(n)
 	}
--- a/internal/directory/reading.go
+++ b/internal/directory/reading.go
@@ -7,11 +7,16 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 )
 
+// errEarlierView means that a listing is older than the view, which a daemon that follows another one
+// can receive after the store was restored.
+var errEarlierView = errors.New("listing is older than the view")
+
 // read replaces the view with all keys of the store.
 func (d *Directory) read(ctx context.Context, sentAt time.Duration) error {
 	d.metrics.reads.Inc(1)
@@ -19,6 +24,11 @@
 	if err != nil {
 		return err
 	}
+	if fireflypath.RevisionEra(all.Revision) < fireflypath.RevisionEra(d.revision) {
+		return errors.Wrapf(errEarlierView, "revision %d, have %d", all.Revision, d.revision)
+	}
+	d.dropOutdated(&all)
+	d.mergeRestored(&all)
 	d.passRecords(all.Entries)
 	seen := map[string]bool{}
 	for _, e := range all.Entries {
@@ -69,6 +79,7 @@
 	if changes.Relayed {
 		d.extendLapses(changes.LapseWindow)
 	}
+	d.mergeRelayed(&changes)
 	if changes.Partial {
 		// Changes of targets apply at once, so that a target that leaves is not used
 		// until a large configuration has arrived. The revision stays the same, so that
--- a/internal/directory/registrations.go
+++ b/internal/directory/registrations.go
@@ -41,6 +41,7 @@
 	delete(d.rejected, name)
 	delete(d.missingSince, name)
 	d.recordIncarnation(t)
+	t.Sequence = 0
 	if d.targets.set(t) {
 		d.changedTargets = append(d.changedTargets, name)
 	}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -77,6 +77,9 @@
 			zap.Uint64("revision", e.Revision), zap.Uint64("version", d.config.Version))
 		return
 	}
+	if cfg.Version < d.config.Version && fireflypath.RevisionEra(e.Revision) > fireflypath.RevisionEra(d.configRevision) {
+		return // the copy from which the store was restored, or a daemon that knows less
+	}
 	if cfg.Version < d.config.Version {
 		d.log.Error("configuration refused, its version went back", zap.Uint64("revision", e.Revision),
 			zap.Uint64("version", cfg.Version), zap.Uint64("force", d.config.Version))
--- a/store.go
+++ b/store.go
@@ -19,7 +19,8 @@
 	ErrLimited = errors.New("platform service limits the rate")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = errors.New("outcome of the write is unknown")
-	// ErrCompacted means that the requested history is no longer available.
+	// ErrCompacted means that the requested history is no longer available, or that the store was
+	// restored from an older copy since.
 	ErrCompacted = errors.New("history of the store is gone")
 	// ErrLeaseExpired means that a lease is no longer held.
 	ErrLeaseExpired = errors.New("lease has lapsed")
@@ -31,11 +32,31 @@
 // AnyRevision makes a Put unconditional.
 const AnyRevision = ^uint64(0)
 
+// eraBits is the number of bits of a revision below its era.
+const eraBits = 40
+
+// NewRevision returns the revision of the n-th change in an era of the store. A store that was
+// restored from an older copy begins a new era, in which it gives out numbers again that it gave out
+// before. Revisions of a later era are above all of an earlier one.
+func NewRevision(era, n uint64) uint64 {
+	if n == 0 {
+		return 0
+	}
+	return era<<eraBits | n
+}
+
+// RevisionEra returns the era of a revision.
+func RevisionEra(revision uint64) uint64 { return revision >> eraBits }
+
+// RevisionNumber returns the number of the change in its era.
+func RevisionNumber(revision uint64) uint64 { return revision & (1<<eraBits - 1) }
+
 // Entry is a key and its value.
 type Entry struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Revision grows with every write to the store; 0 means that the key does not exist.
+	// Revision grows with every write to the store, also when the store is restored; 0 means that
+	// the key does not exist.
 	Revision uint64 `json:"revision"`
 	// Deleted is true in the results of Watch for a removed key.
 	Deleted bool `json:"deleted,omitempty"`
@@ -59,7 +80,8 @@
 	// Watch waits up to wait for changes under a prefix after a revision. It returns no
 	// entries on a timeout.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, error)
-	// Grant creates a lease. Keys written under it are removed when it expires.
+	// Grant creates a lease. Keys written under it are removed when it expires. A lease ends when
+	// the store is restored from an older copy.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// Renew extends a lease. It returns ErrLeaseExpired if the lease is no longer held.
 	Renew(ctx context.Context, id LeaseID) error
