fix(writeback): what daemons wrote is written again to a restored store

What lives in the store alone, results of roll-outs, versions that were rolled back and held requests, was gone with a restore: a daemon that starts would give a version work again that had been rolled back, or serve a request that ends targets, and an order could get another result.

The directory hands on what the copy lacks of the keys that daemons write, as it knows it from before; daemons that read the store write it again, on the condition of what the copy had, so that none replaces a later change. An order that the operator writes again keeps its result. A large value that was kept is served to followers from the view.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -27,6 +27,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 	"github.com/fireflypath/fireflypath/internal/tunnel"
+	"github.com/fireflypath/fireflypath/internal/writeback"
 	"github.com/fireflypath/fireflypath/platform"
 )
 
@@ -120,6 +121,9 @@
 		feed = relay
 	}
 	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log)
+	lost := writeback.New(d.deps.Store, d.deps.Clock, d.scope, d.deps.Log)
+	d.directory.OnRestore(lost.Write)
+	d.background.Go(func() { lost.Run(d.ctx) })
 	if d.quarantine != nil {
 		d.directory.OnChange(quarantine.Prefix, d.quarantine.ApplyStoreEntry)
 	}
--- a/internal/decide/rollout/versions.go
+++ b/internal/decide/rollout/versions.go
@@ -50,6 +50,13 @@
 	v.orders[pool] = order{o, revision}
 }
 
+// HasOrder reports whether the order is the one that is known for a pool.
+func (v *Versions) HasOrder(pool string, o fireflypath.RolloutOrder) bool {
+	known, ok := v.orders[pool]
+	o.Pool = pool
+	return ok && known.RolloutOrder == o
+}
+
 // RemoveOrder forgets the order for a pool. Versions that were rolled back stay so.
 func (v *Versions) RemoveOrder(pool string) { delete(v.orders, pool) }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -122,6 +122,9 @@
 	// outdated holds the entries of a restored store that are older than the view, as the revision of
 	// each key.
 	outdated map[string]uint64
+	// ordersToRewrite holds the keys of roll-out orders that a restored store lacked, with the
+	// revision at which it was read.
+	ordersToRewrite map[string]uint64
 	// confirmableAt is when the view can be confirmed again after the store was restored, as a time
 	// of bootClock.
 	confirmableAt time.Duration
@@ -160,6 +163,8 @@
 		rollouts:       rollout.New(),
 		rolloutKeys:    map[string]bool{},
 		outdated:       map[string]uint64{},
+
+		ordersToRewrite: map[string]uint64{},
 		watchTimeout:   defaultWatchTimeout,
 		metrics: metrics{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -75,6 +75,14 @@
 	return l, d.updated, nil
 }
 
+// Entry returns the last state of a key of the view.
+func (d *Directory) Entry(key string) (fireflypath.Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.latest[key]
+	return e, ok && !e.Deleted
+}
+
 // replaceLog updates the log after a read of all keys. Keys that the read did not return were
 // removed since the last read, and followers are notified of that. If the log were cleared
 // instead, hundreds of daemons would read all keys again, from here or from the store, each
--- a/internal/directory/restored.go
+++ b/internal/directory/restored.go
@@ -55,8 +55,11 @@
 		if !d.isOutdated(key, known, e, ok) {
 			continue
 		}
-		if d.isOwn(key) {
+		switch {
+		case d.isOwn(key):
 			lost = append(lost, LostEntry{Entry: known, Found: e.Revision})
+		case d.isRolloutKey(key):
+			d.ordersToRewrite[key] = l.Revision
 		}
 		if ok {
 			d.outdated[key] = e.Revision
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -60,6 +60,15 @@
 	if err != nil {
 		return err
 	}
+	if restoredAt, ok := d.ordersToRewrite[e.Key]; ok && d.rollouts.HasOrder(pool, o) {
+		// The operator writes again what a restored store lacked. With the new revision, the
+		// result of the order would count as that of an earlier one, and be decided again.
+		if e.Revision > restoredAt {
+			delete(d.ordersToRewrite, e.Key)
+		}
+		return nil
+	}
+	delete(d.ordersToRewrite, e.Key)
 	d.rollouts.SetOrder(pool, o, e.Revision)
 	d.log.Info("roll-out ordered", zap.String("pool", pool), zap.String("version", o.Version), zap.Duration("within", o.Duration))
 	return nil
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -92,6 +92,14 @@
 		return nil, errors.Wrap(err, "decode a part's request")
 	}
 	p, err := f.versions.patch(req.largeValue, req.Base)
+	if errors.Is(err, errVersionEvicted) {
+		// A value that was kept when the store was restored never came from the store under its
+		// revision.
+		if e, ok := f.view.Entry(req.Key); ok && e.Revision == req.Revision {
+			f.versions.addLarge([]fireflypath.Entry{e})
+			p, err = f.versions.patch(req.largeValue, req.Base)
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rollout/coordinator_test.go
+++ b/internal/rollout/coordinator_test.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/testkit"
+	"github.com/fireflypath/fireflypath/internal/writeback"
 )
 
 // codec stores orders and statuses as JSON.
@@ -80,6 +81,9 @@
 	w.store = testkit.NewMapStore(w.clock)
 	for _, name := range names {
 		d := directory.New(feed{w.store}, codec{}, w.clock, boottime.System{}, tally.NoopScope, zap.NewNop())
+		lost := writeback.New(w.store, w.clock, tally.NoopScope, zap.NewNop())
+		d.OnRestore(lost.Write)
+		go lost.Run(t.Context())
 		w.daemons = append(w.daemons, daemon{d, rollout.New(rollout.Deps{
 			Self: name, Members: fleet(names), Store: w.store, Codec: codec{}, Configs: d,
 			Clock: w.clock, Scope: tally.NoopScope, Log: zap.NewNop(),
@@ -212,3 +216,52 @@
 	w.settle()
 	is.Equal(w.status(), "rolled-back v2")
 }
+
+// Guards against a version that was rolled back and receives work again, or an order that gets another
+// result, because the store came back from a copy that lacks both.
+func TestResultOutlivesRestoredStore(t *testing.T) {
+	for _, orderInCopy := range []bool{false, true} {
+		is := is.New(t)
+		w := newWorld(t, "a", "b", "c")
+		w.register("old", "v1")
+		backup := w.store.Copy()
+		w.order("v2")
+		if orderInCopy {
+			backup = w.store.Copy()
+		}
+		w.register("new", "v2")
+		w.settle()
+		is.Equal(w.status(), "rolled-back v2")
+		w.store.RestoreCopy(backup)
+		for _, d := range w.daemons {
+			is.NoErr(d.dir.Step(t.Context()))
+			is.Equal(d.serving(), "old")
+		}
+		w.awaitWrites()
+		w.order("v2") // is written again, as is the registration
+		w.register("new", "v2")
+		w.settle()
+		is.Equal(w.status(), "rolled-back v2")
+		late := directory.New(feed{w.store}, codec{}, w.clock, boottime.System{}, tally.NoopScope, zap.NewNop())
+		is.NoErr(late.Step(t.Context()))
+		is.Equal(daemon{dir: late}.serving(), "old")
+		for _, d := range w.daemons {
+			is.Equal(d.serving(), "old")
+			is.True(d.dir.Current().Rollouts[0].Decided)
+		}
+	}
+}
+
+// awaitWrites waits until the daemons have written again what the store lost: the result and the list
+// of versions.
+func (w *world) awaitWrites() {
+	w.t.Helper()
+	for range 1000 {
+		_, err := w.store.Get(w.t.Context(), directory.RefusedPrefix+"p")
+		if err == nil && w.status() != "" {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.t.Fatal("the daemons do not write")
+}
