fix(follow): a daemon that starts asks others for their view

A daemon that started while the restored store still lacked a configuration served routes that had been removed and keys that had been revoked, for as long as the operator had not written them again, although all others knew better. A daemon that follows another one of its domain was spared, one that reads the store itself was not.

It now adopts the records of the others from what it read, asks three of them for their view at once, for a quarter of a second at most, and begins with the newest. From there it follows the store, and merges what that lacks like the others do. After a loss of power nobody has a view, and the store is used.

TestDaemonThatStartsAfterRestoreKnowsMore failed before in domain b (a removed route was served) and passes.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -44,6 +44,8 @@
 	store   *standin.Store
 	daemons []*daemon.Daemon
 	client  *http.Client
+	// seed is the peer address of the first daemon, storeAddr the address of the store.
+	seed, storeAddr string
 
 	mu             sync.Mutex
 	targetsStarted int
@@ -74,27 +76,9 @@
 	for range targets {
 		s.startTarget(t)
 	}
-	free := loopback.ListenAddr()
-	seed := freePeerPort(t)
-	for i := range crashDaemons {
-		listen := settings.Listen{Callers: free, Ready: free, Peers: free, Operators: free}
-		if i == 0 {
-			listen.Peers = seed
-		}
-		d, err := daemon.New(settings.Settings{
-			Name: fmt.Sprintf("entry%d", i), Domain: "a", Listen: listen, Host: settings.Host{Source: sourceOf(i).String()},
-			Platform: settings.Platform{Addr: srv.Listener.Addr().String()},
-			Peers:    settings.Peers{AllowPlaintext: true, Seeds: []string{seed}},
-			Gate: &settings.Gate{
-				RevocationDelay: fireflypath.Duration(5 * time.Second), ActivationDelay: fireflypath.Duration(2 * time.Second),
-				TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
-				Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
-			},
-		}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
-		s.is.NoErr(err)
-		s.is.NoErr(d.Start(t.Context()))
-		t.Cleanup(func() { s.is.NoErr(d.Stop(context.Background())) })
-		s.daemons = append(s.daemons, d)
+	s.seed, s.storeAddr = freePeerPort(t), srv.Listener.Addr().String()
+	for range crashDaemons {
+		s.startDaemon(t, "a")
 	}
 	if targets > 0 {
 		s.awaitReady()
@@ -102,6 +86,30 @@
 	return s
 }
 
+// startDaemon starts another daemon in a failure domain. The first one listens on the seed address.
+func (s *crashCluster) startDaemon(t *testing.T, domain string) {
+	t.Helper()
+	free, i := loopback.ListenAddr(), len(s.daemons)
+	listen := settings.Listen{Callers: free, Ready: free, Peers: free, Operators: free}
+	if i == 0 {
+		listen.Peers = s.seed
+	}
+	d, err := daemon.New(settings.Settings{
+		Name: fmt.Sprintf("entry%d", i), Domain: domain, Listen: listen, Host: settings.Host{Source: sourceOf(i).String()},
+		Platform: settings.Platform{Addr: s.storeAddr},
+		Peers:    settings.Peers{AllowPlaintext: true, Seeds: []string{s.seed}},
+		Gate: &settings.Gate{
+			RevocationDelay: fireflypath.Duration(5 * time.Second), ActivationDelay: fireflypath.Duration(2 * time.Second),
+			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
+			Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
+		},
+	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
+	s.is.NoErr(err)
+	s.is.NoErr(d.Start(t.Context()))
+	t.Cleanup(func() { s.is.NoErr(d.Stop(context.Background())) })
+	s.daemons = append(s.daemons, d)
+}
+
 // sourceOf returns the address from which a daemon connects to targets.
 func sourceOf(daemon int) net.IP { return net.IPv4(127, 0, 1, byte(1+daemon)) }
 
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -131,6 +133,7 @@
 		relay.Serve(d.directory)
 		relay.OnStart(d.members.AdoptDomain)
 		d.directory.OnRead(member.RecordPrefix, d.members.AdoptRecords)
+		relay.OnRecords(d.adoptRecords)
 	}
 	d.deps.Configs = d.directory
 	d.startRollouts()
@@ -138,6 +141,13 @@
 	return nil
 }
 
+// adoptRecords adopts the daemons whose records are among the entries of the store.
+func (d *Daemon) adoptRecords(entries []fireflypath.Entry) {
+	d.members.AdoptRecords(slices.DeleteFunc(slices.Clone(entries), func(e fireflypath.Entry) bool {
+		return !strings.HasPrefix(e.Key, member.RecordPrefix)
+	}))
+}
+
 // startRollouts answers the operator's roll-out orders, if the platform has any.
 func (d *Daemon) startRollouts() {
 	codec, ok := d.deps.Codec.(fireflypath.RolloutCodec)
--- a/internal/daemon/restored_test.go
+++ b/internal/daemon/restored_test.go
@@ -125,3 +125,44 @@
 	}
 	s.is.Equal(len(s.store.Keys(member.RecordPrefix)), len(s.daemons)) // a daemon that starts finds them
 }
+
+// Guards against a daemon that starts while the store lacks what the others have seen, and serves what
+// has been revoked or removed.
+func TestDaemonThatStartsAfterRestoreKnowsMore(t *testing.T) {
+	for _, domain := range []string{"a", "b"} { // it follows another daemon, or reads the store itself
+		t.Run("domain "+domain, func(t *testing.T) {
+			t.Parallel()
+			testStartAfterRestore(t, domain)
+		})
+	}
+}
+
+func testStartAfterRestore(t *testing.T, domain string) {
+	t.Helper()
+	s := newCrashCluster(t, 0)
+	s.addNoticeTarget(t, "stays", 0)
+	gone := s.addNoticeTarget(t, "gone", 0)
+	s.configure(2, "old", "safe")
+	s.awaitReady()
+	s.is.True(s.awaitStatus("/old/x", http.StatusOK) < activationTime)
+	time.Sleep(recordTime / 4) // the daemons have records
+	backup := s.store.Copy()
+	s.configure(3, "safe", "new")
+	s.store.RemoveTarget("gone")
+	s.is.True(s.awaitStatus("/new/x", http.StatusOK) < activationTime)
+	time.Sleep(drainTime)
+	known := time.Now()
+	s.store.Restore(backup)
+	s.startDaemon(t, domain)
+	last := len(s.daemons) - 1
+	served := 0
+	for began := time.Now(); time.Since(began) < 3*time.Second; {
+		old, _ := s.send(last, fmt.Sprint("old", time.Now().UnixNano()), "/old/x", "work")
+		s.is.True(old != http.StatusOK)
+		if status, _ := s.send(last, fmt.Sprint("new", time.Now().UnixNano()), "/new/x", "work"); status == http.StatusOK {
+			served++
+		}
+	}
+	s.is.True(served > 0)
+	s.is.Equal(len(gone.received(known)), 0)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -165,7 +165,7 @@
 		outdated:       map[string]uint64{},
 
 		ordersToRewrite: map[string]uint64{},
-		watchTimeout:   defaultWatchTimeout,
+		watchTimeout:    defaultWatchTimeout,
 		metrics: metrics{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
 			failures: scope.Counter("failures"), changes: scope.Counter("changes"),
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -95,6 +95,8 @@
 	pages    *pageCache
 	// findDomain is nil after the first read.
 	findDomain func(context.Context) (int, error)
+	// adoptRecords may be nil.
+	adoptRecords func([]fireflypath.Entry)
 	// tree is the last selection of watchers and relays.
 	tree atomic.Pointer[tree]
 	// download is the large value being received, or nil. Only the goroutine that calls
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -1,9 +1,13 @@
 package follow
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/fireflypath/fireflypath"
 )
 
@@ -15,8 +19,16 @@
 	relayStartWait  = time.Second
 	minStartWait    = 3 * time.Second
 	startRetryPause = 100 * time.Millisecond
+	// peerStartWait bounds the time in which a daemon that starts asks maxPeersAsked others for their
+	// view.
+	peerStartWait = 250 * time.Millisecond
+	maxPeersAsked = 3
 )
 
+// OnRecords sets the function that adopts the daemons that have a record among the entries of the store,
+// so that they can be asked for their view at the start. It must be called before the first Snapshot.
+func (f *Feed) OnRecords(adopt func([]fireflypath.Entry)) { f.adoptRecords = adopt }
+
 // OnStart sets the function that finds the daemons of this failure domain in the store before the
 // first read, and returns their number. It must be called before the first Snapshot.
 func (f *Feed) OnStart(findDomain func(context.Context) (int, error)) { f.findDomain = findDomain }
@@ -39,6 +51,12 @@
 	waited := f.clock.Since(calledAt)
 	l, err := f.cacheLargeValues(f.store.Snapshot(ctx, prefix))
 	l.Age -= waited
+	if err == nil && f.adoptRecords != nil && f.view.Current().Generation == 0 {
+		f.adoptRecords(l.Entries)
+		if seen, ok := f.snapshotFromPeer(ctx, calledAt); ok {
+			return seen, nil
+		}
+	}
 	return l, err
 }
 
@@ -51,6 +69,55 @@
 	return l, err
 }
 
+// snapshotFromPeer reads everything from any daemon that has a view. A daemon that starts knows only
+// what the store has now, and a store that was restored from an older copy may lack a configuration
+// that the others have in force, with keys that it revoked. Peers that start as well have no view and
+// say so. Where one has a view, that is used first, and changes are followed from there: if the store
+// has been restored since, it is read again and merged.
+func (f *Feed) snapshotFromPeer(ctx context.Context, calledAt time.Time) (fireflypath.Listing, bool) {
+	waited := f.clock.Since(calledAt)
+	ctx, cancel := context.WithTimeout(ctx, peerStartWait)
+	defer cancel()
+	results := make(chan fireflypath.Listing, maxPeersAsked)
+	var asked conc.WaitGroup
+	for _, m := range f.startPeers() {
+		asked.Go(func() {
+			l, large, err := f.listChanges(ctx, m, 0, 0)
+			if err == nil {
+				err = f.addLargeValues(ctx, m, &l, large, peerStartWait)
+			}
+			if err == nil && !l.Partial && l.Revision > 0 {
+				results <- l
+			}
+		})
+	}
+	asked.Wait()
+	close(results)
+	var newest fireflypath.Listing
+	for l := range results {
+		if l.Revision > newest.Revision {
+			newest = l
+		}
+	}
+	newest.Age -= waited
+	f.versions.addLarge(newest.Entries)
+	return newest, newest.Revision > 0
+}
+
+// startPeers returns the daemons that are asked for their view at the start.
+func (f *Feed) startPeers() []fireflypath.Member {
+	var out []fireflypath.Member
+	for _, m := range f.members.Live() {
+		if m.Name != f.self && !m.Leaving {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b fireflypath.Member) int {
+		return cmp.Compare(dutyHash(f.self+a.Name), dutyHash(f.self+b.Name))
+	})
+	return out[:min(len(out), maxPeersAsked)]
+}
+
 // firstSnapshot reads everything from another daemon of a large failure domain. If all daemons of
 // a fleet that starts again read everything from the store, its link carries the square of the
 // fleet and callers are refused for that time.
