test(sim): lost paths, brittle and silent engines

Loads 'cut', 'cut-most' and 'cut-some' take paths to engines from daemons, 'brittle' and 'brittle-restarts' let engines fall that turn away too much, 'silences' stops engines for a second or so. The daemons of the simulation choose paths with the same tracker as the product.

The simulation has no store, so a restored one is not in it.

--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -1,7 +1,9 @@
 package sim
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
@@ -22,6 +24,13 @@
 	engineRequest *engine.Request
 	finished      bool
 	events        int
+	// viaPeer is true for a connection through another daemon.
+	viaPeer bool
+}
+
+// sortCalls orders calls by the ids of their requests.
+func sortCalls(calls []*call) {
+	slices.SortFunc(calls, func(a, b *call) int { return strings.Compare(a.work.ID, b.work.ID) })
 }
 
 // offer passes the request to the daemon's scheduler.
@@ -110,9 +119,23 @@
 		running, waiting := c.target.Load()
 		w.loop.After(w.options.Fleet.Hop.Duration(), func() { c.handleEvent(req, last, running, waiting) })
 	}
-	req.OnFailure = func(time.Time) { w.loop.After(w.options.Fleet.Hop.Duration(), func() { c.handleEngineFailure(req) }) }
+	req.OnFailure = func(time.Time) {
+		w.loop.After(w.options.Fleet.Hop.Duration(), func() { c.handleEngineFailure(req, false) })
+	}
 	c.engineRequest = req
-	w.loop.After(w.options.Fleet.Hop.Duration(), func() {
+	delay, reached := time.Duration(0), true
+	if c.target != nil {
+		delay, c.viaPeer, reached = c.d.connect(c.target)
+	}
+	if !reached {
+		c.avoid = c.avoid[:len(c.avoid)-1]
+		w.loop.After(delay, c.unsent)
+		return
+	}
+	w.loop.After(delay+w.options.Fleet.Hop.Duration(), func() {
+		if c.finished || c.engineRequest != req {
+			return // its connection broke meanwhile
+		}
 		if c.target != nil {
 			c.target.recordArrival(w.loop.Now(), c.sentAt, c.d)
 		}
@@ -122,6 +145,9 @@
 			return
 		}
 		if c.target == nil || !c.target.Submit(req) {
+			if c.target != nil {
+				w.recordTurnedAway(c.target)
+			}
 			w.loop.After(w.options.Fleet.Hop.Duration(), c.handleEngineRefusal)
 		}
 	})
@@ -174,12 +200,13 @@
 	r.w.loop.After(r.w.options.Fleet.CallerHop.Duration(), func() { r.handleEvent(r.w.loop.Now(), last) })
 }
 
-// handleEngineFailure handles an engine that went down while it held the request.
-func (c *call) handleEngineFailure(req *engine.Request) {
+// handleEngineFailure handles an engine that went down while it held the request, or the loss of the
+// path to it.
+func (c *call) handleEngineFailure(req *engine.Request, notByTarget bool) {
 	if c.finished || req != c.engineRequest {
 		return
 	}
-	c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventFailed, Tokens: c.events})
+	c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventFailed, NotByTarget: notByTarget, Tokens: c.events})
 	c.engineRequest, c.events = nil, 0
 	if c.r.spec().Repeat && c.tries < 2 {
 		c.offer()
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -56,6 +56,9 @@
 	longestGap   time.Duration
 	// dispatchedAt is the time of the first dispatch of the first attempt.
 	dispatchedAt time.Time
+	// counted is true if the first attempt was made while paths were lost, countedCut if at a daemon
+	// without paths.
+	counted, countedCut bool
 }
 
 func (r *request) spec() fleet.Kind { return r.w.options.Fleet.Kinds[r.kind] }
@@ -124,6 +127,9 @@
 	d := r.w.pickDaemon(r)
 	r.lastDaemon = d
 	r.attempts++
+	if r.attempts == 1 {
+		r.w.countAttempt(r)
+	}
 	c := &call{r: r, d: d, number: r.attempts}
 	now := r.w.loop.Now()
 	patience := r.spec().Patience()
@@ -202,5 +208,8 @@
 		return
 	}
 	r.ended = true
+	if o == outcomeInTime || o == outcomeLate {
+		r.w.countServed(r)
+	}
 	r.w.tally.finish(r, o)
 }
--- a/internal/sim/daemon.go
+++ b/internal/sim/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
+	"github.com/fireflypath/fireflypath/internal/decide/path"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
 )
 
@@ -37,6 +38,8 @@
 	index     int
 	scheduler fireflypath.Scheduler
 	calls     map[*fireflypath.Work]*call
+	// paths holds which engines the daemon reaches directly.
+	paths *path.Tracker
 	// lastReport is the last published report; peerReports holds the reports of other
 	// daemons by name.
 	lastReport  fireflypath.PeerLoad
@@ -71,6 +74,7 @@
 		d.dispatchClient = &dispatchClient{d: d, scheduler: r, sessionID: uint64(d.incarnation) << 32}
 	}
 	d.calls = map[*fireflypath.Work]*call{}
+	d.paths = path.New()
 	d.peerReports = map[string]fireflypath.PeerLoad{}
 	d.lastReport = fireflypath.NewPeerLoad(d.name)
 	d.nextWake = time.Time{}
--- a/internal/sim/engine/engine.go
+++ b/internal/sim/engine/engine.go
@@ -26,6 +26,10 @@
 	// after a restart.
 	incarnation int
 	stopped     bool
+	// queueLimit is how many requests may wait.
+	queueLimit int
+	// paused is true while the engine is silent; pendingStep is true if a step ended meanwhile.
+	paused, pendingStep bool
 	// Prefilled counts prefilled prompt tokens.
 	Prefilled int
 }
@@ -46,12 +50,12 @@
 
 // New returns an idle engine whose times are multiplied by speed.
 func New(l *loop.Loop, cfg fleet.Engines, speed float64) *Engine {
-	return &Engine{loop: l, cfg: cfg, speed: speed, slowdown: 1}
+	return &Engine{loop: l, cfg: cfg, speed: speed, slowdown: 1, queueLimit: cfg.Queue}
 }
 
 // Submit queues a request. It returns false if the engine is full or stopped.
 func (e *Engine) Submit(r *Request) bool {
-	if e.stopped || len(e.batch) >= e.cfg.Slots && len(e.queue) >= e.cfg.Queue {
+	if e.stopped || len(e.batch) >= e.cfg.Slots && len(e.queue) >= e.queueLimit {
 		return false
 	}
 	e.queue = append(e.queue, r)
@@ -81,7 +85,7 @@
 // Stop stops the engine; all its requests fail.
 func (e *Engine) Stop() {
 	e.incarnation++
-	e.stopped, e.stepping = true, false
+	e.stopped, e.stepping, e.pendingStep = true, false, false
 	requests := append(e.batch, e.queue...)
 	e.batch, e.queue = nil, nil
 	for _, r := range requests {
@@ -106,7 +110,7 @@
 
 // startStep begins a step if there is work and none is in progress.
 func (e *Engine) startStep() {
-	if e.stepping || len(e.batch) == 0 {
+	if e.stepping || e.paused || len(e.batch) == 0 {
 		return
 	}
 	e.stepping = true
@@ -134,7 +138,11 @@
 	}
 	incarnation := e.incarnation
 	e.loop.After(time.Duration(ms*e.speed*e.slowdown*float64(time.Millisecond)), func() {
-		if e.incarnation == incarnation {
+		switch {
+		case e.incarnation != incarnation:
+		case e.paused:
+			e.pendingStep = true
+		default:
 			e.finishStep()
 		}
 	})
@@ -178,6 +186,23 @@
 	e.startStep()
 }
 
+// SetQueue sets how many requests may wait.
+func (e *Engine) SetQueue(n int) { e.queueLimit = n }
+
+// Pause makes the engine silent: it takes requests but gives no output.
+func (e *Engine) Pause() { e.paused = true }
+
+// Resume ends a pause.
+func (e *Engine) Resume() {
+	e.paused = false
+	if e.pendingStep {
+		e.pendingStep = false
+		e.finishStep()
+		return
+	}
+	e.startStep()
+}
+
 // SetSlowdown sets the temporary factor on the engine's times from the next step on.
 func (e *Engine) SetSlowdown(factor float64) { e.slowdown = factor }
 
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -27,6 +27,12 @@
 	Limits []Limit
 	// Backoffs make engines turn requests away and ask for a backoff.
 	Backoffs []Backoff
+	// Brittle makes engines fail when they turn away too much.
+	Brittle []Brittle
+	// Cuts take the paths to engines from daemons.
+	Cuts []Cut
+	// Silences make engines fall silent for a moment.
+	Silences []Silence
 	// Restarts kill and restart daemons.
 	Restarts []Restart
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
@@ -78,6 +84,26 @@
 	Time         time.Duration
 }
 
+// Brittle makes a fraction of the engines fall over when they turn away more requests in a second than
+// the number for want of room. They say so for a while before.
+type Brittle struct {
+	At, Duration  time.Duration
+	Fraction      float64
+	MaxTurnedAway int
+}
+
+// Cut takes the paths to a fraction of the engines from a fraction of the daemons.
+type Cut struct {
+	At, Duration     time.Duration
+	Daemons, Engines float64
+}
+
+// Silence makes a fraction of the engines fall silent. They lose nothing and go on.
+type Silence struct {
+	At, Duration time.Duration
+	Fraction     float64
+}
+
 // Restart kills a fraction of the daemons; they restart immediately with empty state.
 type Restart struct {
 	At       time.Duration
@@ -124,6 +150,17 @@
 			Restarts: []Restart{{At: seconds(8), Fraction: 1}, {At: seconds(14), Fraction: 0.5}},
 		},
 		{Name: "restarts", Rate: 1, Restarts: []Restart{{At: seconds(6), Fraction: 1}, {At: seconds(14), Fraction: 0.5}}},
+		{Name: "brittle", Rate: 1.1, Bursts: flashBursts(), Brittle: []Brittle{{At: seconds(2), Duration: seconds(22), Fraction: 1, MaxTurnedAway: 2}}},
+		{
+			Name: "brittle-restarts", Rate: 1.1, Brittle: []Brittle{{At: seconds(2), Duration: seconds(22), Fraction: 1, MaxTurnedAway: 4}},
+			Restarts: []Restart{{At: seconds(9), Fraction: 0.34}},
+		},
+		{Name: "cut", Rate: 0.8, Cuts: []Cut{{At: seconds(5), Duration: seconds(12), Daemons: 0.4, Engines: 1}}},
+		{Name: "cut-most", Rate: 0.8, Cuts: []Cut{{At: seconds(5), Duration: seconds(12), Daemons: 0.65, Engines: 1}}},
+		{Name: "cut-some", Rate: 0.8, Cuts: []Cut{{At: seconds(5), Duration: seconds(12), Daemons: 0.75, Engines: 0.5}}},
+		{Name: "silences", Rate: 0.8, Silences: []Silence{
+			{At: seconds(4), Duration: seconds(1.2), Fraction: 0.34}, {At: seconds(11), Duration: seconds(1.5), Fraction: 0.5},
+		}},
 		{Name: "abuse", Rate: 1, Bursts: flashBursts(), Impatient: 0.3},
 		{Name: "overload", Rate: 1.6},
 	}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -45,6 +45,11 @@
 	// startedTargets lists all engines that were ever started.
 	startedTargets []*target
 	tally          *tally
+	// cuts holds the targets that each daemon cannot reach. countingCut is true while first attempts
+	// are counted in cutCount.
+	cuts        map[*daemon]map[*target]bool
+	countingCut bool
+	cutCount    cutCount
 }
 
 // target is an engine together with its entry in the target list.
@@ -53,11 +58,12 @@
 	*engine.Engine
 	speed float64
 	notices
+	brittleness brittleness
 }
 
 // Run simulates one run. Equal options give equal results.
 func Run(o Options) Result {
-	w := &world{options: o, loop: loop.New(), rnd: rand.New(rand.NewPCG(o.Seed, 1))}
+	w := &world{options: o, loop: loop.New(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), cuts: map[*daemon]map[*target]bool{}}
 	w.tally = newTally(o.Fleet)
 	for i := range o.Fleet.Engines.Count {
 		w.startEngine(o.Fleet.Engines.Speeds[i%len(o.Fleet.Engines.Speeds)])
@@ -69,10 +75,14 @@
 	w.scheduleFaults()
 	w.scheduleArrivals()
 	w.loop.Run(loop.Epoch.Add(load.Span + settleTime))
+	res := w.tally.result()
 	for _, t := range w.startedTargets {
-		w.tally.addBroken(t.broken)
+		res.addBroken(t.broken)
+		res.Falls += t.brittleness.falls
 	}
-	return w.tally.result()
+	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
+	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
+	return res
 }
 
 // startEngine adds an engine.
@@ -143,6 +153,15 @@
 	for _, r := range w.options.Load.Backoffs {
 		w.loop.After(r.At, func() { w.applyBackoff(r) })
 	}
+	for _, b := range w.options.Load.Brittle {
+		w.loop.After(b.At, func() { w.applyBrittle(b) })
+	}
+	for _, c := range w.options.Load.Cuts {
+		w.loop.After(c.At, func() { w.applyCut(c) })
+	}
+	for _, s := range w.options.Load.Silences {
+		w.loop.After(s.At, func() { w.applySilence(s) })
+	}
 	for _, r := range w.options.Load.Restarts {
 		w.loop.After(r.At, func() {
 			for _, d := range w.daemons[:int(math.Round(r.Fraction*float64(len(w.daemons))))] {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -88,6 +88,59 @@
 	}
 }
 
+// Engines say that they are brittle, and fall over when they turn away too much. They must not do so
+// because of the daemons, while these restart or not.
+func TestBrittleEnginesDoNotFall(t *testing.T) {
+	for _, pattern := range []string{"brittle", "brittle-restarts"} {
+		for _, mix := range []string{"gent", "norte"} {
+			t.Run(pattern+" "+mix, func(t *testing.T) {
+				for seed := range uint64(3) {
+					f, err := fleet.Find(mix, seed+1)
+					if err != nil {
+						t.Fatal(err)
+					}
+					res := simulate(t, mix, pattern, seed+1, true)
+					if allowed := 2 + f.Engines.Count/10; res.Falls > allowed {
+						t.Errorf("seed %d: engines fell over %d times, allowed %d", seed+1, res.Falls, allowed)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Daemons lose their paths to all or some engines. Their callers must be served about as often as those
+// of the others, which must be served as well.
+func TestDaemonsWithoutPathsServe(t *testing.T) {
+	for _, pattern := range []string{"cut", "cut-most"} {
+		for _, mix := range []string{"gent", "norte"} {
+			t.Run(pattern+" "+mix, func(t *testing.T) {
+				is := is.New(t)
+				for seed := range uint64(3) {
+					res := simulate(t, mix, pattern, seed+1, seed < 2)
+					is.True(res.CutSent > 50)
+					is.True(3*res.CutServed*res.OtherSent >= 2*res.OtherServed*res.CutSent)
+					is.True(res.CutSent-res.CutServed <= 10+(res.CutSent+res.OtherSent)/50)
+				}
+			})
+		}
+	}
+	is := is.New(t)
+	is.True(meanWorth(t, "gent", "cut-some", true) > meanWorth(t, "gent", "steady", true)-0.1)
+}
+
+// Engines fall silent for a second or so and go on. No request may fail because of that.
+func TestSilentEnginesLoseNothing(t *testing.T) {
+	is := is.New(t)
+	for _, mix := range []string{"gent", "norte"} {
+		for seed := range uint64(3) {
+			for _, k := range simulate(t, mix, "silences", seed+1, seed < 2).Kinds {
+				is.Equal(k.Failed, 0)
+			}
+		}
+	}
+}
+
 func TestRunIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	for _, dispatched := range []bool{false, true} {
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -63,6 +63,11 @@
 	OverLimit     int `json:"over_limit"`
 	Leaving       int `json:"leaving"`
 	DuringBackoff int `json:"during_backoff"`
+	// Falls counts brittle engines that fell over. CutSent and CutServed count the first attempts at
+	// daemons that had lost their paths to all engines, OtherSent and OtherServed those at the others
+	// at the same time.
+	Falls                                      int `json:"falls"`
+	CutSent, CutServed, OtherSent, OtherServed int `json:"-"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
@@ -98,7 +103,6 @@
 	meanWeights []float64
 	samples     map[*request]*sample
 	order       []*sample
-	broken      brokenNotices
 }
 
 func newTally(f fleet.Fleet) *tally {
@@ -118,10 +122,10 @@
 }
 
 // addBroken adds what an engine counted.
-func (t *tally) addBroken(b brokenNotices) {
-	t.broken.overLimit = max(t.broken.overLimit, b.overLimit)
-	t.broken.leaving += b.leaving
-	t.broken.duringBackoff = max(t.broken.duringBackoff, b.duringBackoff)
+func (res *Result) addBroken(b brokenNotices) {
+	res.OverLimit = max(res.OverLimit, b.overLimit)
+	res.Leaving += b.leaving
+	res.DuringBackoff = max(res.DuringBackoff, b.duringBackoff)
 }
 
 func (t *tally) finish(r *request, o outcome) {
@@ -150,7 +154,7 @@
 }
 
 func (t *tally) result() Result {
-	res := Result{Whole: earnedFraction(t.order), Class: 1, OverLimit: t.broken.overLimit, Leaving: t.broken.leaving, DuringBackoff: t.broken.duringBackoff}
+	res := Result{Whole: earnedFraction(t.order), Class: 1}
 	total, repeated := 0.0, 0.0
 	for _, s := range t.order {
 		total += s.worth
