test(soak): lost paths, silent and brittle targets, a restored store

Targets' sockets drop the packets of chosen daemons, reset their connections or refuse new ones only; targets fall silent for 1.2 s; targets say that they are brittle and fall over when they turn away too much; the store goes away and comes back from a copy two seconds old, and the operator and the targets write again.

Checked from outside: daemons without paths serve at least two thirds as often as the others, compared over undisturbed daemons only; a brittle target falls twice at most; each daemon has a record in the restored store. A silent target is judged by the invariants that there are.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -30,6 +30,8 @@
 	// attempted counts requests, succeeded those with a complete response. The callers
 	// of a run share the counters.
 	attempted, succeeded *atomic.Int64
+	// losses holds the window in which requests are counted.
+	losses *atomic.Pointer[lossWindow]
 	// sendsSharedBody makes some requests use sharedBody, and some repeat a failed one.
 	sendsSharedBody bool
 	// failedBody and failedPath are those of the last request if it failed. It may be
@@ -65,9 +67,12 @@
 
 // sendBody sends one request and reports whether it received a complete successful
 // response.
-func (c *caller) sendBody(ctx context.Context, id, path, body string) bool {
+func (c *caller) sendBody(ctx context.Context, id, path, body string) (served bool) {
 	d := c.daemons[c.rnd.IntN(len(c.daemons))]
 	limit := 3 * time.Second
+	if l := c.losses.Load(); l != nil {
+		defer func() { l.record(d, served) }()
+	}
 	form := ""
 	if path == "/stream/" || path == "/resume/" {
 		form = "?form=events"
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -19,6 +19,9 @@
 	invariantDrained    invariant = "a target that is leaving gets no requests after two seconds"
 	invariantLimited    invariant = "a target gets no more requests than it says it takes"
 	invariantBackoff    invariant = "a target gets the backoff that it asks for"
+	invariantBrittle    invariant = "a brittle target does not fall over because of what it is sent"
+	invariantPaths      invariant = "daemons without paths to targets serve like the others"
+	invariantRecords    invariant = "daemons have records in a restored store"
 	invariantVersion    invariant = "a configuration is in force everywhere and never goes back"
 	invariantHeld       invariant = "a request that crashes targets is held by all daemons"
 	invariantNotHeld    invariant = "no other request is held because of it"
@@ -28,7 +31,7 @@
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
 	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantBody,
-	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
+	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantBrittle, invariantPaths, invariantRecords, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
 }
 
 // violation is one failed check of an invariant.
--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -29,7 +30,9 @@
 // listen listens on a free port that is not reserved for a daemon.
 func (p *ports) listen() (net.Listener, error) {
 	for range maxPortAttempts {
-		ln, err := net.Listen("tcp", loopback.ListenAddr())
+		var cfg net.ListenConfig
+		cfg.SetMultipathTCP(false) // its sockets take no filters
+		ln, err := cfg.Listen(context.Background(), "tcp", loopback.ListenAddr())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -35,7 +36,9 @@
 	log          *os.File
 	callerAddr   string
 	readyAddr    string
-	store        *proxy
+	// source is the address from which the daemon connects to targets.
+	source net.IP
+	store  *proxy
 
 	// busy is true while a fault has acquired the daemon. If two faults restarted it at
 	// the same time, they would start two processes, of which the first would never be
@@ -57,14 +60,17 @@
 	done chan struct{}
 }
 
-func newProcess(dir, program, name, storeAddr string, seeds []string, ports [4]int, kept *ports) (*process, error) {
+// sourceOf returns the address from which a daemon connects to targets.
+func sourceOf(daemon int) net.IP { return net.IPv4(127, 0, 2, byte(1+daemon)) }
+
+func newProcess(index int, dir, program, name, storeAddr string, seeds []string, ports [4]int, kept *ports) (*process, error) {
 	p, err := newProxy(kept, storeAddr)
 	if err != nil {
 		return nil, err
 	}
 	addr := func(i int) string { return loopback.Addr() + ":" + strconv.Itoa(ports[i]) }
 	settings := map[string]any{
-		"name": name, "domain": "a",
+		"name": name, "domain": "a", "host": map[string]any{"source": sourceOf(index).String()},
 		"listen":   map[string]any{"callers": addr(0), "ready": addr(1), "peers": addr(2), "operators": addr(3)},
 		"platform": map[string]any{"addr": p.addr(), "timeout": "800ms"},
 		"peers":    map[string]any{"seeds": seeds, "plain": true},
@@ -86,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &process{name: name, program: program, settingsFile: file, log: log, callerAddr: addr(0), readyAddr: addr(1), store: p}, nil
+	return &process{name: name, program: program, settingsFile: file, log: log, callerAddr: addr(0), readyAddr: addr(1), source: sourceOf(index), store: p}, nil
 }
 
 // markDisturbed records that a fault of this daemon started or ended.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,11 +8,13 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fireflypath/fireflypath/internal/testkit/lossy"
 )
 
 // proxy forwards connections to an address and injects network faults.
 type proxy struct {
-	ln net.Listener
+	ln *lossy.Listener
 	to string
 
 	// delay is added before each chunk of data is forwarded, in nanoseconds.
@@ -45,7 +47,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, to: to, conns: map[net.Conn]bool{}}
+	lossyListener, err := lossy.Wrap(ln)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: lossyListener, to: to, conns: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -140,8 +146,29 @@
 }
 
 func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	c.Close()
 }
+
+// Ways in which a path is lost.
+const (
+	cutHang = iota
+	cutReset
+)
+
+// cut takes the path from clients: their connections hang, are reset, or live on while new ones hang.
+func (p *proxy) cut(how int, clients []net.IP) error {
+	p.recordLoss()
+	switch how {
+	case cutHang:
+		return p.ln.Drop(clients...)
+	case cutReset:
+		err := p.ln.DropNew(clients...)
+		p.ln.Reset(clients...)
+		return err
+	default:
+		return p.ln.DropNew(clients...)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,6 +107,7 @@
 	faults        map[string]int
 	attempted     atomic.Int64
 	succeeded     atomic.Int64
+	lossState
 }
 
 // Run executes one run.
@@ -171,7 +172,7 @@
 	}
 	var processes []*process
 	for i, p := range ports {
-		d, err := newProcess(r.options.Dir, r.options.Program, fmt.Sprintf("d%d", i), ln.Addr().String(), seeds[:min(3, len(seeds))], p, r.ports)
+		d, err := newProcess(i, r.options.Dir, r.options.Program, fmt.Sprintf("d%d", i), ln.Addr().String(), seeds[:min(3, len(seeds))], p, r.ports)
 		if err != nil {
 			return err
 		}
@@ -246,6 +247,7 @@
 			index: i, headers: platform.Codec{}.Headers(), history: r.history, daemons: r.daemons, keys: r.keys,
 			client: &http.Client{Transport: &http.Transport{}},
 			rnd:    rand.New(rand.NewPCG(r.options.Seed, uint64(100+i))), attempted: &r.attempted, succeeded: &r.succeeded, sendsSharedBody: r.options.PoisonRequest,
+			losses: &r.losses,
 		}
 		wg.Go(func() { c.run(ctx) })
 	}
@@ -257,6 +259,7 @@
 	}
 	if !r.options.NoFaults {
 		wg.Go(func() { r.announceNotices(ctx) })
+		wg.Go(func() { r.injectLosses(ctx) })
 		r.injectFaults(ctx)
 	}
 	sleep(ctx, recoveryTime)
@@ -265,6 +268,7 @@
 	attempted, succeeded = r.attempted.Load()-attempted, r.succeeded.Load()-succeeded
 	r.history.check(invariantRecovery, attempted > 0 && float64(succeeded) >= minSuccessRatio*float64(attempted),
 		"%d of %d requests succeeded after the faults", succeeded, attempted)
+	r.checkRecords()
 	cancel()
 	wg.Wait()
 	if r.options.PoisonRequest {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -47,6 +47,7 @@
 	// one.
 	notices noticeLog
 	claimed atomic.Bool
+	room    room
 	// onPoison is called when the target starts to run the poison request, and crashes it.
 	onPoison func()
 
@@ -68,6 +69,8 @@
 		rnd: rand.New(rand.NewPCG(seed, 3)),
 	}
 	t.notices.lostBetween = p.lostBetween
+	t.room.setBears(-1)
+	t.SetBrittle(-1)
 	t.srv = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	go func() { _ = t.srv.Serve(ln) }()
 	return t, nil
@@ -122,6 +125,10 @@
 		t.notices.recordAnswer(time.Now(), from, t.Leaving(), backoff)
 		return
 	}
+	if !t.takeRoom(w, from) {
+		return
+	}
+	defer t.room.leave()
 	t.history.recordRun(id, string(body), t.name)
 	h.Set(t.headers.Signature, "by "+t.name)
 	leaving := t.Leaving()
--- a/internal/testkit/lossy/lossy.go
+++ b/internal/testkit/lossy/lossy.go
@@ -30,7 +30,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: ln, conns: map[net.Conn]bool{}}, nil
+	return Wrap(ln)
+}
+
+// Wrap returns a Listener that accepts from a TCP listener without multipath TCP.
+func Wrap(ln net.Listener) (*Listener, error) {
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Newf("%T is no TCP listener", ln)
+	}
+	return &Listener{Listener: tcp, conns: map[net.Conn]bool{}}, nil
 }
 
 // Accept implements net.Listener.
