--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -82,7 +82,7 @@
 func New(deps Deps) *Gate {
 	g := &Gate{
 		deps: deps, headers: deps.Codec.Headers(), droppedHeaders: map[string]bool{}, metrics: newMetrics(deps.Scope),
-		noticeLog: newNoticeLog(), retryDetectors: map[string]*retrydetect.Detector{},
+		retryDetectors: map[string]*retrydetect.Detector{},
 	}
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -16,74 +16,35 @@
 // maxLoggedTargets bounds the targets whose notices are kept for the log.
 const maxLoggedTargets = 4096
 
-// noticeLog keeps which targets named a rate limit in their last answer and which announced that
-// they are leaving, so that the log shows when that begins and ends.
+// noticeLog keeps which targets named a rate limit in their last answer, which said that they are
+// brittle and which announced that they are leaving, so that the log shows when that begins and ends.
 type noticeLog struct {
-	mu      sync.Mutex
-	limits  map[string]float64
-	leaving map[string]bool
-	brittle map[string]bool
+	limited, brittle, leaving targetSet
 }
 
-func newNoticeLog() noticeLog {
-	return noticeLog{limits: map[string]float64{}, leaving: map[string]bool{}, brittle: map[string]bool{}}
+// targetSet is a set of targets that may forget some of them. Its zero value is empty.
+type targetSet struct {
+	mu         sync.Mutex
+	identities map[string]bool
 }
 
-// recordLeaving records that a target announced that it is leaving. It reports whether that is
-// new.
-func (l *noticeLog) recordLeaving(t fireflypath.Target) (first bool) {
-	id := t.Identity()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leaving[id] {
-		return false
-	}
-	if len(l.leaving) >= maxLoggedTargets {
-		clear(l.leaving)
-	}
-	l.leaving[id] = true
-	return true
-}
-
-// recordBrittle records whether an answer says that its target is brittle. It reports whether that has
-// changed.
-func (l *noticeLog) recordBrittle(t fireflypath.Target, brittle bool) (changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !brittle && len(l.brittle) == 0 {
-		return false
-	}
-	id := t.Identity()
-	before := l.brittle[id]
-	if !brittle {
-		delete(l.brittle, id)
-		return before
-	}
-	if len(l.brittle) >= maxLoggedTargets {
-		clear(l.brittle)
-	}
-	l.brittle[id] = true
-	return !before
-}
-
-// recordLimit records the limit of an answer, if it names one. It reports whether that has begun or
-// ended with this answer.
-func (l *noticeLog) recordLimit(t fireflypath.Target, limit float64, limited bool) (changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !limited && len(l.limits) == 0 {
+// set adds or removes a target. It reports whether that changes the set.
+func (s *targetSet) set(t fireflypath.Target, in bool) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !in && len(s.identities) == 0 {
 		return false
 	}
 	id := t.Identity()
-	_, before := l.limits[id]
-	if !limited {
-		delete(l.limits, id)
+	before := s.identities[id]
+	if !in {
+		delete(s.identities, id)
 		return before
 	}
-	if len(l.limits) >= maxLoggedTargets {
-		clear(l.limits)
+	if s.identities == nil || len(s.identities) >= maxLoggedTargets {
+		s.identities = map[string]bool{}
 	}
-	l.limits[id] = limit
+	s.identities[id] = true
 	return !before
 }
 
@@ -135,20 +96,20 @@
 	if n.Limited {
 		g.metrics.limitsNamed.Inc(1)
 	}
-	if g.noticeLog.recordLimit(att.target, n.Limit, n.Limited) {
+	if g.noticeLog.limited.set(att.target, n.Limited) {
 		g.deps.Log.Info("target's rate limit changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
 			zap.Bool("limited", n.Limited), zap.Float64("per_second", n.Limit))
 	}
 	if n.Brittle {
 		g.metrics.brittleNamed.Inc(1)
 	}
-	if g.noticeLog.recordBrittle(att.target, n.Brittle) {
+	if g.noticeLog.brittle.set(att.target, n.Brittle) {
 		g.deps.Log.Info("target's tolerance of overload changed", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool),
 			zap.Bool("brittle", n.Brittle), zap.Int("max_turned_away_per_second", n.MaxTurnedAway))
 	}
 	if n.Leaving {
 		g.metrics.leavingNamed.Inc(1)
-		if g.noticeLog.recordLeaving(att.target) {
+		if g.noticeLog.leaving.set(att.target, true) {
 			g.deps.Log.Info("target announced in an answer that it is leaving", zap.String("target", att.target.Name), zap.String("pool", att.target.Pool))
 		}
 	}
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -70,5 +69,3 @@
 	}
 	return errors.Wrap(json.Unmarshal(body, m), "decode a message")
 }
-
-func hashString(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -40,49 +40,6 @@
 	list   targets.List
 }
 
-// dialPeer asks one peer to connect to the target.
-func (t *Tunnel) dialPeer(ctx context.Context, p fireflypath.Member, target fireflypath.Target) peerResult {
-	s, err := t.peers.OpenStream(ctx, p.PeerAddr)
-	if err != nil {
-		t.avoidUnlessCanceled(ctx, p.Name)
-		return peerResult{err: errors.Wrapf(err, "connect through %s", p.Name)}
-	}
-	stop := context.AfterFunc(ctx, s.Reset)
-	var response openResponse
-	err = writeMessage(s, openRequest{Target: target.Identity()})
-	if err == nil {
-		err = readMessage(s, &response)
-	}
-	if !stop() {
-		return peerResult{err: errors.Wrapf(ctx.Err(), "connect through %s", p.Name)}
-	}
-	switch {
-	case err != nil:
-		t.avoid(p.Name)
-	case response.Refusal == refusalUnfit:
-		t.avoid(p.Name)
-		err = errPeerUnfit
-	case response.Refusal != refusalNone:
-		err = errTargetDown
-	default:
-		setTimeouts(s)
-		return peerResult{conn: &conn{ByteStream: s, peer: p.Name}}
-	}
-	s.Reset()
-	return peerResult{err: errors.Wrapf(err, "connect through %s", p.Name)}
-}
-
-// avoidUnlessCanceled avoids a peer that could not be reached in time.
-func (t *Tunnel) avoidUnlessCanceled(ctx context.Context, name string) {
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		t.avoid(name)
-	}
-}
-
-// setTimeouts has a lost path between daemons detected like one to a target. The tunnel works
-// without that as well.
-func setTimeouts(s *peer.ByteStream) { _ = http1.DetectLoss(s) }
-
 // serve connects a peer to a target.
 func (t *Tunnel) serve(ctx context.Context, s *peer.ByteStream) {
 	// Errors of deadlines mean that the connection is closed, which the next call reports.
