fix(tunnel,slots): a daemon without paths takes no targets from the others

Now a connection that a daemon without paths cannot make, and that no peer with paths has tried, says nothing about the target: the dispatcher keeps that daemon's work from it for half a second and gives it to others.

--- a/internal/decide/backpressure/backoff.go
+++ b/internal/decide/backpressure/backoff.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// SetUnreached keeps the work of a daemon that lacks a path to the target from it for some time. Other
+// daemons may reach it.
+func (tr *Tracker) SetUnreached(identity, daemon string, until time.Time) {
+	tr.setBackoff(identity, daemon, until)
+}
+
 // BackoffVersion changes with each backoff that a target asked this daemon for.
 func (tr *Tracker) BackoffVersion() uint64 { return tr.backoffVersion }
 
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -332,8 +332,12 @@
 		// The request was not sent, so it waits for the dispatcher again, not locally.
 		local := e
 		local.Kind = fireflypath.EventRefused
+		if e.NotByTarget {
+			local.Kind = fireflypath.EventFailed
+		}
 		s.Local.Observe(now, local)
-		s.resubmit(e.Work)
+		s.pending[n] = e.Work
+		s.addProgress(fireflypath.Progress{Number: n, Kind: fireflypath.EventUnsent, NotByTarget: e.NotByTarget})
 		return
 	}
 	s.Local.Observe(now, e)
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -10,6 +10,9 @@
 // request occupies a slot.
 const slotTimeWeight = 0.1
 
+// unreachedPeriod is how long a target gets no work of a daemon that lacks a path to it.
+const unreachedPeriod = 500 * time.Millisecond
+
 // Observe updates the state with an event at a target.
 func (s *Scheduler) Observe(now time.Time, e fireflypath.Event) {
 	t := s.targets[e.Target]
@@ -102,7 +105,13 @@
 		t.declared.CountTurnedAway(now, t.requests)
 		t.recordFailure(now, s.tuning.MinEjectionRate)
 	case fireflypath.EventUnsent:
-		t.recordFailure(now, 0)
+		if e.NotByTarget {
+			t.probing = false
+			s.backpressure.SetUnreached(t.id, e.Work.Sender, now.Add(unreachedPeriod))
+			s.linkDeclared()
+		} else {
+			t.recordFailure(now, 0)
+		}
 		if e.Work.Lifecycle.State() == fireflypath.StateWaiting {
 			s.waiting = append(s.waiting, e.Work)
 		}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -215,6 +215,7 @@
 			return outcomeUnknown, nil
 		}
 		g.deps.Log.Info("request not sent to target", zap.String("request", c.id), zap.String("target", att.target.Name), logs.Err(err))
+		att.PathLost = errors.Is(err, http1.ErrPathLost)
 		if ref := g.requeueUnsent(c, att, unsent); ref != nil {
 			return outcomeDone, g.finishFailed(c, ref)
 		}
--- a/internal/route/pool/pool.go
+++ b/internal/route/pool/pool.go
@@ -104,7 +104,7 @@
 	p.bytes.Add(int64(r.Work.Bytes))
 	delete(p.running, &r.Work)
 	p.scheduler.Observe(p.clock.Now(), fireflypath.Event{
-		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, Cached: -1,
+		Kind: fireflypath.EventUnsent, Target: r.Target.Name, Work: &r.Work, Sent: r.Sent, NotByTarget: r.PathLost, Cached: -1,
 	})
 	if ctx.Err() != nil {
 		err := p.withdraw(r)
--- a/internal/route/request/request.go
+++ b/internal/route/request/request.go
@@ -49,6 +49,9 @@
 	Backend fireflypath.Backend
 	// Draft collects the request's record; nil if none is kept.
 	Draft *draft.Draft
+	// PathLost is true if the last connection could not be made because this daemon lacks a path to
+	// the target.
+	PathLost bool
 	// WaitResult receives the end of the wait; it is buffered for one value.
 	WaitResult chan WaitResult
 	// Target is the target of the last dispatch, Sent its time.
--- a/internal/sim/paths.go
+++ b/internal/sim/paths.go
@@ -105,7 +105,7 @@
 	}
 	c.work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateWaiting)
 	c.engineRequest = nil
-	c.d.observe(fireflypath.Event{Kind: fireflypath.EventUnsent, Work: &c.work, Target: c.target.Name, Cached: -1})
+	c.d.observe(fireflypath.Event{Kind: fireflypath.EventUnsent, Work: &c.work, Target: c.target.Name, NotByTarget: c.d.paths.Isolated(c.r.w.loop.Now()), Cached: -1})
 }
 
 // countAttempt counts the first attempt of a request while paths are lost.
--- a/internal/tunnel/dial.go
+++ b/internal/tunnel/dial.go
@@ -51,6 +51,7 @@
 		indirect = t.startIndirect(ctx, target)
 	}
 	var firstErr error
+	targetDown := false
 	for {
 		var r dialed
 		select {
@@ -64,7 +65,8 @@
 		case <-headStart:
 		case <-ctx.Done():
 			discard(direct, indirect)
-			return nil, errors.Mark(errors.Wrapf(ctx.Err(), "connect to %s", target.Name), fireflypath.ErrUnsent)
+			err := errors.Mark(errors.Wrapf(ctx.Err(), "connect to %s", target.Name), fireflypath.ErrUnsent)
+			return nil, t.markPathLost(err, targetDown)
 		}
 		if r.conn != nil {
 			discard(direct, indirect)
@@ -74,12 +76,22 @@
 			choice, headStart, indirect = path.Probe, nil, t.startIndirect(ctx, target)
 		}
 		firstErr = cmp.Or(firstErr, r.err)
+		targetDown = targetDown || errors.Is(r.err, errTargetDown)
 		if direct == nil && indirect == nil {
-			return nil, firstErr
+			return nil, t.markPathLost(firstErr, targetDown)
 		}
 	}
 }
 
+// markPathLost marks the failure to connect of a daemon without paths, unless a peer that has paths
+// could not connect either. It would otherwise take targets from daemons that reach them.
+func (t *Tunnel) markPathLost(err error, targetDown bool) error {
+	if targetDown || !t.paths.Isolated(t.clock.Now()) {
+		return err
+	}
+	return errors.Mark(err, http1.ErrPathLost)
+}
+
 // discard closes the connections that the paths still make.
 func discard(paths ...<-chan dialed) {
 	for _, p := range paths {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -120,6 +120,30 @@
 	is.True(time.Since(began) < 5*time.Second)
 }
 
+// Guards against targets that are taken from daemons that reach them, because one that has lost its paths,
+// and finds no peer with a path, reports them as down.
+func TestDialWithoutPathsBlamesNoTarget(t *testing.T) {
+	is := is.New(t)
+	f, tunnels := start(t, map[string]bool{"a": true}, echo)
+	second := f.target()
+	second.Name, second.Addr = "u", "127.0.0.1:1"
+	_, err := tunnels["a"].Dial(t.Context(), f.target())
+	is.True(!errors.Is(err, http1.ErrPathLost)) // the target may be down
+	_, err = tunnels["a"].Dial(t.Context(), second)
+	is.True(errors.Is(err, fireflypath.ErrUnsent))
+	is.True(errors.Is(err, http1.ErrPathLost))
+	// Where a peer with paths cannot connect either, the target is down.
+	f, tunnels = start(t, map[string]bool{"a": true, "b": false}, echo)
+	down := fireflypath.Target{Name: "down", Pool: "p", Addr: "127.0.0.1:1"}
+	f.config.Targets = append(f.config.Targets, down)
+	c, err := tunnels["a"].Dial(t.Context(), f.target())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = tunnels["a"].Dial(t.Context(), down)
+	is.True(err != nil)
+	is.True(!errors.Is(err, http1.ErrPathLost))
+}
+
 // Guards against an answer that looks complete although its target broke off: where the end of the
 // connection is the end of the answer, the peer must not make one of the other.
 func TestBrokenConnectionIsNoEnd(t *testing.T) {
--- a/scheduler.go
+++ b/scheduler.go
@@ -138,8 +138,8 @@
 	Tokens int
 	// Cached is the number of prompt tokens that the target found in its cache, or -1.
 	Cached int
-	// NotByTarget is true for an EventFailed that says nothing about the target, because the
-	// caller left or the path to the target was lost.
+	// NotByTarget is true for an EventFailed or EventUnsent that says nothing about the target,
+	// because the caller left or the path to the target was lost.
 	NotByTarget bool
 	// Report is set for EventReport, Notice for EventNotice.
 	Report Report
