fix(path): answers show that paths work

Two targets that ended one after the other under requests, without a new connection in between, counted as lost paths of the daemon. The second end was then blamed neither on the target nor on the request, which could have ended targets longer before it was held.

An answer over a direct connection ends the suspicion now, as a new connection does; without any, paths are lost. A connection that broke no longer makes the next one try both paths, which cost connections to targets for nothing. TestAnswersShowThatPathsWork (there is no call that could fail it before).

--- a/internal/decide/path/path.go
+++ b/internal/decide/path/path.go
@@ -7,6 +7,7 @@
 package path
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -16,8 +17,8 @@
 	// up to maxProbeInterval.
 	minProbeInterval = 500 * time.Millisecond
 	maxProbeInterval = 2 * time.Second
-	// minLostTargets is how many targets must be lost, one after the other and without a success
-	// in between, before a daemon no longer trusts its paths to the others either.
+	// minLostTargets is how many targets must be lost, one after the other and without an answer or a
+	// new connection in between, before a daemon no longer trusts its paths to the others either.
 	minLostTargets = 2
 	// lossMemory is how long after the last loss the paths to other targets are not trusted.
 	lossMemory = 10 * time.Second
@@ -116,20 +117,33 @@
 	defer t.mu.Unlock()
 	recovered = t.lost[target] != nil
 	delete(t.lost, target)
+	t.clearLosses()
+	return recovered
+}
+
+// Answered records that some target answered over a direct connection, so that this daemon is not
+// isolated. It says nothing about paths to others, and new connections to the same target may still fail.
+func (t *Tracker) Answered() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clearLosses()
+}
+
+// clearLosses forgets the losses since the last success. The caller holds mu.
+func (t *Tracker) clearLosses() {
+	if len(t.sinceSuccess) == 0 {
+		return
+	}
 	clear(t.sinceSuccess)
 	t.suspectSince = time.Time{}
-	return recovered
 }
 
-// Broke records that a direct connection to a target broke. The target may have caused it, so the
-// next connection tries both paths.
+// Broke records that a direct connection to a target broke. The target may have caused it, so its path
+// does not count as lost until no new connection can be made.
 func (t *Tracker) Broke(now time.Time, target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordLoss(now, target)
-	if t.lost[target] == nil {
-		t.lost[target] = &loss{since: now, probeAt: now, interval: minProbeInterval}
-	}
 }
 
 // Failed records that no direct connection to a target could be made. It reports whether the path
@@ -161,10 +175,6 @@
 func (t *Tracker) Retain(targets map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range t.lost {
-		if !targets[name] {
-			delete(t.lost, name)
-			delete(t.sinceSuccess, name)
-		}
-	}
+	maps.DeleteFunc(t.lost, func(name string, _ *loss) bool { return !targets[name] })
+	maps.DeleteFunc(t.sinceSuccess, func(name string, _ bool) bool { return !targets[name] })
 }
--- a/internal/decide/path/path_test.go
+++ b/internal/decide/path/path_test.go
@@ -67,6 +67,22 @@
 	is.True(!p.Isolated(start.Add(time.Hour)))
 }
 
+// Guards against targets that crash one after the other under a request and are taken for lost paths,
+// so that nobody finds the request out: others answer meanwhile.
+func TestAnswersShowThatPathsWork(t *testing.T) {
+	is := is.New(t)
+	p := path.New()
+	p.Broke(start, "a")
+	p.Answered()
+	p.Broke(start.Add(time.Second), "b")
+	is.True(!p.Isolated(start.Add(time.Second)))
+	p.Failed(start.Add(2*time.Second), "a")
+	is.True(p.Isolated(start.Add(2 * time.Second)))
+	p.Answered()
+	is.True(!p.Isolated(start.Add(2 * time.Second)))
+	is.True(p.Lost(start.Add(2*time.Second), "a")) // new connections to it still fail
+}
+
 // Guards against memory of targets that are gone.
 func TestForgetsRemovedTargets(t *testing.T) {
 	is := is.New(t)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -130,6 +130,7 @@
 		resp.Close()
 		return nil, errors.Wrap(resp.reportLoss(err), "read answer header")
 	}
+	c.dialer.ReportAnswer(cn.Conn)
 	return resp, nil
 }
 
--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -43,6 +43,8 @@
 	// Trusted reports whether a connection that has been idle since the given time may carry
 	// another request.
 	Trusted(c Conn, target fireflypath.Target, idleSince time.Time) bool
+	// ReportAnswer records that a target answers over a connection.
+	ReportAnswer(c Conn)
 	// ReportLoss records that a connection was lost while it carried a request. It reports whether
 	// the target may have caused that, and not the path to it.
 	ReportLoss(c Conn, target fireflypath.Target) (byTarget bool)
@@ -84,6 +86,9 @@
 // Trusted implements Dialer.
 func (Direct) Trusted(Conn, fireflypath.Target, time.Time) bool { return true }
 
+// ReportAnswer implements Dialer.
+func (Direct) ReportAnswer(Conn) {}
+
 // ReportLoss implements Dialer.
 func (Direct) ReportLoss(Conn, fireflypath.Target) bool { return true }
 
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -184,6 +184,9 @@
 	}
 	r, now := c.r, c.r.w.loop.Now()
 	if c.events == 0 {
+		if !c.viaPeer {
+			c.d.paths.Answered()
+		}
 		c.observeNotice(c.target.notice)
 		c.d.observe(fireflypath.Event{
 			Kind: fireflypath.EventReport, Target: c.target.Name, Cached: -1,
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -85,6 +85,13 @@
 	return ok && !m.Leaving && (t.paths.Lost(now, target.Addr) || t.paths.Isolated(now))
 }
 
+// ReportAnswer implements http1.Dialer.
+func (t *Tunnel) ReportAnswer(c http1.Conn) {
+	if _, ok := c.(*conn); !ok {
+		t.paths.Answered()
+	}
+}
+
 // ReportLoss implements http1.Dialer.
 func (t *Tunnel) ReportLoss(c http1.Conn, target fireflypath.Target) bool {
 	if _, ok := c.(*conn); ok {
