fix(daemon): the store is read after all that peers call is registered

Since large domains read from a peer at the start this was possible before; since all daemons ask peers it happens.

The first read is a start step of its own now, after the membership's. TestDaemonThatStartsAfterRestoreKnowsMore failed under race before, in both domains; twice under race now: ok.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -66,6 +66,7 @@
 		records{},
 		gateStep{},
 		gatedMembership{},
+		directoryReader{},
 		operators{},
 		operatorEndpoint{},
 		readyListener{},
@@ -107,7 +108,7 @@
 
 func (storeClient) Stop(context.Context, *Daemon) error { return nil }
 
-// directoryStep follows the configuration and the targets in the store.
+// directoryStep creates the view of the configuration and the targets in the store.
 type directoryStep struct{}
 
 func (directoryStep) String() string { return "directory" }
@@ -137,10 +138,22 @@
 	}
 	d.deps.Configs = d.directory
 	d.startRollouts()
+	return nil
+}
+
+// directoryReader starts to read the store. It comes after all that registers with the endpoint for
+// peers, because the first read may connect to some.
+type directoryReader struct{}
+
+func (directoryReader) String() string { return "directory reader" }
+
+func (directoryReader) Run(_ context.Context, d *Daemon) error {
 	d.background.Go(func() { _ = d.directory.Run(d.ctx) })
 	return nil
 }
 
+func (directoryReader) Stop(context.Context, *Daemon) error { return nil }
+
 // adoptRecords adopts the daemons whose records are among the entries of the store.
 func (d *Daemon) adoptRecords(entries []fireflypath.Entry) {
 	d.members.AdoptRecords(slices.DeleteFunc(slices.Clone(entries), func(e fireflypath.Entry) bool {
