--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -76,6 +76,7 @@
 	for _, pattern := range []string{"limits", "limits-restarts", "release-answers", "backoffs", "backoffs-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				for seed := range uint64(4) {
 					res := simulate(t, mix, pattern, seed+1, seed < 3) // with a dispatcher, the last without
@@ -94,6 +95,7 @@
 	for _, pattern := range []string{"brittle", "brittle-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(3) {
 					f, err := fleet.Find(mix, seed+1)
 					if err != nil {
@@ -115,6 +117,7 @@
 	for _, pattern := range []string{"cut", "cut-most"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
+				t.Parallel()
 				is := is.New(t)
 				for seed := range uint64(3) {
 					res := simulate(t, mix, pattern, seed+1, seed < 2)
