fix(follow): a starting daemon fetches a large configuration from one peer

Cause: a daemon that starts asks three peers for their view at the same time, and the parts of a configuration above 8 KB went into one download that belongs to one caller at a time. It came out doubled ('invalid character after top-level value'), was refused, and the view was in force without it.

Three are asked for their listings, and the newest one's large values are fetched alone; if that fails, the store's listing is used, which is at hand.

--- a/internal/daemon/restored_test.go
+++ b/internal/daemon/restored_test.go
@@ -130,29 +130,40 @@
 // has been revoked or removed.
 func TestDaemonThatStartsAfterRestoreKnowsMore(t *testing.T) {
 	for _, domain := range []string{"a", "b"} { // it follows another daemon, or reads the store itself
-		t.Run("domain "+domain, func(t *testing.T) {
-			t.Parallel()
-			testStartAfterRestore(t, domain)
-		})
+		for _, outage := range []time.Duration{0} {
+			for _, otherRoutes := range []int{0, 150} { // a large configuration comes in parts
+				t.Run(fmt.Sprintf("domain %s, outage %v, %d routes", domain, outage, otherRoutes), func(t *testing.T) {
+					t.Parallel()
+					testStartAfterRestore(t, domain, outage, otherRoutes)
+				})
+			}
+		}
 	}
 }
 
-func testStartAfterRestore(t *testing.T, domain string) {
+func testStartAfterRestore(t *testing.T, domain string, outage time.Duration, otherRoutes int) {
 	t.Helper()
 	s := newCrashCluster(t, 0)
 	s.addNoticeTarget(t, "stays", 0)
 	gone := s.addNoticeTarget(t, "gone", 0)
-	s.configure(2, "old", "safe")
+	var others []string
+	for i := range otherRoutes {
+		others = append(others, fmt.Sprint("other", i))
+	}
+	s.configure(2, append(others, "old", "safe")...)
 	s.awaitReady()
 	s.is.True(s.awaitStatus("/old/x", http.StatusOK) < activationTime)
 	time.Sleep(recordTime / 4) // the daemons have records
 	backup := s.store.Copy()
-	s.configure(3, "safe", "new")
+	s.configure(3, append(others, "safe", "new")...)
 	s.store.RemoveTarget("gone")
 	s.is.True(s.awaitStatus("/new/x", http.StatusOK) < activationTime)
 	time.Sleep(drainTime)
 	known := time.Now()
+	s.store.SetFault(standin.Fault{Down: true})
+	time.Sleep(outage)
 	s.store.Restore(backup)
+	s.store.SetFault(standin.Fault{})
 	s.startDaemon(t, domain)
 	last := len(s.daemons) - 1
 	served := 0
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -78,30 +78,41 @@
 	waited := f.clock.Since(calledAt)
 	ctx, cancel := context.WithTimeout(ctx, peerStartWait)
 	defer cancel()
-	results := make(chan fireflypath.Listing, maxPeersAsked)
+	results := make(chan peerListing, maxPeersAsked)
 	var asked conc.WaitGroup
 	for _, m := range f.startPeers() {
 		asked.Go(func() {
 			l, large, err := f.listChanges(ctx, m, 0, 0)
 			if err == nil {
-				err = f.addLargeValues(ctx, m, &l, large, peerStartWait)
-			}
-			if err == nil && !l.Partial && l.Revision > 0 {
-				results <- l
+				results <- peerListing{Listing: l, from: m, largeValues: large}
 			}
 		})
 	}
 	asked.Wait()
 	close(results)
-	var newest fireflypath.Listing
+	var newest peerListing
 	for l := range results {
 		if l.Revision > newest.Revision {
 			newest = l
 		}
 	}
+	if newest.Revision == 0 {
+		return fireflypath.Listing{}, false
+	}
+	err := f.addLargeValues(ctx, newest.from, &newest.Listing, newest.largeValues, peerStartWait)
+	if err != nil || newest.Partial {
+		return fireflypath.Listing{}, false
+	}
 	newest.Age -= waited
 	f.versions.addLarge(newest.Entries)
-	return newest, newest.Revision > 0
+	return newest.Listing, true
+}
+
+// peerListing is the view of a peer, of which large values are fetched from it.
+type peerListing struct {
+	fireflypath.Listing
+	from        fireflypath.Member
+	largeValues []largeValue
 }
 
 // startPeers returns the daemons that are asked for their view at the start.
