fix(follow): a starting daemon takes a peer's view of any age

A view of any age is better than a copy that is older still: it is in force, but confirmed only as of its age, and the store is read and merged next. TestDaemonThatStartsAfterRestoreKnowsMore after an outage of 1.5 s failed before (a removed route was served).

--- a/internal/daemon/restored_test.go
+++ b/internal/daemon/restored_test.go
@@ -130,7 +130,7 @@
 // has been revoked or removed.
 func TestDaemonThatStartsAfterRestoreKnowsMore(t *testing.T) {
 	for _, domain := range []string{"a", "b"} { // it follows another daemon, or reads the store itself
-		for _, outage := range []time.Duration{0} {
+		for _, outage := range []time.Duration{0, 1500 * time.Millisecond} { // the others' views may be old
 			for _, otherRoutes := range []int{0, 150} { // a large configuration comes in parts
 				t.Run(fmt.Sprintf("domain %s, outage %v, %d routes", domain, outage, otherRoutes), func(t *testing.T) {
 					t.Parallel()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -238,17 +238,23 @@
 // listChanges asks a watcher for changes page by page and returns the names of the large
 // values among them.
 func (f *Feed) listChanges(ctx context.Context, w fireflypath.Member, after uint64, wait time.Duration) (fireflypath.Listing, []largeValue, error) {
+	return f.listFrom(ctx, w, after, wait, false)
+}
+
+// listFrom is like listChanges. With anyAge, it takes a view of any age as well, which is confirmed
+// only as of that age.
+func (f *Feed) listFrom(ctx context.Context, w fireflypath.Member, after uint64, wait time.Duration, anyAge bool) (fireflypath.Listing, []largeValue, error) {
 	response, err := f.callWatcher(ctx, w, f.newRequest(after, wait))
 	if err != nil {
 		return fireflypath.Listing{}, nil, err
 	}
 	age := time.Duration(response.AgeMillis) * time.Millisecond
-	if response.Receiving && f.canAwaitWatcher() {
+	if response.Receiving && !anyAge && f.canAwaitWatcher() {
 		return fireflypath.Listing{Partial: true}, nil, nil
 	}
 	// A stale view with new entries is useful, but it must not replace everything that
 	// this daemon knows: targets that have left would return.
-	unusable := after == 0 || response.Revision == after
+	unusable := !anyAge && (after == 0 || response.Revision == after)
 	if response.Revision < after || age > f.maxAgeOf(w) && unusable {
 		return fireflypath.Listing{}, nil, errors.Wrapf(errStaleView, "%s: %v", w.Name, age)
 	}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -72,7 +72,7 @@
 // snapshotFromPeer reads everything from any daemon that has a view. A daemon that starts knows only
 // what the store has now, and a store that was restored from an older copy may lack a configuration
 // that the others have in force, with keys that it revoked. Peers that start as well have no view and
-// say so. Where one has a view, that is used first, and changes are followed from there: if the store
+// say so. The views may be old, as after an outage of the store. Where one has a view, that is used first, and changes are followed from there: if the store
 // has been restored since, it is read again and merged.
 func (f *Feed) snapshotFromPeer(ctx context.Context, calledAt time.Time) (fireflypath.Listing, bool) {
 	waited := f.clock.Since(calledAt)
@@ -82,7 +82,7 @@
 	var asked conc.WaitGroup
 	for _, m := range f.startPeers() {
 		asked.Go(func() {
-			l, large, err := f.listChanges(ctx, m, 0, 0)
+			l, large, err := f.listFrom(ctx, m, 0, 0, true)
 			if err == nil {
 				results <- peerListing{Listing: l, from: m, largeValues: large}
 			}
