test(soak): requests delayed by a loss of packets are none during a backoff

Of requests that were sent while the target lost packets, limits and backoffs are not counted; all later ones are. TestDelayedRequestsAreNoneDuringBackoff.

--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -80,3 +80,17 @@
 		is.Equal(a.inWindow == 1, !lost)
 	}
 }
+
+// A request that was on its way while its target lost packets arrives late. Its daemon could not know of
+// the backoff that the target has asked for since.
+func TestDelayedRequestsAreNoneDuringBackoff(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := &noticeLog{lostBetween: func(time.Time, time.Time) bool { return false }}
+	d := &process{}
+	l.setRestored(now)
+	l.recordAnswer(now, d, false, backoffTime)
+	later := now.Add(time.Second)
+	is.Equal(l.recordArrival(later, now.Add(-time.Second), d).duringBackoff, 0)
+	is.Equal(l.recordArrival(later, now.Add(time.Millisecond), d).duringBackoff, 1)
+}
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -126,7 +126,7 @@
 	r.losses.Store(nil)
 	l.setCounting(false)
 	for _, t := range targets {
-		r.reportError(t.proxy.ln.Restore())
+		r.restorePaths(t)
 	}
 	r.checkCut(l)
 }
@@ -154,7 +154,13 @@
 	}
 	r.reportError(t.proxy.ln.Drop(sources...))
 	sleep(ctx, silenceTime)
+	r.restorePaths(t)
+}
+
+// restorePaths ends all losses of a target's packets.
+func (r *run) restorePaths(t *target) {
 	r.reportError(t.proxy.ln.Restore())
+	t.notices.setRestored(time.Now())
 }
 
 // restoreStore has the store go away and come back from a copy. What the operator and the targets have
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -40,6 +40,16 @@
 	daemons map[*process]*informedDaemon
 	// limited counts the requests of daemons that know the limit.
 	limited ratewindow.Counter
+	// restoredAt is when the target last ceased to lose packets. What was sent before may arrive
+	// seconds later.
+	restoredAt time.Time
+}
+
+// setRestored records that the target ceases to lose packets.
+func (l *noticeLog) setRestored(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restoredAt = now
 }
 
 // informedDaemon holds when a daemon first received each notice.
@@ -121,6 +131,9 @@
 	if !informed.leavingAt.IsZero() {
 		a.leaving = sentAt.Sub(informed.leavingAt)
 	}
+	if sentAt.Before(l.restoredAt) {
+		return a // it was on its way while the target lost packets, and arrives late
+	}
 	if now.Before(informed.backoffEnd) && now.Sub(informed.backoffAt) >= noticeDelay {
 		informed.duringBackoff++
 		a.duringBackoff = informed.duringBackoff
