--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -69,11 +69,11 @@
 	return l, err
 }
 
-// snapshotFromPeer reads everything from any daemon that has a view. A daemon that starts knows only
+// snapshotFromPeer reads everything from a daemon that has a view. A daemon that starts knows only
 // what the store has now, and a store that was restored from an older copy may lack a configuration
 // that the others have in force, with keys that it revoked. Peers that start as well have no view and
-// say so. The views may be old, as after an outage of the store. Where one has a view, that is used first, and changes are followed from there: if the store
-// has been restored since, it is read again and merged.
+// say so; that of the others may be old, as after an outage of the store. The newest is used first, and
+// changes are followed from there: if the store has been restored since, it is read again and merged.
 func (f *Feed) snapshotFromPeer(ctx context.Context, calledAt time.Time) (fireflypath.Listing, bool) {
 	waited := f.clock.Since(calledAt)
 	ctx, cancel := context.WithTimeout(ctx, peerStartWait)
