--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -131,10 +131,9 @@
 	if !informed.leavingAt.IsZero() {
 		a.leaving = sentAt.Sub(informed.leavingAt)
 	}
-	if sentAt.Before(l.restoredAt) {
-		return a // it was on its way while the target lost packets, and arrives late
-	}
-	if now.Before(informed.backoffEnd) && now.Sub(informed.backoffAt) >= noticeDelay {
+	// What was sent while the target lost packets was on its way then, and arrives late.
+	delayed := sentAt.Before(l.restoredAt)
+	if !delayed && now.Before(informed.backoffEnd) && now.Sub(informed.backoffAt) >= noticeDelay {
 		informed.duringBackoff++
 		a.duringBackoff = informed.duringBackoff
 	}
