fix(follow): a starting daemon takes a peer's view however large it is

Cause: one timer of 0.25 s bounded the answers of the peers and the download of what is large in them, so that a configuration over a slow link or a busy host never arrived and the store's older copy was used. Now a download has the time of any other download (1 s, and the next peer after it), and a peer that is connected but has not answered is waited for up to 1 s. A peer without a connection is still given up after 0.25 s, so that daemons which return together after a loss of power wait no longer than before.

TestStartAfterRestoreAwaitsLargeConfiguration failed before (version 1 instead of 2) and passes now.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -58,6 +58,8 @@
 type Peers interface {
 	Handle(method string, m peer.Handler)
 	Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error
+	// Connected returns the names of the daemons with an open connection.
+	Connected() []string
 }
 
 // Feed follows the store directly or through a watcher. It implements fireflypath.Feed.
@@ -244,7 +246,11 @@
 // listFrom is like listChanges. With anyAge, it takes a view of any age as well, which is confirmed
 // only as of that age.
 func (f *Feed) listFrom(ctx context.Context, w fireflypath.Member, after uint64, wait time.Duration, anyAge bool) (fireflypath.Listing, []largeValue, error) {
-	response, err := f.callWatcher(ctx, w, f.newRequest(after, wait))
+	timeout := callTimeout
+	if anyAge {
+		timeout = peerViewWait
+	}
+	response, err := f.callWatcher(ctx, w, f.newRequest(after, wait), timeout)
 	if err != nil {
 		return fireflypath.Listing{}, nil, err
 	}
@@ -268,7 +274,7 @@
 	}
 	largeValues := response.LargeValues
 	for response.HasMore {
-		response, err = f.callWatcher(ctx, w, followRequest{After: after, FetchesLarge: true, AcceptsPacked: true, PageAfter: response.lastRevision()})
+		response, err = f.callWatcher(ctx, w, followRequest{After: after, FetchesLarge: true, AcceptsPacked: true, PageAfter: response.lastRevision()}, timeout)
 		if err != nil {
 			return fireflypath.Listing{}, nil, err
 		}
@@ -301,9 +307,9 @@
 	return f.timing.maxViewAge
 }
 
-// callWatcher makes one call to a watcher.
-func (f *Feed) callWatcher(ctx context.Context, w fireflypath.Member, req followRequest) (followResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMillis)*time.Millisecond+callTimeout)
+// callWatcher makes one call to a watcher. It may take timeout in addition to its wait.
+func (f *Feed) callWatcher(ctx context.Context, w fireflypath.Member, req followRequest, timeout time.Duration) (followResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMillis)*time.Millisecond+timeout)
 	defer cancel()
 	var r followResponse
 	if err := f.peers.Call(ctx, w, methodFollow, req, &r); err != nil {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -142,6 +142,8 @@
 	return json.Unmarshal(b, result)
 }
 
+func (e fakeEndpoint) Connected() []string { return nil }
+
 type staticMembers []fireflypath.Member
 
 func (m staticMembers) Live() []fireflypath.Member { return m }
--- a/internal/follow/slow_link_test.go
+++ b/internal/follow/slow_link_test.go
@@ -237,3 +237,22 @@
 	is.True(stepUntilVersion(t, n, watcher, d, 7) < defaultLimit)
 	is.Equal(len(d.view.Current().Routes), 1407)
 }
+
+// Guards against a daemon that starts after a restore and serves what was revoked, because the newer
+// configuration of its peers is large or its link slow.
+func TestStartAfterRestoreAwaitsLargeConfiguration(t *testing.T) {
+	is := is.New(t)
+	ds, n, clock := newDaemons(t)
+	watcher, followers := findWatcher(t, ds)
+	d := followers[0]
+	d.store.putConfiguration(configuration(t, 1, 40))
+	watcher.store.putTarget("t2")
+	watcher.store.putConfiguration(randomTeams(t, 2, 8_000))
+	is.NoErr(watcher.view.Step(t.Context()))
+	clock.Advance(3 * time.Second) // the peers' views are older than an outage of the store
+	n.bandwidth = slowLink / 2
+	d.feed.OnRecords(func([]fireflypath.Entry) {})
+	is.NoErr(d.view.Step(t.Context()))
+	is.Equal(d.view.Current().Version, uint64(2))
+	is.Equal(d.targetNames(), "t1 t2")
+}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -6,9 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
 const (
@@ -19,10 +20,12 @@
 	relayStartWait  = time.Second
 	minStartWait    = 3 * time.Second
 	startRetryPause = 100 * time.Millisecond
-	// peerStartWait bounds the time in which a daemon that starts asks maxPeersAsked others for their
-	// view.
-	peerStartWait = 250 * time.Millisecond
-	maxPeersAsked = 3
+	// A daemon that starts asks maxPeersAsked others for their view. peerConnectWait is how long it
+	// waits for those that it has no connection to, and for further views once it has one;
+	// peerViewWait is how long it waits for a connected one.
+	peerConnectWait = 250 * time.Millisecond
+	peerViewWait    = time.Second
+	maxPeersAsked   = 3
 )
 
 // OnRecords sets the function that adopts the daemons that have a record among the entries of the store,
@@ -76,36 +79,59 @@
 // changes are followed from there: if the store has been restored since, it is read again and merged.
 func (f *Feed) snapshotFromPeer(ctx context.Context, calledAt time.Time) (fireflypath.Listing, bool) {
 	waited := f.clock.Since(calledAt)
-	ctx, cancel := context.WithTimeout(ctx, peerStartWait)
+	views := f.viewsOfPeers(ctx, f.startPeers())
+	slices.SortFunc(views, func(a, b peerListing) int { return cmp.Compare(b.Revision, a.Revision) })
+	for _, v := range views {
+		err := f.addLargeValues(ctx, v.from, &v.Listing, v.largeValues, maxDownloadTime)
+		if err != nil || v.Partial {
+			f.log.Info("peer failed to deliver its view", zap.String("peer", v.from.Name), zap.Uint64("revision", v.Revision), logs.Err(err))
+			continue
+		}
+		v.Age -= waited
+		f.versions.addLarge(v.Entries)
+		return v.Listing, true
+	}
+	return fireflypath.Listing{}, false
+}
+
+// viewsOfPeers returns the views of those peers that have one, without their large values.
+func (f *Feed) viewsOfPeers(ctx context.Context, peers []fireflypath.Member) []peerListing {
+	ctx, cancel := context.WithTimeout(ctx, peerViewWait)
 	defer cancel()
-	results := make(chan peerListing, maxPeersAsked)
-	var asked conc.WaitGroup
-	for _, m := range f.startPeers() {
-		asked.Go(func() {
+	results := make(chan peerListing, len(peers))
+	for _, m := range peers {
+		go func() {
 			l, large, err := f.listFrom(ctx, m, 0, 0, true)
-			if err == nil {
-				results <- peerListing{Listing: l, from: m, largeValues: large}
-			}
-		})
+			results <- peerListing{Listing: l, from: m, largeValues: large, err: err}
+		}()
 	}
-	asked.Wait()
-	close(results)
-	var newest peerListing
-	for l := range results {
-		if l.Revision > newest.Revision {
-			newest = l
-		}
+	var views []peerListing
+	pending := map[string]bool{}
+	for _, m := range peers {
+		pending[m.Name] = true
 	}
-	if newest.Revision == 0 {
-		return fireflypath.Listing{}, false
-	}
-	err := f.addLargeValues(ctx, newest.from, &newest.Listing, newest.largeValues, peerStartWait)
-	if err != nil || newest.Partial {
-		return fireflypath.Listing{}, false
+	connectWait := f.clock.After(peerConnectWait)
+	for len(pending) > 0 {
+		select {
+		case r := <-results:
+			delete(pending, r.from.Name)
+			if r.err == nil && r.Revision > 0 {
+				views = append(views, r)
+			}
+		case <-connectWait:
+			if len(views) > 0 || !f.anyConnected(pending) {
+				return views
+			}
+		case <-ctx.Done():
+			return views
+		}
 	}
-	newest.Age -= waited
-	f.versions.addLarge(newest.Entries)
-	return newest.Listing, true
+	return views
+}
+
+// anyConnected reports whether there is an open connection to one of the daemons.
+func (f *Feed) anyConnected(names map[string]bool) bool {
+	return slices.ContainsFunc(f.peers.Connected(), func(name string) bool { return names[name] })
 }
 
 // peerListing is the view of a peer, of which large values are fetched from it.
@@ -113,6 +139,8 @@
 	fireflypath.Listing
 	from        fireflypath.Member
 	largeValues []largeValue
+	// err is set if the peer gave no view.
+	err error
 }
 
 // startPeers returns the daemons that are asked for their view at the start.
--- a/internal/follow/tree_test.go
+++ b/internal/follow/tree_test.go
@@ -139,6 +139,8 @@
 	e.f.methods[e.name][method] = h
 }
 
+func (e virtualEndpoint) Connected() []string { return nil }
+
 func (e virtualEndpoint) Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error {
 	time.Sleep(messageLatency)
 	e.f.mu.Lock()
