feat(gate): logs and metrics say how an answer is framed and how it ended

The logs of the users' incident cannot tell an answer that ended with its connection from one that ended inside an event. The line of each request now has framing (length, chunked, close) and partial_event (bytes after the last event), and there are counters for both. An answer to HEAD counts as framed, as it has no body; its connection can be used again. No other change.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -62,6 +62,7 @@
 func (g *Gate) relayBuffered(c *call, att *attempt, a *http1.Response) (outcome, *refusal) {
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer))
 	g.recordFirstByte(c, att)
+	g.recordEnd(att, a, 0)
 	if err != nil {
 		att.result = "answer broke off: " + err.Error()
 		g.reportCrash(c, att, err)
@@ -125,6 +126,9 @@
 	src := events.NewReader(a, c.lastEvent)
 	for {
 		chunk, err := src.Next()
+		if err != nil {
+			g.recordEnd(att, a, src.Partial())
+		}
 		if len(chunk) > 0 {
 			g.recordFirstByte(c, att)
 			if !c.headerWritten {
@@ -158,6 +162,18 @@
 	}
 }
 
+// recordEnd records how the response of an attempt ended. partialEvent is the number of bytes that
+// followed the last event of a stream.
+func (g *Gate) recordEnd(att *attempt, a *http1.Response, partialEvent int) {
+	att.framing, att.partialEvent = a.Framing(), partialEvent
+	if att.framing == http1.FramingClose {
+		g.metrics.endedByClose.Inc(1)
+	}
+	if partialEvent > 0 {
+		g.metrics.partialEvents.Inc(1)
+	}
+}
+
 // recordFirstByte records that the response of an attempt began.
 func (g *Gate) recordFirstByte(c *call, att *attempt) {
 	if att.started {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -83,6 +83,10 @@
 	timedOut atomic.Bool
 	// pathLost is true if the connection was lost for a reason other than the target.
 	pathLost bool
+	// framing is how the target marks the end of its response; it is valid once started is true.
+	framing http1.Framing
+	// partialEvent is the number of bytes that followed the last event of a stream.
+	partialEvent int
 	// result describes the outcome, for logs and refusals.
 	result string
 }
--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -32,6 +32,8 @@
 	lastID string
 	// skipThrough is the highest id of the events to skip, or -1.
 	skipThrough int64
+	// partial is the number of bytes after the last event at the end of the stream.
+	partial int
 	// readErr is the error of the last read from src.
 	readErr error
 }
@@ -52,6 +54,11 @@
 	return r.lastID
 }
 
+// Partial returns the number of bytes that followed the last complete event at the end of the stream.
+func (r *Reader) Partial() int {
+	return r.partial
+}
+
 // Next returns one or more complete events; the slice is valid until the next call.
 // At the regular end of the stream it returns io.EOF together with any bytes that
 // follow the last complete event.
@@ -74,6 +81,7 @@
 func (r *Reader) remainder() ([]byte, error) {
 	out := r.buf[r.start:r.end]
 	r.start = r.end
+	r.partial = len(out)
 	if !errors.Is(r.readErr, io.EOF) {
 		return nil, r.readErr
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -25,7 +25,10 @@
 	brittleNamed tally.Counter
 	// backoffsAsked counts requests that a target turned away asking for a time without more.
 	backoffsAsked tally.Counter
-	byRank        [16]*rankMetrics
+	// endedByClose counts responses that ended with their connection, partialEvents streams that
+	// ended in the middle of an event.
+	endedByClose, partialEvents tally.Counter
+	byRank                      [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -35,7 +38,10 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = scope.SubScope("gate")
-	m := &metrics{scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle")}
+	m := &metrics{
+		scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle"),
+		endedByClose: scope.Counter("ended_by_close"), partialEvents: scope.Counter("partial_events"),
+	}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
 		m.byRank[i] = &rankMetrics{
@@ -92,7 +98,7 @@
 
 // logEnd logs the outcome of a request and what determined it.
 func (g *Gate) logEnd(c *call, now time.Time) {
-	fields := make([]zap.Field, 0, 16)
+	fields := make([]zap.Field, 0, 24)
 	fields = append(fields, zap.String("request", c.id), zap.Int("status", c.status),
 		zap.Duration("took", now.Sub(c.arrived)), zap.Uint64("version", c.cfg.Version),
 		zap.Duration("age", c.viewAge))
@@ -114,7 +120,7 @@
 	if att := c.lastAttempt(); att != nil && !att.Sent.IsZero() {
 		fields = append(fields, zap.String("target", att.target.Name), zap.Int("attempts", len(c.attempts)),
 			zap.Duration("waited", att.Sent.Sub(c.arrived)), zap.Int("events", c.chunks),
-			zap.Duration("gap", c.maxGap), zap.Int("prompt", c.cost.Prompt), zap.Int("output", c.expectedOutput))
+			zap.Duration("gap", c.maxGap), zap.Stringer("framing", att.framing), zap.Int("partial_event", att.partialEvent), zap.Int("prompt", c.cost.Prompt), zap.Int("output", c.expectedOutput))
 	}
 	if ref := c.refusal; ref != nil {
 		fields = append(fields, zap.String("step", ref.step), zap.String("reason", string(ref.reason)),
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -12,6 +12,35 @@
 	"github.com/fireflypath/fireflypath"
 )
 
+// Framing tells how the end of a response body is marked.
+type Framing int
+
+const (
+	// FramingClose means that the body ends with its connection. A body that was broken off looks
+	// the same, unless the connection was reset.
+	FramingClose Framing = iota
+	// FramingLength means that the length was given in advance, or that there is no body.
+	FramingLength
+	// FramingChunked means that the body ends with its last chunk.
+	FramingChunked
+)
+
+// String returns the name that is used in logs.
+func (f Framing) String() string {
+	return [...]string{"close", "length", "chunked"}[f]
+}
+
+// framingOf returns the framing of a response to a request with the given method.
+func framingOf(method string, resp *http.Response) Framing {
+	switch {
+	case method == http.MethodHead || resp.ContentLength >= 0:
+		return FramingLength
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	}
+	return FramingClose
+}
+
 // Response is a response whose body is read from its connection. It must be used by one
 // goroutine only.
 type Response struct {
@@ -32,10 +61,8 @@
 	bodyWritten chan struct{}
 	writeErr    error
 	complete    bool
-	// selfDelimited is true if the body has a Content-Length or is chunked; any
-	// other body ends when the connection closes.
-	selfDelimited bool
-	closed        bool
+	framing     Framing
+	closed      bool
 }
 
 // write writes the request. A large body is written concurrently with reading the
@@ -86,10 +113,10 @@
 		}
 		id := httpResp.Header.Get(resp.client.idHeader)
 		if id == "" || id == req.ID {
-			resp.setHeader(httpResp)
+			resp.setHeader(req.Method, httpResp)
 			return nil
 		}
-		if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+		if framingOf(req.Method, httpResp) == FramingClose {
 			return fireflypath.ErrRequestMismatch
 		}
 		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
@@ -99,16 +126,17 @@
 	return fireflypath.ErrRequestMismatch
 }
 
-func (resp *Response) setHeader(httpResp *http.Response) {
+func (resp *Response) setHeader(method string, httpResp *http.Response) {
 	resp.httpResp = httpResp
 	resp.Status = httpResp.StatusCode
 	resp.Header = httpResp.Header
 	resp.ContentLength = httpResp.ContentLength
-	resp.selfDelimited = httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0
-	resp.complete = httpResp.ContentLength == 0
+	resp.framing = framingOf(method, httpResp)
+	resp.complete = httpResp.ContentLength == 0 || method == http.MethodHead
 }
 
-// Read reads from the body. It returns io.EOF only after the complete body.
+// Read reads from the body. It returns io.EOF only after the complete body, or, with
+// FramingClose, once the target closed the connection.
 func (resp *Response) Read(b []byte) (int, error) {
 	if resp.complete {
 		return 0, io.EOF
@@ -134,10 +162,9 @@
 	return err
 }
 
-// SelfDelimited reports whether the message itself marks the end of the body. It is
-// false for a body that ends when the connection closes.
-func (resp *Response) SelfDelimited() bool {
-	return resp.selfDelimited
+// Framing returns how the end of the body is marked.
+func (resp *Response) Framing() Framing {
+	return resp.framing
 }
 
 // Close returns the connection to the pool if the complete response was read, and
@@ -159,7 +186,7 @@
 // reusable reports whether the connection can carry another request: the response was
 // read and the request body written completely, and no further bytes arrived.
 func (resp *Response) reusable() bool {
-	if resp.httpResp == nil || !resp.complete || !resp.selfDelimited || resp.httpResp.Close || resp.conn.reader.Buffered() > 0 {
+	if resp.httpResp == nil || !resp.complete || resp.framing == FramingClose || resp.httpResp.Close || resp.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if resp.bodyWritten == nil {
