fix(gate): an answer that ends with its connection ends with a reset if it is cut off

Callers of HTTP/1.0, which get an answer of unknown length without chunks, saw the same end of the connection whether the answer was complete, its target broke it off or the daemon ended.

Cause: the handler was aborted, which closes the connection in order. Now a connection on which such an answer began is set to reset on each close, whoever closes it (the handler, the end of a planned stop, the death of the process), until all of the answer has been written to it.

--- a/internal/daemon/gatelisteners.go
+++ b/internal/daemon/gatelisteners.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
@@ -44,6 +45,7 @@
 	}
 	d.gateServer = &http.Server{
 		Handler:           d.gate,
+		ConnContext:       callerconn.Context,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/logs"
 )
 
 const (
@@ -202,11 +204,30 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.endsWithConn = length < 0 && !c.r.ProtoAtLeast(1, 1)
+	if c.endsWithConn {
+		g.logLinger(c, c.conn.Guard())
+	}
 	c.headerWritten = true
 	c.status = a.Status
 	c.w.WriteHeader(a.Status)
 }
 
+// endInOrder lets a complete response end with its connection.
+func (g *Gate) endInOrder(c *call) {
+	if c.endsWithConn {
+		c.flush() // until then, the end of this daemon cuts the response off
+		g.logLinger(c, c.conn.Release())
+	}
+}
+
+// logLinger logs that a caller may not be able to tell the end of a response from a break.
+func (g *Gate) logLinger(c *call, err error) {
+	if err != nil {
+		g.deps.Log.Info("end of connection could not be set", zap.String("request", c.id), logs.Err(err))
+	}
+}
+
 // hopByHopResponseHeaders are the response headers that apply to a single connection.
 var hopByHopResponseHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/digest"
+	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
@@ -17,9 +18,10 @@
 
 // call is the state of one caller's request.
 type call struct {
-	w   http.ResponseWriter
-	r   *http.Request
-	ctx context.Context
+	w    http.ResponseWriter
+	r    *http.Request
+	conn *callerconn.Conn
+	ctx  context.Context
 	// cancel releases ctx; it is set together with the request's deadline.
 	cancel context.CancelFunc
 	cfg    *fireflypath.Config
@@ -57,6 +59,9 @@
 	mayHaveRun bool
 	// headerWritten is true once the response header was written.
 	headerWritten bool
+	// endsWithConn is true if the response has neither a length nor chunks, so that its end is that of
+	// the caller's connection.
+	endsWithConn bool
 	// truncated is true if the response cannot be completed.
 	truncated bool
 	// status is the response status; refusal is set if this daemon made the response.
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -226,6 +226,7 @@
 		in := bufio.NewReader(c)
 		resp, err := http.ReadResponse(in, nil)
 		is.NoErr(err)
+		defer resp.Body.Close()
 		b := make([]byte, len(eventText(1)))
 		_, err = io.ReadFull(resp.Body, b)
 		is.NoErr(err)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 	"github.com/fireflypath/fireflypath/internal/digest"
+	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -112,7 +113,7 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	cfg := g.deps.Configs.Current()
 	c := &call{
-		w: w, r: r, cfg: cfg, table: g.tables.For(cfg),
+		w: w, r: r, conn: callerconn.From(r.Context()), cfg: cfg, table: g.tables.For(cfg),
 		id: r.Header.Get(g.headers.ID), arrived: g.deps.Clock.Now(), viewAge: g.deps.Freshness.Age(),
 	}
 	c.ctx = r.Context()
@@ -123,8 +124,10 @@
 		// A truncated response must not look complete: aborting the handler closes the
 		// connection without a terminating chunk.
 		if c.truncated {
+			c.conn.Break()
 			panic(http.ErrAbortHandler)
 		}
+		g.endInOrder(c)
 	}()
 	defer func() { g.finish(c) }()
 	for _, s := range g.steps {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -25,6 +25,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/gate"
+	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -133,7 +134,9 @@
 		Scope:  tally.NoopScope, Log: zap.NewNop(),
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
-	s.gateServer = httptest.NewServer(g)
+	s.gateServer = httptest.NewUnstartedServer(g)
+	s.gateServer.Config.ConnContext = callerconn.Context
+	s.gateServer.Start()
 	t.Cleanup(s.gateServer.Close)
 	return s
 }
