fix(gate): a stream that ends inside an event has been broken off

Callers got the part of an event as the regular end of a stream, framed as complete, and a stream that may be resumed was not.

Cause: events.Reader returned what follows the last event together with io.EOF, whatever it was. Now only empty lines and complete comments may follow; a partial event is dropped and the stream counts as broken off, so that it is resumed at another target where that is allowed, answered with 502 before its first event, and else cut off so that its caller can tell. Where the answer ended with its connection, that is a lost connection like any other (for the quarantine of requests that end targets, and for the paths to targets). Lines may also end with a lone carriage return, as the format says; of a pair of which one half has arrived the other is waited for, so that no caller sees half of it. A JSON document on a route for streams is no event and is forwarded as it is.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,12 +46,19 @@
 		g.markFailed(c, att)
 		return outcomeUnknown, nil
 	}
-	if c.route.Form == fireflypath.FormEvents && a.Status/100 == 2 {
+	if c.route.Form == fireflypath.FormEvents && a.Status/100 == 2 && !isDocument(a.Header) {
 		return g.relayStream(c, att, a)
 	}
 	return g.relayBuffered(c, att, a)
 }
 
+// isDocument reports whether a target answers with a JSON document instead of events. Read as events,
+// it would be a partial one.
+func isDocument(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && (mediaType == "application/json" || strings.HasSuffix(mediaType, "+json"))
+}
+
 // notRunStatuses are the statuses from which callers conclude that a request did not run.
 var notRunStatuses = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
@@ -131,6 +140,9 @@
 		if err != nil {
 			g.recordEnd(att, a, src.Partial())
 		}
+		if errors.Is(err, events.ErrPartialEvent) {
+			err = a.BrokenOff(err)
+		}
 		if len(chunk) > 0 {
 			g.recordFirstByte(c, att)
 			if !c.headerWritten {
--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -17,8 +17,13 @@
 	maxEvent = 1 << 20
 )
 
-// ErrTooLarge is returned for an event that exceeds the maximum buffer size.
-var ErrTooLarge = errors.New("event is too large")
+var (
+	// ErrTooLarge is returned for an event that exceeds the maximum buffer size.
+	ErrTooLarge = errors.New("event is too large")
+	// ErrPartialEvent is returned for a stream that ends in the middle of an event, which its target
+	// has broken off.
+	ErrPartialEvent = errors.New("stream ended in the middle of an event")
+)
 
 // Reader returns only complete events. If a target fails in the middle of an event,
 // the partial event is discarded, so that another target can resume the stream after
@@ -60,8 +65,8 @@
 }
 
 // Next returns one or more complete events; the slice is valid until the next call.
-// At the regular end of the stream it returns io.EOF together with any bytes that
-// follow the last complete event.
+// At the end of the stream it returns io.EOF together with the comments and empty lines that
+// follow the last event. A partial event is discarded, and ErrPartialEvent is returned.
 func (r *Reader) Next() ([]byte, error) {
 	for {
 		if out := r.takeEvents(); len(out) > 0 {
@@ -76,18 +81,35 @@
 	}
 }
 
-// remainder returns the unread bytes if the stream ended regularly, and otherwise only
-// the read error.
+// remainder returns the unread bytes if the stream ended after an event, and otherwise only an
+// error.
 func (r *Reader) remainder() ([]byte, error) {
 	out := r.buf[r.start:r.end]
 	r.start = r.end
-	r.partial = len(out)
 	if !errors.Is(r.readErr, io.EOF) {
+		r.partial = len(out)
 		return nil, r.readErr
 	}
+	if !betweenEvents(out) {
+		r.partial = len(out)
+		return nil, ErrPartialEvent
+	}
 	return out, r.readErr
 }
 
+// betweenEvents reports whether the bytes after the last event are no part of another one: empty
+// lines and complete comments.
+func betweenEvents(b []byte) bool {
+	for len(b) > 0 {
+		line, n, complete := cutLine(b)
+		if !complete || len(line) > 0 && line[0] != ':' {
+			return false
+		}
+		b = b[n:]
+	}
+	return true
+}
+
 // fill reads from src, growing the buffer if it is full.
 func (r *Reader) fill() error {
 	if r.start > 0 {
@@ -139,27 +161,50 @@
 	return err == nil && n <= r.skipThrough
 }
 
-// eventLength returns the length of the first complete event in b, or 0.
+// eventLength returns the length of the first complete event in b, or 0. An event ends with an empty
+// line.
 func eventLength(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf < 0 && crlf < 0:
-		return 0
-	case crlf < 0 || lf >= 0 && lf < crlf:
-		return lf + len("\n\n")
-	default:
-		return crlf + len("\r\n\r\n")
+	pairs := false
+	for at := 0; at < len(b); {
+		line, n, complete := cutLine(b[at:])
+		if !complete {
+			return 0
+		}
+		at += n
+		switch {
+		case len(line) > 0:
+			pairs = n == len(line)+len("\r\n")
+		case pairs && n == 1 && b[at-1] == '\r' && at == len(b):
+			return 0 // the other half of the pair is still on its way
+		default:
+			return at
+		}
 	}
+	return 0
 }
 
 // eventID returns the value of the event's id field.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if ok {
+	for len(event) > 0 {
+		line, n, _ := cutLine(event)
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
+		event = event[n:]
 	}
 	return "", false
 }
+
+// cutLine returns the first line of b without its end, and its length with it. Lines end with a
+// carriage return, a line feed or both.
+func cutLine(b []byte) (line []byte, n int, complete bool) {
+	i := bytes.IndexAny(b, "\r\n")
+	if i < 0 {
+		return b, len(b), false
+	}
+	n = i + 1
+	if b[i] == '\r' && n < len(b) && b[n] == '\n' {
+		n++
+	}
+	return b[:i], n, true
+}
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -203,6 +203,19 @@
 	}
 }
 
+// Guards against a document that is taken for a part of an event because its route serves streams.
+func TestDocumentOnStreamRouteIsForwarded(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, nil, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		io.WriteString(w, `{"stream":false}`)
+	})
+	resp, body, err := s.post("/stream/", "b")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, `{"stream":false}`)
+}
+
 // Guards against a daemon whose own end, planned or not, is the end of an answer without a frame for
 // its caller.
 func TestEndOfDaemonIsNoEndOfAnswer(t *testing.T) {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -153,6 +153,16 @@
 	return n, err
 }
 
+// BrokenOff returns the error of a body whose content shows that the target broke it off, although it
+// ended in order. If it ended with its connection, that was the loss of the connection.
+func (resp *Response) BrokenOff(cause error) error {
+	err := errors.Mark(cause, fireflypath.ErrTruncated)
+	if resp.framing != FramingClose {
+		return err
+	}
+	return resp.reportLoss(errors.Mark(err, io.ErrUnexpectedEOF))
+}
+
 // reportLoss reports a lost connection to the dialer and marks the error if the target did not cause
 // it.
 func (resp *Response) reportLoss(err error) error {
