fix(gate): an answer without a frame is passed on without one

Callers got an answer that its target had broken off framed as a complete one: with a length, or in chunks with the last one.

Cause: an answer with neither a length nor chunks ends with its connection, and a connection that a target closes in the middle of its answer looks the same. The daemon took the end of the connection for the end of the answer and vouched for it with a frame of its own. Now such an answer, a saved failure and a stream too, is passed on with neither, and its end is the end of the caller's connection: in order where the target's was, else with a reset, so that the caller knows as much as the daemon. A stream that began in a frame and was resumed by a target without one ends as broken off. The request is not cleared of ending its targets by such an answer; it only shows that the target was alive.

TestResumedStreamIsVouchedForByLastTarget, TestSavedFailureKeepsItsFrame failed before; TestEndOfConnectionClearsNoRequest is new with the change, TestSlowCallerGetsWholeAnswer guards it. Under race the package passes.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -167,6 +167,10 @@
 			att.result = "status " + strconv.Itoa(a.Status)
 			g.markAnswered(att)
 			g.reportServed(c, att, a.Status)
+			if att.framing == http1.FramingClose && !c.endsWithConn {
+				// The header announced an end that can be told from a break, and this one cannot.
+				return outcomeDone, unknownOutcome("the stream was resumed and ended with its connection")
+			}
 			return outcomeDone, nil
 		}
 		att.result = "stream broke off: " + err.Error()
@@ -213,10 +217,14 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // otherwise net/http sniffs one
 	}
-	if length >= 0 {
+	unframed := a.Framing() == http1.FramingClose
+	switch {
+	case unframed: // the caller gets no other proof of its end than this daemon has
+		h["Transfer-Encoding"] = []string{"identity"} // makes net/http send neither chunks nor a length
+	case length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	c.endsWithConn = length < 0 && !c.r.ProtoAtLeast(1, 1)
+	c.endsWithConn = unframed || length < 0 && !c.r.ProtoAtLeast(1, 1)
 	if c.endsWithConn {
 		g.logLinger(c, c.conn.Guard())
 	}
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -203,6 +204,88 @@
 	}
 }
 
+// Guards against a daemon that vouches for the end of a stream because its first target used chunks,
+// while the target that went on with it ended with its connection.
+func TestResumedStreamIsVouchedForByLastTarget(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, nil, func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			writeRaw(w, r, http.StatusOK, frameChunked, endCut, eventText(1))
+			return
+		}
+		writeRaw(w, r, http.StatusOK, frameClose, endFIN, eventText(2))
+	})
+	got := s.receive("HTTP/1.1", http.MethodPost, "/resume/x")
+	is.Equal(got.body, eventText(1)+eventText(2))
+	is.Equal(got.ended, endedBroken)
+}
+
+// Guards against a failure of a target that is passed on after all attempts with a length that the
+// target did not give.
+func TestSavedFailureKeepsItsFrame(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, nil, func(_ int, w http.ResponseWriter, r *http.Request) {
+		writeRaw(w, r, http.StatusInternalServerError, frameClose, endFIN, "the failure")
+	})
+	got := s.receive("HTTP/1.1", http.MethodPost, "/safe/x")
+	is.Equal(got.status, http.StatusInternalServerError)
+	is.Equal(got.body, "the failure")
+	is.Equal(got.ended, endedClose)
+}
+
+// Guards against a request that ends its targets and is cleared of that, because an answer that broke off
+// counts as a complete one.
+func TestEndOfConnectionClearsNoRequest(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		frame                  frame
+		end                    ending
+		body                   string
+		crashed, alive, served int32
+	}{
+		{"complete", frameChunked, endFIN, eventText(1), 0, 0, 1},
+		{"inside an event", frameChunked, endFIN, "id: 1\nda", 0, 0, 0},
+		{"cut", frameChunked, endCut, eventText(1), 1, 0, 0},
+		{"without a frame", frameClose, endFIN, eventText(1), 0, 1, 0},
+		{"without a frame, inside an event", frameClose, endFIN, "id: 1\nda", 1, 0, 0},
+		{"without a frame, reset", frameClose, endRST, eventText(1), 1, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := startSite(t, nil, func(_ int, w http.ResponseWriter, r *http.Request) {
+				writeRaw(w, r, http.StatusOK, c.frame, c.end, c.body)
+			})
+			s.receive("HTTP/1.1", http.MethodPost, "/stream/x")
+			is.Equal([]int32{s.quarantine.crashed.Load(), s.quarantine.alive.Load(), s.quarantine.served.Load()}, []int32{c.crashed, c.alive, c.served})
+		})
+	}
+}
+
+// Guards against a caller that reads slowly and loses the end of a complete answer to the reset that
+// would mark a break.
+func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat(longBody, 8)
+	s := startSite(t, nil, func(_ int, w http.ResponseWriter, r *http.Request) {
+		writeRaw(w, r, http.StatusOK, frameClose, endFIN, body)
+	})
+	c, err := net.Dial("tcp", s.gateServer.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nT-Id: id-1\r\nT-Key: %s\r\nContent-Length: 0\r\n\r\n", key)
+	got := receiveAnswer(t, slowReader{c}, http.MethodPost)
+	is.Equal(got.ended, endedClose)
+	is.True(got.body == body)
+}
+
+// slowReader reads a little at a time.
+type slowReader struct{ net.Conn }
+
+func (r slowReader) Read(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return r.Conn.Read(b[:min(len(b), 64<<10)])
+}
+
 // Guards against a document that is taken for a part of an event because its route serves streams.
 func TestDocumentOnStreamRouteIsForwarded(t *testing.T) {
 	is := is.New(t)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -51,6 +51,8 @@
 	// TargetCrashed records that a target crashed while it ran a request sent at the given
 	// time.
 	TargetCrashed(d digest.Digest, t fireflypath.Target, sent time.Time)
+	// Alive records that a target answered a request that was sent at the given time.
+	Alive(t fireflypath.Target, sent time.Time)
 	// Served records that a target answered a request completely that was sent at the given
 	// time.
 	Served(d digest.Digest, t fireflypath.Target, sent time.Time)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -24,6 +24,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
+	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
@@ -80,11 +81,27 @@
 	targets    map[string]*httptest.Server
 	pools      *pools.Pools
 	client     *http1.Client
+	quarantine recordedQuarantine
 	mu         sync.Mutex
 	received   []*http.Request
 	bodies     []string
 }
 
+// recordedQuarantine holds no requests and counts what it is given.
+type recordedQuarantine struct {
+	crashed, alive, served atomic.Int32
+}
+
+func (q *recordedQuarantine) Held(digest.Digest) (time.Duration, bool) { return 0, false }
+
+func (q *recordedQuarantine) TargetCrashed(digest.Digest, fireflypath.Target, time.Time) {
+	q.crashed.Add(1)
+}
+
+func (q *recordedQuarantine) Alive(fireflypath.Target, time.Time) { q.alive.Add(1) }
+
+func (q *recordedQuarantine) Served(digest.Digest, fireflypath.Target, time.Time) { q.served.Add(1) }
+
 const key = "secret"
 
 // startSite serves one pool with two targets. The handler answer gets the number of the
@@ -129,7 +146,7 @@
 	s.pools, s.client = ps, http1.New(clock, "T-Id", http1.Direct{})
 	g := gate.New(gate.Deps{
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
-		Client: s.client,
+		Client: s.client, Quarantine: &s.quarantine,
 		Limits: limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
 		Scope:  tally.NoopScope, Log: zap.NewNop(),
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -50,9 +50,14 @@
 }
 
 // reportServed reports a complete, successful response. A failure response proves nothing:
-// the target may not have reached the code that would crash it.
+// the target may not have reached the code that would crash it. Nor does the end of a connection:
+// it only shows that the target was alive when it sent the header.
 func (g *Gate) reportServed(c *call, att *attempt, status int) {
-	if status/100 == http.StatusOK/100 {
+	switch {
+	case status/100 != http.StatusOK/100:
+	case att.framing == http1.FramingClose:
+		g.deps.Quarantine.Alive(att.target, att.Sent)
+	default:
 		g.deps.Quarantine.Served(c.digest, att.target, att.Sent)
 	}
 }
@@ -62,4 +67,5 @@
 
 func (noQuarantine) Held(digest.Digest) (time.Duration, bool)                   { return 0, false }
 func (noQuarantine) TargetCrashed(digest.Digest, fireflypath.Target, time.Time) {}
+func (noQuarantine) Alive(fireflypath.Target, time.Time)                        {}
 func (noQuarantine) Served(digest.Digest, fireflypath.Target, time.Time)        {}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// Alive records that a target answered a request that was sent at the given time, although it is not
+// known whether the answer was complete.
+func (q *Quarantine) Alive(t fireflypath.Target, sent time.Time) {
+	q.mu.Lock()
+	changed := q.reports.retractCrashes(q.deps.Clock.Now(), t.Identity(), sent)
+	q.mu.Unlock()
+	if changed {
+		q.wakeStep()
+	}
+}
+
 // wakeStep makes Run take a step at once.
 func (q *Quarantine) wakeStep() { notify(q.stepWake) }
 
