fix(gate): the answer to HEAD keeps the length that its target declares

Callers were told that a resource is empty: the length of the body that was read, 0, replaced the declared one. TestHeadKeepsLength failed before (0 instead of 77) and passes.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -91,13 +91,21 @@
 		g.markAnswered(att)
 		g.reportServed(c, att, a.Status)
 		att.result = "status " + strconv.Itoa(a.Status)
-		g.writeHeader(c, a, int64(len(body)))
+		g.writeHeader(c, a, c.bodyLength(a, body))
 		_, _ = c.w.Write(body)
 		return outcomeDone, nil
 	}
 	return g.relayLong(c, att, a, body)
 }
 
+// bodyLength returns the length to declare for a response that was read completely.
+func (c *call) bodyLength(a *http1.Response, body []byte) int64 {
+	if c.r.Method == http.MethodHead {
+		return a.ContentLength // that of the body which GET would return
+	}
+	return int64(len(body))
+}
+
 // relayLong forwards a response that is too long to buffer: first what was buffered of it,
 // then the rest as it arrives.
 func (g *Gate) relayLong(c *call, att *attempt, a *http1.Response, buffered []byte) (outcome, *refusal) {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -76,7 +76,7 @@
 	case ref.callerGone:
 		return ref
 	case c.savedFailure != nil && !c.headerWritten:
-		g.writeHeader(c, c.savedFailure.answer, int64(len(c.savedFailure.body)))
+		g.writeHeader(c, c.savedFailure.answer, c.bodyLength(c.savedFailure.answer, c.savedFailure.body))
 		// An error means that the caller disconnected, which net/http detects by itself.
 		_, _ = c.w.Write(c.savedFailure.body)
 		return nil
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -286,6 +286,15 @@
 	return r.Conn.Read(b[:min(len(b), 64<<10)])
 }
 
+// Guards against a daemon that says that a resource is empty because the answer to HEAD has no body.
+func TestHeadKeepsLength(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, nil, func(_ int, w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "77") })
+	got := s.receive("HTTP/1.1", http.MethodHead, "/once/x")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.header.Get("Content-Length"), "77")
+}
+
 // Guards against a document that is taken for a part of an event because its route serves streams.
 func TestDocumentOnStreamRouteIsForwarded(t *testing.T) {
 	is := is.New(t)
