fix(tunnel): the end of the daemon in between is no end of an answer

A daemon without a path to a target reads answers through a peer. When that peer ended, its side of the tunnel was closed in order, which is how an answer without a frame ends, so that a part of it counted as complete.

Cause: as in the gate, the end of a connection was taken for the end of what it carries. The peer's side now ends with a reset, whoever closes it, until the target itself has ended the answer. The setting of a socket for that stands once, in internal/socket.

TestEndOfPeerIsNoEndOfAnswer failed before (end of file) and passes.

--- a/internal/gate/callerconn/callerconn.go
+++ b/internal/gate/callerconn/callerconn.go
@@ -5,13 +5,8 @@
 	"context"
 	"crypto/tls"
 	"net"
-)
 
-const (
-	// lingerReset makes a close discard what is unsent and reset the connection, lingerSend makes it
-	// send what is left and end the connection in order.
-	lingerReset = 0
-	lingerSend  = -1
+	"github.com/fireflypath/fireflypath/internal/socket"
 )
 
 // Conn is the connection of a caller. A nil Conn, of a server without Context, does nothing.
@@ -49,7 +44,7 @@
 		return nil
 	}
 	c.guarded = true
-	return c.tcp.SetLinger(lingerReset)
+	return socket.ResetOnClose(c.tcp, true)
 }
 
 // Release makes the connection end in order again, after all bytes that were written.
@@ -58,7 +53,7 @@
 		return nil
 	}
 	c.guarded = false
-	return c.tcp.SetLinger(lingerSend)
+	return socket.ResetOnClose(c.tcp, false)
 }
 
 // Break closes a guarded connection with a reset. It bypasses TLS, which would announce an end in order.
--- a/internal/peer/bytestream.go
+++ b/internal/peer/bytestream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflypath/fireflypath/internal/socket"
 )
 
 // streamMarker is the first byte of a connection that carries a stream of bytes instead of messages.
@@ -33,8 +35,15 @@
 	return c.SyscallConn()
 }
 
+// Guard makes the stream end with a reset, whoever closes it, until CloseWrite. The peer would read
+// the end of this daemon as that of the bytes.
+func (s *ByteStream) Guard() error { return socket.ResetOnClose(s.tcp, true) }
+
 // CloseWrite ends the direction to the peer, which reads io.EOF.
 func (s *ByteStream) CloseWrite() error {
+	if err := socket.ResetOnClose(s.tcp, false); err != nil {
+		return err
+	}
 	if c, ok := s.Conn.(interface{ CloseWrite() error }); ok {
 		return c.CloseWrite()
 	}
@@ -43,10 +52,8 @@
 
 // Reset closes the connection so that the peer reads an error and not the end of the stream.
 func (s *ByteStream) Reset() {
-	if c, ok := s.tcp.(interface{ SetLinger(sec int) error }); ok {
-		// An error means that the connection is closed already.
-		_ = c.SetLinger(0)
-	}
+	// An error means that the connection is closed already.
+	_ = socket.ResetOnClose(s.tcp, true)
 	s.tcp.Close()
 }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,7 +1,9 @@
-// Package socket queries the state of connections without reading from them.
+// Package socket queries the state of connections without reading from them, and sets how they end.
 package socket
 
 import (
+	"crypto/tls"
+	"net"
 	"syscall"
 	"time"
 
@@ -59,3 +61,26 @@
 	})
 	return unanswered && err == nil
 }
+
+const (
+	// lingerReset makes a close discard what is unsent and reset the connection, lingerSend makes it
+	// send what is left and end the connection in order.
+	lingerReset = 0
+	lingerSend  = -1
+)
+
+// ResetOnClose sets whether a connection ends with a reset when it is closed, by this process or by its
+// death, or in order. Only the one that reads at the other end tells the two apart.
+func ResetOnClose(c net.Conn, reset bool) error {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	l, ok := c.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return nil // not a socket
+	}
+	if reset {
+		return l.SetLinger(lingerReset)
+	}
+	return l.SetLinger(lingerSend)
+}
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/targets"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -61,6 +62,9 @@
 	t.metrics.served.Inc(1)
 	_ = s.SetDeadline(time.Time{})
 	setTimeouts(s)
+	if err := s.Guard(); err != nil {
+		t.log.Info("end of tunnel could not be set", logs.Err(err))
+	}
 	passBytes(s, c)
 }
 
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -29,6 +29,8 @@
 
 // fleet implements fireflypath.Members and fireflypath.Configs.
 type fleet struct {
+	// stop ends the daemon with a name.
+	stop    map[string]func()
 	members []fireflypath.Member
 	config  fireflypath.Config
 }
@@ -53,7 +55,7 @@
 func start(t *testing.T, cut map[string]bool, serve func(c *net.TCPConn)) (*fleet, map[string]*tunnel.Tunnel) {
 	t.Helper()
 	is := is.New(t)
-	f, tunnels := &fleet{}, map[string]*tunnel.Tunnel{}
+	f, tunnels := &fleet{stop: map[string]func(){}}, map[string]*tunnel.Tunnel{}
 	ln, err := net.Listen("tcp", loopback.ListenAddr())
 	is.NoErr(err)
 	t.Cleanup(func() { ln.Close() })
@@ -82,6 +84,7 @@
 		}
 		tunnels[name] = tunnel.New(name, direct, e, f, f, clockwork.NewRealClock(), tally.NoopScope, zap.NewNop())
 		go func() { _ = e.Serve(peerListener) }()
+		f.stop[name] = e.Close
 		t.Cleanup(e.Close)
 	}
 	return f, tunnels
@@ -177,6 +180,27 @@
 	}
 }
 
+// Guards against an answer without a frame that looks complete because the daemon that passes it on has
+// ended.
+func TestEndOfPeerIsNoEndOfAnswer(t *testing.T) {
+	is := is.New(t)
+	f, tunnels := start(t, map[string]bool{"a": true, "b": false}, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("half of it"))
+		_, _ = c.Read(make([]byte, 1)) // until the connection ends
+		c.Close()
+	})
+	c, err := tunnels["a"].Dial(t.Context(), f.target())
+	is.NoErr(err)
+	defer c.Close()
+	b := make([]byte, len("half of it"))
+	_, err = io.ReadFull(c, b)
+	is.NoErr(err)
+	f.stop["b"]()
+	_, err = c.Read(b)
+	is.True(err != nil)
+	is.True(!errors.Is(err, io.EOF))
+}
+
 // Guards against a target that works on for a caller who has left.
 func TestTargetIsReleasedWithCaller(t *testing.T) {
 	is := is.New(t)
