test(soak): answers without a frame, streams that end inside events, callers of HTTP/1.0

Targets of the soak always framed their answers, so that it could not see the incident. A short answer is excused only if the target closed an answer without a frame between two events and the caller's has none either.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -96,12 +96,16 @@
 	r.Header.Set(c.headers.Deadline, strconv.FormatInt(limit.Milliseconds(), 10))
 	c.history.recordRequest(id, &request{atMostOnce: path == "/once/" || path == "/stream/", body: body, sentAt: time.Now(), key: key, daemon: d})
 	c.attempted.Add(1)
-	resp, err := c.client.Do(r)
+	resp, err := c.pickClient().Do(r)
 	if err != nil {
 		return false // a closed connection says nothing about whether the request ran
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
+	if err == nil && endsWithConnection(resp) && c.history.quietlyBroken(id) {
+		c.checkQuietBreak(id, form != "", string(text))
+		return false
+	}
 	c.checkResponse(id, form != "", resp, string(text), err)
 	if body != poisonBody {
 		c.history.check(invariantNotHeld, !isHeldRefusal(string(text)), "%s was answered %s", id, text)
@@ -109,6 +113,32 @@
 	return resp.StatusCode == http.StatusOK && err == nil
 }
 
+// oldClientRatio is the ratio of all requests to those of HTTP/1.0.
+const oldClientRatio = 8
+
+// pickClient returns what sends the next request.
+func (c *caller) pickClient() interface {
+	Do(r *http.Request) (*http.Response, error)
+} {
+	if c.rnd.IntN(oldClientRatio) == 0 {
+		return oldClient{}
+	}
+	return c.client
+}
+
+// checkQuietBreak checks a response that ends with its connection, as that of its target did, which had
+// broken it off.
+func (c *caller) checkQuietBreak(id string, events bool, text string) {
+	whole := responseBody(id)
+	if events {
+		whole = streamText(id)
+	}
+	c.history.check(invariantComplete, strings.HasPrefix(whole, text), "%s was answered %q", id, text)
+	if events {
+		c.history.check(invariantStream, text == "" || strings.HasSuffix(text, "\n\n"), "%s ended inside an event: %q", id, text)
+	}
+}
+
 // checkResponse checks a response against the invariants.
 func (c *caller) checkResponse(id string, events bool, resp *http.Response, text string, err error) {
 	switch resp.StatusCode {
@@ -134,10 +164,7 @@
 // checkStream checks that a stream ended with the last event, or that a broken stream is
 // a prefix of the complete one.
 func (c *caller) checkStream(id, text string, err error) {
-	want := ""
-	for n := 1; n <= streamEvents; n++ {
-		want += eventText(id, n)
-	}
+	want := streamText(id)
 	if err == nil {
 		c.succeeded.Add(1)
 		c.history.check(invariantStream, text == want, "%s completed with %q", id, text)
@@ -145,3 +172,12 @@
 	}
 	c.history.check(invariantStream, strings.HasPrefix(want, text), "%s was truncated after %q", id, text)
 }
+
+// streamText returns all events of a stream.
+func streamText(id string) string {
+	text := ""
+	for n := 1; n <= streamEvents; n++ {
+		text += eventText(id, n)
+	}
+	return text
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -57,15 +57,17 @@
 // history records the requests that callers sent and targets ran, and checks the
 // invariants.
 type history struct {
-	mu         sync.Mutex
-	requests   map[string]*request
-	revoked    map[string]time.Time
-	checked    map[invariant]int
-	violations []violation
+	mu       sync.Mutex
+	requests map[string]*request
+	revoked  map[string]time.Time
+	checked  map[invariant]int
+	// quietBreaks holds the requests with an answer whose break nobody can tell from its end.
+	quietBreaks map[string]bool
+	violations  []violation
 }
 
 func newHistory() *history {
-	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, checked: map[invariant]int{}}
+	return &history{requests: map[string]*request{}, revoked: map[string]time.Time{}, checked: map[invariant]int{}, quietBreaks: map[string]bool{}}
 }
 
 // check counts a check of the invariant and records a violation if ok is false.
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -43,6 +43,7 @@
 	// truncateRate is the fraction of responses that are truncated, dropRate the
 	// fraction that is never sent. Both are in thousandths.
 	truncateRate, dropRate atomic.Uint64
+	crashed                atomic.Bool
 	// notices records what became of the target's notices; claimed is true while it has
 	// one.
 	notices noticeLog
@@ -85,6 +86,7 @@
 }
 
 func (t *target) crash() {
+	t.crashed.Store(true)
 	t.proxy.close()
 	_ = t.srv.Close() // an error does not matter for a crash
 }
@@ -147,13 +149,17 @@
 		return
 	}
 	time.Sleep(workTime)
-	text := responseBody(id)
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	if t.happens(t.truncateRate.Load()) {
-		_, _ = io.WriteString(w, text[:len(text)/2])
-		panic(http.ErrAbortHandler)
+	text, e := responseBody(id), t.drawEnding(0)
+	e.setFrame(h, len(text))
+	if !e.breaks {
+		_, _ = io.WriteString(w, text)
+		return
 	}
-	_, _ = io.WriteString(w, text)
+	if e.unframed {
+		t.history.recordQuietBreak(id)
+	}
+	_, _ = io.WriteString(w, text[:len(text)/2])
+	e.end(w)
 }
 
 func responseBody(id string) string { return "the whole answer to " + id }
@@ -163,24 +169,37 @@
 func (t *target) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(t.headers.ID)
 	from, _ := strconv.Atoi(r.Header.Get(t.headers.Event))
-	breaks := streamEvents + 1
-	if t.happens(t.truncateRate.Load()) {
-		breaks = from + 1 + t.randN(streamEvents)
-	}
+	end := t.drawEnding(from)
+	end.setFrame(w.Header(), -1)
 	w.WriteHeader(http.StatusOK)
 	for n := from + 1; n <= streamEvents; n++ {
 		select {
 		case <-r.Context().Done():
+			if end.unframed && t.crashed.Load() {
+				t.history.recordQuietBreak(id)
+			}
 			return
 		case <-time.After(eventPause):
 		}
 		e := eventText(id, n)
-		if n == breaks {
-			_, _ = io.WriteString(w, e[:len(e)/2])
-			w.(http.Flusher).Flush()
-			panic(http.ErrAbortHandler)
+		if end.breaks && n == end.lastEvent {
+			t.breakStream(w, id, e, end)
+			return
 		}
 		_, _ = io.WriteString(w, e)
 		w.(http.Flusher).Flush()
 	}
 }
+
+// breakStream breaks a stream off at an event.
+func (t *target) breakStream(w http.ResponseWriter, id, event string, end ending) {
+	switch {
+	case end.insideEvent:
+		_, _ = io.WriteString(w, event[:len(event)/2])
+	case end.unframed:
+		t.history.recordQuietBreak(id)
+	default:
+		end.inOrder = false // the target would vouch for the end
+	}
+	end.end(w)
+}
