--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -117,11 +117,9 @@
 const oldClientRatio = 8
 
 // pickClient returns what sends the next request.
-func (c *caller) pickClient() interface {
-	Do(r *http.Request) (*http.Response, error)
-} {
+func (c *caller) pickClient() *http.Client {
 	if c.rnd.IntN(oldClientRatio) == 0 {
-		return oldClient{}
+		return &http.Client{Transport: oldTransport{}}
 	}
 	return c.client
 }
--- a/internal/soak/framing.go
+++ b/internal/soak/framing.go
@@ -74,11 +74,11 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// oldClient sends requests of HTTP/1.0, each over a connection of its own.
-type oldClient struct{}
+// oldTransport sends requests of HTTP/1.0, each over a connection of its own.
+type oldTransport struct{}
 
-// Do sends the request and returns the response. Its body must be read and closed.
-func (oldClient) Do(r *http.Request) (*http.Response, error) {
+// RoundTrip implements http.RoundTripper.
+func (oldTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var dialer net.Dialer
 	c, err := dialer.DialContext(r.Context(), "tcp", r.URL.Host)
 	if err != nil {
@@ -97,7 +97,7 @@
 	}
 	var resp *http.Response
 	if err == nil {
-		resp, err = http.ReadResponse(bufio.NewReader(c), r) //nolint:bodyclose // closed by connBody
+		resp, err = http.ReadResponse(bufio.NewReader(c), r)
 	}
 	if err != nil {
 		stop()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -149,8 +149,13 @@
 		return
 	}
 	time.Sleep(workTime)
+	t.answerWhole(w, id)
+}
+
+// answerWhole sends the answer to a request that wants no stream.
+func (t *target) answerWhole(w http.ResponseWriter, id string) {
 	text, e := responseBody(id), t.drawEnding(0)
-	e.setFrame(h, len(text))
+	e.setFrame(w.Header(), len(text))
 	if !e.breaks {
 		_, _ = io.WriteString(w, text)
 		return
