feat(gate): logs name the version of a target and the stream that a request resumes

The logs of the users' incident have neither. The lines of a request now have target_version, resumes and after (the last event that the caller has). No other change.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -65,7 +65,7 @@
 		}
 		g.metrics.retries.Inc(1)
 		g.deps.Log.Info("request retried at another target", zap.String("request", c.id), zap.String("route", c.route.Name),
-			zap.String("target", att.target.Name), zap.String("result", att.result), zap.Int("attempts", len(c.attempts)), zap.Stringer("digest", c.digest))
+			zap.String("target", att.target.Name), zap.String("target_version", att.target.Version), zap.String("result", att.result), zap.Int("attempts", len(c.attempts)), zap.Stringer("digest", c.digest))
 	}
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -39,7 +39,7 @@
 	return fireflypath.Headers{
 		ID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Team: "T-Team", Target: "T-Target", Instance: "T-Self",
 		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", Tokens: "T-Tokens", OutputHint: "T-Hint",
-		Event: "Last-Event-Id", DaemonOnly: []string{"T-Team", "T-Target", "T-Hold"},
+		Event: "Last-Event-Id", Resumes: "T-Resumes", DaemonOnly: []string{"T-Team", "T-Target", "T-Hold"},
 	}
 }
 func (testCodec) ConfigKey() string                                     { return "" }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -114,11 +114,14 @@
 	if c.unconfirmed {
 		fields = append(fields, zap.Float64("unjudged", c.quotaUnits))
 	}
+	if c.resumes != "" {
+		fields = append(fields, zap.String("resumes", c.resumes), zap.String("after", c.r.Header.Get(g.headers.Event)))
+	}
 	if c.digest != 0 {
 		fields = append(fields, zap.Stringer("digest", c.digest))
 	}
 	if att := c.lastAttempt(); att != nil && !att.Sent.IsZero() {
-		fields = append(fields, zap.String("target", att.target.Name), zap.Int("attempts", len(c.attempts)),
+		fields = append(fields, zap.String("target", att.target.Name), zap.String("target_version", att.target.Version), zap.Int("attempts", len(c.attempts)),
 			zap.Duration("waited", att.Sent.Sub(c.arrived)), zap.Int("events", c.chunks),
 			zap.Duration("gap", c.maxGap), zap.Stringer("framing", att.framing), zap.Int("partial_event", att.partialEvent), zap.Int("prompt", c.cost.Prompt), zap.Int("output", c.expectedOutput))
 	}
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -162,6 +162,7 @@
 	}
 	c.deadline = c.arrived.Add(limit)
 	c.lastEvent = c.r.Header.Get(g.headers.Event)
+	c.resumes = c.r.Header.Get(g.headers.Resumes)
 	c.ctx, c.cancel = context.WithTimeout(c.ctx, limit+deadlineGrace)
 	cost, ok := g.deps.Codec.Cost(c.r.Header.Get(g.headers.Tokens))
 	c.cost = cost
--- a/routing.go
+++ b/routing.go
@@ -123,6 +123,8 @@
 	OutputHint string
 	// Event is the ID of the last event that the caller received.
 	Event string
+	// Resumes is the ID of the request whose answer began the stream that the caller resumes.
+	Resumes string
 	// DaemonOnly lists the headers that only daemons may set; those from callers are dropped.
 	DaemonOnly []string
 }
