fix(gate): a broken stream goes on at a target of its version within one answer

Callers got one answer with events of two versions of a target's software.

Cause: where a broken stream may be resumed, the next target was chosen by load alone. Now the version of the target that sent the first event belongs to the work: schedulers, dispatchers and what a daemon tells its dispatcher have it, and only targets of that version take it. Such work holds up nothing behind it, other work leaves the targets that it needs, its expected wait counts the slots of its version, and it is refused at once when the last target of the version has gone. A group of daemons without such a target uses that of another group. A daemon does not follow a dispatcher that knows no versions.

--- a/dispatch.go
+++ b/dispatch.go
@@ -26,6 +26,8 @@
 	Gap Micros `json:"a,omitempty"`
 	// Avoid lists the targets that the request was already sent to.
 	Avoid []string `json:"v,omitempty"`
+	// Version is the version of the targets that may run the work; empty if any may.
+	Version string `json:"x,omitempty"`
 }
 
 // InFlightWork is work that is already at a target when a daemon opens a session with a
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -187,7 +187,7 @@
 	e.work = fireflypath.Work{
 		ID: daemon + "." + strconv.FormatUint(o.Number, 10), Rank: o.Rank, Pool: d.pool, Weight: 1,
 		Arrived: now.Add(-o.Waited.Std()), Deadline: now.Add(o.Deadline.Std()), Goal: now.Add(o.Goal.Std()),
-		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid, Sender: daemon,
+		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid, Version: o.Version, Sender: daemon,
 	}
 	if o.Patience > 0 {
 		e.work.PatienceEnds = now.Add(o.Patience.Std())
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -244,7 +244,7 @@
 	o := fireflypath.Offer{
 		Number: s.lastNumber, Rank: w.Rank, Prompt: w.Cost.Prompt, MaxOutput: w.Cost.MaxOutput, ExpectedOutput: w.ExpectedOutput,
 		Waited: fireflypath.MicrosOf(now.Sub(w.Arrived)), Goal: fireflypath.MicrosOf(w.Goal.Sub(now)),
-		Deadline: fireflypath.MicrosOf(w.Deadline.Sub(now)), Gap: fireflypath.MicrosOf(w.Gap), Avoid: w.Avoid,
+		Deadline: fireflypath.MicrosOf(w.Deadline.Sub(now)), Gap: fireflypath.MicrosOf(w.Gap), Avoid: w.Avoid, Version: w.Version,
 	}
 	if !w.PatienceEnds.IsZero() {
 		o.Patience = max(fireflypath.MicrosOf(w.PatienceEnds.Sub(now)), 1)
@@ -264,6 +264,13 @@
 			s.resubmit(next.work)
 			continue
 		}
+		if next.work.Version != "" && t.Version != next.work.Version {
+			// The dispatcher knows no versions, or an earlier start of the target.
+			next.work.Avoid = append(next.work.Avoid, t.Name)
+			s.withdrawPending(next.decision.Number, next.work)
+			s.submit(now, next.work)
+			continue
+		}
 		if s.Refuses(now, next.decision.Target) {
 			// The dispatcher does not know that yet. It is no failure of the target.
 			s.withdrawPending(next.decision.Number, next.work)
--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
@@ -26,19 +25,30 @@
 // to the same few targets.
 func (s *Scheduler) chooseTarget(now time.Time, w *fireflypath.Work) *target {
 	var best *target
-	bestScore := 0.0
-	for _, t := range s.shared {
-		if !s.accepts(now, t, s.allowedExtra(t, w.Rank)) || !s.hasTurn(now, t, w.Rank) || slices.Contains(w.Avoid, t.Name) || s.inBackoff(now, t, w) || !s.suits(now, t, w) {
+	bestScore, bestNeeded := 0.0, false
+	for _, t := range s.targetsFor(w) {
+		if !s.canTake(now, t, w) {
 			continue
 		}
-		v := s.score(now, t, w)
-		if best == nil || v < bestScore || v == bestScore && s.noise(t) < s.noise(best) {
-			best, bestScore = t, v
+		v, isNeeded := s.score(now, t, w), s.isNeeded(t, w)
+		switch {
+		case best == nil, bestNeeded && !isNeeded:
+		case isNeeded != bestNeeded, v > bestScore, v == bestScore && s.noise(t) >= s.noise(best):
+			continue
 		}
+		best, bestScore, bestNeeded = t, v, isNeeded
 	}
 	return best
 }
 
+// canTake reports whether the target can take the request now.
+func (s *Scheduler) canTake(now time.Time, t *target, w *fireflypath.Work) bool {
+	if !mayRun(t, w) || s.inBackoff(now, t, w) || s.busyReason(now, t, s.allowedExtra(t, w.Rank)) != "" {
+		return false
+	}
+	return (t.unassigned || s.hasTurn(now, t, w.Rank)) && s.suits(now, t, w)
+}
+
 // suits reports whether the request may go to the target although faster ones may
 // exist.
 //
@@ -53,10 +63,14 @@
 	if s.maxPrefillRate == 0 || !t.speedKnown() {
 		return true
 	}
-	if s.expectedDuration(t, w) > s.tuning.MaxDurationFraction*w.Deadline.Sub(now).Seconds() && s.expectedDuration(s.fastest, w) < s.expectedDuration(t, w) {
+	fastest := s.fastestFor(w)
+	if fastest == nil || fastest == t {
+		return true
+	}
+	if s.expectedDuration(t, w) > s.tuning.MaxDurationFraction*w.Deadline.Sub(now).Seconds() && s.expectedDuration(fastest, w) < s.expectedDuration(t, w) {
 		return false
 	}
-	if w.Gap <= 0 || s.occupied(now, t) == 0 || s.prefillRate(t) > s.tuning.SlowPrefillRatio*s.maxPrefillRate {
+	if w.Gap <= 0 || s.occupied(now, t) == 0 || s.prefillRate(t) > s.tuning.SlowPrefillRatio*s.prefillRate(fastest) {
 		return true
 	}
 	stall := float64(min(w.Cost.Prompt, s.tokensPerEvent()*prefillChunk)) / s.prefillRate(t)
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -77,8 +77,8 @@
 	if !s.backpressure.AnyBackoff(now) {
 		return first
 	}
-	for _, t := range s.shared {
-		if t.isLeaving() {
+	for _, t := range s.targetsFor(w) {
+		if !mayRun(t, w) {
 			continue
 		}
 		until := t.declared.BackoffEnds(now, w.Sender)
@@ -174,11 +174,17 @@
 // totalLimit returns the requests per second that the targets take together. It reports false
 // if one of them names no limit.
 func (s *Scheduler) totalLimit() (perSecond float64, ok bool) {
+	return s.limitFor(&fireflypath.Work{})
+}
+
+// limitFor returns the requests per second that the targets which may run the request take together. It
+// reports false if one of them names no limit.
+func (s *Scheduler) limitFor(w *fireflypath.Work) (perSecond float64, ok bool) {
 	if s.backpressure.Len() == 0 {
 		return 0, false
 	}
-	for _, t := range s.shared {
-		if t.isLeaving() {
+	for _, t := range s.targetsFor(w) {
+		if !hasVersion(t, w) || t.isLeaving() {
 			continue
 		}
 		r, limited := t.declared.Rate()
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -46,7 +46,7 @@
 	if r <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(ahead) / r * float64(time.Second)), true
+	return max(time.Duration(float64(ahead)/r*float64(time.Second)), s.versionWait(now, w, r)), true
 }
 
 // hopeless reports whether the request is refused on arrival, because its turn is expected to
@@ -65,22 +65,13 @@
 	return wait, known && wait > longest
 }
 
-// triedAllTargets reports whether the request was sent to all targets that are in service. It
-// would wait to its deadline for another one.
-func (s *Scheduler) triedAllTargets(w *fireflypath.Work) bool {
-	if len(w.Avoid) == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(s.shared, func(t *target) bool { return !t.isLeaving() && !slices.Contains(w.Avoid, t.Name) })
-}
-
 // declaredWait returns how long the request would wait by what the targets have declared. It
 // reports false if one of them is free to take it.
 func (s *Scheduler) declaredWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
 	if until := s.earliestBackoffEnd(now, w); !until.IsZero() {
 		return until.Sub(now), true
 	}
-	if perSecond, ok := s.totalLimit(); ok {
+	if perSecond, ok := s.limitFor(w); ok {
 		return s.limitedWait(now, w, perSecond), true
 	}
 	return 0, false
@@ -151,8 +142,8 @@
 // freeSlots returns the number of free slots at targets that accept requests of the work's sender.
 func (s *Scheduler) freeSlots(now time.Time, w *fireflypath.Work) int {
 	n := 0
-	for _, t := range s.shared {
-		if s.accepts(now, t, 0) && !s.inBackoff(now, t, w) {
+	for _, t := range s.targetsFor(w) {
+		if mayRun(t, w) && s.busyReason(now, t, 0) == "" && !s.inBackoff(now, t, w) {
 			n += s.limitFreeSlots(now, t, t.slots()-s.occupied(now, t))
 		}
 	}
@@ -168,6 +159,10 @@
 func (s *Scheduler) Expire(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
+		if s.versionLost(w) {
+			out = append(out, s.shed(now, w, noTargetDetail))
+			continue
+		}
 		if now.Before(s.expiresAt(w)) {
 			kept = append(kept, w)
 			continue
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -39,6 +39,8 @@
 	// expiryMargin is how long before its deadline a waiting request expires. Even
 	// the shortest answers take longer, so the request could only be cut off.
 	expiryMargin = 30 * time.Millisecond
+	// noTargetDetail is the detail of the refusal of a request that no target may run.
+	noTargetDetail = "no target is left that may run it and has not been tried"
 )
 
 // Scheduler implements fireflypath.Scheduler for one pool at one daemon. It is not
@@ -53,11 +55,13 @@
 	shared []*target
 	// list holds all targets as last set. replaced holds the ones removed by the change that is
 	// being applied.
-	list        targets.List
-	replaced    map[string]*target
-	waiting     []*fireflypath.Work
-	inFlight    map[*fireflypath.Work]dispatched
-	completions rate.Meter
+	list     targets.List
+	replaced map[string]*target
+	waiting  []*fireflypath.Work
+	// neededVersions lists the versions that waiting work needs, as of the last call of Next.
+	neededVersions []string
+	inFlight       map[*fireflypath.Work]dispatched
+	completions    rate.Meter
 	// slotTime is the moving average of how long a request occupies a slot, in
 	// seconds.
 	slotTime float64
@@ -123,8 +127,8 @@
 	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
-	if s.triedAllTargets(w) {
-		return append(out, s.shed(now, w, "no target is left that has not been tried"))
+	if s.noTargetLeft(w) {
+		return append(out, s.shed(now, w, noTargetDetail))
 	}
 	if wait, refuse := s.hopeless(now, w); refuse && !s.admitStarved(now, w) {
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
@@ -178,7 +182,11 @@
 // Next chooses the next request and its target and counts it as in flight. A
 // starved tier goes first.
 func (s *Scheduler) Next(now time.Time, p *fireflypath.Placement) bool {
-	if len(s.waiting) == 0 || s.equalShareUsed() || !s.anyTargetAccepts(now) {
+	if len(s.waiting) == 0 || s.equalShareUsed() {
+		return false
+	}
+	s.findNeededVersions()
+	if !s.anyTargetAccepts(now) {
 		return false
 	}
 	_, s.allLimited = s.totalLimit()
@@ -231,6 +239,9 @@
 }
 
 func (s *Scheduler) anyTargetAccepts(now time.Time) bool {
+	if len(s.neededVersions) > 0 {
+		return true // such work may go to targets that are not shared
+	}
 	for _, t := range s.shared {
 		if s.accepts(now, t, s.pipelined(t)+s.tuning.MaxTargetQueue) {
 			return true
@@ -269,6 +280,9 @@
 func (s *Scheduler) Wake(now time.Time) time.Time {
 	var at time.Time
 	for _, w := range s.waiting {
+		if s.versionLost(w) {
+			return now
+		}
 		if due := s.expiresAt(w); at.IsZero() || due.Before(at) {
 			at = due
 		}
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -191,9 +191,15 @@
 // skipReason returns why the target accepts no request, or "" if it does. extra is
 // the number of requests allowed beyond its slots.
 func (s *Scheduler) skipReason(now time.Time, t *target, extra int) string {
-	switch {
-	case t.unassigned:
+	if t.unassigned {
 		return "foreign"
+	}
+	return s.busyReason(now, t, extra)
+}
+
+// busyReason returns why the target accepts no request of any daemon, or "" if it does.
+func (s *Scheduler) busyReason(now time.Time, t *target, extra int) string {
+	switch {
 	case t.isLeaving():
 		return "leaving"
 	case now.Before(t.ejectedUntil):
--- a/internal/decide/slots/views.go
+++ b/internal/decide/slots/views.go
@@ -9,9 +9,13 @@
 // candidates appends the targets as they were when a request was dispatched.
 func (s *Scheduler) candidates(now time.Time, w *fireflypath.Work, out []fireflypath.Candidate) []fireflypath.Candidate {
 	for _, t := range s.shared {
+		reason := s.skipReason(now, t, s.allowedExtra(t, w.Rank))
+		if !hasVersion(t, w) {
+			reason = "version"
+		}
 		c := fireflypath.Candidate{
 			Target: t.Name, InFlight: t.pendingPrefill, Reported: s.otherRequests(now, t), Age: now.Sub(t.reportedAt),
-			Window: t.slots(), Score: s.score(now, t, w), SkipReason: s.skipReason(now, t, s.allowedExtra(t, w.Rank)),
+			Window: t.slots(), Score: s.score(now, t, w), SkipReason: reason,
 		}
 		out = append(out, c)
 	}
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -153,6 +153,7 @@
 		}
 		if len(chunk) > 0 {
 			g.recordFirstByte(c, att)
+			c.version = att.target.Version
 			if !c.headerWritten {
 				g.writeHeader(c, a, -1)
 			}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -72,6 +72,9 @@
 	// chunks counts the forwarded chunks of events; lastEvent is the id of the last event.
 	chunks    int
 	lastEvent string
+	// version is the version of the targets that may go on with the stream, or empty if it has not
+	// begun.
+	version string
 	// resumes is the id of the request whose answer began the stream that the caller resumes.
 	resumes string
 	// lastSent is when the last chunk was forwarded, maxGap the longest time between chunks.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -138,7 +138,7 @@
 			ID: c.id, Rank: c.rank, Pool: c.pool, Arrived: c.arrived, Deadline: c.deadline,
 			Goal: c.firstByteDeadline(), Cost: c.cost, Bytes: len(c.body), Weight: 1,
 			Gap: c.route.Gap.Std(), ExpectedOutput: c.expectedOutput,
-			Idempotent: c.route.Repeat == fireflypath.RepeatSafe,
+			Idempotent: c.route.Repeat == fireflypath.RepeatSafe, Version: c.version,
 		},
 		Config: c.cfg, WaitResult: make(chan request.WaitResult, 1),
 	}
--- a/request.go
+++ b/request.go
@@ -113,6 +113,8 @@
 	ExpectedOutput int
 	// Avoid lists the targets that the request was already sent to.
 	Avoid []string
+	// Version is the version of the software of the targets that may run the work; empty if any may.
+	Version string
 	// Sender is the daemon that sends the work, if another one decides where.
 	Sender string
 	// RetriedEarly is true if the caller retried before the time given in its last refusal.
