fix(gate): a stream that its caller resumes goes on at the version that began it

Callers whose stream broke came back at another daemon and got the rest of it from a target of another version: no line read what the request resumes, and no daemon knew what another one had seen.

When a second version appears, the streams that have begun until then are recorded too. Where nobody has a record, the stream goes on only if no other version can have begun it, as a daemon with a fresh view over that time says, and is refused as not run otherwise.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/fireflypath/fireflypath/internal/leaving"
 	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/order"
+	"github.com/fireflypath/fireflypath/internal/origins"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
 	"github.com/fireflypath/fireflypath/internal/route"
@@ -106,6 +107,7 @@
 
 	// The fields below are set only in a daemon with a gate.
 	quarantine   *quarantine.Quarantine
+	origins      *origins.Registry
 	directory    *directory.Directory
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -63,6 +63,7 @@
 		quarantineStep{},
 		directoryStep{},
 		gatedScheduling{},
+		originsStep{},
 		records{},
 		gateStep{},
 		gatedMembership{},
@@ -264,7 +265,7 @@
 	d.targetClient = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID, d.targetDialer())
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
-		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder,
+		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder, Origins: d.origins,
 		Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
--- /dev/null
+++ b/internal/decide/origin/history.go
@@ -0,0 +1,116 @@
+package origin
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fireflypath/fireflypath"
+)
+
+const (
+	// returnSlack is how long after the longest time limit of a stream its caller may come back: the
+	// time limit counts from when a daemon accepted the request.
+	returnSlack = 2 * time.Second
+	// defaultTimeout is the time limit of routes that set none.
+	defaultTimeout = 30 * time.Second
+)
+
+// History remembers which versions each pool has had for as long as a stream may last. It is not safe for
+// concurrent use.
+type History struct {
+	// retention is the longest time between the beginning of a stream and its caller's return.
+	retention time.Duration
+	startedAt time.Time
+	present   map[string]map[string]bool
+	// lastSeen holds when versions went that are not present, by pool.
+	lastSeen map[string]map[string]time.Time
+}
+
+// NewHistory returns a history that has seen nothing.
+func NewHistory() *History {
+	return &History{present: map[string]map[string]bool{}, lastSeen: map[string]map[string]time.Time{}}
+}
+
+// Observe records a configuration. It returns the pools that now have several versions and had not before.
+func (h *History) Observe(now time.Time, cfg *fireflypath.Config) []string {
+	if cfg.Generation == 0 {
+		return nil // nothing is known yet
+	}
+	if h.startedAt.IsZero() {
+		h.startedAt = now
+	}
+	for i := range cfg.Routes {
+		if r := &cfg.Routes[i]; r.Resumable {
+			h.retention = max(h.retention, timeoutOf(r)+returnSlack)
+		}
+	}
+	present := map[string]map[string]bool{}
+	for i := range cfg.Targets {
+		t := &cfg.Targets[i]
+		if present[t.Pool] == nil {
+			present[t.Pool] = map[string]bool{}
+		}
+		present[t.Pool][t.Version] = true
+	}
+	var mixed []string
+	for pool := range present {
+		if !h.Mixed(now, pool) {
+			mixed = append(mixed, pool)
+		}
+	}
+	h.replace(now, present)
+	return slices.DeleteFunc(mixed, func(pool string) bool { return !h.Mixed(now, pool) })
+}
+
+func timeoutOf(r *fireflypath.Route) time.Duration {
+	if d := r.Timeout.Std(); d > 0 {
+		return d
+	}
+	return defaultTimeout
+}
+
+// replace sets the versions that are present.
+func (h *History) replace(now time.Time, present map[string]map[string]bool) {
+	for pool, versions := range h.present {
+		for v := range versions {
+			if present[pool][v] {
+				continue
+			}
+			if h.lastSeen[pool] == nil {
+				h.lastSeen[pool] = map[string]time.Time{}
+			}
+			h.lastSeen[pool][v] = now
+		}
+	}
+	h.present = present
+	for pool, versions := range h.lastSeen {
+		maps.DeleteFunc(versions, func(v string, at time.Time) bool { return present[pool][v] || now.Sub(at) > h.retention })
+		if len(versions) == 0 {
+			delete(h.lastSeen, pool)
+		}
+	}
+}
+
+// Versions returns the versions that the pool has had for as long as a stream may last, in order.
+func (h *History) Versions(now time.Time, pool string) []string {
+	out := slices.Collect(maps.Keys(h.present[pool]))
+	for v, at := range h.lastSeen[pool] {
+		if now.Sub(at) <= h.retention && !h.present[pool][v] {
+			out = append(out, v)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Mixed reports whether streams of several versions may go on in the pool.
+func (h *History) Mixed(now time.Time, pool string) bool { return len(h.Versions(now, pool)) > 1 }
+
+// Complete reports whether the history covers as long as a stream may last.
+func (h *History) Complete(now time.Time) bool {
+	return !h.startedAt.IsZero() && now.Sub(h.startedAt) >= h.retention
+}
+
+// Retention returns for how long records of streams are needed.
+func (h *History) Retention() time.Duration { return h.retention }
--- /dev/null
+++ b/internal/decide/origin/origin.go
@@ -0,0 +1,83 @@
+// Package origin decides at which version of a pool a stream began that its caller resumes.
+//
+// It answers roll-outs during which two versions serve side by side: what two versions write does not fit
+// together, the daemon that began a stream may have ended, and a caller comes back at any other one. A
+// wrong guess corrupts an answer, a refusal costs one, so that nothing is guessed: either a daemon has a
+// record of the stream, or only one version can have begun it.
+package origin
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies a stream by its team and the ID of the request that began it. 0 is no stream.
+type Key uint64
+
+// KeyOf returns the key of the stream that a team's request began. An empty ID has no key.
+func KeyOf(team, id string) Key {
+	if id == "" {
+		return 0
+	}
+	return Key(xxhash.Sum64String(team + "\x00" + id))
+}
+
+// Origin is where a stream began.
+type Origin struct {
+	Pool    string
+	Version string
+}
+
+// Evidence is what one daemon knows of a stream and of the pool in which it may have begun.
+type Evidence struct {
+	// Found is true if the daemon has a record of the stream, and Origin is what it says. Conflicting
+	// is true if it has several that differ.
+	Found       bool
+	Conflicting bool
+	Origin      Origin
+	// Versions lists the versions that the daemon has seen in the pool for as long as a stream may
+	// last.
+	Versions []string
+	// Complete is true if the daemon has seen all versions of that time, up to now.
+	Complete bool
+}
+
+// Infer returns where the stream began, by what this daemon and others know. pools are those in which it
+// may have begun. It reports false if nobody knows.
+func Infer(pools []string, all []Evidence) (Origin, bool) {
+	var found *Origin
+	for i := range all {
+		e := &all[i]
+		if e.Conflicting || e.Found && found != nil && *found != e.Origin {
+			return Origin{}, false
+		}
+		if e.Found {
+			found = &e.Origin
+		}
+	}
+	if found != nil {
+		return *found, true
+	}
+	return onlyVersion(pools, all)
+}
+
+// onlyVersion returns the version of a pool in which no other one can have begun a stream.
+func onlyVersion(pools []string, all []Evidence) (Origin, bool) {
+	if len(pools) != 1 || !slices.ContainsFunc(all, func(e Evidence) bool { return e.Complete }) {
+		return Origin{}, false
+	}
+	version := ""
+	for _, e := range all {
+		for _, v := range e.Versions {
+			if version != "" && v != version {
+				return Origin{}, false
+			}
+			version = v
+		}
+	}
+	if version == "" {
+		return Origin{}, false
+	}
+	return Origin{Pool: pools[0], Version: version}, true
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -202,6 +202,7 @@
 	var a *http1.Response
 	for unsent := 0; ; unsent++ {
 		var err error
+		g.recordOrigin(c, att)
 		stop := g.watchForSilence(c, att, cancel)
 		a, err = g.deps.Client.Send(ctx, att.target, g.targetRequest(c, att))
 		stop()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/origin"
 	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
@@ -34,8 +36,10 @@
 	Recorder  fireflypath.Recorder
 	// Quarantine may be nil; then no request is held.
 	Quarantine Quarantine
-	Scope      tally.Scope
-	Log        *zap.Logger
+	// Origins may be nil; then a caller's resumed stream may go on at any target.
+	Origins Origins
+	Scope   tally.Scope
+	Log     *zap.Logger
 	// MaxKeyViewAge is the maximum age of the configuration view for requests with a key:
 	// the key may have been revoked since.
 	MaxKeyViewAge time.Duration
@@ -58,6 +62,16 @@
 	Served(d digest.Digest, t fireflypath.Target, sent time.Time)
 }
 
+// Origins knows at which versions of pools streams began.
+type Origins interface {
+	// Began records that a target of the origin is sent the request of a stream, or goes on with it.
+	// alone is true if streams of the route can begin in one pool only.
+	Began(key origin.Key, o origin.Origin, alone bool)
+	// Find returns where a stream began that may have begun in one of the pools. It reports false if
+	// nobody knows.
+	Find(ctx context.Context, key origin.Key, pools []string) (origin.Origin, bool)
+}
+
 // Gate forwards callers' requests to targets. It implements http.Handler.
 type Gate struct {
 	deps    Deps
@@ -90,6 +104,9 @@
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
 	}
+	if g.deps.Origins == nil {
+		g.deps.Origins = noOrigins{}
+	}
 	for _, name := range g.headers.DaemonOnly {
 		g.droppedHeaders[http1.CanonicalHeader(name)] = true
 	}
@@ -105,6 +122,7 @@
 		{"identify work", g.computeDigest},
 		{"hold", g.refuseIfHeld},
 		{"measure", g.setDeadlineAndCost},
+		{"resume", g.findOrigin},
 		{"admit", g.takeQuota},
 		{"forward", g.forward},
 	}
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -17,6 +17,9 @@
 	reasonQuota fireflypath.Reason = "quota"
 	// reasonHeld means that the request is quarantined because it crashed targets.
 	reasonHeld fireflypath.Reason = "held"
+	// reasonUnknownOrigin means that nobody knows at which version a stream began that the caller
+	// resumes, or that its pool does not serve the route any longer.
+	reasonUnknownOrigin fireflypath.Reason = "unknown-origin"
 	// reasonTimeout means that the deadline passed while a target ran the request.
 	reasonTimeout fireflypath.Reason = "timeout"
 )
--- /dev/null
+++ b/internal/gate/resume.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/origin"
+)
+
+// findOrigin restricts the request of a caller that resumes a stream to the version that began it. What
+// two versions write does not fit together, so that a stream whose version nobody knows is refused.
+func (g *Gate) findOrigin(c *call) *refusal {
+	if !c.route.Resumable || c.lastEvent == "" && c.resumes == "" {
+		return nil
+	}
+	pools := poolsOf(c.route)
+	o, ok := g.deps.Origins.Find(c.ctx, c.streamKey(c.resumes), pools)
+	switch {
+	case !ok:
+		return notRun(reasonUnknownOrigin, "no daemon knows which version began the stream", defaultRetryAfter)
+	case o == origin.Origin{}:
+		return nil
+	case !slices.Contains(pools, o.Pool):
+		return notRun(reasonUnknownOrigin, "the pool that began the stream does not serve the route any longer", 0)
+	}
+	c.pool, c.version = o.Pool, o.Version
+	g.deps.Log.Info("stream resumed", zap.String("request", c.id), zap.String("resumes", c.resumes),
+		zap.String("after", c.lastEvent), zap.String("pool", o.Pool), zap.String("version", o.Version))
+	return nil
+}
+
+// recordOrigin records which version is about to answer. A caller that comes back names the request
+// that brought its first event, which may be an earlier one.
+func (g *Gate) recordOrigin(c *call, att *attempt) {
+	if !c.route.Resumable {
+		return
+	}
+	o, alone := origin.Origin{Pool: c.pool, Version: att.target.Version}, len(c.route.Split) == 1
+	g.deps.Origins.Began(c.streamKey(c.id), o, alone)
+	g.deps.Origins.Began(c.streamKey(c.resumes), o, alone)
+}
+
+// streamKey returns the key of the stream that a request of the caller's team began.
+func (c *call) streamKey(id string) origin.Key {
+	if c.team == nil {
+		return origin.KeyOf("", id)
+	}
+	return origin.KeyOf(c.team.Name, id)
+}
+
+// poolsOf returns the pools that serve a route.
+func poolsOf(r *fireflypath.Route) []string {
+	out := make([]string, 0, len(r.Split))
+	for _, s := range r.Split {
+		out = append(out, s.Pool)
+	}
+	return out
+}
+
+// noOrigins is an Origins that restricts nothing.
+type noOrigins struct{}
+
+func (noOrigins) Began(origin.Key, origin.Origin, bool) {}
+
+func (noOrigins) Find(context.Context, origin.Key, []string) (origin.Origin, bool) {
+	return origin.Origin{}, true
+}
--- /dev/null
+++ b/internal/origins/exchange.go
@@ -0,0 +1,206 @@
+package origins
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/origin"
+	"github.com/fireflypath/fireflypath/internal/logs"
+)
+
+const (
+	methodRecord = "origins.record"
+	methodFind   = "origins.find"
+	// keySize is the size of a key in a message, in bytes.
+	keySize = 8
+)
+
+// recordMessage carries records, grouped by where the streams began.
+type recordMessage struct {
+	Groups []recordGroup `json:"g"`
+}
+
+type recordGroup struct {
+	Pool    string `json:"p"`
+	Version string `json:"v"`
+	// Keys holds keySize bytes for each stream.
+	Keys []byte `json:"k"`
+}
+
+// findRequest asks for evidence.
+type findRequest struct {
+	Key   uint64   `json:"k,omitempty"`
+	Pools []string `json:"p"`
+}
+
+// findResponse is the evidence of one daemon.
+type findResponse struct {
+	Found       bool     `json:"f,omitempty"`
+	Conflicting bool     `json:"x,omitempty"`
+	Pool        string   `json:"p,omitempty"`
+	Version     string   `json:"v,omitempty"`
+	Versions    []string `json:"a,omitempty"`
+	Complete    bool     `json:"c,omitempty"`
+}
+
+// add adds a record to a message.
+func (m *recordMessage) add(key origin.Key, o origin.Origin) {
+	for i := range m.Groups {
+		if g := &m.Groups[i]; g.Pool == o.Pool && g.Version == o.Version {
+			g.Keys = binary.BigEndian.AppendUint64(g.Keys, uint64(key))
+			return
+		}
+	}
+	m.Groups = append(m.Groups, recordGroup{Pool: o.Pool, Version: o.Version, Keys: binary.BigEndian.AppendUint64(nil, uint64(key))})
+}
+
+// each calls fn for each record of a message.
+func (m *recordMessage) each(fn func(origin.Key, origin.Origin)) {
+	for _, g := range m.Groups {
+		for keys := g.Keys; len(keys) >= keySize; keys = keys[keySize:] {
+			fn(origin.Key(binary.BigEndian.Uint64(keys)), origin.Origin{Pool: g.Pool, Version: g.Version})
+		}
+	}
+}
+
+// handleRecord receives records of another daemon.
+func (r *Registry) handleRecord(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var m recordMessage
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, errors.Wrap(err, "decode records of streams")
+	}
+	now := r.deps.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.each(func(key origin.Key, o origin.Origin) { r.table.Record(now, key, from, o) })
+	return struct{}{}, nil
+}
+
+// handleFind returns this daemon's evidence.
+func (r *Registry) handleFind(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var req findRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.Wrap(err, "decode a search for a stream")
+	}
+	e := r.evidence(origin.Key(req.Key), req.Pools)
+	return findResponse{
+		Found: e.Found, Conflicting: e.Conflicting, Pool: e.Origin.Pool, Version: e.Origin.Version,
+		Versions: e.Versions, Complete: e.Complete,
+	}, nil
+}
+
+// delivery is a message for one daemon.
+type delivery struct {
+	to      fireflypath.Member
+	message recordMessage
+}
+
+// sendRecords sends the collected records to their holders. Those that a holder does not take go to the
+// next candidate.
+func (r *Registry) sendRecords(ctx context.Context) {
+	r.mu.Lock()
+	records := r.outbox
+	r.outbox = map[origin.Key]origin.Origin{}
+	r.mu.Unlock()
+	members := r.deps.Members.Live()
+	first, missing := map[string]*delivery{}, map[origin.Key]int{}
+	for key, o := range records {
+		candidates := origin.Candidates(members, r.deps.Self, key)
+		for _, m := range candidates[:min(len(candidates), origin.Copies(len(members)))] {
+			addDelivery(first, m, key, o)
+		}
+	}
+	for _, d := range r.deliver(ctx, first) {
+		d.message.each(func(key origin.Key, _ origin.Origin) { missing[key]++ })
+	}
+	if len(missing) == 0 || ctx.Err() != nil {
+		return
+	}
+	second := map[string]*delivery{}
+	for key, n := range missing {
+		candidates := origin.Candidates(members, r.deps.Self, key)
+		from := min(origin.Copies(len(members)), len(candidates))
+		for _, m := range candidates[from:min(from+n, len(candidates))] {
+			addDelivery(second, m, key, records[key])
+		}
+	}
+	r.deliver(ctx, second)
+}
+
+func addDelivery(all map[string]*delivery, to fireflypath.Member, key origin.Key, o origin.Origin) {
+	d := all[to.Name]
+	if d == nil {
+		d = &delivery{to: to}
+		all[to.Name] = d
+	}
+	d.message.add(key, o)
+}
+
+// deliver sends messages at the same time and returns those that failed.
+func (r *Registry) deliver(ctx context.Context, all map[string]*delivery) []*delivery {
+	failed := make(chan *delivery, len(all))
+	var wg conc.WaitGroup
+	for _, d := range all {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+			defer cancel()
+			var ignored struct{}
+			if err := r.deps.Peers.Call(ctx, d.to, methodRecord, d.message, &ignored); err != nil {
+				r.metrics.sendFailures.Inc(1)
+				r.deps.Log.Debug("records of streams not sent", zap.String("to", d.to.Name), logs.Err(err))
+				failed <- d
+				return
+			}
+			r.metrics.sent.Inc(1)
+		})
+	}
+	wg.Wait()
+	close(failed)
+	var out []*delivery
+	for d := range failed {
+		out = append(out, d)
+	}
+	return out
+}
+
+// ask returns the evidence of other daemons. found is true if one of them has a record, and then the
+// others are not waited for.
+func (r *Registry) ask(ctx context.Context, key origin.Key, pools []string) (all []origin.Evidence, found bool) {
+	if r.deps.Peers == nil {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	candidates := origin.Candidates(r.deps.Members.Live(), r.deps.Self, key)
+	results := make(chan *findResponse, len(candidates))
+	for _, m := range candidates {
+		go func() {
+			var response findResponse
+			if r.deps.Peers.Call(ctx, m, methodFind, findRequest{Key: uint64(key), Pools: pools}, &response) != nil {
+				results <- nil // a daemon that does not answer knows nothing
+				return
+			}
+			results <- &response
+		}()
+	}
+	for range candidates {
+		e := <-results
+		if e == nil {
+			continue
+		}
+		all = append(all, origin.Evidence{
+			Found: e.Found, Conflicting: e.Conflicting, Origin: origin.Origin{Pool: e.Pool, Version: e.Version},
+			Versions: e.Versions, Complete: e.Complete,
+		})
+		if e.Found || e.Conflicting {
+			return all, true
+		}
+	}
+	return all, false
+}
--- /dev/null
+++ b/internal/origins/origins.go
@@ -0,0 +1,187 @@
+// Package origins shares between daemons at which version of a pool streams began.
+//
+// A caller whose stream broke comes back at any daemon, often because the one that began it has ended.
+// While streams of several versions may go on, each daemon therefore writes a record of a stream to a few
+// others when it sends the request, and the daemon at which the caller comes back asks them.
+package origins
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/origin"
+	"github.com/fireflypath/fireflypath/internal/peer"
+)
+
+const (
+	// maxFreshAge is the age of a view of the targets up to which it shows all versions in use. A new
+	// version is used only by daemons that have seen its registration.
+	maxFreshAge = time.Second
+	// askTimeout is how long other daemons are waited for when a caller comes back.
+	askTimeout = 200 * time.Millisecond
+	// batchDelay is how long records are collected before they are sent. The first event of a stream
+	// takes longer.
+	batchDelay = 10 * time.Millisecond
+	// sendTimeout is how long a daemon may take to receive records before another one gets them.
+	sendTimeout = 300 * time.Millisecond
+)
+
+// Peers is the part of the peer endpoint that Registry uses.
+type Peers interface {
+	Handle(method string, m peer.Handler)
+	Call(ctx context.Context, to fireflypath.Member, method string, params, result any) error
+}
+
+// Deps are the dependencies of a Registry.
+type Deps struct {
+	// Self is this daemon's name.
+	Self string
+	// Peers and Members may be nil; then this daemon is the only one.
+	Peers     Peers
+	Members   fireflypath.Members
+	Configs   fireflypath.Configs
+	Freshness fireflypath.Freshness
+	Clock     clockwork.Clock
+	Scope     tally.Scope
+	Log       *zap.Logger
+}
+
+// Registry records where streams began and finds it for callers that come back.
+type Registry struct {
+	deps    Deps
+	metrics metrics
+	// wake has an element when there are records to send.
+	wake chan struct{}
+
+	mu      sync.Mutex
+	table   origin.Table
+	history *origin.History
+	outbox  map[origin.Key]origin.Origin
+}
+
+type metrics struct {
+	sent, sendFailures                       tally.Counter
+	foundHere, foundElsewhere, only, unknown tally.Counter
+}
+
+// New returns a registry without records. It must be called before the endpoint of Peers serves.
+func New(deps Deps) *Registry {
+	scope := deps.Scope.SubScope("origins")
+	r := &Registry{
+		deps: deps, wake: make(chan struct{}, 1), history: origin.NewHistory(), outbox: map[origin.Key]origin.Origin{},
+		metrics: metrics{
+			sent: scope.Counter("sent"), sendFailures: scope.Counter("send_failures"),
+			foundHere: scope.Counter("found_here"), foundElsewhere: scope.Counter("found_elsewhere"),
+			only: scope.Counter("only_version"), unknown: scope.Counter("unknown"),
+		},
+	}
+	if deps.Peers != nil {
+		deps.Peers.Handle(methodRecord, r.handleRecord)
+		deps.Peers.Handle(methodFind, r.handleFind)
+	}
+	return r
+}
+
+// Run follows the configuration and sends records until the context ends.
+func (r *Registry) Run(ctx context.Context) {
+	for {
+		cfg := r.deps.Configs.Current()
+		r.observe(cfg)
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.deps.Configs.Changed(cfg.Generation):
+		case <-r.wake:
+			r.deps.Clock.Sleep(batchDelay)
+			r.sendRecords(ctx)
+		}
+	}
+}
+
+// observe updates the history. When a pool gets a second version, the streams that have begun until then
+// need records elsewhere.
+func (r *Registry) observe(cfg *fireflypath.Config) {
+	now := r.deps.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Prune(now.Add(-r.history.Retention()))
+	for _, pool := range r.history.Observe(now, cfg) {
+		r.table.Each(pool, r.deps.Self, func(key origin.Key, o origin.Origin) { r.outbox[key] = o })
+		r.deps.Log.Info("pool has several versions, streams are recorded", zap.String("pool", pool), zap.Strings("versions", r.history.Versions(now, pool)))
+	}
+	r.wakeIfNeeded()
+}
+
+// Began records that a target of the origin is sent the request of a stream, or goes on with it. alone is
+// true if streams of the route can begin in one pool only.
+func (r *Registry) Began(key origin.Key, o origin.Origin, alone bool) {
+	if key == 0 {
+		return
+	}
+	now := r.deps.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Record(now, key, r.deps.Self, o)
+	// In a fleet that has just started, nobody can say yet that there was no other version.
+	if !alone || r.history.Mixed(now, o.Pool) || !r.history.Complete(now) {
+		r.outbox[key] = o
+		r.wakeIfNeeded()
+	}
+}
+
+// wakeIfNeeded wakes Run if there are records to send. The caller holds mu.
+func (r *Registry) wakeIfNeeded() {
+	if len(r.outbox) == 0 || r.deps.Peers == nil {
+		clear(r.outbox)
+		return
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Find returns where a stream began that may have begun in one of the pools. It reports false if nobody
+// knows: then the stream must not go on.
+func (r *Registry) Find(ctx context.Context, key origin.Key, pools []string) (origin.Origin, bool) {
+	own := r.evidence(key, pools)
+	if own.Found {
+		r.metrics.foundHere.Inc(1)
+		return own.Origin, true
+	}
+	if o, ok := origin.Infer(pools, []origin.Evidence{own}); ok {
+		r.metrics.only.Inc(1)
+		return o, true
+	}
+	all, found := r.ask(ctx, key, pools)
+	o, ok := origin.Infer(pools, append(all, own))
+	switch {
+	case !ok:
+		r.metrics.unknown.Inc(1)
+	case found:
+		r.metrics.foundElsewhere.Inc(1)
+	default:
+		r.metrics.only.Inc(1)
+	}
+	return o, ok
+}
+
+// evidence returns what this daemon knows.
+func (r *Registry) evidence(key origin.Key, pools []string) origin.Evidence {
+	now := r.deps.Clock.Now()
+	fresh := r.deps.Freshness.Age() <= maxFreshAge
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.table.Find(key)
+	e.Complete = fresh && r.history.Complete(now)
+	for _, pool := range pools {
+		e.Versions = append(e.Versions, r.history.Versions(now, pool)...)
+	}
+	return e
+}
