test(sim): engines of several versions that break answers off

Streams of the simulation now have the version of the engine that began them; loads versions and versions-release break off answers, replace and crash engines and restart daemons. The simulation has no bytes, so that answers without a frame are not in it.

--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -44,11 +44,12 @@
 	c.work = fireflypath.Work{
 		ID: r.id + "-" + strconv.Itoa(c.number), Rank: r.rank, Pool: poolName, Weight: 1, Arrived: now, Deadline: r.deadline(),
 		Goal: r.goal(), Cost: fireflypath.Cost{Prompt: r.prompt + r.generated, MaxOutput: r.outputEstimate}, ExpectedOutput: max(r.outputEstimate-r.generated, 1),
-		Gap: k.Gap.Duration(), Idempotent: k.Repeat, Avoid: c.avoid,
+		Gap: k.Gap.Duration(), Idempotent: k.Repeat, Avoid: c.avoid, Version: r.version,
 	}
 	if r.generated == 0 {
 		c.work.PatienceEnds = now.Add(k.Patience())
 	}
+	r.countOffer()
 	c.d.offer(c)
 }
 
@@ -184,6 +185,8 @@
 	}
 	r, now := c.r, c.r.w.loop.Now()
 	if c.events == 0 {
+		r.recordVersion(c.target)
+		c.scheduleBreak()
 		if !c.viaPeer {
 			c.d.paths.Answered()
 		}
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -52,8 +52,10 @@
 	// longestGap describe the output events.
 	generated    int
 	firstEventAt time.Time
-	lastEventAt  time.Time
-	longestGap   time.Duration
+	// version is the version of the engine that sent the first event, or "".
+	version     string
+	lastEventAt time.Time
+	longestGap  time.Duration
 	// dispatchedAt is the time of the first dispatch of the first attempt.
 	dispatchedAt time.Time
 	// counted is true if the first attempt was made while paths were lost, countedCut if at a daemon
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -31,6 +31,11 @@
 	Brittle []Brittle
 	// Cuts take the paths to engines from daemons.
 	Cuts []Cut
+	// Versions is the number of versions of the engines' software, which take turns in the order of their
+	// start. With fewer than two, versions do not matter.
+	Versions int
+	// Breaks make engines break answers off.
+	Breaks []Break
 	// Silences make engines fall silent for a moment.
 	Silences []Silence
 	// Restarts kill and restart daemons.
@@ -98,6 +103,12 @@
 	Daemons, Engines float64
 }
 
+// Break makes all engines break a fraction of their answers off.
+type Break struct {
+	At, Duration time.Duration
+	Fraction     float64
+}
+
 // Silence makes a fraction of the engines fall silent. They lose nothing and go on.
 type Silence struct {
 	At, Duration time.Duration
@@ -161,6 +172,12 @@
 		{Name: "silences", Rate: 0.8, Silences: []Silence{
 			{At: seconds(4), Duration: seconds(1.2), Fraction: 0.34}, {At: seconds(11), Duration: seconds(1.5), Fraction: 0.5},
 		}},
+		{Name: "versions", Rate: 0.8, Versions: 2, Breaks: []Break{{At: seconds(2), Duration: seconds(24), Fraction: 0.3}}},
+		{
+			Name: "versions-release", Rate: 0.8, Versions: 3, Breaks: []Break{{At: seconds(2), Duration: seconds(24), Fraction: 0.3}},
+			Outages:  []Outage{{At: seconds(4), Fraction: 0.6, Stagger: seconds(1.1), Planned: true}, {At: seconds(14), Duration: seconds(4), Fraction: 0.2}},
+			Restarts: []Restart{{At: seconds(8), Fraction: 0.34}, {At: seconds(18), Fraction: 0.34}},
+		},
 		{Name: "abuse", Rate: 1, Bursts: flashBursts(), Impatient: 0.3},
 		{Name: "overload", Rate: 1.6},
 	}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -50,6 +50,9 @@
 	cuts        map[*daemon]map[*target]bool
 	countingCut bool
 	cutCount    cutCount
+	streams     streamCounts
+	// breaking is the fraction of answers that engines break off at present.
+	breaking float64
 }
 
 // target is an engine together with its entry in the target list.
@@ -80,6 +83,7 @@
 		res.addBroken(t.broken)
 		res.Falls += t.brittleness.falls
 	}
+	res.Streams = w.streams
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
 	return res
@@ -91,7 +95,7 @@
 	t := &target{
 		Target: fireflypath.Target{
 			Name: fmt.Sprintf("t%03d", n), Pool: poolName, Addr: fmt.Sprintf("10.0.0.1:%d", n),
-			Domain: "d", Slots: w.options.Fleet.Engines.Slots,
+			Domain: "d", Slots: w.options.Fleet.Engines.Slots, Version: w.versionOf(n),
 		},
 		Engine: engine.New(w.loop, w.options.Fleet.Engines, speed), speed: speed, notices: newNotices(),
 	}
@@ -156,6 +160,9 @@
 	for _, b := range w.options.Load.Brittle {
 		w.loop.After(b.At, func() { w.applyBrittle(b) })
 	}
+	for _, b := range w.options.Load.Breaks {
+		w.loop.After(b.At, func() { w.breakOff(b) })
+	}
 	for _, c := range w.options.Load.Cuts {
 		w.loop.After(c.At, func() { w.applyCut(c) })
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// Engines of several versions serve side by side, are replaced, break answers off and crash while daemons
+// restart. No stream may hold events of two versions, and streams that are taken up again must go on at
+// least half as often as new ones begin.
+func TestStreamsKeepTheirVersion(t *testing.T) {
+	for _, pattern := range []string{"versions", "versions-release"} {
+		for _, mix := range []string{"gent", "norte"} {
+			t.Run(pattern+" "+mix, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				for seed := range uint64(3) {
+					s := simulate(t, mix, pattern, seed+1, seed < 2).Streams
+					is.Equal(s.Mixed, 0)
+					is.True(s.Resumed >= 12)
+					is.True(2*s.WentOn*s.New >= s.Began*s.Resumed)
+				}
+			})
+		}
+	}
+}
+
 func TestRunIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	for _, dispatched := range []bool{false, true} {
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -68,6 +68,8 @@
 	// at the same time.
 	Falls                                      int `json:"falls"`
 	CutSent, CutServed, OtherSent, OtherServed int `json:"-"`
+	// Streams counts streams where engines have several versions.
+	Streams streamCounts `json:"-"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -32,6 +32,8 @@
 	attempted, succeeded *atomic.Int64
 	// losses holds the window in which requests are counted.
 	losses *atomic.Pointer[lossWindow]
+	// streams counts the streams that may be resumed.
+	streams *streamCounts
 	// sendsSharedBody makes some requests use sharedBody, and some repeat a failed one.
 	sendsSharedBody bool
 	// failedBody and failedPath are those of the last request if it failed. It may be
@@ -68,31 +70,23 @@
 // sendBody sends one request and reports whether it received a complete successful
 // response.
 func (c *caller) sendBody(ctx context.Context, id, path, body string) (served bool) {
-	d := c.daemons[c.rnd.IntN(len(c.daemons))]
-	limit := 3 * time.Second
-	if l := c.losses.Load(); l != nil {
-		defer func() { l.record(d, served) }()
-	}
-	form := ""
-	if path == "/stream/" || path == "/resume/" {
-		form = "?form=events"
-	}
+	limit := requestTimeout
+	events := path == "/stream/" || path == "/resume/"
 	// Some callers give up early.
 	if c.rnd.IntN(40) == 0 {
 		limit = time.Duration(1+c.rnd.IntN(100)) * time.Millisecond
 	}
+	runCtx := ctx
 	ctx, cancel := context.WithTimeout(ctx, limit+time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddr+path+"x"+form, bytes.NewReader([]byte(body)))
+	r, d, err := c.newRequest(ctx, id, path, body, c.keys.random(c.rnd))
 	if err != nil {
 		return false
 	}
-	key := c.keys.random(c.rnd)
-	// Prevents http.Transport from resending the request on its own.
-	r.GetBody = nil
-	r.Host = host
-	r.Header.Set(c.headers.ID, id)
-	r.Header.Set(c.headers.Key, key)
+	if l := c.losses.Load(); l != nil {
+		defer func() { l.record(d, served) }()
+	}
+	key := r.Header.Get(c.headers.Key)
 	r.Header.Set(c.headers.Deadline, strconv.FormatInt(limit.Milliseconds(), 10))
 	c.history.recordRequest(id, &request{atMostOnce: path == "/once/" || path == "/stream/", body: body, sentAt: time.Now(), key: key, daemon: d})
 	c.attempted.Add(1)
@@ -101,18 +95,53 @@
 		return false // a closed connection says nothing about whether the request ran
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, dropped, err := readStream(resp.Body, c.dropAfter(path))
+	if path == "/resume/" {
+		c.streams.countNew(resp.StatusCode == http.StatusOK && text != "")
+	}
+	if path == "/resume/" && resp.StatusCode == http.StatusOK && (dropped || err != nil) && strings.Contains(text, "\n\n") {
+		c.checkStream(id, text, io.ErrUnexpectedEOF)
+		cancel()
+		c.comeBack(runCtx, newHeldStream(id, body, key, text))
+		if dropped {
+			c.succeeded.Add(1) // the caller had what it wanted
+		}
+		return dropped
+	}
 	if err == nil && endsWithConnection(resp) && c.history.quietlyBroken(id) {
-		c.checkQuietBreak(id, form != "", string(text))
+		c.checkQuietBreak(id, events, text)
 		return false
 	}
-	c.checkResponse(id, form != "", resp, string(text), err)
+	c.checkResponse(id, events, resp, text, err)
 	if body != poisonBody {
-		c.history.check(invariantNotHeld, !isHeldRefusal(string(text)), "%s was answered %s", id, text)
+		c.history.check(invariantNotHeld, !isHeldRefusal(text), "%s was answered %s", id, text)
 	}
 	return resp.StatusCode == http.StatusOK && err == nil
 }
 
+// requestTimeout is the time limit of a request.
+const requestTimeout = 3 * time.Second
+
+// newRequest returns a request to a random daemon.
+func (c *caller) newRequest(ctx context.Context, id, path, body, key string) (*http.Request, *process, error) {
+	d := c.daemons[c.rnd.IntN(len(c.daemons))]
+	form := ""
+	if path == "/stream/" || path == "/resume/" {
+		form = "?form=events"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callerAddr+path+"x"+form, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, nil, err
+	}
+	// Prevents http.Transport from resending the request on its own.
+	r.GetBody = nil
+	r.Host = host
+	r.Header.Set(c.headers.ID, id)
+	r.Header.Set(c.headers.Key, key)
+	r.Header.Set(c.headers.Deadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	return r, d, nil
+}
+
 // oldClientRatio is the ratio of all requests to those of HTTP/1.0.
 const oldClientRatio = 8
 
@@ -129,7 +158,7 @@
 func (c *caller) checkQuietBreak(id string, events bool, text string) {
 	whole := responseBody(id)
 	if events {
-		whole = streamText(id)
+		whole = eventsText(id, versionOf(text), 1, streamEvents)
 	}
 	c.history.check(invariantComplete, strings.HasPrefix(whole, text), "%s was answered %q", id, text)
 	if events {
@@ -162,7 +191,7 @@
 // checkStream checks that a stream ended with the last event, or that a broken stream is
 // a prefix of the complete one.
 func (c *caller) checkStream(id, text string, err error) {
-	want := streamText(id)
+	want := eventsText(id, versionOf(text), 1, streamEvents)
 	if err == nil {
 		c.succeeded.Add(1)
 		c.history.check(invariantStream, text == want, "%s completed with %q", id, text)
@@ -170,12 +199,3 @@
 	}
 	c.history.check(invariantStream, strings.HasPrefix(want, text), "%s was truncated after %q", id, text)
 }
-
-// streamText returns all events of a stream.
-func streamText(id string) string {
-	text := ""
-	for n := 1; n <= streamEvents; n++ {
-		text += eventText(id, n)
-	}
-	return text
-}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -14,6 +14,8 @@
 	invariantNotRun     invariant = "an answer that says not run is true"
 	invariantComplete   invariant = "a response that looks complete is its target's complete response"
 	invariantStream     invariant = "no event of a stream is missing or duplicated"
+	invariantVersions   invariant = "a stream holds events of one version"
+	invariantGoesOn     invariant = "streams that are resumed go on where new ones begin"
 	invariantBody       invariant = "targets receive a request as it was sent"
 	invariantRevoked    invariant = "no request runs with a key that was revoked longer ago than allowed"
 	invariantDrained    invariant = "a target that is leaving gets no requests after two seconds"
@@ -30,7 +32,7 @@
 
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
-	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantBody,
+	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantVersions, invariantGoesOn, invariantBody,
 	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantBrittle, invariantPaths, invariantRecords, invariantVersion, invariantHeld, invariantNotHeld, invariantRecovery,
 }
 
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -47,15 +47,13 @@
 	is.Equal(len(h.violations), 0)
 }
 
-// Streams that end early without an error, or contain an event twice, must be detected.
+// Streams that end early without an error, contain an event twice or events of two versions must be detected.
 func TestCheckStreamDetectsViolations(t *testing.T) {
 	is := is.New(t)
-	complete := ""
-	for n := 1; n <= streamEvents; n++ {
-		complete += eventText("a", n)
-	}
+	complete := eventsText("a", "v1", 1, streamEvents)
 	for text, ok := range map[string]bool{
-		complete: true, complete[:len(complete)-len(eventText("a", streamEvents))]: false, complete + eventText("a", 1): false, "": false,
+		complete: true, eventsText("a", "v1", 1, streamEvents-1): false, complete + eventText("a", "v1", 1): false, "": false,
+		eventText("a", "v1", 1) + eventsText("a", "v2", 2, streamEvents): false,
 	} {
 		h := newHistory()
 		c := &caller{history: h, succeeded: &atomic.Int64{}}
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -92,7 +92,7 @@
 	c := &caller{
 		index: -1, headers: platform.Codec{}.Headers(), history: r.history, daemons: r.daemons, keys: r.keys,
 		client: &http.Client{Transport: &http.Transport{}}, rnd: rnd, attempted: &atomic.Int64{}, succeeded: &atomic.Int64{},
-		losses: &atomic.Pointer[lossWindow]{},
+		losses: &atomic.Pointer[lossWindow]{}, streams: &streamCounts{},
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		c.sendBody(ctx, fmt.Sprintf("deadly-%d", i), path, poisonBody)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,6 +107,7 @@
 	faults        map[string]int
 	attempted     atomic.Int64
 	succeeded     atomic.Int64
+	streams       streamCounts
 	lossState
 }
 
@@ -247,7 +248,7 @@
 			index: i, headers: platform.Codec{}.Headers(), history: r.history, daemons: r.daemons, keys: r.keys,
 			client: &http.Client{Transport: &http.Transport{}},
 			rnd:    rand.New(rand.NewPCG(r.options.Seed, uint64(100+i))), attempted: &r.attempted, succeeded: &r.succeeded, sendsSharedBody: r.options.PoisonRequest,
-			losses: &r.losses,
+			losses: &r.losses, streams: &r.streams,
 		}
 		wg.Go(func() { c.run(ctx) })
 	}
@@ -264,10 +265,14 @@
 	}
 	sleep(ctx, recoveryTime)
 	attempted, succeeded := r.attempted.Load(), r.succeeded.Load()
+	r.streams.reset()
 	sleep(ctx, measureTime)
 	attempted, succeeded = r.attempted.Load()-attempted, r.succeeded.Load()-succeeded
 	r.history.check(invariantRecovery, attempted > 0 && float64(succeeded) >= minSuccessRatio*float64(attempted),
 		"%d of %d requests succeeded after the faults", succeeded, attempted)
+	if r.fewestOfVersion() > 1 {
+		r.streams.check(r.history)
+	}
 	r.checkRecords()
 	cancel()
 	wg.Wait()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -30,6 +30,8 @@
 	standin.Notices
 	name string
 	pool string
+	// version is the version of its software.
+	version string
 	// incarnation is unique among all targets of the run and increases with each start.
 	incarnation int
 	headers     fireflypath.Headers
@@ -66,7 +68,7 @@
 		return nil, err
 	}
 	t := &target{
-		name: name, pool: pool, incarnation: incarnation, headers: platform.Codec{}.Headers(), history: h, ln: ln, proxy: p,
+		name: name, pool: pool, version: versionOfIncarnation(incarnation), incarnation: incarnation, headers: platform.Codec{}.Headers(), history: h, ln: ln, proxy: p,
 		rnd: rand.New(rand.NewPCG(seed, 3)),
 	}
 	t.notices.lostBetween = p.lostBetween
@@ -81,7 +83,7 @@
 func (t *target) registration() fireflypath.Target {
 	return fireflypath.Target{
 		Name: t.name, Pool: t.pool, Addr: t.proxy.addr(), Domain: "a", Slots: targetSlots, Drained: t.leavingSince.Load() != 0,
-		Incarnation: uint64(t.incarnation),
+		Incarnation: uint64(t.incarnation), Version: t.version,
 	}
 }
 
@@ -169,7 +171,18 @@
 
 func responseBody(id string) string { return "the whole answer to " + id }
 
-func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+func eventText(id, version string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, version)
+}
+
+// eventsText returns the events of a stream from one to another.
+func eventsText(id, version string, from, to int) string {
+	text := ""
+	for n := from; n <= to; n++ {
+		text += eventText(id, version, n)
+	}
+	return text
+}
 
 func (t *target) stream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(t.headers.ID)
@@ -186,7 +199,7 @@
 			return
 		case <-time.After(eventPause):
 		}
-		e := eventText(id, n)
+		e := eventText(id, t.version, n)
 		if end.breaks && n == end.lastEvent {
 			t.breakStream(w, id, e, end)
 			return
