--- a/internal/sim/versions.go
+++ b/internal/sim/versions.go
@@ -36,11 +36,11 @@
 
 // recordVersion records which version brought the first event of an attempt.
 func (r *request) recordVersion(t *target) {
-	switch {
-	case r.version == "":
+	switch r.version {
+	case "":
 		r.w.streams.Began++
 		r.version = t.Version
-	case r.version == t.Version:
+	case t.Version:
 		r.w.streams.WentOn++
 	default:
 		r.w.streams.Mixed++
