fix(origins): records of streams end in a quiet pool, and are written while views are old

And streams that began while no view was fresh, as in an outage of the store, had no record elsewhere and were refused if their daemon ended; now old views are a doubt like a start.

--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -78,7 +78,7 @@
 	now := r.deps.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m.each(func(key origin.Key, o origin.Origin) { r.table.Record(now, key, from, o) })
+	m.each(func(key origin.Key, o origin.Origin) { r.record(now, key, from, o) })
 	return struct{}{}, nil
 }
 
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -98,7 +98,11 @@
 			return
 		case <-r.deps.Configs.Changed(cfg.Generation):
 		case <-r.wake:
-			r.deps.Clock.Sleep(batchDelay)
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.deps.Clock.After(batchDelay):
+			}
 			r.sendRecords(ctx)
 		}
 	}
@@ -110,7 +114,6 @@
 	now := r.deps.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Prune(now.Add(-r.history.Retention()))
 	for _, pool := range r.history.Observe(now, cfg) {
 		r.table.Each(pool, r.deps.Self, func(key origin.Key, o origin.Origin) { r.outbox[key] = o })
 		r.deps.Log.Info("pool has several versions, streams are recorded", zap.String("pool", pool), zap.Strings("versions", r.history.Versions(now, pool)))
@@ -125,16 +128,29 @@
 		return
 	}
 	now := r.deps.Clock.Now()
+	fresh := r.isFresh()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Record(now, key, r.deps.Self, o)
-	// In a fleet that has just started, nobody can say yet that there was no other version.
-	if !alone || r.history.Mixed(now, o.Pool) || !r.history.Complete(now) {
+	r.record(now, key, r.deps.Self, o)
+	// In a fleet that has just started, or whose views are old, nobody can say that there was no other
+	// version.
+	if !alone || r.history.Mixed(now, o.Pool) || !r.history.Complete(now) || !fresh {
 		r.outbox[key] = o
 		r.wakeIfNeeded()
 	}
 }
 
+// record adds a record and drops those that have ended. The caller holds mu.
+func (r *Registry) record(now time.Time, key origin.Key, from string, o origin.Origin) {
+	r.table.Record(now, key, from, o)
+	if retention := r.history.Retention(); retention > 0 {
+		r.table.Prune(now.Add(-retention))
+	}
+}
+
+// isFresh reports whether this daemon's view shows all versions in use.
+func (r *Registry) isFresh() bool { return r.deps.Freshness.Age() <= maxFreshAge }
+
 // wakeIfNeeded wakes Run if there are records to send. The caller holds mu.
 func (r *Registry) wakeIfNeeded() {
 	if len(r.outbox) == 0 || r.deps.Peers == nil {
@@ -175,7 +191,7 @@
 // evidence returns what this daemon knows.
 func (r *Registry) evidence(key origin.Key, pools []string) origin.Evidence {
 	now := r.deps.Clock.Now()
-	fresh := r.deps.Freshness.Age() <= maxFreshAge
+	fresh := r.isFresh()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.table.Find(key)
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -171,6 +171,7 @@
 		time.Sleep(lifetime + time.Second)
 		test(ctx, is.New(t), f)
 		cancel()
+		time.Sleep(time.Second) // calls that are under way end
 		synctest.Wait()
 	})
 }
@@ -260,6 +261,19 @@
 	})
 }
 
+// Guards against streams that are refused because the daemon that began them has ended while the store was
+// out of reach, so that no view was fresh.
+func TestStreamsBegunWithOldViewsAreRecorded(t *testing.T) {
+	withFleet(t, func(ctx context.Context, is *is.I, f *fleet) {
+		for _, d := range f.daemons {
+			d.setAge(3 * time.Second)
+		}
+		keys := begin(f.daemons["d0"], "s", 20, v1)
+		f.setDown("d0")
+		is.Equal(found(ctx, is, f.daemons["d3"], keys, v1), len(keys))
+	})
+}
+
 // Guards against a fleet that refuses all resumed streams for a while after a daemon, or all, have
 // started, although the service has one version.
 func TestStreamsGoOnAfterStarts(t *testing.T) {
