test: the daemons' log lines are printed when a test fails

The daemons of the tests of notices, brittle targets, crashes, restores, paths and versions logged nowhere, so that their failures could not be traced. Their lines are collected and printed with a failure.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -15,11 +15,11 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/daemon"
 	"github.com/fireflypath/fireflypath/internal/loopback"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 	"github.com/fireflypath/fireflypath/platform"
 	"github.com/fireflypath/fireflypath/platform/standin"
@@ -41,6 +41,7 @@
 // crashCluster is a set of daemons and targets that one request body crashes.
 type crashCluster struct {
 	is      *is.I
+	logs    *testkit.Logs
 	store   *standin.Store
 	daemons []*daemon.Daemon
 	client  *http.Client
@@ -57,7 +58,9 @@
 
 func newCrashCluster(t *testing.T, targets int) *crashCluster {
 	t.Helper()
-	s := &crashCluster{is: is.New(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond}
+	s := &crashCluster{
+		is: is.New(t), logs: testkit.NewLogs(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond,
+	}
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(srv.Close)
 	var routes []fireflypath.Route
@@ -94,8 +97,9 @@
 	if i == 0 {
 		listen.Peers = s.seed
 	}
+	name := fmt.Sprintf("entry%d", i)
 	d, err := daemon.New(settings.Settings{
-		Name: fmt.Sprintf("entry%d", i), Domain: domain, Listen: listen, Host: settings.Host{Source: sourceOf(i).String()},
+		Name: name, Domain: domain, Listen: listen, Host: settings.Host{Source: sourceOf(i).String()},
 		Platform: settings.Platform{Addr: s.storeAddr},
 		Peers:    settings.Peers{AllowPlaintext: true, Seeds: []string{s.seed}},
 		Gate: &settings.Gate{
@@ -103,7 +107,7 @@
 			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
 			Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
 		},
-	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
+	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: s.logs.Logger(name)})
 	s.is.NoErr(err)
 	s.is.NoErr(d.Start(t.Context()))
 	t.Cleanup(func() { s.is.NoErr(d.Stop(context.Background())) })
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -7,11 +7,11 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/daemon"
 	"github.com/fireflypath/fireflypath/internal/loopback"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 	"github.com/fireflypath/fireflypath/platform/standin"
 )
@@ -34,7 +34,7 @@
 			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
 			Retries:          settings.RetryBudget{Window: fireflypath.Duration(10 * time.Second)},
 		},
-	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: zap.NewNop()})
+	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: testkit.NewLogs(t).Logger("entry1")})
 	is.NoErr(err)
 	is.NoErr(d.Start(t.Context()))
 	is.NoErr(d.Stop(t.Context())) // hangs if the listener stays open
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,7 +15,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
-	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
@@ -26,6 +25,7 @@
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/request"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
 const slotsPerTarget = 3
@@ -130,7 +130,7 @@
 		cut:      map[[2]string]bool{},
 		inFlight: map[string]int{}, maxInFlight: map[string]int{},
 	}
-	clock := clockwork.NewRealClock()
+	clock, logs := clockwork.NewRealClock(), testkit.NewLogs(t)
 	all := fireflypath.Config{Pools: []fireflypath.Pool{cfg}}
 	for i := range targets {
 		all.Targets = append(all.Targets, fireflypath.Target{
@@ -140,7 +140,7 @@
 	for i := range daemons {
 		d := &node{cluster: c, name: fmt.Sprintf("d%d", i), methods: map[string]peer.Handler{}}
 		c.nodes[d.name] = d
-		d.dispatch = dispatch.New(d.name, d, d, clock, tally.NoopScope, zap.NewNop(), func(p fireflypath.Pool) dispatcher.Scheduler {
+		d.dispatch = dispatch.New(d.name, d, d, clock, tally.NoopScope, logs.Logger(d.name), func(p fireflypath.Pool) dispatcher.Scheduler {
 			return slots.New(p, 1, tuning)
 		})
 	}
