fix(dispatch): a daemon that attaches learns what its dispatcher knows of the targets

Callers saw requests cut off at a target that had said in its answers that it leaves: the daemon that sent them had been attached to a dispatcher that knew it.

Cause: the answer to the first message of a session carries all notices, and the dispatcher counts them as delivered. The daemon threw that answer away. It then placed work itself, or refused none of the dispatcher's decisions, without rate limits, brittleness and leavings that it had 'been sent'. Ruled out: pushes of the new session before its number is set; a dispatcher pushes only with decisions, and decides nothing before the second message of a session.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -131,7 +131,8 @@
 // responded. A dispatcher that is gone would hold the work until its silence is noticed.
 func (c *client) attach(ctx context.Context, to fireflypath.Member) bool {
 	session := rand.Uint64()
-	if _, err := c.send(ctx, to, updateMessage{Pool: c.name, Session: session, First: true}); err != nil {
+	answer, err := c.send(ctx, to, updateMessage{Pool: c.name, Session: session, First: true})
+	if err != nil {
 		c.avoid(to, err)
 		return false
 	}
@@ -142,6 +143,8 @@
 		c.sched.Attach(now)
 		return out
 	})
+	// The dispatcher does not repeat the notices that this answer contains.
+	c.applyDecisions(&answer)
 	c.d.metrics.attached.Inc(1)
 	c.d.log.Info("attached to dispatcher", zap.String("pool", c.name), zap.String("dispatcher", to.Name))
 	c.endSession(previous, previousSession)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -47,6 +47,10 @@
 	confirmed bool
 	// cut holds the pairs of daemons that cannot reach each other.
 	cut map[[2]string]bool
+	// delay is how much later the calls of a daemon, and those to it, arrive. They arrive even if their
+	// callers no longer wait for them.
+	delay map[string]time.Duration
+	calls sync.WaitGroup
 	// inFlight counts the requests at each target, maxInFlight is its highest value.
 	inFlight, maxInFlight map[string]int
 }
@@ -65,6 +69,7 @@
 	n.cluster.mu.Lock()
 	receiver, unreachable, silent := n.cluster.nodes[to.Name], n.cluster.killed[to.Name] || n.cluster.killed[n.name], n.cluster.silent[to.Name]
 	unreachable = unreachable || n.cluster.cut[[2]string{n.name, to.Name}] || n.cluster.cut[[2]string{to.Name, n.name}]
+	delay := n.cluster.delay[n.name] + n.cluster.delay[to.Name]
 	n.cluster.mu.Unlock()
 	if unreachable {
 		return peer.ErrUnreachable
@@ -77,15 +82,29 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(time.Millisecond)
-	out, err := receiver.methods[method](ctx, n.name, b)
-	if err != nil {
-		return err
-	}
-	if b, err = json.Marshal(out); err != nil {
-		return err
+	answer := make(chan callResult, 1)
+	n.cluster.calls.Go(func() {
+		time.Sleep(time.Millisecond + delay)
+		out, err := receiver.methods[method](context.WithoutCancel(ctx), n.name, b)
+		answer <- callResult{out, err}
+	})
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case a := <-answer:
+		if a.err != nil {
+			return a.err
+		}
+		if b, err = json.Marshal(a.out); err != nil {
+			return err
+		}
+		return json.Unmarshal(b, result)
 	}
-	return json.Unmarshal(b, result)
+}
+
+type callResult struct {
+	out any
+	err error
 }
 
 // Live lists all daemons, oldest first. Killed ones stay listed: the membership takes
@@ -127,7 +146,7 @@
 	t.Helper()
 	c := &cluster{
 		nodes: map[string]*node{}, silent: map[string]bool{}, killed: map[string]bool{}, leaving: map[string]bool{}, cpu: map[string]float64{},
-		cut:      map[[2]string]bool{},
+		cut: map[[2]string]bool{}, delay: map[string]time.Duration{},
 		inFlight: map[string]int{}, maxInFlight: map[string]int{},
 	}
 	clock, logs := clockwork.NewRealClock(), testkit.NewLogs(t)
@@ -159,6 +178,7 @@
 			d.pool.Close(fireflypath.Refusal{Code: fireflypath.ReasonStopping})
 			d.dispatch.Close()
 		}
+		c.calls.Wait()
 	})
 	return c
 }
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -16,7 +16,7 @@
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
 
-// requestTime is how long a target takes for a request.
+// requestTime is how long a target takes for a request unless a test sets another time.
 const requestTime = 50 * time.Millisecond
 
 // noticeFleet is a cluster whose targets declare something in their answers.
@@ -27,7 +27,11 @@
 	notices map[string]fireflypath.Notice
 	// arrivals holds the requests that reached each target, with the daemon that sent them.
 	arrivals map[string][]noticeArrival
-	served   int
+	// running counts the requests at each target, mostRunning is its highest value.
+	running, mostRunning map[string]int
+	// requestTime is how long a target takes for a request.
+	requestTime time.Duration
+	served      int
 	// refusedAfter holds how long each request that was refused had waited.
 	refusedAfter []time.Duration
 }
@@ -41,7 +45,10 @@
 
 func startNoticeFleet(t *testing.T, daemons, targets int) *noticeFleet {
 	t.Helper()
-	f := &noticeFleet{cluster: start(t, daemons, targets), notices: map[string]fireflypath.Notice{}, arrivals: map[string][]noticeArrival{}}
+	f := &noticeFleet{
+		cluster: start(t, daemons, targets), notices: map[string]fireflypath.Notice{}, arrivals: map[string][]noticeArrival{},
+		running: map[string]int{}, mostRunning: map[string]int{}, requestTime: requestTime,
+	}
 	for i := range daemons {
 		d := f.nodes[fmt.Sprint("d", i)]
 		share := fireflypath.Share{Default: 1, Senders: daemons, Index: i}
@@ -86,8 +93,13 @@
 		d.pool.Notify(r, fireflypath.EventRefused, -1)
 		return
 	}
-	time.Sleep(requestTime)
 	f.mu.Lock()
+	f.running[name]++
+	f.mostRunning[name] = max(f.mostRunning[name], f.running[name])
+	f.mu.Unlock()
+	time.Sleep(f.requestTime)
+	f.mu.Lock()
+	f.running[name]--
 	notice = f.notices[name]
 	f.served++
 	f.mu.Unlock()
