fix(dispatch,pools): a share that is set before its pool is known is used

Callers saw answers cut off at brittle targets, which fell over; a target with a rate limit could get several times of it.

Cause: three goroutines of a daemon follow the configuration: the pools, the dispatcher and the shares. A share that was set a moment before the pool or its dispatcher existed was dropped, and nothing sets it again until the next change of the configuration or of the daemons. Until then the daemon takes itself for the only sender. Ruled out: a daemon that counts fewer daemons; the membership listed all three all the time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -104,6 +104,8 @@
 	calls   conc.WaitGroup
 	clients map[string]*client
 	servers map[string]*server
+	// shares holds the last share of each pool. A pool may get its share before it is known here.
+	shares map[string]fireflypath.Share
 }
 
 type metrics struct {
@@ -122,7 +124,7 @@
 			attached: scope.Counter("attached"), lost: scope.Counter("lost"), placed: scope.Counter("placed"),
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
 		},
-		clients: map[string]*client{}, servers: map[string]*server{},
+		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	peers.Handle(methodUpdate, d.handleUpdate)
@@ -232,10 +234,8 @@
 	c := &client{d: d, pool: p, name: cfg.Name, sched: sched, avoidUntil: map[string]time.Time{}}
 	d.mu.Lock()
 	d.clients[cfg.Name] = c
-	if d.servers[cfg.Name] == nil {
-		d.servers[cfg.Name] = newServer(d, cfg)
-	}
 	d.mu.Unlock()
+	d.ensureServer(cfg)
 	c.run(ctx)
 	d.mu.Lock()
 	if d.clients[cfg.Name] == c {
@@ -248,20 +248,32 @@
 func (d *Dispatch) Apply(cfg *fireflypath.Config) {
 	byPool := fireflypath.GroupByPool(cfg.Targets)
 	for _, p := range cfg.Pools {
-		d.mu.Lock()
-		s := d.servers[p.Name]
-		if s == nil {
-			s = newServer(d, p)
-			d.servers[p.Name] = s
+		d.ensureServer(p).setTargets(byPool[p.Name])
+	}
+}
+
+// ensureServer returns the dispatcher's side of a pool, which it creates if there is none.
+func (d *Dispatch) ensureServer(cfg fireflypath.Pool) *server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[cfg.Name]
+	if s == nil {
+		s = newServer(d, cfg)
+		if share, ok := d.shares[cfg.Name]; ok {
+			s.queue.SetShare(d.clock.Now(), share)
 		}
-		d.mu.Unlock()
-		s.setTargets(byPool[p.Name])
+		d.servers[cfg.Name] = s
 	}
+	return s
 }
 
 // SetShare sets which targets of a pool this daemon's cell sends work to.
 func (d *Dispatch) SetShare(pool string, share fireflypath.Share) {
-	if s := d.server(pool); s != nil {
+	d.mu.Lock()
+	d.shares[pool] = share
+	s := d.servers[pool]
+	d.mu.Unlock()
+	if s != nil {
 		s.setShare(share)
 	}
 }
--- a/internal/route/pools/pools.go
+++ b/internal/route/pools/pools.go
@@ -139,13 +139,15 @@
 // receives requests, and again once ApplyShare can find the pool, so that a share
 // applied in between is not lost.
 func (p *Pools) setInitialShare(name string, n *pool.Pool) {
-	initial := p.initialShare.Load()
-	if initial == nil {
-		return
-	}
 	p.shareMu.Lock()
 	defer p.shareMu.Unlock()
-	n.SetShare((*initial)(name))
+	if initial := p.initialShare.Load(); initial != nil {
+		n.SetShare((*initial)(name))
+		return
+	}
+	if s, ok := p.shares.Load(name); ok {
+		n.SetShare(s.(fireflypath.Share))
+	}
 }
 
 func (p *Pools) assignTargets(cfg *fireflypath.Config, pools map[string]*pool.Pool) {
--- a/internal/route/pools/pools_test.go
+++ b/internal/route/pools/pools_test.go
@@ -104,3 +104,19 @@
 		is.Equal(v, 0.3)
 	}
 }
+
+// Guards against targets that get several times what they bear: a new pool does not use the share that
+// was applied a moment before it was created, and takes its daemon for the only one.
+func TestNewPoolUsesShareAppliedBefore(t *testing.T) {
+	is := is.New(t)
+	var applied []float64
+	p := pools.New(clockwork.NewFakeClock(), nil, func(c fireflypath.Pool) fireflypath.Scheduler {
+		return shareRecorder{sched.New(sched.Config{Pool: c}), &applied}
+	})
+	p.ApplyShare("chat", fireflypath.Share{Default: 0.3})
+	p.Apply(&fireflypath.Config{Generation: 1, Pools: []fireflypath.Pool{{Name: "chat", Kind: fireflypath.KindEngine}}})
+	is.True(len(applied) > 0)
+	for _, v := range applied {
+		is.Equal(v, 0.3)
+	}
+}
