fix(dispatch): a dispatcher's use of a daemon's part ends before the daemon's own use begins

Callers saw answers cut off at brittle targets, which fell over under more requests than they have slots.

Cause: a daemon that gets no answer in 0.2 s takes its dispatcher for lost and decides for itself in the same moment; the dispatcher keeps the session, and with it the daemon's part of the targets, for three seconds. A daemon or a dispatcher that gets too little processor time is late, not gone, so both used the part, up to ten times in eight seconds.

Change: each update leases the daemon's part to its dispatcher for three short heartbeats, counted from the dispatcher's last message that the daemon has received, by the dispatcher's boot-time clock: a delayed update extends nothing, and a suspended host's leases have ended. The daemon uses the part itself, or lets another dispatcher use it, half a second after the last lease has ended. Only targets that name limits or are brittle are concerned. An update that may only be late is followed by a new session with the same dispatcher, decisions that were not acknowledged are sent again, a session that is given up is ended at the dispatcher, and a dispatcher that is lost repeatedly is avoided for longer. Work in flight of a daemon that starts a new session keeps its slots until it is reported.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -193,7 +193,7 @@
 	d.pools = pools.New(d.deps.Clock, nil, d.deps.Scheduler)
 	d.pools.SetMaxWaitingBytes(maxWaitingBytes)
 	if d.members != nil {
-		d.dispatch = dispatch.New(d.cfg.Name, d.peers, d.members, d.deps.Clock, d.scope, d.deps.Log, d.dispatcherScheduler)
+		d.dispatch = dispatch.New(d.cfg.Name, d.peers, d.members, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log, d.dispatcherScheduler)
 		d.pools.OnCreate(d.addToDispatcher)
 		d.background.Go(d.updateDispatcher)
 	}
--- a/internal/decide/backpressure/target.go
+++ b/internal/decide/backpressure/target.go
@@ -37,6 +37,9 @@
 
 func (t *Target) limited() bool { return t.limiter != nil }
 
+// HasLimits reports whether the target names a rate limit or is brittle.
+func (t *Target) HasLimits() bool { return t != nil && (t.limited() || t.brittle != nil) }
+
 // hasNotice reports whether the target has declared anything to all daemons.
 func (t *Target) hasNotice() bool { return t.leaving || !t.observedAt.IsZero() }
 
--- a/internal/decide/backpressure/tracker.go
+++ b/internal/decide/backpressure/tracker.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// Limits reports whether a target names a rate limit or is brittle.
+func (tr *Tracker) Limits() bool {
+	for _, t := range tr.targets {
+		if t.HasLimits() {
+			return true
+		}
+	}
+	return false
+}
+
 // Share returns the part of what targets bear that may be used here, between 0 and 1.
 func (tr *Tracker) Share() float64 { return tr.share }
 
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -31,7 +31,8 @@
 	// UpdatePeers sets the in-flight work of daemons that schedule for
 	// themselves.
 	UpdatePeers(now time.Time, peers []fireflypath.PeerLoad)
-	// SetRepresented sets for how many daemons the scheduler decides.
+	// SetRepresented sets for how many daemons the scheduler decides. For none, it uses no target that
+	// names a limit or is brittle.
 	SetRepresented(now time.Time, daemons int)
 	// Notices returns what targets have declared. NoticeVersion changes whenever they do.
 	Notices(now time.Time) []fireflypath.TargetNotice
@@ -56,6 +57,7 @@
 	orphans []orphan
 	// pausedUntil is the time until which no work is dispatched.
 	pausedUntil time.Time
+	leases      leaseCount
 }
 
 // orphan is work still in flight at a target that no daemon with a session
@@ -79,6 +81,10 @@
 	decisions []fireflypath.Decision
 	// sentNotices is the version of the targets' notices that the daemon was sent.
 	sentNotices uint64
+	lease       Lease
+	// reported is true once the daemon has reported its work, which replaces what is left of an earlier
+	// session.
+	reported bool
 }
 
 // entry is one request of a session.
@@ -99,9 +105,8 @@
 // the daemon reports all its work again.
 func (d *Dispatcher) OpenSession(now time.Time, daemon string, id uint64) {
 	d.CloseSession(now, daemon)
-	d.releaseOrphans(now, daemon)
 	d.sessions[daemon] = &session{id: id, entries: map[uint64]*entry{}}
-	d.scheduler.SetRepresented(now, len(d.sessions))
+	d.countLeases(now)
 }
 
 // CloseSession ends the session with a daemon and removes its waiting work. Its
@@ -112,7 +117,7 @@
 		return
 	}
 	delete(d.sessions, daemon)
-	d.scheduler.SetRepresented(now, len(d.sessions))
+	d.countLeases(now)
 	numbers := make([]uint64, 0, len(s.entries))
 	for n := range s.entries {
 		numbers = append(numbers, n)
@@ -157,6 +162,10 @@
 	if s == nil {
 		return
 	}
+	if !s.reported {
+		s.reported = true
+		d.releaseOrphans(now, daemon)
+	}
 	d.scheduler.ApplyNotices(now, update.Notices)
 	d.scheduler.ApplyBackoffs(now, daemon, update.Backoffs)
 	for i := range update.InFlight {
@@ -257,6 +266,7 @@
 	if now.Before(d.pausedUntil) {
 		return
 	}
+	d.updateLeases(now)
 	for d.scheduler.Next(now, &d.placement) {
 		e := d.entries[d.placement.Work]
 		if e == nil {
@@ -292,6 +302,9 @@
 		return time.Time{}
 	}
 	wakeAt := d.scheduler.Wake(now)
+	if now.Before(d.leases.begins) {
+		wakeAt = earliest(wakeAt, d.leases.begins)
+	}
 	if now.Before(d.pausedUntil) && (wakeAt.IsZero() || d.pausedUntil.Before(wakeAt)) {
 		wakeAt = d.pausedUntil
 	}
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -38,6 +38,10 @@
 	BackoffVersion() uint64
 	// ApplyNotices records what other daemons know of such declarations.
 	ApplyNotices(now time.Time, notices []fireflypath.TargetNotice)
+	// DeclaresLimits reports whether a target names a rate limit or is brittle.
+	DeclaresLimits() bool
+	// SetLeasedUntil sets until when dispatchers may use this daemon's part of what targets bear.
+	SetLeasedUntil(until time.Time)
 }
 
 // replyGrace is how long a request on which the dispatcher has not decided is kept after
--- a/internal/decide/slots/declared.go
+++ b/internal/decide/slots/declared.go
@@ -108,9 +108,10 @@
 	return next
 }
 
-// SetRepresented sets for how many daemons this scheduler decides as their dispatcher.
+// SetRepresented sets for how many daemons this scheduler decides as their dispatcher. For none, it
+// uses no target that names a limit or is brittle.
 func (s *Scheduler) SetRepresented(now time.Time, daemons int) {
-	s.represented = daemons
+	s.isDispatcher, s.represented = true, daemons
 	s.updateLimitShare(now)
 }
 
@@ -125,10 +126,20 @@
 	s.backpressure.SetShare(now, share)
 }
 
+// SetLeasedUntil sets until when dispatchers may still use this daemon's part of what targets bear.
+// While it decides for itself, it does not use that part before.
+func (s *Scheduler) SetLeasedUntil(until time.Time) { s.leasedUntil = until }
+
+// DeclaresLimits reports whether a target names a rate limit or is brittle.
+func (s *Scheduler) DeclaresLimits() bool { return s.backpressure.Limits() }
+
 // mayUseLimited reports whether this scheduler uses the target while it names a rate limit.
-func (s *Scheduler) mayUseLimited(t *target) bool {
+func (s *Scheduler) mayUseLimited(now time.Time, t *target) bool {
+	if s.isDispatcher {
+		return s.represented > 0
+	}
 	n := s.share.Senders
-	return s.represented > 0 || n <= maxLocalSenders || (uint64(s.share.Index)+t.nameHash)%uint64(n) < maxLocalSenders
+	return !now.Before(s.leasedUntil) && (n <= maxLocalSenders || (uint64(s.share.Index)+t.nameHash)%uint64(n) < maxLocalSenders)
 }
 
 // brittleSkipReason returns why a brittle target accepts no request, or "" if it does. It gets none
@@ -136,7 +147,7 @@
 func (s *Scheduler) brittleSkipReason(now time.Time, t *target) string {
 	share := s.backpressure.Share()
 	switch {
-	case !s.mayUseLimited(t), !t.declared.BearsRefusal(now, share):
+	case !s.mayUseLimited(now, t), !t.declared.BearsRefusal(now, share):
 		return "brittle"
 	case s.occupied(now, t) >= t.declared.MaxInFlight(now, t.slots(), share):
 		return "full"
@@ -148,13 +159,19 @@
 // limitAllows reports whether the target's rate limit allows a request now.
 func (s *Scheduler) limitAllows(now time.Time, t *target) bool {
 	n, limited := t.declared.Allows(now)
-	return !limited || n > 0 && s.mayUseLimited(t)
+	return !limited || n > 0 && s.mayUseLimited(now, t)
 }
 
 // limitAllowsAt returns when the target's rate limit allows the next request, or zero if it
 // allows one now or none from this scheduler.
 func (s *Scheduler) limitAllowsAt(now time.Time, t *target) time.Time {
-	if t.declared == nil || !s.mayUseLimited(t) {
+	if !t.declared.HasLimits() {
+		return time.Time{}
+	}
+	if now.Before(s.leasedUntil) && !s.isDispatcher {
+		return s.leasedUntil
+	}
+	if !s.mayUseLimited(now, t) {
 		return time.Time{}
 	}
 	if t.declared.Brittle() && !t.declared.BearsRefusal(now, s.backpressure.Share()) {
@@ -173,13 +190,13 @@
 
 // totalLimit returns the requests per second that the targets take together. It reports false
 // if one of them names no limit.
-func (s *Scheduler) totalLimit() (perSecond float64, ok bool) {
-	return s.limitFor(&fireflypath.Work{})
+func (s *Scheduler) totalLimit(now time.Time) (perSecond float64, ok bool) {
+	return s.limitFor(now, &fireflypath.Work{})
 }
 
 // limitFor returns the requests per second that the targets which may run the request take together. It
 // reports false if one of them names no limit.
-func (s *Scheduler) limitFor(w *fireflypath.Work) (perSecond float64, ok bool) {
+func (s *Scheduler) limitFor(now time.Time, w *fireflypath.Work) (perSecond float64, ok bool) {
 	if s.backpressure.Len() == 0 {
 		return 0, false
 	}
@@ -191,7 +208,7 @@
 		if !limited {
 			return 0, false
 		}
-		if s.mayUseLimited(t) {
+		if s.mayUseLimited(now, t) {
 			perSecond += r
 		}
 	}
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -42,7 +42,7 @@
 	if ahead <= 0 {
 		return 0, true
 	}
-	r := s.completionRate()
+	r := s.completionRate(now)
 	if r <= 0 {
 		return 0, false
 	}
@@ -71,7 +71,7 @@
 	if until := s.earliestBackoffEnd(now, w); !until.IsZero() {
 		return until.Sub(now), true
 	}
-	if perSecond, ok := s.limitFor(w); ok {
+	if perSecond, ok := s.limitFor(now, w); ok {
 		return s.limitedWait(now, w, perSecond), true
 	}
 	return 0, false
@@ -91,12 +91,12 @@
 
 // completionRate returns the number of requests that complete per second, or 0 if
 // unknown.
-func (s *Scheduler) completionRate() float64 {
+func (s *Scheduler) completionRate(now time.Time) float64 {
 	r := s.completions.Rate()
 	if s.slotTime > 0 {
 		r = max(r, float64(len(s.inFlight))/s.slotTime)
 	}
-	if limit, ok := s.totalLimit(); ok && (r <= 0 || limit < r) {
+	if limit, ok := s.totalLimit(now); ok && (r <= 0 || limit < r) {
 		return limit
 	}
 	return r
@@ -107,7 +107,7 @@
 // arriving. Told only the expected wait, the caller would return to a queue as long
 // as before.
 func (s *Scheduler) retryAfter(now time.Time, w *fireflypath.Work) time.Duration {
-	rate := s.completionRate()
+	rate := s.completionRate(now)
 	if rate <= 0 {
 		return minRetryAfter
 	}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -80,6 +80,10 @@
 	// number of daemons for which this scheduler decides as their dispatcher, or 0.
 	backpressure *backpressure.Tracker
 	represented  int
+	// isDispatcher is true if this scheduler decides as a dispatcher. Otherwise leasedUntil is until
+	// when dispatchers may use this daemon's part of what targets bear.
+	isDispatcher bool
+	leasedUntil  time.Time
 	// appliedNotices is the version of backpressure that the targets' state reflects.
 	appliedNotices uint64
 	// allLimited is true while all targets name rate limits. Only as much work is admitted then
@@ -189,7 +193,7 @@
 	if !s.anyTargetAccepts(now) {
 		return false
 	}
-	_, s.allLimited = s.totalLimit()
+	_, s.allLimited = s.totalLimit(now)
 	var best *target
 	at := -1
 	if rank, ok := s.starvedTier(now); ok {
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -6,11 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
 	"github.com/fireflypath/fireflypath/internal/logs"
+	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 )
 
@@ -26,14 +28,39 @@
 	dispatcher fireflypath.Member
 	// avoidUntil is until when an unresponsive daemon is not tried again.
 	avoidUntil map[string]time.Time
+	// losses holds the losses of dispatchers that this daemon was attached to.
+	losses map[string]loss
 	// lostAt is when the last dispatcher was lost.
 	lostAt time.Time
-	// lastSent is when the last update was sent to the dispatcher.
+	// lastSent is when the last update was sent to the dispatcher. sentHeld is true if it said that an
+	// earlier dispatcher may still use this daemon's part of what targets bear.
 	lastSent time.Time
+	sentHeld bool
+	// resumed is true if the session replaces one that failed and no update of it was answered yet.
+	resumed bool
+
+	leases leases
 
 	mu sync.Mutex
 	// session is 0 while there is none.
 	session uint64
+	// received is when the dispatcher sent the last message of the session that was received here, by its
+	// own clock.
+	received fireflypath.Micros
+}
+
+// loss describes how a dispatcher was lost the last time.
+type loss struct {
+	at time.Time
+	// avoided is how long it was not selected again.
+	avoided time.Duration
+}
+
+func newClient(d *Dispatch, p *pool.Pool, name string, sched *remote.Scheduler) *client {
+	return &client{
+		d: d, pool: p, name: name, sched: sched, avoidUntil: map[string]time.Time{}, losses: map[string]loss{},
+		leases: leases{ends: map[uint64]time.Time{}},
+	}
 }
 
 // run exchanges messages with the dispatcher until the context ends. Only one message is in transit at
@@ -64,28 +91,55 @@
 		return false
 	}
 	var changes fireflypath.DispatchUpdate
-	waiting := false
+	waiting, limits := false, false
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-		changes, waiting = c.sched.TakeUpdate(now), c.sched.HasPending()
+		changes, waiting, limits = c.sched.TakeUpdate(now), c.sched.HasPending(), c.sched.DeclaresLimits()
 		return out
 	})
-	interval := waitingHeartbeat
-	if !waiting {
-		interval = c.idleInterval()
-	}
-	if changes.Empty() && c.d.clock.Since(c.lastSent) < interval {
+	terms := c.leaseTerms()
+	released := c.sentHeld && terms.Held == 0
+	if changes.Empty() && !released && c.d.clock.Since(c.lastSent) < c.heartbeatInterval(waiting, limits) {
 		return !waiting
 	}
-	c.lastSent = c.d.clock.Now()
-	decisions, err := c.send(ctx, c.dispatcher, updateMessage{Pool: c.name, Session: c.currentSession(), DispatchUpdate: changes})
+	c.lastSent, c.sentHeld = c.d.clock.Now(), terms.Held > 0
+	if c.dispatcher.Name != c.d.self {
+		c.leases.grant(c.currentSession(), c.lastSent, terms.Lease.Std())
+	}
+	decisions, err := c.send(ctx, c.dispatcher, updateMessage{
+		Pool: c.name, Session: c.currentSession(), leaseTerms: terms, DispatchUpdate: changes,
+	})
 	if err != nil {
-		c.handleLoss(ctx, err)
+		c.handleFailure(ctx, err)
 		return false
 	}
+	c.resumed = false
 	c.applyDecisions(&decisions)
 	return !waiting
 }
 
+// heartbeatInterval is the longest time between two updates.
+func (c *client) heartbeatInterval(waiting, limits bool) time.Duration {
+	switch {
+	case waiting:
+		return waitingHeartbeat
+	case limits:
+		return leaseInterval(len(c.d.Candidates(c.name)))
+	default:
+		return c.idleInterval()
+	}
+}
+
+// leaseTerms returns the terms on which the dispatcher may use this daemon's part of what targets bear.
+func (c *client) leaseTerms() leaseTerms {
+	c.mu.Lock()
+	session, received := c.session, c.received
+	c.mu.Unlock()
+	return leaseTerms{
+		Received: received, Lease: fireflypath.MicrosOf(heartbeatsPerLease * leaseInterval(len(c.d.Candidates(c.name)))),
+		Held: fireflypath.MicrosOf(c.leases.remaining(c.d.clock.Now(), session)),
+	}
+}
+
 // selectDispatcher attaches to the best dispatcher that responds. It reports whether
 // there is one.
 func (c *client) selectDispatcher(ctx context.Context) bool {
@@ -137,8 +191,8 @@
 		return false
 	}
 	previous, previousSession := c.dispatcher, c.currentSession()
-	c.dispatcher, c.lastSent = to, time.Time{}
-	c.setSession(session)
+	c.dispatcher, c.lastSent, c.resumed = to, time.Time{}, false
+	c.setSession(session, answer.At)
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 		c.sched.Attach(now)
 		return out
@@ -147,10 +201,34 @@
 	c.applyDecisions(&answer)
 	c.d.metrics.attached.Inc(1)
 	c.d.log.Info("attached to dispatcher", zap.String("pool", c.name), zap.String("dispatcher", to.Name))
+	if previous.Name == to.Name {
+		c.leases.forget(previousSession)
+		return true
+	}
 	c.endSession(previous, previousSession)
 	return true
 }
 
+// handleFailure handles an update that was not answered. If the dispatcher may only be late, or has
+// ended the session, it is asked for a new one once: a daemon that changed its dispatcher for each
+// delay would let two decide over the same targets.
+func (c *client) handleFailure(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.lostAt = c.d.clock.Now()
+	if mayBeLate(err) && !c.resumed && c.attach(ctx, c.dispatcher) {
+		c.resumed = true
+		return
+	}
+	c.handleLoss(ctx, err)
+}
+
+// mayBeLate reports whether a call failed although the daemon may be alive and reachable.
+func mayBeLate(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || !errors.Is(err, peer.ErrUnreachable)
+}
+
 // handleLoss handles a dispatcher that stopped responding. Its work is held back while
 // another dispatcher is selected. All daemons of a cell lose the dispatcher together.
 // If each placed its own work, the targets would be overloaded.
@@ -158,11 +236,13 @@
 	if ctx.Err() != nil {
 		return
 	}
-	c.avoid(c.dispatcher, err)
+	previous, session := c.dispatcher, c.currentSession()
+	c.avoid(previous, err)
+	c.prolongAvoidance(previous)
 	c.d.metrics.lost.Inc(1)
 	c.dispatcher = fireflypath.Member{}
-	c.setSession(0)
-	c.lostAt = c.d.clock.Now()
+	c.setSession(0, 0)
+	c.endSession(previous, session)
 	c.selectDispatcher(ctx)
 }
 
@@ -178,11 +258,26 @@
 	c.d.log.Warn("dispatcher does not respond", zap.String("pool", c.name), zap.String("dispatcher", m.Name), logs.Err(err))
 }
 
+// prolongAvoidance avoids a dispatcher for longer if it was lost before. It answers now and then, and
+// each change delays the work that waits.
+func (c *client) prolongAvoidance(m fireflypath.Member) {
+	if m.Name == c.d.self {
+		return
+	}
+	now, period := c.d.clock.Now(), avoidPeriod
+	if last, ok := c.losses[m.Name]; ok && now.Sub(last.at) < lossMemory {
+		period = min(2*last.avoided, maxAvoidPeriod)
+	}
+	c.losses[m.Name] = loss{at: now, avoided: period}
+	c.avoidUntil[m.Name] = now.Add(period)
+}
+
 // scheduleLocally makes this daemon place its own work.
 func (c *client) scheduleLocally() {
 	c.dispatcher = fireflypath.Member{}
-	c.setSession(0)
+	c.setSession(0, 0)
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+		c.sched.SetLeasedUntil(now.Add(c.leases.remaining(now, 0)))
 		if !c.sched.Attached() {
 			return out
 		}
@@ -197,9 +292,15 @@
 		return
 	}
 	m := updateMessage{Pool: c.name, Session: session, End: true}
+	if previous.Name == c.d.self {
+		_, _ = c.send(c.d.ctx, previous, m)
+		return
+	}
 	c.d.spawn(func() {
 		// If the message is lost, the session ends after sessionTimeout.
-		_, _ = c.send(c.d.ctx, previous, m)
+		if _, err := c.send(c.d.ctx, previous, m); err == nil || !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, peer.ErrUnreachable) {
+			c.leases.release(session, c.d.clock.Now())
+		}
 	})
 }
 
@@ -209,10 +310,10 @@
 	return c.session
 }
 
-func (c *client) setSession(session uint64) {
+func (c *client) setSession(session uint64, received fireflypath.Micros) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.session = session
+	c.session, c.received = session, received
 }
 
 func (c *client) send(ctx context.Context, to fireflypath.Member, m updateMessage) (decisionsMessage, error) {
@@ -234,6 +335,9 @@
 func (c *client) applyDecisions(m *decisionsMessage) bool {
 	c.mu.Lock()
 	known := c.session != 0 && c.session == m.Session
+	if known {
+		c.received = max(c.received, m.At)
+	}
 	c.mu.Unlock()
 	if !known {
 		return false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/boottime"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
@@ -35,6 +36,8 @@
 	// callTimeout bounds a call to another daemon. A call normally takes 3 ms; a host
 	// that has used up its CPU quota stalls for up to 100 ms.
 	callTimeout = 200 * time.Millisecond
+	// pushAttempts is how often decisions are sent to a daemon that does not answer in time.
+	pushAttempts = 3
 	// waitingHeartbeat is the longest time between two updates of a daemon while it has
 	// work waiting at the dispatcher, idleHeartbeat while it has none. A dispatcher that
 	// hangs is detected within callTimeout after that.
@@ -49,8 +52,12 @@
 	// localFallbackDelay is how long work is held back while another dispatcher is
 	// selected.
 	localFallbackDelay = 300 * time.Millisecond
-	// avoidPeriod is how long an unresponsive daemon is not selected as dispatcher.
-	avoidPeriod = 2 * time.Second
+	// avoidPeriod is how long an unresponsive daemon is not selected as dispatcher. One that is lost again
+	// and again is avoided twice as long each time, up to maxAvoidPeriod, unless it was not lost for
+	// lossMemory.
+	avoidPeriod    = 2 * time.Second
+	maxAvoidPeriod = 16 * time.Second
+	lossMemory     = 30 * time.Second
 	// gatherTimeout is how long a newly selected dispatcher waits for the rest of its
 	// cell before it places work. In that time daemons that wait for it start their
 	// sessions or report their in-flight work.
@@ -91,12 +98,16 @@
 	peers   Peers
 	fleet   Fleet
 	clock   clockwork.Clock
+	boot    boottime.Clock
 	log     *zap.Logger
 	metrics metrics
 	// newScheduler creates the scheduler that the dispatcher of a pool uses.
 	newScheduler func(fireflypath.Pool) dispatcher.Scheduler
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// created is the time at which Elapsed of the boot-time clock would be zero if the host was never
+	// suspended.
+	created time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu sync.Mutex
 	// closed is true once Close waits for the goroutines that make calls.
@@ -114,18 +125,20 @@
 }
 
 // New registers the methods for calls. It must be called before the endpoint serves.
-func New(self string, peers Peers, fleet Fleet, clock clockwork.Clock, scope tally.Scope, log *zap.Logger,
+func New(self string, peers Peers, fleet Fleet, clock clockwork.Clock, boot boottime.Clock, scope tally.Scope, log *zap.Logger,
 	newScheduler func(fireflypath.Pool) dispatcher.Scheduler,
 ) *Dispatch {
 	scope = scope.SubScope("dispatch")
 	d := &Dispatch{
-		self: self, peers: peers, fleet: fleet, clock: clock, log: log, newScheduler: newScheduler,
+		self: self, peers: peers, fleet: fleet, clock: clock, boot: boot, log: log, newScheduler: newScheduler,
 		metrics: metrics{
 			attached: scope.Counter("attached"), lost: scope.Counter("lost"), placed: scope.Counter("placed"),
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
 		},
 		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
 	}
+	elapsed := boot.Elapsed()
+	d.created = clock.Now().Add(-elapsed)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	peers.Handle(methodUpdate, d.handleUpdate)
 	peers.Handle(methodDecisions, d.handleDecisions)
@@ -158,13 +171,16 @@
 	Session uint64 `json:"s"`
 	First   bool   `json:"first,omitempty"`
 	End     bool   `json:"end,omitempty"`
+	leaseTerms
 	fireflypath.DispatchUpdate
 }
 
 // decisionsMessage is sent by a dispatcher to a daemon, as a response or as a call.
 type decisionsMessage struct {
-	Pool      string                     `json:"pool,omitempty"`
-	Session   uint64                     `json:"s,omitempty"`
+	Pool    string `json:"pool,omitempty"`
+	Session uint64 `json:"s,omitempty"`
+	// At is when the message was sent, by the dispatcher's boot-time clock.
+	At        fireflypath.Micros         `json:"at,omitempty"`
 	Notices   []fireflypath.TargetNotice `json:"notices,omitempty"`
 	Decisions []fireflypath.Decision     `json:"turns,omitempty"`
 }
@@ -231,7 +247,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	c := &client{d: d, pool: p, name: cfg.Name, sched: sched, avoidUntil: map[string]time.Time{}}
+	c := newClient(d, p, cfg.Name, sched)
 	d.mu.Lock()
 	d.clients[cfg.Name] = c
 	d.mu.Unlock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -159,7 +159,7 @@
 	for i := range daemons {
 		d := &node{cluster: c, name: fmt.Sprintf("d%d", i), methods: map[string]peer.Handler{}}
 		c.nodes[d.name] = d
-		d.dispatch = dispatch.New(d.name, d, d, clock, tally.NoopScope, logs.Logger(d.name), func(p fireflypath.Pool) dispatcher.Scheduler {
+		d.dispatch = dispatch.New(d.name, d, d, clock, &testkit.BootClock{Clock: clock}, tally.NoopScope, logs.Logger(d.name), func(p fireflypath.Pool) dispatcher.Scheduler {
 			return slots.New(p, 1, tuning)
 		})
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -5,11 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
+	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
 // server is the dispatcher's side of one pool: it places the work of the daemons that
@@ -21,6 +23,8 @@
 	mu       sync.Mutex
 	queue    *dispatcher.Dispatcher
 	sessions map[string]*session
+	// suspended is how long the host has been suspended, as far as noticed.
+	suspended time.Duration
 	// cellOnly is true if a dispatcher serves one cell only, and false if it serves all
 	// daemons that share the pool's targets.
 	cellOnly bool
@@ -102,7 +106,7 @@
 func (s *server) processUpdate(from string, m *updateMessage) (decisionsMessage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.d.clock.Now()
+	now := s.now()
 	if m.First {
 		s.startSession(now, from, m.Session)
 	}
@@ -116,12 +120,15 @@
 		s.pushDecisions(now)
 		return decisionsMessage{}, nil
 	}
-	s.queue.Apply(now, from, &m.DispatchUpdate)
+	if !m.First {
+		s.queue.SetLease(now, from, s.lease(now, from, m.leaseTerms))
+		s.queue.Apply(now, from, &m.DispatchUpdate)
+	}
 	if !m.First && !sess.synced {
 		sess.synced = true
 		s.releaseIfSynced(now)
 	}
-	out := decisionsMessage{Session: m.Session, Notices: s.queue.TakeNotices(now, from), Decisions: s.queue.TakeDecisions(from)}
+	out := decisionsMessage{Session: m.Session, At: s.sentAt(), Notices: s.queue.TakeNotices(now, from), Decisions: s.queue.TakeDecisions(from)}
 	s.countDecisions(out.Decisions)
 	s.pushDecisions(now)
 	return out, nil
@@ -136,8 +143,40 @@
 	}
 	s.sessions[from] = &session{id: id}
 	s.queue.OpenSession(now, from, id)
+	// It has not reported its in-flight work yet.
+	s.queue.SetLease(now, from, dispatcher.Lease{Until: now})
+}
+
+// lease returns the time in which a daemon's part of what targets bear may be used here. That of this
+// daemon itself needs no renewal: its messages are not delayed.
+func (s *server) lease(now time.Time, from string, terms leaseTerms) dispatcher.Lease {
+	l := dispatcher.Lease{From: now.Add(terms.Held.Std())}
+	if from != s.d.self {
+		l.Until = now.Add(terms.Received.Std() + terms.Lease.Std() - s.d.boot.Elapsed())
+	}
+	return l
+}
+
+// sentAt returns when a message that is sent now was sent.
+func (s *server) sentAt() fireflypath.Micros { return fireflypath.MicrosOf(s.d.boot.Elapsed()) }
+
+// now returns the time. If the host was suspended since the last call, the other daemons' leases end:
+// they may have ended meanwhile, and the clock does not show it. The caller holds mu.
+func (s *server) now() time.Time {
+	elapsed := s.d.boot.Elapsed() // read first: a delay between the two readings is no suspension
+	now := s.d.clock.Now()
+	suspended := elapsed - now.Sub(s.d.created)
+	if suspended-s.suspended > minSuspension {
+		s.queue.EndLeases(now, s.d.self)
+	}
+	s.suspended = max(s.suspended, suspended)
+	return now
 }
 
+// minSuspension is the shortest time that counts as a suspension of the host. The margin of a lease covers
+// shorter ones.
+const minSuspension = 20 * time.Millisecond
+
 // releaseIfSynced stops holding work back once the whole cell has reported its in-flight
 // work.
 func (s *server) releaseIfSynced(now time.Time) {
@@ -200,7 +239,7 @@
 			return
 		}
 		m := decisionsMessage{
-			Pool: s.pool, Session: sess.id, Notices: s.queue.TakeNotices(s.d.clock.Now(), name), Decisions: s.queue.TakeDecisions(name),
+			Pool: s.pool, Session: sess.id, At: s.sentAt(), Notices: s.queue.TakeNotices(s.now(), name), Decisions: s.queue.TakeDecisions(name),
 		}
 		s.countDecisions(m.Decisions)
 		s.mu.Unlock()
@@ -210,7 +249,7 @@
 		// The daemon has chosen another dispatcher or is gone.
 		s.mu.Lock()
 		if s.sessions[name] == sess {
-			now := s.d.clock.Now()
+			now := s.now()
 			s.endSession(now, name)
 			s.pushDecisions(now)
 		}
@@ -219,19 +258,31 @@
 	}
 }
 
-// send reports whether the daemon accepted the decisions.
+// send reports whether the daemon accepted the decisions. One that may only be late is sent them again:
+// it applies each decision once.
 func (s *server) send(name string, m *decisionsMessage) bool {
 	if name == s.d.self {
 		return s.d.applyDecisions(m)
 	}
+	for range pushAttempts {
+		known, err := s.call(name, m)
+		if err == nil || !errors.Is(err, context.DeadlineExceeded) {
+			return known
+		}
+	}
+	return false
+}
+
+func (s *server) call(name string, m *decisionsMessage) (known bool, err error) {
 	to, ok := fireflypath.FindMember(s.d.fleet.Live(), name)
 	if !ok {
-		return false
+		return false, peer.ErrUnreachable
 	}
 	ctx, cancel := context.WithTimeout(s.d.ctx, callTimeout)
 	defer cancel()
 	var a ack
-	return s.d.peers.Call(ctx, to, methodDecisions, m, &a) == nil && a.Known
+	err = s.d.peers.Call(ctx, to, methodDecisions, m, &a)
+	return err == nil && a.Known, err
 }
 
 // scheduleWake sets the timer if the queue has to be woken earlier. The caller holds mu.
@@ -266,7 +317,7 @@
 	if s.d.ctx.Err() != nil {
 		return
 	}
-	now := s.d.clock.Now()
+	now := s.now()
 	s.wakeAt = time.Time{}
 	timeout := s.sessionTimeout()
 	for name, sess := range s.sessions {
@@ -297,7 +348,7 @@
 func (s *server) change(fn func(now time.Time)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.d.clock.Now()
+	now := s.now()
 	fn(now)
 	s.pushDecisions(now)
 }
