fix(dispatch): messages that come too late still carry what targets declare

Callers saw requests cut off at a target that leaves: another daemon had read that in an answer seconds before.

Cause: a daemon whose messages take longer than a call's 0.2 s tells its dispatcher nothing and learns nothing from it. An update of a session that was given up was dropped with the notices in it, and so was an answer that came after its call had ended; the messages arrived all the same. Change: the first message of a session carries the daemon's notices; those of a message without a session, and those of an answer within a second after its call, are applied. Decisions of such messages are not.

--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -190,6 +190,11 @@
 	d.dispatchWaiting(now)
 }
 
+// ApplyNotices records what a daemon without a session knows of declarations of targets.
+func (d *Dispatcher) ApplyNotices(now time.Time, notices []fireflypath.TargetNotice) {
+	d.scheduler.ApplyNotices(now, notices)
+}
+
 // addEntry adds the work of an offer to a session.
 func (d *Dispatcher) addEntry(now time.Time, daemon string, s *session, o *fireflypath.Offer) *entry {
 	e := &entry{session: s, number: o.Number}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -185,7 +185,12 @@
 // responded. A dispatcher that is gone would hold the work until its silence is noticed.
 func (c *client) attach(ctx context.Context, to fireflypath.Member) bool {
 	session := rand.Uint64()
-	answer, err := c.send(ctx, to, updateMessage{Pool: c.name, Session: session, First: true})
+	first := updateMessage{Pool: c.name, Session: session, First: true}
+	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+		first.Notices = c.sched.Notices(now)
+		return out
+	})
+	answer, err := c.send(ctx, to, first)
 	if err != nil {
 		c.avoid(to, err)
 		return false
@@ -326,9 +331,49 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var out decisionsMessage
-	err := c.d.peers.Call(ctx, to, methodUpdate, m, &out)
-	return out, err
+	result := make(chan updateResult, 1)
+	started := c.d.spawn(func() {
+		r := c.call(to, m)
+		result <- r
+		if r.err == nil && ctx.Err() != nil {
+			c.applyNotices(r.decisions.Notices)
+		}
+	})
+	if !started {
+		return decisionsMessage{}, errClosed
+	}
+	select {
+	case r := <-result:
+		return r.decisions, r.err
+	case <-ctx.Done():
+		return decisionsMessage{}, errors.Wrapf(ctx.Err(), "call %s at %s", methodUpdate, to.Name)
+	}
+}
+
+// updateResult is the outcome of an update.
+type updateResult struct {
+	decisions decisionsMessage
+	err       error
+}
+
+// call sends an update and waits for the answer for longer than its sender may.
+func (c *client) call(to fireflypath.Member, m updateMessage) (r updateResult) {
+	ctx, cancel := context.WithTimeout(c.d.ctx, lateAnswerTimeout)
+	defer cancel()
+	r.err = c.d.peers.Call(ctx, to, methodUpdate, m, &r.decisions)
+	return r
+}
+
+// applyNotices applies what a message says of targets that came too late for its decisions to count. It
+// may be of an earlier dispatcher, so the present one is sent them.
+func (c *client) applyNotices(notices []fireflypath.TargetNotice) {
+	if len(notices) == 0 {
+		return
+	}
+	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
+		c.sched.Local.ApplyNotices(now, notices)
+		return out
+	})
 }
 
 // applyDecisions applies decisions. It reports false if they belong to another session.
@@ -340,6 +385,7 @@
 	}
 	c.mu.Unlock()
 	if !known {
+		c.applyNotices(m.Notices)
 		return false
 	}
 	if len(m.Notices)+len(m.Decisions) > 0 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	// callTimeout bounds a call to another daemon. A call normally takes 3 ms; a host
 	// that has used up its CPU quota stalls for up to 100 ms.
 	callTimeout = 200 * time.Millisecond
+	// lateAnswerTimeout is how long an answer may take whose notices are used although its call has
+	// failed.
+	lateAnswerTimeout = time.Second
 	// pushAttempts is how often decisions are sent to a daemon that does not answer in time.
 	pushAttempts = 3
 	// waitingHeartbeat is the longest time between two updates of a daemon while it has
@@ -154,13 +157,15 @@
 	d.calls.Wait()
 }
 
-// spawn runs fn in a goroutine unless Dispatch is closed.
-func (d *Dispatch) spawn(fn func()) {
+// spawn runs fn in a goroutine. It reports false if Dispatch is closed.
+func (d *Dispatch) spawn(fn func()) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.closed {
-		d.calls.Go(fn)
+	if d.closed {
+		return false
 	}
+	d.calls.Go(fn)
+	return true
 }
 
 // updateMessage is sent by a daemon to its dispatcher.
@@ -190,7 +195,10 @@
 	Known bool `json:"known"`
 }
 
-var errNoSession = errors.New("the dispatcher knows no such session")
+var (
+	errNoSession = errors.New("the dispatcher knows no such session")
+	errClosed    = errors.New("the daemon stops")
+)
 
 func (d *Dispatch) handleUpdate(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var m updateMessage
--- a/internal/dispatch/lease_test.go
+++ b/internal/dispatch/lease_test.go
@@ -86,3 +86,32 @@
 		}
 	}
 }
+
+// Guards against requests that are cut off at a target that is shutting down: the daemons hear of each
+// other too late for one to place the work of the others, and what one of them has read in an answer is
+// lost with the messages that come too late.
+func TestLateMessagesCarryNotices(t *testing.T) {
+	for _, informed := range []string{"d0", "d2"} {
+		t.Run("answer to "+informed, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startNoticeFleet(t, 3, 2)
+				f.run(30, time.Second)
+				for name := range f.nodes {
+					f.setDelay(name, 200*time.Millisecond)
+				}
+				f.run(30, 2*time.Second)
+				f.declare("t0", fireflypath.Notice{Leaving: true})
+				declaredAt := time.Now()
+				f.requestAtOnce(informed, 6)
+				is.True(f.mostInWindow("t0", declaredAt) > 0) // it has such an answer
+				time.Sleep(5 * time.Second)
+				from := time.Now()
+				for name := range f.nodes {
+					f.requestAtOnce(name, 6)
+				}
+				is.Equal(f.mostInWindow("t0", from), 0)
+			})
+		})
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -111,6 +111,10 @@
 		s.startSession(now, from, m.Session)
 	}
 	sess := s.sessions[from]
+	if m.First || sess == nil || sess.id != m.Session {
+		// What targets declare holds whoever places the daemon's work, and however late it is told.
+		s.queue.ApplyNotices(now, m.Notices)
+	}
 	if sess == nil || sess.id != m.Session {
 		return decisionsMessage{}, errNoSession
 	}
