feat(gate): the lines of a request name the parts of its prompt

The lines could not tell whether requests that crash targets share a part of their prompts, or something else. The platform's header of parts is decoded, and each part but the last, which is the request's own, stands in the lines as a mark: the same for the same part, whoever sends it. No behaviour changes.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -37,6 +37,20 @@
 	return Digest(binary.BigEndian.Uint64(h.Sum(sum[:0])))
 }
 
+// OfPart returns the digest of a part of a prompt in the requests of a team, or in those of all
+// teams if the team is empty.
+func OfPart(team, part string) Digest {
+	h := sha256.New()
+	var size [4]byte
+	for _, text := range []string{"part", team, part} {
+		binary.BigEndian.PutUint32(size[:], uint32(len(text)))
+		h.Write(size[:])
+		h.Write([]byte(text))
+	}
+	var sum [sha256.Size]byte
+	return Digest(binary.BigEndian.Uint64(h.Sum(sum[:0])))
+}
+
 // String returns the digest as 16 hexadecimal digits, the form used in logs and by operators.
 func (d Digest) String() string {
 	const digits = 16
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+func TestPartsOfTeamsDiffer(t *testing.T) {
+	is := is.New(t)
+	seen := map[digest.Digest]bool{}
+	for _, d := range []digest.Digest{
+		digest.OfPart("", "a"), digest.OfPart("", "b"), digest.OfPart("red", "a"), digest.OfPart("blue", "a"), digest.OfPart("reda", ""),
+	} {
+		is.True(!seen[d])
+		seen[d] = true
+	}
+	is.Equal(digest.OfPart("red", "a"), digest.OfPart("red", "a"))
+}
+
 func TestParseReadsString(t *testing.T) {
 	is := is.New(t)
 	for _, d := range []digest.Digest{0, 0xab, digest.Of(request())} {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -42,7 +42,10 @@
 	body          []byte
 	// digest is equal for requests for the same work, whichever caller or daemon sends them.
 	digest digest.Digest
-	cost   fireflypath.Cost
+	// parts are the digests of the parts that the prompt may share with others, whichever team
+	// sends them.
+	parts []digest.Digest
+	cost  fireflypath.Cost
 	// expectedOutput is the expected number of output tokens.
 	expectedOutput int
 	// quotaUnits are the units taken from the team's quota, or 0.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -60,12 +60,12 @@
 		}
 		if reason := g.retryDenied(c, out); reason != "" {
 			g.deps.Log.Info("request not retried", zap.String("request", c.id), zap.String("route", c.route.Name),
-				zap.String("target", att.target.Name), zap.String("result", att.result), zap.String("why", reason), zap.Stringer("digest", c.digest))
+				zap.String("target", att.target.Name), zap.String("result", att.result), zap.String("why", reason), zap.Stringer("digest", c.digest), c.partsField())
 			return g.finishFailed(c, notRun(fireflypath.ReasonTargetRefused, "no target gave an answer: "+att.result, defaultRetryAfter))
 		}
 		g.metrics.retries.Inc(1)
 		g.deps.Log.Info("request retried at another target", zap.String("request", c.id), zap.String("route", c.route.Name),
-			zap.String("target", att.target.Name), zap.String("target_version", att.target.Version), zap.String("result", att.result), zap.Int("attempts", len(c.attempts)), zap.Stringer("digest", c.digest))
+			zap.String("target", att.target.Name), zap.String("target_version", att.target.Version), zap.String("result", att.result), zap.Int("attempts", len(c.attempts)), zap.Stringer("digest", c.digest), c.partsField())
 	}
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -38,7 +38,7 @@
 func (testCodec) Headers() fireflypath.Headers {
 	return fireflypath.Headers{
 		ID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Team: "T-Team", Target: "T-Target", Instance: "T-Self",
-		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", Tokens: "T-Tokens", OutputHint: "T-Hint",
+		NotRun: "T-Not-Run", Signature: "T-Signature", Load: "T-Load", Limit: "T-Limit", Leaving: "T-Leaving", Tokens: "T-Tokens", OutputHint: "T-Hint", Parts: "T-Parts",
 		Event: "Last-Event-Id", Resumes: "T-Resumes", DaemonOnly: []string{"T-Team", "T-Target", "T-Hold"},
 	}
 }
@@ -56,6 +56,8 @@
 
 func (testCodec) Brittle(string) (int, bool) { return 0, false }
 
+func (testCodec) SharedParts(h string) []string { return strings.Fields(h) }
+
 func (testCodec) Cost(h string) (fireflypath.Cost, bool) {
 	prompt, output, ok := strings.Cut(h, ",")
 	p, _ := strconv.Atoi(prompt)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -118,7 +118,7 @@
 		fields = append(fields, zap.String("resumes", c.resumes), zap.String("after", c.r.Header.Get(g.headers.Event)))
 	}
 	if c.digest != 0 {
-		fields = append(fields, zap.Stringer("digest", c.digest))
+		fields = append(fields, zap.Stringer("digest", c.digest), c.partsField())
 	}
 	if att := c.lastAttempt(); att != nil && !att.Sent.IsZero() {
 		fields = append(fields, zap.String("target", att.target.Name), zap.String("target_version", att.target.Version), zap.Int("attempts", len(c.attempts)),
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -5,22 +5,38 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/http1"
 )
 
-// computeDigest sets the request's digest.
+// maxParts bounds the parts of a prompt that are considered.
+const maxParts = 16
+
+// computeDigest sets the digests of the request and of the parts of its prompt.
 func (g *Gate) computeDigest(c *call) *refusal {
 	r := digest.Request{Method: c.r.Method, Host: c.r.Host, URI: c.requestURI(), Body: c.body}
 	if c.team != nil {
 		r.Team = c.team.Name
 	}
 	c.digest = digest.Of(r)
+	parts := g.deps.Codec.SharedParts(c.r.Header.Get(g.headers.Parts))
+	for _, part := range parts[:min(len(parts), maxParts)] {
+		c.parts = append(c.parts, digest.OfPart("", part))
+	}
 	return nil
 }
 
+// partsField returns the log field that lists the parts of a request's prompt.
+func (c *call) partsField() zap.Field {
+	if len(c.parts) == 0 {
+		return zap.Skip()
+	}
+	return zap.Stringers("parts", c.parts)
+}
+
 // refuseIfHeld refuses a quarantined request. It runs before quota is taken.
 func (g *Gate) refuseIfHeld(c *call) *refusal {
 	remaining, held := g.deps.Quarantine.Held(c.digest)
--- a/internal/testkit/codec.go
+++ b/internal/testkit/codec.go
@@ -40,6 +40,9 @@
 // Cost never finds a cost.
 func (Codec) Cost(string) (c fireflypath.Cost, ok bool) { return c, ok }
 
+// SharedParts implements fireflypath.Codec. Prompts have no parts.
+func (Codec) SharedParts(string) []string { return nil }
+
 // Config decodes a configuration from JSON.
 func (Codec) Config(value []byte) (*fireflypath.Config, error) {
 	var cfg fireflypath.Config
--- a/routing.go
+++ b/routing.go
@@ -119,6 +119,8 @@
 	Brittle string
 	// Tokens holds the number of prompt tokens and the maximum number of output tokens.
 	Tokens string
+	// Parts lists the parts of the request's prompt.
+	Parts string
 	// OutputHint is the caller's estimate of the number of output tokens.
 	OutputHint string
 	// Event is the ID of the last event that the caller received.
@@ -158,6 +160,9 @@
 	Leaving(header string) bool
 	// Cost decodes the token header, which holds the prompt and the maximum output.
 	Cost(header string) (Cost, bool)
+	// SharedParts decodes the header that lists the parts of a prompt. It returns the ids of those
+	// that other prompts may share, in order, and nothing for a header that it cannot decode.
+	SharedParts(header string) []string
 }
 
 // Listing is a set of a store's keys at a revision.
