--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -52,14 +53,22 @@
 	targetsStarted int
 	// crashes holds the times at which targets crashed on crashingBody.
 	crashes []time.Time
-	// delay is how long a target works before it answers or crashes.
-	delay time.Duration
+	// delay is how long a target works before it answers or crashes, away how long it is gone
+	// after a crash.
+	delay, away time.Duration
+	// crashingParts are the parts of prompts that crash each target that starts to answer them.
+	// partArrivals holds the times at which requests with them reached targets, partCrashes those
+	// at which targets crashed on them.
+	crashingParts             []string
+	partArrivals, partCrashes map[string][]time.Time
+	restarts                  sync.WaitGroup
 }
 
 func newCrashCluster(t *testing.T, targets int) *crashCluster {
 	t.Helper()
 	s := &crashCluster{
 		is: is.New(t), logs: testkit.NewLogs(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond,
+		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 	}
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(srv.Close)
@@ -151,8 +160,11 @@
 	var srv *httptest.Server
 	srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		part := s.crashingPart(r.Header.Get(h.Parts))
+		s.recordPart(s.partArrivals, part)
 		time.Sleep(s.delay)
-		if string(body) == crashingBody {
+		if part != "" || string(body) == crashingBody {
+			s.recordPart(s.partCrashes, part)
 			s.crashTarget(t, name, srv)
 			panic(http.ErrAbortHandler)
 		}
@@ -175,11 +187,43 @@
 	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
 	s.store.RemoveTarget(name)
-	s.startTarget(t)
+	if s.away == 0 {
+		s.startTarget(t)
+		return
+	}
+	s.restarts.Go(func() {
+		time.Sleep(s.away)
+		s.startTarget(t)
+	})
+}
+
+// crashingPart returns the part of a prompt that crashes targets, or "".
+func (s *crashCluster) crashingPart(parts string) string {
+	for _, part := range s.crashingParts {
+		if strings.Contains(parts, part+":") {
+			return part
+		}
+	}
+	return ""
+}
+
+// recordPart adds the current time to the events of a part.
+func (s *crashCluster) recordPart(events map[string][]time.Time, part string) {
+	if part == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events[part] = append(events[part], time.Now())
 }
 
 // send sends one request to a daemon.
 func (s *crashCluster) send(d int, id, path, body string) (int, http.Header) {
+	return s.sendPrompt(d, id, path, body, "")
+}
+
+// sendPrompt sends one request whose prompt has the given parts to a daemon.
+func (s *crashCluster) sendPrompt(d int, id, path, body, parts string) (int, http.Header) {
 	h := platform.Codec{}.Headers()
 	r, err := http.NewRequest(http.MethodPost, "http://"+s.daemons[d].CallerAddr()+path, bytes.NewReader([]byte(body)))
 	s.is.NoErr(err)
@@ -187,6 +231,9 @@
 	r.Host = crashHost
 	r.Header.Set(h.ID, id)
 	r.Header.Set(h.Deadline, strconv.Itoa(4000))
+	if parts != "" {
+		r.Header.Set(h.Parts, parts)
+	}
 	resp, err := s.client.Do(r)
 	if err != nil {
 		return 0, nil
