fix(http1): targets that crash in a row are no lost paths

Cause: a daemon that loses two connections at different targets without an answer in between takes its own paths to be lost (internal/decide/path), and a loss then says nothing about the target, also for the quarantine. A request that crashes targets does just that.

A connection that its other end closes or resets has arrived over a path that works, so it counts as a crash; a silent one still does not, nor one through another daemon. What placement does on suspicion of lost paths stays. If only connections were reset, the target's next answer takes the crash back, as before.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -72,10 +72,16 @@
 // it was lost or led through another daemon.
 var ErrPathLost = errors.New("path to the target was lost")
 
+// errEnded marks the loss of a connection whose other end closed or reset it. It marks nothing that
+// went through another daemon.
+var errEnded = errors.New("connection was ended by the other end")
+
 // ConnectionLost reports whether err says that the target closed or reset the connection
-// while it ran a request, or that its host stopped responding.
+// while it ran a request, or that its host stopped responding. The end of a connection proves that the
+// path to the target worked, also if this daemon otherwise seems to have lost its paths: a request
+// that crashes targets ends several in a row.
 func ConnectionLost(err error) bool {
-	return !errors.Is(err, ErrPathLost) && isLoss(err)
+	return isLoss(err) && (errors.Is(err, errEnded) || !errors.Is(err, ErrPathLost))
 }
 
 // isLoss reports whether err says that a connection was closed or reset while it carried a request.
--- a/internal/http1/dial.go
+++ b/internal/http1/dial.go
@@ -48,6 +48,8 @@
 	// ReportLoss records that a connection was lost while it carried a request. It reports whether
 	// the target may have caused that, and not the path to it.
 	ReportLoss(c Conn, target fireflypath.Target) (byTarget bool)
+	// IsDirect reports whether a connection leads to the target without another daemon in between.
+	IsDirect(c Conn) bool
 }
 
 // Direct connects to targets without a daemon in between.
@@ -92,6 +94,9 @@
 // ReportLoss implements Dialer.
 func (Direct) ReportLoss(Conn, fireflypath.Target) bool { return true }
 
+// IsDirect implements Dialer.
+func (Direct) IsDirect(Conn) bool { return true }
+
 // isUnreachable reports whether dialing failed because of the target or the network, and
 // not because of a local cause such as a lack of file descriptors.
 func isUnreachable(err error) bool {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/fireflypath/fireflypath"
 )
 
@@ -166,8 +168,16 @@
 // reportLoss reports a lost connection to the dialer and marks the error if the target did not cause
 // it.
 func (resp *Response) reportLoss(err error) error {
-	if isLoss(err) && !resp.client.dialer.ReportLoss(resp.conn.Conn, resp.target) {
-		return errors.Mark(err, ErrPathLost)
+	if !isLoss(err) {
+		return err
+	}
+	dialer := resp.client.dialer
+	ended := !errors.Is(err, unix.ETIMEDOUT) && dialer.IsDirect(resp.conn.Conn)
+	if !dialer.ReportLoss(resp.conn.Conn, resp.target) {
+		err = errors.Mark(err, ErrPathLost)
+	}
+	if ended {
+		err = errors.Mark(err, errEnded)
 	}
 	return err
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -87,14 +87,20 @@
 
 // ReportAnswer implements http1.Dialer.
 func (t *Tunnel) ReportAnswer(c http1.Conn) {
-	if _, ok := c.(*conn); !ok {
+	if t.IsDirect(c) {
 		t.paths.Answered()
 	}
 }
 
+// IsDirect implements http1.Dialer.
+func (t *Tunnel) IsDirect(c http1.Conn) bool {
+	_, indirect := c.(*conn)
+	return !indirect
+}
+
 // ReportLoss implements http1.Dialer.
 func (t *Tunnel) ReportLoss(c http1.Conn, target fireflypath.Target) bool {
-	if _, ok := c.(*conn); ok {
+	if !t.IsDirect(c) {
 		return false // the peer or the path to it may have ended
 	}
 	now := t.clock.Now()
