--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -158,14 +158,17 @@
 	s.mu.Unlock()
 	h := platform.Codec{}.Headers()
 	var srv *httptest.Server
+	var crash sync.Once
 	srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		part := s.crashingPart(r.Header.Get(h.Parts))
 		s.recordPart(s.partArrivals, part)
 		time.Sleep(s.delay)
 		if part != "" || string(body) == crashingBody {
-			s.recordPart(s.partCrashes, part)
-			s.crashTarget(t, name, srv)
+			crash.Do(func() {
+				s.recordPart(s.partCrashes, part)
+				s.crashTarget(t, name, srv)
+			})
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set(h.ID, r.Header.Get(h.ID))
--- a/internal/decide/poison/attribution.go
+++ b/internal/decide/poison/attribution.go
@@ -4,127 +4,162 @@
 	"math"
 	"slices"
 	"time"
-)
 
-// request tracks a request that was running on targets when they crashed.
-type request struct {
-	pool string
-	// poolSize is the number of targets in the pool.
-	poolSize int
-	// crashes holds at most one crash per target, ordered by end time, since the last
-	// hold. pastCrashes holds earlier ones and those reported during a hold.
-	crashes, pastCrashes []Crash
-	// suspectSince is when the request became a suspect, zero if it is not one.
-	suspectSince time.Time
-	// heldUntil is when the request may run again; holds counts how often it was held.
-	heldUntil  time.Time
-	holds      int
-	lastReport time.Time
-}
+	"github.com/fireflypath/fireflypath/internal/digest"
+)
 
-// hold refuses the request until the given time and restarts the count of its crashes.
-func (r *request) hold(until time.Time, holds int) {
-	r.heldUntil, r.holds = until, holds
-	r.pastCrashes = append(r.pastCrashes, r.crashes...)
-	r.pastCrashes = r.pastCrashes[max(0, len(r.pastCrashes)-maxPastCrashes):]
-	r.crashes = nil
-	r.suspectSince = time.Time{}
+// inseparable returns the cause and those that every run with it also had.
+func (det *Detector) inseparable(d digest.Digest, r *cause) []digest.Digest {
+	var common []digest.Digest
+	keep := func(causes []digest.Digest) {
+		if common == nil {
+			common = slices.Clone(causes)
+			return
+		}
+		common = slices.DeleteFunc(common, func(o digest.Digest) bool { return !slices.Contains(causes, o) })
+	}
+	for _, c := range r.crashes {
+		t := det.crashedTargets[c.target]
+		if t == nil {
+			continue
+		}
+		for _, ran := range t.runs {
+			if ran.has(d) {
+				keep(ran.causes)
+			}
+		}
+	}
+	for _, h := range det.holdsOf[d] {
+		keep(h.members) // what earlier runs had in common
+	}
+	if common == nil {
+		return []digest.Digest{d}
+	}
+	return common
 }
 
-// attributed returns the crashes that no other request explains at least as well. A crash
-// is explained by another request on the same target that is held or has as many crashes.
-// A request that is retried together with a poison request keeps meeting it; of two
-// requests that always ran together, neither gets a crash attributed until one of them
-// crashes a target alone.
-func (det *Detector) attributed(r *request) []Crash {
-	var out []Crash
+// attributed returns the crashes of a cause that nothing else explains at least as well. Causes
+// that were never seen without it are no other explanation.
+func (det *Detector) attributed(d digest.Digest, r *cause) []targetCrash {
+	var out []targetCrash
+	inseparable := det.inseparable(d, r)
 	for _, c := range r.crashes {
-		if !det.explainedByOther(r, c.Target) {
+		t := det.crashedTargets[c.target]
+		if t == nil || !det.explainedByOther(d, r, t, inseparable) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-func (det *Detector) explainedByOther(r *request, target string) bool {
-	t := det.crashedTargets[target]
+// explainedByOther reports whether another cause explains the crash of a target at least as well.
+// A request that is retried together with a poison request keeps meeting it; of two requests that
+// always ran together, neither gets a crash attributed until one of them crashes a target alone.
+func (det *Detector) explainedByOther(d digest.Digest, r *cause, t *crashedTarget, inseparable []digest.Digest) bool {
+	repeated := det.heldBefore(d, t)
+	for _, ran := range t.runs {
+		sameRun := ran.has(d)
+		for _, o := range ran.causes {
+			other := det.causes[o]
+			if other == nil || slices.Contains(inseparable, o) {
+				continue
+			}
+			switch {
+			case det.heldBefore(o, t):
+				return true
+			case repeated:
+			case sameRun && other.total() >= r.total(), !sameRun && len(other.crashes) >= len(r.crashes):
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// heldBefore reports whether a request that was held for the cause ran on the target.
+func (det *Detector) heldBefore(d digest.Digest, t *crashedTarget) bool {
 	if t == nil {
 		return false
 	}
-	for _, d := range t.requests {
-		if other := det.requests[d]; other != nil && other != r && other.atLeastAsSuspect(r) {
+	for _, h := range det.holdsOf[d] {
+		if slices.ContainsFunc(t.runs, func(ran run) bool { return ran.hasAll(h.members) }) {
 			return true
 		}
 	}
 	return false
 }
 
-// atLeastAsSuspect reports whether r is as likely as other to have crashed a target on
-// which both ran. A request that was held before is always the more likely one.
-func (r *request) atLeastAsSuspect(other *request) bool {
-	if r.holds > 0 || other.holds > 0 {
-		return r.holds > 0
-	}
-	return len(r.crashes) >= len(other.crashes)
-}
-
-// crashed reports whether the target already counts as crashed under the request.
-func (r *request) crashed(target string) bool {
-	onTarget := func(c Crash) bool { return c.Target == target }
-	return slices.ContainsFunc(r.crashes, onTarget) || slices.ContainsFunc(r.pastCrashes, onTarget)
-}
-
 // consecutive returns the crashes whose run started after the previous crash in the
 // result. A request sent by many callers at once runs on many targets in parallel; when a
 // failure domain is lost, all these runs end together and are no more evidence than a
-// single crash.
-func consecutive(crashes []Crash) []Crash {
-	var out []Crash
+// single crash, also those that had hardly started.
+func consecutive(crashes []targetCrash) []targetCrash {
+	var out []targetCrash
 	for _, c := range crashes {
-		if len(out) == 0 || c.Started.After(out[len(out)-1].Ended.Add(-clockSkew)) {
+		if len(out) == 0 || c.follows(out[len(out)-1]) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// isPoison reports whether enough targets crashed under the request, and more than is
-// plausible by chance.
-func (det *Detector) isPoison(r *request) bool {
-	attributed := det.attributed(r)
+// evidence is what speaks against a cause.
+type evidence struct {
+	// maxChance is the probability up to which the crashes are held to be no chance.
+	maxChance float64
+	// confirmations is how many confirmation periods must pass.
+	confirmations int
+}
+
+// isPoison reports whether enough targets crashed under the cause, and more than is
+// plausible by chance, and how many confirmation periods must pass before it is held.
+func (det *Detector) isPoison(d digest.Digest, r *cause) (confirmations int, ok bool) {
+	attributed := det.attributed(d, r)
 	if len(attributed) == 0 {
-		return false
+		return 0, false
 	}
-	sequence := len(consecutive(attributed))
-	limit := maxChance
+	e, ok := det.weigh(d, r, attributed)
+	return e.confirmations, ok && poissonTail(len(attributed), det.expectedCrashes(r, attributed)) <= e.maxChance
+}
+
+// weigh returns what the crashes prove. It reports false if they are too few.
+func (det *Detector) weigh(d digest.Digest, r *cause, attributed []targetCrash) (evidence, bool) {
+	sequence, enough := len(consecutive(attributed)), det.cfg.MinCrashes+extraCrashes
+	burst := len(attributed) >= enough && det.warm
 	switch {
-	case r.holds > 0:
-		limit = repeatChance
-	case sequence < det.cfg.MinCrashes:
-		return false
-	case sequence >= det.cfg.MinCrashes+extraCrashes:
-		limit = extraCrashesChance
+	case sequence >= det.suspectThreshold(d, r) && len(det.holdsOf[d]) > 0:
+		return evidence{repeatChance, 1}, true
+	case sequence >= enough:
+		return evidence{extraCrashesChance, 1}, true
+	case sequence >= det.cfg.MinCrashes, burst && sequence >= suspectCrashes:
+		return evidence{maxChance, 1}, true
+	case burst:
+		return evidence{maxChance, burstConfirmations}, true
 	}
-	return poissonTail(len(attributed), det.expectedCrashes(r, attributed)) <= limit
+	return evidence{}, false
 }
 
 // expectedCrashes is the number of crashes that the runs would have met if the pool's
-// targets crashed at random, at the rate of the worst second during that time.
-func (det *Detector) expectedCrashes(r *request, crashes []Crash) float64 {
+// targets crashed at random, at the rate of the worst second of the others during that time.
+func (det *Detector) expectedCrashes(r *cause, crashes []targetCrash) float64 {
 	running := time.Duration(0)
 	for _, c := range crashes {
-		running += max(c.Ended.Sub(c.Started), 0)
+		running += max(c.ended.Sub(c.started), 0)
 	}
-	from, to := crashes[0].Started, crashes[len(crashes)-1].Ended.Add(clockSkew)
-	return running.Seconds() * float64(det.peakCrashes(r.pool, from, to)) / float64(max(r.poolSize, 1))
+	return running.Seconds() * float64(max(det.peakOfOthers(r.pool, crashes), 1)) / float64(max(r.poolSize, 1))
 }
 
-// peakCrashes is the largest number of the pool's targets that crashed within one second
-// between from and to.
-func (det *Detector) peakCrashes(pool string, from, to time.Time) int {
+// peakOfOthers is the largest number of the pool's other targets that crashed within one second
+// during the crashes.
+func (det *Detector) peakOfOthers(pool string, crashes []targetCrash) int {
+	from, to := crashes[0].started, crashes[len(crashes)-1].ended.Add(clockSkew)
+	own := map[string]bool{}
+	for _, c := range crashes {
+		own[c.target] = true
+	}
 	var times []time.Time
-	for _, t := range det.crashedTargets {
-		if t.pool == pool && !t.crashedAt.Before(from) && !t.crashedAt.After(to) {
+	for name, t := range det.crashedTargets {
+		if t.pool == pool && !own[name] && !t.crashedAt.Before(from) && !t.crashedAt.After(to) {
 			times = append(times, t.crashedAt)
 		}
 	}
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -2,18 +2,24 @@
 // them.
 //
 // A poison request, also called a query of death, is repeated by its caller and crashes
-// each target that starts it. Limits per target, pool or team do not catch it, because
-// each attempt is a new request on another target. Unless crashes are remembered per
-// request, it takes down a whole pool with all other requests running there.
+// each target that starts it. Or it is one of many that differ but share a part of their
+// prompts that does so. Limits per target, pool or team do not catch it, because each
+// attempt is a new request on another target. Unless crashes are remembered per request and
+// per part, it takes down a whole pool with all other requests running there.
 //
 // A crashing target also breaks the healthy requests on it, so running there is no proof.
-// A request is held if it was running at crash after crash, in runs one after the other,
-// more often than by chance and than any other request there, and if no target ever
-// completed it.
+// A cause, which is a request or a part, is to blame if it was running at crash after crash,
+// in runs one after the other, more often than by chance and than anything else there, and
+// if no target ever completed a request with it.
+//
+// Causes that were never seen apart cannot be told apart. They are held together: requests
+// with all of them are refused, and one with only some of them is served. What is answered in
+// such a request leaves the set.
 package poison
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,28 +27,35 @@
 )
 
 const (
-	// suspectCrashes is how many consecutive crashes make a request a suspect.
+	// suspectCrashes is how many consecutive crashes make a cause a suspect.
 	suspectCrashes = 2
-	// maxChance is the highest probability, for a healthy request, of meeting as many
-	// crashes at which a request is still held. With it, one in some tens of thousands of
+	// maxChance is the highest probability, for a healthy cause, of meeting as many
+	// crashes at which a cause is still held. With it, one in some tens of thousands of
 	// healthy requests that meet as many crashes is held by mistake.
 	maxChance = 1e-5
+	// suspicionTime is how long a cause stays a suspect before it is announced again: the
+	// daemons forget suspects.
+	suspicionTime = 5 * time.Minute
 	// extraCrashes is how many crashes beyond Config.MinCrashes make extraCrashesChance
 	// sufficient: a request that runs for long before it crashes its target also meets
 	// more crashes by chance.
 	extraCrashes       = 2
 	extraCrashesChance = 1e-3
-	// repeatChance applies to requests that were held before.
+	// repeatChance applies to causes that were held before.
 	repeatChance = 0.05
+	// burstConfirmations is how many confirmation periods pass before a cause is held whose
+	// targets all crashed at once.
+	burstConfirmations = 3
 	// clockSkew is the largest expected difference between the clocks of two daemons.
 	clockSkew = 25 * time.Millisecond
-	// retention is how long a crash counts against the requests that ran on the target.
-	retention = 30 * time.Minute
-	// maxRequests and maxCrashedTargets bound the memory used: many times what runs in one
+	// retention is how long a crash counts against the requests that ran on the target,
+	// holdRetention how long a hold is remembered after its end.
+	retention     = 30 * time.Minute
+	holdRetention = 24 * time.Hour
+	// maxCauses and maxCrashedTargets bound the memory used: many times what runs in one
 	// failure domain.
-	maxRequests, maxCrashedTargets = 4096, 4096
-	pruneInterval                  = time.Minute
-	maxPastCrashes                 = 64
+	maxCauses, maxCrashedTargets, maxHolds = 8192, 4096, 1024
+	pruneInterval                          = time.Minute
 	// maxDoublings limits a hold to 16 times Config.HoldTime.
 	maxDoublings = 4
 )
@@ -58,7 +71,9 @@
 
 // Crash reports that a target crashed while it ran a request.
 type Crash struct {
-	Digest digest.Digest
+	// Causes are what may be to blame: the request itself, then the parts that it shares with
+	// others. It is not empty.
+	Causes []digest.Digest
 	Pool   string
 	// Target identifies one incarnation of the target; PoolSize is the number of targets
 	// in its pool.
@@ -68,191 +83,384 @@
 	Started, Ended time.Time
 }
 
-// State is the state of a request in the quarantine.
+// State is the state of a cause in the quarantine.
 type State string
 
-// The states of a request.
+// The states of a cause.
 const (
-	// Suspect is a request that may crash targets; it is still served normally.
+	// Suspect is a cause that may crash targets; requests with it are still served normally.
 	Suspect State = "suspect"
-	// Held is a request that is refused.
+	// Held is a set of causes; requests with all of them are refused.
 	Held State = "held"
-	// Cleared is a request that was suspect or held and has turned out to be healthy.
+	// Cleared is a cause that was suspect or held and has turned out to be healthy.
 	Cleared State = "free"
 )
 
-// Verdict is a change of a request's state.
+// Kind tells what is held.
+type Kind string
+
+// The kinds of what is held.
+const (
+	// KindRequest is one request, whoever sends it again.
+	KindRequest Kind = "request"
+	// KindPart is all requests with a part, or with some parts together.
+	KindPart Kind = "part"
+)
+
+// Verdict is a change of the state of a cause or a set of causes.
 type Verdict struct {
+	// Digest identifies the cause or the set.
 	Digest digest.Digest
-	Pool   string
-	State  State
-	// Until is when a held request may run again.
+	// Members are the causes of a set that is held.
+	Members []digest.Digest
+	Kind    Kind
+	Pool    string
+	State   State
+	// Until is when held requests may run again.
 	Until time.Time
-	// Crashes is how many targets crashed under the request, Holds how often it was held.
+	// Crashes is how many targets crashed, Holds how often the set was held.
 	Crashes, Holds int
 }
 
-// crashedTarget is a target incarnation that crashed.
-type crashedTarget struct {
-	pool      string
-	crashedAt time.Time
-	// requests are the requests that ran there.
-	requests []digest.Digest
-}
-
 // Detector collects crash reports from daemons. It is not safe for concurrent use.
 type Detector struct {
-	cfg      Config
-	requests map[digest.Digest]*request
+	cfg    Config
+	causes map[digest.Digest]*cause
+	// holds is keyed by the digest of the set, holdsOf by each member.
+	holds   map[digest.Digest]*hold
+	holdsOf map[digest.Digest][]*hold
 	// crashedTargets is keyed by target, whatever requests ran there.
 	crashedTargets map[string]*crashedTarget
 	// lastPruned is when old data was last removed.
 	lastPruned time.Time
+	warm       bool
 }
 
 // New returns a detector without reports.
 func New(cfg Config) *Detector {
-	return &Detector{cfg: cfg, requests: map[digest.Digest]*request{}, crashedTargets: map[string]*crashedTarget{}}
+	return &Detector{
+		cfg: cfg, causes: map[digest.Digest]*cause{}, holds: map[digest.Digest]*hold{}, holdsOf: map[digest.Digest][]*hold{},
+		crashedTargets: map[string]*crashedTarget{},
+	}
 }
 
+// SetWarm tells the detector that the daemons have answered requests for long enough to know what
+// many of them share. Before that, bursts of crashes prove nothing: a part that many requests share
+// looks like one that crashes targets when many are lost at once.
+func (det *Detector) SetWarm() { det.warm = true }
+
 // RecordCrash adds a crash report. The same crash may be reported repeatedly.
 func (det *Detector) RecordCrash(now time.Time, c Crash) {
-	det.recordTarget(c)
-	r := det.requests[c.Digest]
-	if r == nil {
-		r = &request{pool: c.Pool}
-		det.requests[c.Digest] = r
+	t := det.crashedTargets[c.Target]
+	if t == nil {
+		t = &crashedTarget{pool: c.Pool}
+		det.crashedTargets[c.Target] = t
 	}
-	r.lastReport = now
-	r.poolSize = c.PoolSize
-	if r.crashed(c.Target) {
+	t.crashedAt = c.Ended
+	if slices.ContainsFunc(t.runs, func(r run) bool { return r.request == c.Causes[0] }) {
 		return
 	}
-	if now.Before(r.heldUntil) {
-		r.pastCrashes = append(r.pastCrashes, c) // sent before the hold took effect
+	t.runs = append(t.runs, run{request: c.Causes[0], causes: slices.Clone(c.Causes)})
+	if det.isHeld(now, c.Causes) {
+		det.explain(c.Target, t) // sent before the hold took effect
+	}
+	if t.explained {
 		return
 	}
-	r.crashes = append(r.crashes, c)
-	slices.SortFunc(r.crashes, func(a, b Crash) int { return cmp.Compare(a.Ended.UnixNano(), b.Ended.UnixNano()) })
-	if now.Sub(det.lastPruned) > pruneInterval || len(det.requests) > maxRequests || len(det.crashedTargets) > maxCrashedTargets {
+	for i, d := range c.Causes {
+		r := det.cause(now, d, c.Pool)
+		r.poolSize, r.isRequest = c.PoolSize, r.isRequest || i == 0
+		r.add(targetCrash{target: c.Target, started: c.Started, ended: c.Ended})
+	}
+	if now.Sub(det.lastPruned) > pruneInterval || len(det.causes) > maxCauses || len(det.crashedTargets) > maxCrashedTargets {
 		det.lastPruned = now
 		det.prune(now)
 	}
 }
 
-// recordTarget notes that the request ran on a target that crashed.
-func (det *Detector) recordTarget(c Crash) {
-	t := det.crashedTargets[c.Target]
-	if t == nil {
-		t = &crashedTarget{pool: c.Pool}
-		det.crashedTargets[c.Target] = t
+// cause returns the record of a cause, which is created if there is none.
+func (det *Detector) cause(now time.Time, d digest.Digest, pool string) *cause {
+	r := det.causes[d]
+	if r == nil {
+		r = &cause{pool: pool}
+		det.causes[d] = r
 	}
-	t.crashedAt = c.Ended
-	if !slices.Contains(t.requests, c.Digest) {
-		t.requests = append(t.requests, c.Digest)
+	r.lastReport = now
+	return r
+}
+
+// isHeld reports whether requests with the causes are held.
+func (det *Detector) isHeld(now time.Time, causes []digest.Digest) bool {
+	for _, d := range causes {
+		for _, h := range det.holdsOf[d] {
+			if now.Before(h.until) && containsAll(causes, h.members) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// explain takes the crash of a target out of what counts against the causes that ran there: a
+// held request crashed it.
+func (det *Detector) explain(name string, t *crashedTarget) {
+	t.explained = true
+	for _, ran := range t.runs {
+		for _, d := range ran.causes {
+			if r := det.causes[d]; r != nil && r.remove(name) {
+				r.explained++
+			}
+		}
 	}
 }
 
 // RetractCrash removes the crash of a target that has answered since.
 func (det *Detector) RetractCrash(target string) {
+	t := det.crashedTargets[target]
+	if t == nil {
+		return
+	}
 	delete(det.crashedTargets, target)
-	for d, r := range det.requests {
-		onTarget := func(c Crash) bool { return c.Target == target }
-		r.crashes, r.pastCrashes = slices.DeleteFunc(r.crashes, onTarget), slices.DeleteFunc(r.pastCrashes, onTarget)
-		if len(r.crashes) == 0 && r.holds == 0 && r.suspectSince.IsZero() {
-			delete(det.requests, d)
+	for _, ran := range t.runs {
+		for _, d := range ran.causes {
+			r := det.causes[d]
+			if r == nil {
+				continue
+			}
+			r.remove(target)
+			if r.total() == 0 && r.suspectSince.IsZero() {
+				delete(det.causes, d)
+			}
 		}
 	}
 }
 
-// RecordSuccess notes that a request was completed, which clears it. It reports whether
-// this changes the state that daemons were told.
-func (det *Detector) RecordSuccess(now time.Time, d digest.Digest) (Verdict, bool) {
-	r := det.requests[d]
-	if r == nil {
+// RecordSuccess notes that a request with the cause was completed, which clears the cause. It
+// returns what changes for daemons.
+func (det *Detector) RecordSuccess(d digest.Digest) []Verdict {
+	var out []Verdict
+	if r := det.causes[d]; r != nil {
+		if !r.suspectSince.IsZero() {
+			out = append(out, Verdict{Digest: d, Pool: r.pool, State: Cleared, Crashes: r.total()})
+		}
+		det.forget(d, r)
+	}
+	for _, h := range slices.Clone(det.holdsOf[d]) {
+		out = append(out, det.withoutMember(h.digest(), h, d)...)
+	}
+	return out
+}
+
+// forget removes a cause from all that counts against it or beside it.
+func (det *Detector) forget(d digest.Digest, r *cause) {
+	delete(det.causes, d)
+	for _, c := range r.crashes {
+		t := det.crashedTargets[c.target]
+		if t == nil {
+			continue
+		}
+		for i := range t.runs {
+			t.runs[i].causes = slices.DeleteFunc(t.runs[i].causes, func(o digest.Digest) bool { return o == d })
+		}
+	}
+}
+
+// withoutMember replaces a hold by one of the other members, which are to blame then.
+func (det *Detector) withoutMember(key digest.Digest, h *hold, d digest.Digest) []Verdict {
+	det.removeHold(key)
+	cleared := h.verdict(Cleared)
+	rest := *h
+	rest.members = slices.DeleteFunc(slices.Clone(h.members), func(o digest.Digest) bool { return o == d })
+	if len(rest.members) == 0 {
+		return []Verdict{cleared}
+	}
+	if same := det.holds[rest.digest()]; same != nil && same.until.After(rest.until) {
+		return []Verdict{cleared}
+	}
+	det.addHold(&rest)
+	return []Verdict{cleared, rest.verdict(Held)}
+}
+
+// Release ends the hold or the suspicion that the digest identifies. It reports false if there is
+// none.
+func (det *Detector) Release(d digest.Digest) (Verdict, bool) {
+	if h := det.holds[d]; h != nil {
+		det.removeHold(d)
+		return h.verdict(Cleared), true
+	}
+	r := det.causes[d]
+	if r == nil || r.suspectSince.IsZero() {
 		return Verdict{}, false
 	}
-	delete(det.requests, d)
-	known := !r.suspectSince.IsZero() || now.Before(r.heldUntil)
-	return Verdict{Digest: d, Pool: r.pool, State: Cleared, Crashes: len(r.crashes), Holds: r.holds}, known
+	det.forget(d, r)
+	return Verdict{Digest: d, Pool: r.pool, State: Cleared, Crashes: r.total()}, true
 }
 
 // ApplyVerdict applies a verdict of another daemon.
 func (det *Detector) ApplyVerdict(now time.Time, v Verdict) {
-	if v.State == Cleared {
-		delete(det.requests, v.Digest)
-		return
+	switch v.State {
+	case Cleared:
+		det.removeHold(v.Digest)
+		if r := det.causes[v.Digest]; r != nil {
+			det.forget(v.Digest, r)
+		}
+	case Suspect:
+		if r := det.cause(now, v.Digest, v.Pool); r.suspectSince.IsZero() {
+			r.suspectSince = now
+		}
+	case Held:
+		members := v.Members
+		if len(members) == 0 {
+			members = []digest.Digest{v.Digest}
+		}
+		det.addHold(&hold{members: members, pool: v.Pool, kind: v.Kind, until: v.Until, count: max(v.Holds, 1), crashes: v.Crashes})
 	}
-	r := det.requests[v.Digest]
-	if r == nil {
-		r = &request{pool: v.Pool}
-		det.requests[v.Digest] = r
+}
+
+// addHold holds a set of causes and restarts the count of their crashes.
+func (det *Detector) addHold(h *hold) {
+	key := h.digest()
+	det.removeHold(key)
+	det.holds[key] = h
+	for _, d := range h.members {
+		det.holdsOf[d] = append(det.holdsOf[d], h)
 	}
-	r.lastReport = now
-	if r.suspectSince.IsZero() {
-		r.suspectSince = now
+	for name, t := range det.crashedTargets {
+		if !t.explained && slices.ContainsFunc(t.runs, func(r run) bool { return r.hasAll(h.members) }) {
+			det.explain(name, t)
+		}
 	}
-	if v.State == Held {
-		r.hold(v.Until, max(v.Holds, 1))
+	for _, d := range h.members {
+		if r := det.causes[d]; r != nil {
+			r.suspectSince = time.Time{}
+		}
 	}
 }
 
-// Evaluate appends new verdicts to out. A request stays a suspect for the confirmation
-// period before it is held: all daemons learn of suspects and report if one of them was
-// completed. Evaluate must be called again later while pending is true.
+// removeHold removes a hold, if there is one.
+func (det *Detector) removeHold(key digest.Digest) {
+	h := det.holds[key]
+	if h == nil {
+		return
+	}
+	delete(det.holds, key)
+	for _, d := range h.members {
+		det.holdsOf[d] = slices.DeleteFunc(det.holdsOf[d], func(o *hold) bool { return o == h })
+		if len(det.holdsOf[d]) == 0 {
+			delete(det.holdsOf, d)
+		}
+	}
+}
+
+// candidate is a cause that is to blame for crashes.
+type candidate struct {
+	digest  digest.Digest
+	cause   *cause
+	crashes int
+}
+
+// Evaluate appends new verdicts to out. A cause stays a suspect for the confirmation
+// period before it is held: all daemons learn of suspects and report if a request with one of
+// them was completed. Evaluate must be called again later while pending is true.
 func (det *Detector) Evaluate(now time.Time, confirmation time.Duration, out []Verdict) (verdicts []Verdict, pending bool) {
-	for d, r := range det.requests {
-		threshold := det.suspectThreshold(r)
-		if len(r.crashes) < threshold || now.Before(r.heldUntil) || len(consecutive(r.crashes)) < threshold {
+	var candidates []candidate
+	for d, r := range det.causes {
+		if !det.isSuspect(d, r) {
 			continue
 		}
-		if r.suspectSince.IsZero() {
+		if now.Sub(r.suspectSince) > suspicionTime {
 			r.suspectSince = now
-			out = append(out, Verdict{Digest: d, Pool: r.pool, State: Suspect, Crashes: len(r.crashes), Holds: r.holds})
+			out = append(out, Verdict{Digest: d, Pool: r.pool, State: Suspect, Crashes: len(r.crashes)})
 		}
-		if !det.isPoison(r) {
+		confirmations, ok := det.isPoison(d, r)
+		if !ok {
 			continue
 		}
-		if now.Sub(r.suspectSince) < confirmation {
+		if now.Sub(r.suspectSince) < time.Duration(confirmations)*confirmation {
 			pending = true
 			continue
 		}
-		crashes := len(r.crashes)
-		r.hold(now.Add(det.cfg.HoldTime<<min(r.holds, maxDoublings)), r.holds+1)
-		out = append(out, Verdict{Digest: d, Pool: r.pool, State: Held, Until: r.heldUntil, Crashes: crashes, Holds: r.holds})
+		candidates = append(candidates, candidate{digest: d, cause: r, crashes: len(r.crashes)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.digest, b.digest))
+	})
+	for _, c := range candidates {
+		if len(c.cause.crashes) > 0 { // no other one explains them meanwhile
+			out = append(out, det.holdCause(now, c))
+		}
 	}
 	return out, pending
 }
 
-// suspectThreshold is the number of consecutive crashes that make the request a suspect. A
-// single one is enough for a request that was held before.
-func (det *Detector) suspectThreshold(r *request) int {
-	if r.holds > 0 {
+// holdCause holds a cause together with those that it was never seen without.
+func (det *Detector) holdCause(now time.Time, c candidate) Verdict {
+	h := &hold{members: det.inseparable(c.digest, c.cause), pool: c.cause.pool, kind: KindPart, crashes: c.crashes}
+	slices.Sort(h.members)
+	if slices.ContainsFunc(h.members, func(d digest.Digest) bool { return det.causes[d] != nil && det.causes[d].isRequest }) {
+		h.kind = KindRequest
+	}
+	holds := 0
+	if old := det.holds[h.digest()]; old != nil {
+		holds = old.count
+	}
+	h.until, h.count = now.Add(det.cfg.HoldTime<<min(holds, maxDoublings)), holds+1
+	det.addHold(h)
+	return h.verdict(Held)
+}
+
+// isSuspect reports whether enough targets crashed under a cause to ask whether it was answered.
+func (det *Detector) isSuspect(d digest.Digest, r *cause) bool {
+	if len(r.crashes) == 0 {
+		return false
+	}
+	return len(r.crashes) >= det.cfg.MinCrashes+extraCrashes || len(consecutive(r.crashes)) >= det.suspectThreshold(d, r)
+}
+
+// suspectThreshold is the number of consecutive crashes that make the cause a suspect. A
+// single one is enough for requests that were held before.
+func (det *Detector) suspectThreshold(d digest.Digest, r *cause) int {
+	if slices.ContainsFunc(r.crashes, func(c targetCrash) bool { return det.heldBefore(d, det.crashedTargets[c.target]) }) {
 		return 1
 	}
 	return min(suspectCrashes, det.cfg.MinCrashes)
 }
 
-// prune removes old data, requests beyond maxRequests oldest first, and crashed targets
-// beyond maxCrashedTargets in no particular order.
+// prune removes old data, and what is beyond the limits, oldest first.
 func (det *Detector) prune(now time.Time) {
-	for d, r := range det.requests {
-		if now.Sub(r.lastReport) > retention && now.After(r.heldUntil) {
-			delete(det.requests, d)
-		}
-	}
-	for len(det.requests) > maxRequests {
-		var oldest digest.Digest
-		for d, r := range det.requests {
-			if t := det.requests[oldest]; t == nil || r.lastReport.Before(t.lastReport) {
-				oldest = d
-			}
+	for d, r := range det.causes {
+		if now.Sub(r.lastReport) > retention {
+			delete(det.causes, d)
 		}
-		delete(det.requests, oldest)
 	}
 	for name, t := range det.crashedTargets {
-		if now.Sub(t.crashedAt) > retention || len(det.crashedTargets) > maxCrashedTargets {
+		if now.Sub(t.crashedAt) > retention {
 			delete(det.crashedTargets, name)
 		}
 	}
+	for d, h := range det.holds {
+		if now.Sub(h.until) > holdRetention {
+			det.removeHold(d)
+		}
+	}
+	for _, d := range oldest(det.causes, maxCauses, func(r *cause) time.Time { return r.lastReport }) {
+		delete(det.causes, d)
+	}
+	for _, name := range oldest(det.crashedTargets, maxCrashedTargets, func(t *crashedTarget) time.Time { return t.crashedAt }) {
+		delete(det.crashedTargets, name)
+	}
+	for _, d := range oldest(det.holds, maxHolds, func(h *hold) time.Time { return h.until }) {
+		det.removeHold(d)
+	}
+}
+
+// oldest returns which entries to remove from a map that is larger than limit. Seven eighths of the
+// limit stay, so that the map is not sorted again with each entry.
+func oldest[K comparable, V any](m map[K]V, limit int, at func(V) time.Time) []K {
+	if len(m) <= limit {
+		return nil
+	}
+	keys := slices.Collect(maps.Keys(m))
+	slices.SortFunc(keys, func(a, b K) int { return at(m[a]).Compare(at(m[b])) })
+	return keys[:len(keys)-limit*7/8]
 }
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,12 +28,15 @@
 // run is a request running on a target.
 type run struct {
 	digest   digest.Digest
+	parts    []digest.Digest
 	started  time.Time
 	endsAt   time.Time
 	poison   bool
 	attempts int
 }
 
+func (r run) causes() []digest.Digest { return append([]digest.Digest{r.digest}, r.parts...) }
+
 // pool simulates requests on targets and reports to the detector as daemons do.
 type pool struct {
 	is  *is.I
@@ -49,7 +53,10 @@
 	served   map[digest.Digest]time.Time
 	states   map[digest.Digest]poison.State
 	held     map[digest.Digest]time.Time
-	crashes  map[digest.Digest][]time.Time
+	// holds are the members of the sets that are held. refused counts the requests that they hold.
+	holds   map[digest.Digest][]digest.Digest
+	refused map[digest.Digest]int
+	crashes map[digest.Digest][]time.Time
 }
 
 type target struct {
@@ -66,8 +73,9 @@
 		targets:  make([]target, targets),
 		detector: poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour}),
 		served:   map[digest.Digest]time.Time{}, states: map[digest.Digest]poison.State{},
-		held: map[digest.Digest]time.Time{}, crashes: map[digest.Digest][]time.Time{},
+		held: map[digest.Digest]time.Time{}, holds: map[digest.Digest][]digest.Digest{}, refused: map[digest.Digest]int{}, crashes: map[digest.Digest][]time.Time{},
 	}
+	p.detector.SetWarm()
 	for i := range p.targets {
 		p.restart(i, p.now)
 	}
@@ -82,7 +90,8 @@
 // send runs the request on a random target with a free slot, and drops it if there is
 // none.
 func (p *pool) send(r run, takes time.Duration) {
-	if !p.held[r.digest].IsZero() {
+	if p.isHeld(r) {
+		p.refused[r.digest]++
 		return
 	}
 	for _, i := range p.rnd.Perm(len(p.targets)) {
@@ -96,6 +105,19 @@
 	}
 }
 
+func (p *pool) isHeld(r run) bool {
+	for _, members := range p.holds {
+		all := true
+		for _, m := range members {
+			all = all && slices.Contains(r.causes(), m)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
 // sendHealthy sends a request that takes as long as most streams.
 func (p *pool) sendHealthy(d digest.Digest) {
 	p.send(run{digest: d}, 200*time.Millisecond+time.Duration(p.rnd.IntN(3000))*time.Millisecond)
@@ -106,8 +128,10 @@
 	t := p.targets[i]
 	p.restart(i, p.now.Add(p.restartTime))
 	for _, r := range t.runs {
-		p.detector.RecordCrash(p.now, poison.Crash{Digest: r.digest, Pool: "p", Target: t.incarnation, PoolSize: len(p.targets), Started: r.started, Ended: p.now})
-		p.crashes[r.digest] = append(p.crashes[r.digest], p.now)
+		p.detector.RecordCrash(p.now, poison.Crash{Causes: r.causes(), Pool: "p", Target: t.incarnation, PoolSize: len(p.targets), Started: r.started, Ended: p.now})
+		for _, d := range r.causes() {
+			p.crashes[d] = append(p.crashes[d], p.now)
+		}
 		if r.attempts < p.attempts {
 			p.retries = append(p.retries, r)
 		}
@@ -130,7 +154,9 @@
 				crashed = true
 				running = append(running, r)
 			default:
-				p.complete(r.digest)
+				for _, d := range r.causes() {
+					p.complete(d)
+				}
 			}
 		}
 		t.runs = running
@@ -148,17 +174,29 @@
 		}
 	}
 	verdicts, _ := p.detector.Evaluate(p.now, confirmation, nil)
+	p.apply(verdicts)
 	for _, v := range verdicts {
-		p.states[v.Digest] = v.State
-		if v.State == poison.Held {
-			p.held[v.Digest] = p.now
-		}
 		if at, ok := p.served[v.Digest]; ok && v.State == poison.Suspect && p.now.Sub(at) < time.Minute {
 			p.reportSuccess(v.Digest)
 		}
 	}
 }
 
+func (p *pool) apply(verdicts []poison.Verdict) {
+	for _, v := range verdicts {
+		p.states[v.Digest] = v.State
+		delete(p.holds, v.Digest)
+		if v.State != poison.Held {
+			continue
+		}
+		p.held[v.Digest] = p.now
+		p.holds[v.Digest] = v.Members
+		for _, m := range v.Members {
+			p.states[m] = v.State
+		}
+	}
+}
+
 func (p *pool) complete(d digest.Digest) {
 	p.served[d] = p.now
 	if p.states[d] != "" {
@@ -168,7 +206,7 @@
 
 func (p *pool) reportSuccess(d digest.Digest) {
 	delete(p.states, d)
-	p.detector.RecordSuccess(p.now, d)
+	p.apply(p.detector.RecordSuccess(d))
 }
 
 // lateCrashes counts the targets that a request crashed after all daemons could know of
@@ -340,7 +378,7 @@
 	for i := range n {
 		now = now.Add(time.Second)
 		started := now.Add(-100 * time.Millisecond)
-		detector.RecordCrash(now, poison.Crash{Digest: poisonRequest, Pool: "p", Target: fmt.Sprint(from, i), PoolSize: 12, Started: started, Ended: now})
+		detector.RecordCrash(now, poison.Crash{Causes: []digest.Digest{poisonRequest}, Pool: "p", Target: fmt.Sprint(from, i), PoolSize: 12, Started: started, Ended: now})
 	}
 	return now
 }
@@ -369,7 +407,7 @@
 	now = crashTargets(detector, now, 2, "late") // sent before the hold took effect
 	_, now = evaluate(detector, now)
 	now = crashTargets(detector, now.Add(time.Hour), 1, "b") // one more is enough, even if another request ran there
-	detector.RecordCrash(now, poison.Crash{Digest: other, Pool: "p", Target: "b0", PoolSize: 12, Started: now.Add(-time.Second), Ended: now})
+	detector.RecordCrash(now, poison.Crash{Causes: []digest.Digest{other}, Pool: "p", Target: "b0", PoolSize: 12, Started: now.Add(-time.Second), Ended: now})
 	v, now = evaluate(detector, now)
 	is.Equal(v.Digest, poisonRequest)
 	is.Equal(v.State, poison.Held)
@@ -387,7 +425,7 @@
 		started := now
 		now = now.Add(20 * time.Millisecond)
 		for _, d := range requests {
-			detector.RecordCrash(now, poison.Crash{Digest: d, Pool: "p", Target: target, PoolSize: 12, Started: started, Ended: now})
+			detector.RecordCrash(now, poison.Crash{Causes: []digest.Digest{d}, Pool: "p", Target: target, PoolSize: 12, Started: started, Ended: now})
 		}
 	}
 	for _, target := range []string{"t1", "t2", "t3"} {
@@ -422,11 +460,11 @@
 	now := crashTargets(detector, time.Unix(1000, 0), 3, "a")
 	v, now := evaluate(detector, now)
 	is.Equal(v.State, poison.Held)
-	v, known := detector.RecordSuccess(now, poisonRequest) // sent before the hold took effect
-	is.True(known)
-	is.Equal(v.State, poison.Cleared)
-	_, known = detector.RecordSuccess(now, poisonRequest)
-	is.True(!known)
+	verdicts := detector.RecordSuccess(poisonRequest) // sent before the hold took effect
+	is.Equal(len(verdicts), 1)
+	is.Equal(verdicts[0].Digest, poisonRequest)
+	is.Equal(verdicts[0].State, poison.Cleared)
+	is.Equal(len(detector.RecordSuccess(poisonRequest)), 0)
 }
 
 // Another daemon held a request before this one restarted: its verdict still applies.
@@ -454,11 +492,11 @@
 			d := digest.Digest(rapid.Uint64Range(0, 5).Draw(t, "digest"))
 			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
-				detector.RecordSuccess(now, d)
+				detector.RecordSuccess(d)
 			case 1:
 				detector.RetractCrash(fmt.Sprint(rapid.IntRange(0, i).Draw(t, "target")))
 			default:
-				detector.RecordCrash(now, poison.Crash{Digest: d, Pool: "p", Target: fmt.Sprint(i), Started: now.Add(-time.Second), Ended: now})
+				detector.RecordCrash(now, poison.Crash{Causes: []digest.Digest{d}, Pool: "p", Target: fmt.Sprint(i), Started: now.Add(-time.Second), Ended: now})
 			}
 			verdicts, _ := detector.Evaluate(now, confirmation, nil)
 			for _, v := range verdicts {
@@ -476,7 +514,7 @@
 		now := time.Unix(1000, 0)
 		for i := range 600 {
 			detector.RecordCrash(now, poison.Crash{
-				Digest: digest.Digest(i + 1), Pool: "p", Target: fmt.Sprint(i / 8), Started: now.Add(-time.Second), Ended: now,
+				Causes: []digest.Digest{digest.Digest(i + 1)}, Pool: "p", Target: fmt.Sprint(i / 8), Started: now.Add(-time.Second), Ended: now,
 			})
 		}
 		detector.Evaluate(now, confirmation, nil)
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -51,6 +51,20 @@
 	return Digest(binary.BigEndian.Uint64(h.Sum(sum[:0])))
 }
 
+// OfSet returns the digest of a set of digests, which is the member of a set with only one. The
+// members must be ordered.
+func OfSet(members []Digest) Digest {
+	if len(members) == 1 {
+		return members[0]
+	}
+	b := []byte("set")
+	for _, m := range members {
+		b = binary.BigEndian.AppendUint64(b, uint64(m))
+	}
+	sum := sha256.Sum256(b)
+	return Digest(binary.BigEndian.Uint64(sum[:]))
+}
+
 // String returns the digest as 16 hexadecimal digits, the form used in logs and by operators.
 func (d Digest) String() string {
 	const digits = 16
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -45,7 +45,10 @@
 	// parts are the digests of the parts that the prompt may share with others, whichever team
 	// sends them.
 	parts []digest.Digest
-	cost  fireflypath.Cost
+	// causes are what may be to blame if a target crashes: digest, then each part in requests of
+	// the team and of all teams.
+	causes []digest.Digest
+	cost   fireflypath.Cost
 	// expectedOutput is the expected number of output tokens.
 	expectedOutput int
 	// quotaUnits are the units taken from the team's quota, or 0.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -220,6 +220,10 @@
 		if ref := g.requeueUnsent(c, att, unsent); ref != nil {
 			return outcomeDone, g.finishFailed(c, ref)
 		}
+		if ref := g.refuseIfHeld(c); ref != nil {
+			g.releaseUnsent(att)
+			return outcomeDone, g.finishFailed(c, ref)
+		}
 	}
 	defer a.Close()
 	g.observeTarget(att, a)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -48,18 +48,21 @@
 	MaxNotFoundViewAge time.Duration
 }
 
-// Quarantine tracks poison requests: requests that crash the targets that run them.
+// Quarantine tracks poison requests: requests that crash the targets that run them. A request is
+// identified by its causes: the digest of the request itself, followed by those of the parts that
+// it shares with others.
 type Quarantine interface {
-	// Held returns for how much longer the request is refused, and whether it is.
-	Held(d digest.Digest) (time.Duration, bool)
+	// Held returns the digest of what holds a request, and for how much longer the request is
+	// refused. It reports false if the request is not held.
+	Held(causes []digest.Digest) (held digest.Digest, remaining time.Duration, ok bool)
 	// TargetCrashed records that a target crashed while it ran a request sent at the given
 	// time.
-	TargetCrashed(d digest.Digest, t fireflypath.Target, sent time.Time)
+	TargetCrashed(causes []digest.Digest, t fireflypath.Target, sent time.Time)
 	// Alive records that a target answered a request that was sent at the given time.
 	Alive(t fireflypath.Target, sent time.Time)
 	// Served records that a target answered a request completely that was sent at the given
 	// time.
-	Served(d digest.Digest, t fireflypath.Target, sent time.Time)
+	Served(causes []digest.Digest, t fireflypath.Target, sent time.Time)
 }
 
 // Origins knows at which versions of pools streams began.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -94,15 +94,17 @@
 	crashed, alive, served atomic.Int32
 }
 
-func (q *recordedQuarantine) Held(digest.Digest) (time.Duration, bool) { return 0, false }
+func (q *recordedQuarantine) Held([]digest.Digest) (digest.Digest, time.Duration, bool) {
+	return 0, 0, false
+}
 
-func (q *recordedQuarantine) TargetCrashed(digest.Digest, fireflypath.Target, time.Time) {
+func (q *recordedQuarantine) TargetCrashed([]digest.Digest, fireflypath.Target, time.Time) {
 	q.crashed.Add(1)
 }
 
 func (q *recordedQuarantine) Alive(fireflypath.Target, time.Time) { q.alive.Add(1) }
 
-func (q *recordedQuarantine) Served(digest.Digest, fireflypath.Target, time.Time) { q.served.Add(1) }
+func (q *recordedQuarantine) Served([]digest.Digest, fireflypath.Target, time.Time) { q.served.Add(1) }
 
 const key = "secret"
 
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,18 @@
 	}
 	c.digest = digest.Of(r)
 	parts := g.deps.Codec.SharedParts(c.r.Header.Get(g.headers.Parts))
+	c.causes = append(make([]digest.Digest, 0, 1+2*len(parts)), c.digest)
 	for _, part := range parts[:min(len(parts), maxParts)] {
-		c.parts = append(c.parts, digest.OfPart("", part))
+		d := digest.OfPart("", part)
+		if slices.Contains(c.parts, d) {
+			continue
+		}
+		c.parts = append(c.parts, d)
+		if r.Team != "" {
+			// A team whose own requests crash targets must not get the part of others refused.
+			c.causes = append(c.causes, digest.OfPart(r.Team, part))
+		}
+		c.causes = append(c.causes, d)
 	}
 	return nil
 }
@@ -39,11 +50,15 @@
 
 // refuseIfHeld refuses a quarantined request. It runs before quota is taken.
 func (g *Gate) refuseIfHeld(c *call) *refusal {
-	remaining, held := g.deps.Quarantine.Held(c.digest)
-	if !held {
+	held, remaining, ok := g.deps.Quarantine.Held(c.causes)
+	if !ok {
 		return nil
 	}
-	return notRun(reasonHeld, "targets have ended under this request, it is held as "+c.digest.String(), remaining)
+	what := "this request, it is"
+	if held != c.digest {
+		what = "requests with a part of this one, they are"
+	}
+	return notRun(reasonHeld, "targets have ended under "+what+" held as "+held.String(), remaining)
 }
 
 // releaseUnsent ends an attempt that has a target but was not sent.
@@ -62,7 +77,7 @@
 	if c.ctx.Err() != nil || att.timedOut.Load() || !http1.ConnectionLost(err) {
 		return // the connection was ended by this daemon or the caller
 	}
-	g.deps.Quarantine.TargetCrashed(c.digest, att.target, att.Sent)
+	g.deps.Quarantine.TargetCrashed(c.causes, att.target, att.Sent)
 }
 
 // reportServed reports a complete, successful response. A failure response proves nothing:
@@ -74,14 +89,14 @@
 	case att.framing == http1.FramingClose:
 		g.deps.Quarantine.Alive(att.target, att.Sent)
 	default:
-		g.deps.Quarantine.Served(c.digest, att.target, att.Sent)
+		g.deps.Quarantine.Served(c.causes, att.target, att.Sent)
 	}
 }
 
 // noQuarantine is a Quarantine that holds no requests.
 type noQuarantine struct{}
 
-func (noQuarantine) Held(digest.Digest) (time.Duration, bool)                   { return 0, false }
-func (noQuarantine) TargetCrashed(digest.Digest, fireflypath.Target, time.Time) {}
-func (noQuarantine) Alive(fireflypath.Target, time.Time)                        {}
-func (noQuarantine) Served(digest.Digest, fireflypath.Target, time.Time)        {}
+func (noQuarantine) Held([]digest.Digest) (digest.Digest, time.Duration, bool)    { return 0, 0, false }
+func (noQuarantine) TargetCrashed([]digest.Digest, fireflypath.Target, time.Time) {}
+func (noQuarantine) Alive(fireflypath.Target, time.Time)                          {}
+func (noQuarantine) Served([]digest.Digest, fireflypath.Target, time.Time)        {}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -58,6 +58,10 @@
 	// often it was held.
 	Crashes   int `json:"t,omitempty"`
 	HoldCount int `json:"x,omitempty"`
+	// Members are the digests of what is held together, if there are several; Kind is request or
+	// part.
+	Members []string `json:"m,omitempty"`
+	Kind    string   `json:"k,omitempty"`
 }
 
 // Usage is the in-flight work and quota usage of a daemon. It leaves out what did not change
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -10,13 +10,13 @@
 	// rotateInterval is how long answers are added to one generation. An answer is kept for
 	// one to two intervals.
 	rotateInterval = 30 * time.Second
-	// maxAnswers limits a generation to about five minutes of a daemon's requests.
+	// maxAnswers limits a generation. Parts that many requests share need far less.
 	maxAnswers = 16384
 )
 
-// answerSet holds the requests answered completely in the last 30 to 60 seconds. A request
-// that many callers send is answered all the time, and so is no suspect when targets crash
-// while running it.
+// answerSet holds the requests, or parts of requests, answered completely in the last 30 to 60
+// seconds. A request that many callers send is answered all the time, and so is no suspect when
+// targets crash while running it.
 type answerSet struct {
 	rotatedAt         time.Time
 	current, previous map[digest.Digest]struct{}
@@ -26,9 +26,11 @@
 	return answerSet{current: map[digest.Digest]struct{}{}, previous: map[digest.Digest]struct{}{}}
 }
 
-func (s *answerSet) add(now time.Time, d digest.Digest) {
+func (s *answerSet) add(now time.Time, answered []digest.Digest) {
 	s.rotate(now)
-	s.current[d] = struct{}{}
+	for _, d := range answered {
+		s.current[d] = struct{}{}
+	}
 }
 
 func (s *answerSet) contains(now time.Time, d digest.Digest) bool {
--- a/internal/quarantine/entries.go
+++ b/internal/quarantine/entries.go
@@ -25,7 +25,7 @@
 	maxPerHeartbeat = 32
 )
 
-// entry is the state of a request as known to all daemons.
+// entry is the state of a cause, or of causes that are held together, as known to all daemons.
 type entry struct {
 	poison.Verdict
 	// version increases with each change of the entry, at any daemon.
@@ -37,6 +37,53 @@
 	stored bool
 }
 
+// causes returns the causes that the entry is about.
+func (e entry) causes() []digest.Digest {
+	if len(e.Members) > 0 {
+		return e.Members
+	}
+	return []digest.Digest{e.Digest}
+}
+
+// coversAll reports whether the entry holds requests with the causes.
+func (e entry) coversAll(causes []digest.Digest) bool {
+	if len(e.Members) == 0 {
+		return slices.Contains(causes, e.Digest)
+	}
+	for _, m := range e.Members {
+		if !slices.Contains(causes, m) {
+			return false
+		}
+	}
+	return true
+}
+
+// table is a set of entries. It does not change.
+type table struct {
+	byDigest map[digest.Digest]entry
+	// holds lists the held entries by one of their causes.
+	holds map[digest.Digest][]entry
+	// watched are the causes of which daemons report that they were answered.
+	watched map[digest.Digest]bool
+}
+
+func newTable(byDigest map[digest.Digest]entry) *table {
+	t := &table{byDigest: byDigest, holds: map[digest.Digest][]entry{}, watched: map[digest.Digest]bool{}}
+	for _, e := range byDigest {
+		if e.State == poison.Cleared {
+			continue
+		}
+		causes := e.causes()
+		for _, d := range causes {
+			t.watched[d] = true
+		}
+		if e.State == poison.Held {
+			t.holds[causes[0]] = append(t.holds[causes[0]], e)
+		}
+	}
+	return t
+}
+
 // statePrecedence decides between entries of the same version, which arise when two
 // coordinators decide at the same time.
 var statePrecedence = map[poison.State]int{poison.Suspect: 1, poison.Held: 2, poison.Cleared: 3}
@@ -48,7 +95,7 @@
 
 // recordVerdict stores a verdict made by this daemon. The caller holds mu.
 func (q *Quarantine) recordVerdict(v poison.Verdict) {
-	old := (*q.entries.Load())[v.Digest]
+	old := q.entries.Load().byDigest[v.Digest]
 	if v.State == poison.Suspect {
 		v.Until = q.deps.Clock.Now().Add(suspectTTL)
 	}
@@ -68,13 +115,13 @@
 	now := q.deps.Clock.Now()
 	q.lastSeq++
 	e.seq = q.lastSeq
-	next := maps.Clone(*q.entries.Load())
+	next := maps.Clone(q.entries.Load().byDigest)
 	if next[e.Digest].stored {
 		e.stored = true
 	}
 	next[e.Digest] = e
 	prune(next, now)
-	q.entries.Store(&next)
+	q.entries.Store(newTable(next))
 	q.updateGauges(now, next)
 	q.logEntry(e)
 }
@@ -113,6 +160,9 @@
 // logEntry logs a change of a request's state.
 func (q *Quarantine) logEntry(e entry) {
 	fields := []zap.Field{zap.Stringer("digest", e.Digest), zap.String("pool", e.Pool), zap.Int("targets", e.Crashes)}
+	if e.State != poison.Suspect {
+		fields = append(fields, zap.String("kind", string(e.Kind)), zap.Stringers("members", e.Members))
+	}
 	switch e.State {
 	case poison.Suspect:
 		q.deps.Log.Info("suspected poison request, targets crashed while running it", fields...)
@@ -129,25 +179,34 @@
 	now := q.deps.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if old := (*q.entries.Load())[e.Digest]; !e.supersedes(old) {
+	if old := q.entries.Load().byDigest[e.Digest]; !e.supersedes(old) {
 		return false
 	}
 	q.setEntry(e)
 	q.detector.ApplyVerdict(now, e.Verdict)
-	if e.State != poison.Cleared && q.recentAnswers.contains(now, e.Digest) {
-		q.reports.add(now, observation{served: e.Digest})
-		q.wakeStep()
+	if e.State != poison.Cleared {
+		q.reportAnswered(now, e.causes())
 	}
 	return true
 }
 
+// reportAnswered reports which of the causes were answered recently. The caller holds mu.
+func (q *Quarantine) reportAnswered(now time.Time, causes []digest.Digest) {
+	for _, d := range causes {
+		if q.answeredRequests.contains(now, d) || q.answeredParts.contains(now, d) {
+			q.reports.add(now, observation{served: d})
+			q.wakeStep()
+		}
+	}
+}
+
 // addToHeartbeat adds the entries that a peer has not been sent to a heartbeat.
 func (q *Quarantine) addToHeartbeat(to string, b *peer.Heartbeat) {
 	unsent, more := q.unsentEntries(to)
 	for _, e := range unsent {
 		b.QuarantineEntries = append(b.QuarantineEntries, peer.QuarantineEntry{
 			Digest: e.Digest.String(), Pool: e.Pool, State: string(e.State), Version: e.version, Until: e.Until.UnixMilli(),
-			Crashes: e.Crashes, HoldCount: e.Holds,
+			Crashes: e.Crashes, HoldCount: e.Holds, Members: formatDigests(e.Members), Kind: string(e.Kind),
 		})
 	}
 	if more {
@@ -164,7 +223,7 @@
 	if after == q.lastSeq {
 		return nil, false
 	}
-	for _, e := range *q.entries.Load() {
+	for _, e := range q.entries.Load().byDigest {
 		if e.seq > after {
 			unsent = append(unsent, e)
 		}
@@ -183,11 +242,12 @@
 	changed := false
 	for _, h := range b.QuarantineEntries {
 		d, err := digest.Parse(h.Digest)
-		if err != nil || statePrecedence[poison.State(h.State)] == 0 {
+		members, ok := parseDigests(h.Members)
+		if err != nil || !ok || statePrecedence[poison.State(h.State)] == 0 {
 			continue
 		}
 		changed = q.mergeEntry(entry{version: h.Version, Verdict: poison.Verdict{
-			Digest: d, Pool: h.Pool, State: poison.State(h.State), Until: time.UnixMilli(h.Until), Crashes: h.Crashes, Holds: h.HoldCount,
+			Digest: d, Members: members, Kind: kindOrDefault(h.Kind), Pool: h.Pool, State: poison.State(h.State), Until: time.UnixMilli(h.Until), Crashes: h.Crashes, Holds: h.HoldCount,
 		}}) || changed
 	}
 	if changed {
@@ -195,6 +255,36 @@
 	}
 }
 
+// formatDigests and parseDigests convert the causes that are held together. parseDigests reports
+// false if one of them is malformed.
+func formatDigests(digests []digest.Digest) []string {
+	var out []string
+	for _, d := range digests {
+		out = append(out, d.String())
+	}
+	return out
+}
+
+func parseDigests(texts []string) ([]digest.Digest, bool) {
+	var out []digest.Digest
+	for _, text := range texts {
+		d, err := digest.Parse(text)
+		if err != nil {
+			return nil, false
+		}
+		out = append(out, d)
+	}
+	return out, true
+}
+
+// kindOrDefault returns the kind of an entry. Older daemons hold only requests and name no kind.
+func kindOrDefault(text string) poison.Kind {
+	if k := poison.Kind(text); k == poison.KindPart {
+		return k
+	}
+	return poison.KindRequest
+}
+
 // peerConnected makes all entries unsent for a peer with a new connection: what was sent on
 // the last one may be lost.
 func (q *Quarantine) peerConnected(o fireflypath.Member) {
@@ -205,7 +295,11 @@
 
 // Row is an entry as operators see it.
 type Row struct {
-	Digest  string    `json:"digest"`
+	Digest string `json:"digest"`
+	// Kind is what is held: a request, or all requests with a part. It is empty for a suspect.
+	Kind string `json:"kind"`
+	// Members are the causes that are held together, if there are several.
+	Members []string  `json:"members,omitempty"`
 	Pool    string    `json:"pool"`
 	State   string    `json:"state"`
 	Targets int       `json:"targets"`
@@ -216,20 +310,26 @@
 // List returns all entries, ordered by digest.
 func (q *Quarantine) List() []Row {
 	out := []Row{}
-	for _, e := range *q.entries.Load() {
+	for _, e := range q.entries.Load().byDigest {
 		out = append(out, Row{
-			Digest: e.Digest.String(), Pool: e.Pool, State: string(e.State), Targets: e.Crashes, Times: e.Holds, Until: e.Until,
+			Digest: e.Digest.String(), Kind: string(e.Kind), Members: formatDigests(e.Members), Pool: e.Pool, State: string(e.State), Targets: e.Crashes, Times: e.Holds, Until: e.Until,
 		})
 	}
 	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Digest, b.Digest) })
 	return out
 }
 
-// Release clears a request and the crashes attributed to it, and reports whether it was held
-// or a suspect.
+// Release ends a hold or a suspicion, and reports whether there was one.
 func (q *Quarantine) Release(d digest.Digest) bool {
 	q.mu.Lock()
-	done := q.clearRequest(q.deps.Clock.Now(), d)
+	v, done := q.detector.Release(d)
+	if e, ok := q.entries.Load().byDigest[d]; ok && e.State != poison.Cleared {
+		v, done = e.Verdict, true
+		v.State = poison.Cleared
+	}
+	if done {
+		q.recordVerdict(v)
+	}
 	q.mu.Unlock()
 	if done {
 		q.flushPeers()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,10 @@
 // Package quarantine holds poison requests, which crash the targets that run them, at all
-// daemons. Package poison decides which requests these are; this package collects the crashes
-// that daemons observe, and spreads and stores the verdicts.
+// daemons: a request that is sent again, or all requests that share a part. Package poison decides
+// which requests these are; this package collects the crashes that daemons observe, and spreads and
+// stores the verdicts.
+//
+// A request is identified by its causes: the digest of the request itself, followed by those of the
+// parts that it shares with others.
 package quarantine
 
 import (
@@ -32,6 +36,9 @@
 	busyInterval      = 100 * time.Millisecond
 	saveRetryInterval = time.Second
 	idleInterval      = 30 * time.Second
+	// warmUpAnswers is after how many answers of this daemon bursts of crashes are evidence. What
+	// many requests share has been answered somewhere by then.
+	warmUpAnswers = 32
 	// coordinatorCount is the number of daemons that receive all reports, so that one may be
 	// lost with what it received.
 	coordinatorCount = 2
@@ -70,8 +77,8 @@
 	deps    Deps
 	metrics metrics
 
-	// entries holds the known requests. It is replaced as a whole, as every request reads it.
-	entries atomic.Pointer[map[digest.Digest]entry]
+	// entries holds what is known. It is replaced as a whole, as every request reads it.
+	entries atomic.Pointer[table]
 	// stepWake and saveWake make Run take a step or save at once.
 	stepWake, saveWake chan struct{}
 
@@ -85,14 +92,20 @@
 	// unsaved are the requests whose entries differ from those in the store.
 	unsaved map[digest.Digest]bool
 	// saveFailing is true while writes to the store fail.
-	saveFailing   bool
-	reports       reportLog
-	recentAnswers answerSet
+	saveFailing bool
+	reports     reportLog
+	// answeredRequests and answeredParts are kept apart: requests differ far more than parts and
+	// would displace them.
+	answeredRequests, answeredParts answerSet
+	// answers is the number of complete answers, up to warmUpAnswers.
+	answers int
 }
 
 type metrics struct {
-	held, suspects                         tally.Gauge
-	refused, crashes, failedReports, saved tally.Counter
+	held, suspects                tally.Gauge
+	crashes, failedReports, saved tally.Counter
+	// refused counts refused requests by what is held.
+	refused map[poison.Kind]tally.Counter
 }
 
 // New returns a quarantine connected to the endpoint, which must not be serving yet.
@@ -100,13 +113,16 @@
 	scope := deps.Scope.SubScope("quarantine")
 	q := &Quarantine{
 		deps: deps, detector: poison.New(cfg), detectorIdle: true, stepWake: make(chan struct{}, 1), saveWake: make(chan struct{}, 1),
-		sentSeq: map[string]uint64{}, unsaved: map[digest.Digest]bool{}, reports: newReportLog(), recentAnswers: newAnswerSet(),
+		sentSeq: map[string]uint64{}, unsaved: map[digest.Digest]bool{}, reports: newReportLog(), answeredRequests: newAnswerSet(), answeredParts: newAnswerSet(),
 		metrics: metrics{
-			held: scope.Gauge("held"), suspects: scope.Gauge("suspects"), refused: scope.Counter("refused"),
-			crashes: scope.Counter("lost_targets"), failedReports: scope.Counter("reports_failed"), saved: scope.Counter("saved"),
+			held: scope.Gauge("held"), suspects: scope.Gauge("suspects"), crashes: scope.Counter("lost_targets"),
+			failedReports: scope.Counter("reports_failed"), saved: scope.Counter("saved"), refused: map[poison.Kind]tally.Counter{},
 		},
 	}
-	q.entries.Store(&map[digest.Digest]entry{})
+	for _, k := range []poison.Kind{poison.KindRequest, poison.KindPart} {
+		q.metrics.refused[k] = scope.Tagged(map[string]string{"kind": string(k)}).Counter("refused")
+	}
+	q.entries.Store(newTable(map[digest.Digest]entry{}))
 	if deps.Peers != nil {
 		deps.Peers.Handle(methodReport, q.handleReport)
 		deps.Peers.AddSource(q.addToHeartbeat)
@@ -116,42 +132,55 @@
 	return q
 }
 
-// Held returns for how much longer the request is refused, and whether it is.
-func (q *Quarantine) Held(d digest.Digest) (time.Duration, bool) {
-	e, ok := (*q.entries.Load())[d]
-	if !ok || e.State != poison.Held {
-		return 0, false
+// Held returns the digest of what holds a request with the causes, and for how much longer the
+// request is refused. It reports false if the request is not held.
+func (q *Quarantine) Held(causes []digest.Digest) (held digest.Digest, remaining time.Duration, ok bool) {
+	t := q.entries.Load()
+	if len(t.holds) == 0 {
+		return 0, 0, false
 	}
-	remaining := e.Until.Sub(q.deps.Clock.Now())
-	if remaining <= 0 {
-		return 0, false
+	now := q.deps.Clock.Now()
+	for _, d := range causes {
+		for _, e := range t.holds[d] {
+			if remaining := e.Until.Sub(now); remaining > 0 && e.coversAll(causes) {
+				q.metrics.refused[e.Kind].Inc(1)
+				return e.Digest, remaining, true
+			}
+		}
 	}
-	q.metrics.refused.Inc(1)
-	return remaining, true
+	return 0, 0, false
 }
 
-// TargetCrashed records that a target's connection ended while it ran a request that was sent
-// at the given time.
-func (q *Quarantine) TargetCrashed(d digest.Digest, t fireflypath.Target, sent time.Time) {
+// TargetCrashed records that a target's connection ended while it ran a request with the causes that
+// was sent at the given time.
+func (q *Quarantine) TargetCrashed(causes []digest.Digest, t fireflypath.Target, sent time.Time) {
 	now := q.deps.Clock.Now()
 	q.metrics.crashes.Inc(1)
 	q.mu.Lock()
 	q.reports.recordCrash(now, poison.Crash{
-		Digest: d, Pool: t.Pool, Target: t.Identity(), PoolSize: q.deps.PoolSize(t.Pool), Started: sent, Ended: now,
+		Causes: causes, Pool: t.Pool, Target: t.Identity(), PoolSize: q.deps.PoolSize(t.Pool), Started: sent, Ended: now,
 	})
 	q.mu.Unlock()
 	q.wakeStep()
 }
 
-// Served records that a target answered a request completely that was sent at the given time.
-func (q *Quarantine) Served(d digest.Digest, t fireflypath.Target, sent time.Time) {
+// Served records that a target answered a request with the causes completely that was sent at the
+// given time.
+func (q *Quarantine) Served(causes []digest.Digest, t fireflypath.Target, sent time.Time) {
 	now := q.deps.Clock.Now()
-	e, ok := (*q.entries.Load())[d]
-	hasEntry := ok && e.State != poison.Cleared
+	known := q.entries.Load()
 	q.mu.Lock()
-	q.recentAnswers.add(now, d)
-	changed := q.reports.retractCrashes(now, t.Identity(), sent)
-	changed = q.reports.recordServed(now, d, hasEntry) || changed
+	q.answeredRequests.add(now, causes[:1])
+	q.answeredParts.add(now, causes[1:])
+	changed := false
+	if q.answers++; q.answers == warmUpAnswers {
+		q.detector.SetWarm()
+		q.detectorIdle, changed = false, true
+	}
+	changed = q.reports.retractCrashes(now, t.Identity(), sent) || changed
+	for _, d := range causes {
+		changed = q.reports.recordServed(now, d, known.watched[d]) || changed
+	}
 	q.mu.Unlock()
 	if changed {
 		q.wakeStep()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -192,7 +192,7 @@
 func (f *fleet) crashTarget(d *daemon, request digest.Digest, name string) {
 	sent := f.clock.Now()
 	f.clock.Advance(stepInterval)
-	d.q.TargetCrashed(request, target(name), sent)
+	d.q.TargetCrashed([]digest.Digest{request}, target(name), sent)
 	f.step()
 }
 
@@ -200,7 +200,7 @@
 func (f *fleet) countHolding(request digest.Digest) int {
 	n := 0
 	for _, d := range f.daemons {
-		if _, held := d.q.Held(request); held && !f.unreachable[d.name] {
+		if _, _, held := d.q.Held([]digest.Digest{request}); held && !f.unreachable[d.name] {
 			n++
 		}
 	}
@@ -223,7 +223,7 @@
 			f.is.True(f.stepUntil(f.allHold))
 			f.is.Equal(f.countHolding(healthy), 0)
 			f.is.True(f.calls.Load() <= 3*2) // one report of each daemon to each coordinator
-			remaining, _ := f.daemons[0].q.Held(poisonRequest)
+			_, remaining, _ := f.daemons[0].q.Held([]digest.Digest{poisonRequest})
 			f.is.True(remaining > 59*time.Minute && remaining <= time.Hour)
 		})
 	}
@@ -276,7 +276,7 @@
 	for _, servedAfterCrash := range []bool{false, true} {
 		t.Run(fmt.Sprint(servedAfterCrash), func(t *testing.T) {
 			f := newFleet(t, 9)
-			serve := func() { f.daemons[8].q.Served(healthy, target("other"), f.clock.Now()) }
+			serve := func() { f.daemons[8].q.Served([]digest.Digest{healthy}, target("other"), f.clock.Now()) }
 			if !servedAfterCrash {
 				serve()
 			}
@@ -299,7 +299,7 @@
 	for i := range 3 {
 		f.crashTarget(f.daemons[0], healthy, fmt.Sprint("t", i))
 		f.clock.Advance(stepInterval)
-		f.daemons[0].q.Served(digest.Digest(10+i), target(fmt.Sprint("t", i)), f.clock.Now())
+		f.daemons[0].q.Served([]digest.Digest{digest.Digest(10 + i)}, target(fmt.Sprint("t", i)), f.clock.Now())
 	}
 	f.is.True(!f.stepUntil(func() bool { return f.countHolding(healthy) > 0 }))
 }
@@ -359,7 +359,7 @@
 	q := newStandalone()
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		q.Served(digest.Digest(i%10000), target("t"), time.Time{})
+		q.Served([]digest.Digest{digest.Digest(i % 10000)}, target("t"), time.Time{})
 	}
 }
 
@@ -367,7 +367,7 @@
 	q := newStandalone()
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		if _, held := q.Held(digest.Digest(i)); held {
+		if _, _, held := q.Held([]digest.Digest{digest.Digest(i)}); held {
 			b.Fatal("held")
 		}
 	}
@@ -385,7 +385,7 @@
 	for b.Loop() {
 		f := &fleet{clock: clockwork.NewFakeClock()}
 		d := f.measuredDaemon(&report)
-		d.q.TargetCrashed(poisonRequest, target("i-0123456789"), f.clock.Now())
+		d.q.TargetCrashed([]digest.Digest{poisonRequest}, target("i-0123456789"), f.clock.Now())
 		d.q.Step(b.Context())
 		var m peer.Heartbeat
 		d.q.ApplyStoreEntry(fireflypath.Entry{Key: quarantine.Prefix + poisonRequest.String(), Value: []byte(`{"pool":"pool-name","until":1796288695573,"targets":3,"times":1,"number":2}`)})
@@ -407,7 +407,7 @@
 	for b.Loop() {
 		q := newStandalone()
 		for i := range answers {
-			q.Served(digest.Digest(i), target("t"), time.Time{})
+			q.Served([]digest.Digest{digest.Digest(i)}, target("t"), time.Time{})
 		}
 	}
 }
@@ -452,7 +452,7 @@
 	crash := func(request digest.Digest, name string) {
 		sent := clock.Now()
 		time.Sleep(stepInterval)
-		q.TargetCrashed(request, target(name), sent)
+		q.TargetCrashed([]digest.Digest{request}, target(name), sent)
 	}
 	for i := range 5 {
 		crash(poisonRequest, fmt.Sprint("t", i))
@@ -482,3 +482,99 @@
 	<-s.end
 	return 0, ctx.Err()
 }
+
+const (
+	companionPart = digest.Digest(20)
+	crashingPart  = digest.Digest(21)
+	soundPart     = digest.Digest(22)
+)
+
+// crashPart makes a target crash while it runs a daemon's request, which differs from all others,
+// with the parts.
+func (f *fleet) crashPart(d *daemon, name string, parts ...digest.Digest) {
+	sent := f.clock.Now()
+	f.clock.Advance(stepInterval)
+	d.q.TargetCrashed(append([]digest.Digest{digest.Digest(100 + sent.UnixMilli())}, parts...), target(name), sent)
+	f.step()
+}
+
+// holds returns the number of daemons that hold a request with the parts.
+func (f *fleet) holds(parts ...digest.Digest) int {
+	n := 0
+	for _, d := range f.daemons {
+		if _, _, held := d.q.Held(append([]digest.Digest{healthy}, parts...)); held {
+			n++
+		}
+	}
+	return n
+}
+
+// Requests that differ share a crashing part and one that always came with it. All daemons must hold
+// those with both, also after all of them restart, and serve one with either. Once one of the parts
+// is answered, the other one is held alone.
+func TestAllDaemonsHoldParts(t *testing.T) {
+	for _, n := range []int{1, 9, 64} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			f := newFleet(t, n)
+			for i := range 4 {
+				f.crashPart(f.daemons[i*(n-1)/3], fmt.Sprint("t", i), companionPart, crashingPart)
+			}
+			f.is.True(f.stepUntil(func() bool { return f.holds(companionPart, crashingPart) == n }))
+			f.is.Equal(f.holds(companionPart, soundPart), 0)
+			f.is.Equal(f.holds(soundPart, crashingPart), 0)
+			f.is.True(f.stepUntil(func() bool { return len(f.store.Snapshot()) == 1 }))
+
+			f.start(n)
+			f.deliverStoreChanges()
+			f.is.Equal(f.holds(crashingPart, companionPart), n)
+			row := f.daemons[n-1].q.List()[0]
+			f.is.Equal(row.Kind, string(poison.KindPart))
+			f.is.Equal(len(row.Members), 2)
+
+			f.daemons[n-1].q.Served([]digest.Digest{healthy, companionPart, soundPart}, target("t9"), f.clock.Now())
+			f.is.True(f.stepUntil(func() bool { return f.holds(crashingPart, soundPart) == n }))
+			f.is.Equal(f.holds(companionPart, soundPart), 0)
+			f.is.True(f.stepUntil(func() bool { return len(f.store.Snapshot()) == 1 }))
+
+			f.start(n)
+			f.deliverStoreChanges()
+			f.is.Equal(f.holds(crashingPart), n)
+			f.is.True(f.daemons[0].q.Release(crashingPart))
+			f.is.True(f.stepUntil(func() bool { return f.holds(crashingPart) == 0 && len(f.store.Snapshot()) == 0 }))
+		})
+	}
+}
+
+// A sound first part that seldom comes is on each target that crashes, as the crashing part always
+// follows it. A daemon that answered it knows that it is sound, so that only the other one is held.
+func TestAnsweredPartIsNotHeld(t *testing.T) {
+	f := newFleet(t, 9)
+	f.daemons[8].q.Served([]digest.Digest{healthy, soundPart}, target("other"), f.clock.Now())
+	f.clock.Advance(20 * time.Second)
+	for i := range 4 {
+		f.crashPart(f.daemons[i], fmt.Sprint("t", i), soundPart, crashingPart)
+	}
+	f.is.True(f.stepUntil(func() bool { return f.holds(companionPart, crashingPart) == 9 }))
+	f.is.Equal(f.holds(soundPart, companionPart), 0)
+}
+
+// BenchmarkServedParts measures the cost per answer of a request with two parts, BenchmarkHeldParts
+// that per request while parts are held.
+func BenchmarkServedParts(b *testing.B) {
+	q := newStandalone()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Served([]digest.Digest{digest.Digest(i % 10000), 1, 2, digest.Digest(10 + i%50), digest.Digest(100 + i%50)}, target("t"), time.Time{})
+	}
+}
+
+func BenchmarkHeldParts(b *testing.B) {
+	q := newStandalone()
+	q.ApplyStoreEntry(fireflypath.Entry{Key: quarantine.Prefix + "00000000000000aa", Value: []byte(`{"pool":"p","until":4796288695573,"targets":3,"times":1,"number":2,"members":["0000000000000001","00000000000000bb"],"kind":"part"}`)})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, _, held := q.Held([]digest.Digest{digest.Digest(1000 + i), 1, 2, 3, 4}); held {
+			b.Fatal("held")
+		}
+	}
+}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,22 +44,44 @@
 type reportLog struct {
 	lastSeq      uint64
 	observations []observation
+	// crashed counts the observed crashes by their causes.
+	crashed map[digest.Digest]int
+	// servedAt is when it was last reported that a cause was answered.
+	servedAt map[digest.Digest]time.Time
 	// acked is the last observation that each incarnation of a coordinator acknowledged.
 	acked map[fireflypath.Member]uint64
 }
 
 func newReportLog() reportLog {
-	return reportLog{acked: map[fireflypath.Member]uint64{}}
+	return reportLog{acked: map[fireflypath.Member]uint64{}, crashed: map[digest.Digest]int{}, servedAt: map[digest.Digest]time.Time{}}
 }
 
 func (r *reportLog) add(now time.Time, o observation) {
 	r.lastSeq++
 	o.seq, o.recordedAt = r.lastSeq, now
 	r.observations = append(r.observations, o)
-	expired := func(o observation) bool { return now.Sub(o.recordedAt) > reportRetention }
-	r.observations = slices.DeleteFunc(r.observations, expired)
-	if drop := len(r.observations) - maxReports; drop > 0 {
-		r.observations = slices.Delete(r.observations, 0, drop)
+	if o.crash != nil {
+		for _, d := range o.crash.Causes {
+			r.crashed[d]++
+		}
+	}
+	first := 0
+	for first < len(r.observations) && (now.Sub(r.observations[first].recordedAt) > reportRetention || len(r.observations)-first > maxReports) {
+		r.uncount(r.observations[first])
+		first++
+	}
+	r.observations = slices.Delete(r.observations, 0, first)
+}
+
+// uncount takes a removed observation out of crashed.
+func (r *reportLog) uncount(o observation) {
+	if o.crash == nil {
+		return
+	}
+	for _, d := range o.crash.Causes {
+		if r.crashed[d]--; r.crashed[d] <= 0 {
+			delete(r.crashed, d)
+		}
 	}
 }
 
@@ -66,31 +89,58 @@
 	r.add(now, observation{crash: &c})
 }
 
-// recordServed records a complete answer to a request that has an entry or for which this
-// daemon recorded a crash. It reports whether there is something new to send.
-func (r *reportLog) recordServed(now time.Time, d digest.Digest, hasEntry bool) bool {
-	if !hasEntry && !slices.ContainsFunc(r.observations, func(o observation) bool { return o.crash != nil && o.crash.Digest == d }) {
+// recordServed records a complete answer to a request with a cause that is watched or for which
+// this daemon recorded a crash. It reports whether there is something new to send.
+func (r *reportLog) recordServed(now time.Time, d digest.Digest, watched bool) bool {
+	if !watched && r.crashed[d] == 0 {
 		return false
 	}
-	r.observations = slices.DeleteFunc(r.observations, func(o observation) bool { return o.crash != nil && o.crash.Digest == d })
-	reported := func(o observation) bool { return o.served == d && now.Sub(o.recordedAt) < servedReportInterval }
-	if slices.ContainsFunc(r.observations, reported) {
+	if r.crashed[d] > 0 {
+		r.removeCause(d)
+	}
+	if now.Sub(r.servedAt[d]) < servedReportInterval {
 		return false
 	}
+	maps.DeleteFunc(r.servedAt, func(_ digest.Digest, at time.Time) bool { return now.Sub(at) >= servedReportInterval })
+	r.servedAt[d] = now
 	r.add(now, observation{served: d})
 	return true
 }
 
+// removeCause takes a cause that was answered out of the recorded crashes, and removes those
+// without any other.
+func (r *reportLog) removeCause(d digest.Digest) {
+	delete(r.crashed, d)
+	for i, o := range r.observations {
+		if o.crash == nil || !slices.Contains(o.crash.Causes, d) {
+			continue
+		}
+		c := *o.crash
+		c.Causes = slices.DeleteFunc(slices.Clone(c.Causes), func(o digest.Digest) bool { return o == d })
+		r.observations[i].crash = &c
+	}
+	r.observations = slices.DeleteFunc(r.observations, func(o observation) bool { return o.crash != nil && len(o.crash.Causes) == 0 })
+}
+
 // retractCrashes removes the recorded crashes of a target that has answered a request sent
 // after them, and reports whether there were any.
 func (r *reportLog) retractCrashes(now time.Time, target string, started time.Time) bool {
+	if len(r.crashed) == 0 {
+		return false
+	}
 	refuted := func(o observation) bool {
 		return o.crash != nil && o.crash.Target == target && started.After(o.crash.Ended)
 	}
 	if !slices.ContainsFunc(r.observations, refuted) {
 		return false
 	}
-	r.observations = slices.DeleteFunc(r.observations, refuted)
+	r.observations = slices.DeleteFunc(r.observations, func(o observation) bool {
+		if !refuted(o) {
+			return false
+		}
+		r.uncount(o)
+		return true
+	})
 	r.add(now, observation{aliveTarget: target})
 	return true
 }
@@ -116,20 +166,22 @@
 	AliveTargets []string       `json:"a,omitempty"`
 }
 
+// crashMessage is a crash on the wire. Digest is the first of its causes.
 type crashMessage struct {
-	Digest     string `json:"d"`
-	Pool       string `json:"p"`
-	Target     string `json:"t"`
-	PoolSize   int    `json:"n"`
-	StartedAgo int64  `json:"b"`
-	EndedAgo   int64  `json:"e"`
+	Digest     string   `json:"d"`
+	Parts      []string `json:"c,omitempty"`
+	Pool       string   `json:"p"`
+	Target     string   `json:"t"`
+	PoolSize   int      `json:"n"`
+	StartedAgo int64    `json:"b"`
+	EndedAgo   int64    `json:"e"`
 }
 
 func (m *reportMessage) add(now time.Time, o observation) {
 	switch {
 	case o.crash != nil:
 		m.Crashes = append(m.Crashes, crashMessage{
-			Digest: o.crash.Digest.String(), Pool: o.crash.Pool, Target: o.crash.Target, PoolSize: o.crash.PoolSize,
+			Digest: o.crash.Causes[0].String(), Parts: formatDigests(o.crash.Causes[1:]), Pool: o.crash.Pool, Target: o.crash.Target, PoolSize: o.crash.PoolSize,
 			StartedAgo: now.Sub(o.crash.Started).Milliseconds(), EndedAgo: now.Sub(o.crash.Ended).Milliseconds(),
 		})
 	case o.aliveTarget != "":
@@ -223,8 +275,8 @@
 	q.mu.Lock()
 	q.detectorIdle = false
 	for _, c := range m.Crashes {
-		if d, err := digest.Parse(c.Digest); err == nil {
-			q.detector.RecordCrash(now, c.toCrash(now, d))
+		if causes, ok := parseDigests(append([]string{c.Digest}, c.Parts...)); ok {
+			q.detector.RecordCrash(now, c.toCrash(now, causes))
 		}
 	}
 	for _, target := range m.AliveTargets {
@@ -233,7 +285,7 @@
 	cleared := false
 	for _, text := range m.Served {
 		if d, err := digest.Parse(text); err == nil {
-			cleared = q.clearRequest(now, d) || cleared
+			cleared = q.clearCause(d) || cleared
 		}
 	}
 	q.mu.Unlock()
@@ -243,24 +295,26 @@
 }
 
 // toCrash converts the ages in the message to times of this daemon's clock.
-func (c crashMessage) toCrash(now time.Time, d digest.Digest) poison.Crash {
+func (c crashMessage) toCrash(now time.Time, causes []digest.Digest) poison.Crash {
 	return poison.Crash{
-		Digest: d, Pool: c.Pool, Target: c.Target, PoolSize: c.PoolSize,
+		Causes: causes, Pool: c.Pool, Target: c.Target, PoolSize: c.PoolSize,
 		Started: now.Add(-time.Duration(c.StartedAgo) * time.Millisecond),
 		Ended:   now.Add(-time.Duration(c.EndedAgo) * time.Millisecond),
 	}
 }
 
-// clearRequest marks a request as healthy, and reports whether it was known as anything
-// else. The caller holds mu.
-func (q *Quarantine) clearRequest(now time.Time, d digest.Digest) bool {
-	v, known := q.detector.RecordSuccess(now, d)
-	if e, ok := (*q.entries.Load())[d]; ok && e.State != poison.Cleared {
-		v, known = e.Verdict, true
+// clearCause marks a cause as healthy, and reports whether it was known as anything else. The
+// caller holds mu.
+func (q *Quarantine) clearCause(d digest.Digest) bool {
+	verdicts := q.detector.RecordSuccess(d)
+	cleared := func(v poison.Verdict) bool { return v.Digest == d }
+	if e, ok := q.entries.Load().byDigest[d]; ok && e.State != poison.Cleared && len(e.Members) == 0 && !slices.ContainsFunc(verdicts, cleared) {
+		v := e.Verdict
 		v.State = poison.Cleared
+		verdicts = append(verdicts, v)
 	}
-	if known {
+	for _, v := range verdicts {
 		q.recordVerdict(v)
 	}
-	return known
+	return len(verdicts) > 0
 }
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -28,7 +28,10 @@
 	Until   int64  `json:"until"`
 	Crashes int    `json:"targets"`
 	Holds   int    `json:"times"`
-	Version uint64 `json:"number"`
+	// Members are the causes that are held together, if there are several.
+	Members []string `json:"members,omitempty"`
+	Kind    string   `json:"kind,omitempty"`
+	Version uint64   `json:"number"`
 }
 
 // ApplyStoreEntry applies a change of a store key under Prefix.
@@ -46,8 +49,13 @@
 		q.deps.Log.Warn("ignored invalid quarantine entry in the store", zap.String("key", e.Key), logs.Err(err))
 		return
 	}
+	members, ok := parseDigests(r.Members)
+	if !ok {
+		q.deps.Log.Warn("ignored invalid quarantine entry in the store", zap.String("key", e.Key), zap.Strings("members", r.Members))
+		return
+	}
 	changed := q.mergeEntry(entry{version: r.Version, stored: true, Verdict: poison.Verdict{
-		Digest: d, Pool: r.Pool, State: poison.Held, Until: time.UnixMilli(r.Until), Crashes: r.Crashes, Holds: r.Holds,
+		Digest: d, Members: members, Kind: kindOrDefault(r.Kind), Pool: r.Pool, State: poison.Held, Until: time.UnixMilli(r.Until), Crashes: r.Crashes, Holds: r.Holds,
 	}})
 	q.setStored(d, true)
 	if changed {
@@ -57,7 +65,7 @@
 
 // entryDeleted releases a request whose key was deleted by an operator or another daemon.
 func (q *Quarantine) entryDeleted(d digest.Digest) {
-	old, ok := (*q.entries.Load())[d]
+	old, ok := q.entries.Load().byDigest[d]
 	if !ok || !old.stored {
 		return
 	}
@@ -74,7 +82,7 @@
 func (q *Quarantine) setStored(d digest.Digest, stored bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	list := *q.entries.Load()
+	list := q.entries.Load().byDigest
 	e, ok := list[d]
 	if !ok || e.stored == stored {
 		return
@@ -82,7 +90,7 @@
 	next := maps.Clone(list)
 	e.stored = stored
 	next[d] = e
-	q.entries.Store(&next)
+	q.entries.Store(newTable(next))
 }
 
 // Save writes this daemon's unsaved verdicts to the store, and reports whether some are left.
@@ -99,7 +107,7 @@
 		q.metrics.saved.Inc(1)
 		q.mu.Lock()
 		q.saveFailing = false
-		if (*q.entries.Load())[e.Digest].version == e.version {
+		if q.entries.Load().byDigest[e.Digest].version == e.version {
 			delete(q.unsaved, e.Digest)
 		}
 		q.mu.Unlock()
@@ -123,7 +131,7 @@
 	now := q.deps.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	list := *q.entries.Load()
+	list := q.entries.Load().byDigest
 	maps.DeleteFunc(q.unsaved, func(d digest.Digest, _ bool) bool { _, ok := list[d]; return !ok })
 	var out []entry
 	for d, e := range list {
@@ -146,7 +154,10 @@
 	if e.State != poison.Held {
 		return q.deps.Store.Delete(ctx, key, fireflypath.AnyRevision)
 	}
-	b, err := json.Marshal(storedEntry{Pool: e.Pool, Until: e.Until.UnixMilli(), Crashes: e.Crashes, Holds: e.Holds, Version: e.version})
+	b, err := json.Marshal(storedEntry{
+		Pool: e.Pool, Until: e.Until.UnixMilli(), Crashes: e.Crashes, Holds: e.Holds, Version: e.version,
+		Members: formatDigests(e.Members), Kind: string(e.Kind),
+	})
 	if err != nil {
 		return err
 	}
