fix(quarantine): what is sound is not held while several causes crash targets

Causes, from the daemons' lines: (1) the daemon that decides asked all others for answers and never itself; (2) nobody had answered anything yet when the first causes were held; (3) no single cause explained all crashes of the sound one, all of them together did.

The soak and the stand-in target get the parts (--parts, TestSoakWithCrashingParts): two parts at once, alone and in bursts, now here and now there, beside the deadly request and all other faults.

--- a/cmd/fireflypath/soak.go
+++ b/cmd/fireflypath/soak.go
@@ -31,6 +31,7 @@
 			&cli.StringFlag{Name: "dir", Usage: "`DIR` for settings and logs; those of failed runs are kept", Value: "target/soak"},
 			&cli.BoolFlag{Name: "mute", Usage: "no faults"},
 			&cli.BoolFlag{Name: "deadly", Usage: "include a request that crashes targets", Value: true},
+			&cli.BoolFlag{Name: "parts", Usage: "include requests that differ and share parts that crash targets", Value: true},
 			&cli.BoolFlag{Name: "starved", Usage: "give daemons little processor time", Value: true},
 		},
 		Action: runSoak,
@@ -48,8 +49,8 @@
 		}
 		res, err := soak.Run(ctx, soak.Options{
 			Program: c.String("program"), Seed: seed, Duration: c.Duration("for"), Dir: dir, NoFaults: c.Bool("mute"), PoisonRequest: c.Bool("deadly"),
-			StarveDaemons: c.Bool("starved"),
-			Daemons:       c.Int("daemons"), Targets: c.Int("targets"), Callers: c.Int("callers"),
+			CrashingParts: c.Bool("parts"), StarveDaemons: c.Bool("starved"),
+			Daemons: c.Int("daemons"), Targets: c.Int("targets"), Callers: c.Int("callers"),
 		})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
--- a/internal/decide/poison/attribution.go
+++ b/internal/decide/poison/attribution.go
@@ -125,9 +125,13 @@
 // weigh returns what the crashes prove. It reports false if they are too few.
 func (det *Detector) weigh(d digest.Digest, r *cause, attributed []targetCrash) (evidence, bool) {
 	sequence, enough := len(consecutive(attributed)), det.cfg.MinCrashes+extraCrashes
+	repeated := sequence >= det.suspectThreshold(d, r) && len(det.holdsOf[d]) > 0
+	if !repeated && !det.crashedAlone(d, r, attributed) {
+		return evidence{}, false
+	}
 	burst := len(attributed) >= enough && det.warm
 	switch {
-	case sequence >= det.suspectThreshold(d, r) && len(det.holdsOf[d]) > 0:
+	case repeated:
 		return evidence{repeatChance, 1}, true
 	case sequence >= enough:
 		return evidence{extraCrashesChance, 1}, true
@@ -139,6 +143,25 @@
 	return evidence{}, false
 }
 
+// crashedAlone reports whether a target crashed on which no other suspect ran. Several causes that
+// crash targets at the same time together explain the crashes of a request that is often retried,
+// although none of them explains all.
+func (det *Detector) crashedAlone(d digest.Digest, r *cause, crashes []targetCrash) bool {
+	inseparable := det.inseparable(d, r)
+	return slices.ContainsFunc(crashes, func(c targetCrash) bool {
+		t := det.crashedTargets[c.target]
+		return t != nil && !slices.ContainsFunc(t.runs, func(ran run) bool { return det.hasOtherSuspect(ran, inseparable) })
+	})
+}
+
+// hasOtherSuspect reports whether a run had a suspect that is not among the causes.
+func (det *Detector) hasOtherSuspect(ran run, causes []digest.Digest) bool {
+	return slices.ContainsFunc(ran.causes, func(o digest.Digest) bool {
+		other := det.causes[o]
+		return other != nil && !other.suspectSince.IsZero() && !slices.Contains(causes, o)
+	})
+}
+
 // expectedCrashes is the number of crashes that the runs would have met if the pool's
 // targets crashed at random, at the rate of the worst second of the others during that time.
 func (det *Detector) expectedCrashes(r *cause, crashes []targetCrash) float64 {
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -43,6 +43,8 @@
 	extraCrashesChance = 1e-3
 	// repeatChance applies to causes that were held before.
 	repeatChance = 0.05
+	// warmUp is for how long after its first report a detector that is not warm holds nothing.
+	warmUp = 2 * time.Second
 	// burstConfirmations is how many confirmation periods pass before a cause is held whose
 	// targets all crashed at once.
 	burstConfirmations = 3
@@ -133,7 +135,9 @@
 	crashedTargets map[string]*crashedTarget
 	// lastPruned is when old data was last removed.
 	lastPruned time.Time
-	warm       bool
+	// warm is set by SetWarm, firstReport is the time of the first crash report.
+	warm        bool
+	firstReport time.Time
 }
 
 // New returns a detector without reports.
@@ -144,11 +148,16 @@
 	}
 }
 
-// SetWarm tells the detector that the daemons have answered requests for long enough to know what
-// many of them share. Before that, bursts of crashes prove nothing: a part that many requests share
-// looks like one that crashes targets when many are lost at once.
+// SetWarm tells the detector that the daemons have answered enough requests to know what many of
+// them share. Before that, a part that many requests share looks like one that crashes targets when
+// many are lost: bursts of crashes prove nothing, and nothing is held until warmUp has passed.
 func (det *Detector) SetWarm() { det.warm = true }
 
+// isCold reports whether the daemons may not have had the time yet to answer what is sound.
+func (det *Detector) isCold(now time.Time, confirmation time.Duration) bool {
+	return !det.warm && now.Sub(det.firstReport) < warmUp+confirmation
+}
+
 // RecordCrash adds a crash report. The same crash may be reported repeatedly.
 func (det *Detector) RecordCrash(now time.Time, c Crash) {
 	t := det.crashedTargets[c.Target]
@@ -157,6 +166,9 @@
 		det.crashedTargets[c.Target] = t
 	}
 	t.crashedAt = c.Ended
+	if det.firstReport.IsZero() {
+		det.firstReport = now
+	}
 	if slices.ContainsFunc(t.runs, func(r run) bool { return r.request == c.Causes[0] }) {
 		return
 	}
@@ -376,7 +388,7 @@
 		if !ok {
 			continue
 		}
-		if now.Sub(r.suspectSince) < time.Duration(confirmations)*confirmation {
+		if det.isCold(now, confirmation) || now.Sub(r.suspectSince) < time.Duration(confirmations)*confirmation {
 			pending = true
 			continue
 		}
--- a/internal/decide/poison/detector_test.go
+++ b/internal/decide/poison/detector_test.go
@@ -71,11 +71,10 @@
 	p := &pool{
 		is: is.New(t), rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), restartTime: 2 * time.Second, attempts: 4,
 		targets:  make([]target, targets),
-		detector: poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour}),
+		detector: newWarm(),
 		served:   map[digest.Digest]time.Time{}, states: map[digest.Digest]poison.State{},
 		held: map[digest.Digest]time.Time{}, holds: map[digest.Digest][]digest.Digest{}, refused: map[digest.Digest]int{}, crashes: map[digest.Digest][]time.Time{},
 	}
-	p.detector.SetWarm()
 	for i := range p.targets {
 		p.restart(i, p.now)
 	}
@@ -397,7 +396,7 @@
 
 func TestRepeatedHoldLastsLonger(t *testing.T) {
 	is := is.New(t)
-	detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	detector := newWarm()
 	now := crashTargets(detector, time.Unix(1000, 0), 3, "a")
 	v, now := evaluate(detector, now)
 	is.Equal(v.State, poison.Held)
@@ -419,7 +418,7 @@
 // it three times. It used to be held for an hour.
 func TestRequestRetriedWithPoisonIsNotHeld(t *testing.T) {
 	is := is.New(t)
-	detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	detector := newWarm()
 	now := time.Unix(1000, 0)
 	crash := func(target string, requests ...digest.Digest) {
 		started := now
@@ -447,7 +446,7 @@
 // reset.
 func TestRetractedCrashIsNotCounted(t *testing.T) {
 	is := is.New(t)
-	detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	detector := newWarm()
 	now := crashTargets(detector, time.Unix(1000, 0), 3, "a")
 	detector.RetractCrash("a1")
 	v, _ := evaluate(detector, now)
@@ -456,7 +455,7 @@
 
 func TestCompletedRequestIsCleared(t *testing.T) {
 	is := is.New(t)
-	detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	detector := newWarm()
 	now := crashTargets(detector, time.Unix(1000, 0), 3, "a")
 	v, now := evaluate(detector, now)
 	is.Equal(v.State, poison.Held)
@@ -471,7 +470,7 @@
 func TestVerdictOfAnotherDaemonApplies(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	detector := newWarm()
 	detector.ApplyVerdict(now, poison.Verdict{Digest: poisonRequest, Pool: "p", State: poison.Held, Until: now.Add(time.Hour), Holds: 2})
 	now = crashTargets(detector, now, 3, "a")
 	v, now := evaluate(detector, now)
@@ -510,7 +509,7 @@
 
 func BenchmarkFailureDomainLoss(b *testing.B) {
 	for b.Loop() {
-		detector := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+		detector := newWarm()
 		now := time.Unix(1000, 0)
 		for i := range 600 {
 			detector.RecordCrash(now, poison.Crash{
@@ -520,3 +519,10 @@
 		detector.Evaluate(now, confirmation, nil)
 	}
 }
+
+// newWarm returns a detector of daemons that have answered requests.
+func newWarm() *poison.Detector {
+	det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	det.SetWarm()
+	return det
+}
--- a/internal/decide/poison/parts_test.go
+++ b/internal/decide/poison/parts_test.go
@@ -159,7 +159,7 @@
 // set, or the other one would crash targets in other company.
 func TestPartsThatCameTogetherAreHeldTogether(t *testing.T) {
 	is := is.New(t)
-	det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	det := newWarm()
 	now := recordRuns(det, time.Unix(1000, 0), 4, "a", companion, crashingPart)
 	v, _ := evaluate(det, now)
 	is.Equal(v.State, poison.Held)
@@ -181,7 +181,7 @@
 func TestPartIsHeldForTheTeamsWhoseRequestsCrashed(t *testing.T) {
 	const redPart, bluePart, anyPart = digest.Digest(30), digest.Digest(31), digest.Digest(32)
 	is := is.New(t)
-	det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	det := newWarm()
 	now := recordRuns(det, time.Unix(1000, 0), 4, "a", redPart, anyPart)
 	v, now := evaluate(det, now)
 	is.Equal(v.Members, []digest.Digest{redPart, anyPart})
@@ -200,7 +200,7 @@
 // longer.
 func TestPartIsHeldAgainAfterOneCrash(t *testing.T) {
 	is := is.New(t)
-	det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	det := newWarm()
 	now := recordRuns(det, time.Unix(1000, 0), 4, "a", companion, crashingPart)
 	v, now := evaluate(det, now)
 	is.Equal(v.Holds, 1)
@@ -214,7 +214,7 @@
 // Operators release what is held by the digest of the set.
 func TestSetIsReleased(t *testing.T) {
 	is := is.New(t)
-	det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+	det := newWarm()
 	now := recordRuns(det, time.Unix(1000, 0), 4, "a", companion, crashingPart)
 	held, now := evaluate(det, now)
 	v, ok := det.Release(held.Digest)
@@ -230,7 +230,7 @@
 // with eight requests of five causes, and the decision after them.
 func BenchmarkPartsAtFailureDomainLoss(b *testing.B) {
 	for b.Loop() {
-		det := poison.New(poison.Config{MinCrashes: 3, HoldTime: time.Hour})
+		det := newWarm()
 		now := time.Unix(1000, 0)
 		for i := range 600 {
 			det.RecordCrash(now, poison.Crash{
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -259,6 +259,7 @@
 	q.detectorIdle = !pending
 	for _, v := range verdicts {
 		q.recordVerdict(v)
+		q.reportAnswered(now, entry{Verdict: v}.causes())
 	}
 	q.mu.Unlock()
 	if len(verdicts) > 0 {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -34,6 +34,10 @@
 	losses *atomic.Pointer[lossWindow]
 	// streams counts the streams that may be resumed.
 	streams *streamCounts
+	// prompt returns the parts of the prompt of a request, those of a sound one if it is nil. poison
+	// is true for a caller whose requests crash targets.
+	prompt func(id string) string
+	poison bool
 	// sendsSharedBody makes some requests use sharedBody, and some repeat a failed one.
 	sendsSharedBody bool
 	// failedBody and failedPath are those of the last request if it failed. It may be
@@ -113,7 +117,7 @@
 		return false
 	}
 	c.checkResponse(id, events, resp, text, err)
-	if body != poisonBody {
+	if !c.poison {
 		c.history.check(invariantNotHeld, !isHeldRefusal(text), "%s was answered %s", id, text)
 	}
 	return resp.StatusCode == http.StatusOK && err == nil
@@ -138,6 +142,11 @@
 	r.Host = host
 	r.Header.Set(c.headers.ID, id)
 	r.Header.Set(c.headers.Key, key)
+	if c.prompt == nil {
+		r.Header.Set(c.headers.Parts, soundPrompt(id))
+	} else {
+		r.Header.Set(c.headers.Parts, c.prompt(id))
+	}
 	r.Header.Set(c.headers.Deadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	return r, d, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,6 +50,8 @@
 	// PoisonRequest adds a caller that sends a request that crashes targets, and makes
 	// the other callers send a body that they share.
 	PoisonRequest bool
+	// CrashingParts adds callers whose requests differ and share parts that crash targets.
+	CrashingParts bool
 	// StarveDaemons gives one daemon after the other little processor time.
 	StarveDaemons bool
 }
@@ -103,13 +105,13 @@
 	routes       []fireflypath.Route
 	// disturbances counts the faults of the store and of connections to it that are
 	// active or ended recently.
-	disturbances  atomic.Int32
-	prober        *prober
-	poisonCrashes poisonCrashes
-	faults        map[string]int
-	attempted     atomic.Int64
-	succeeded     atomic.Int64
-	streams       streamCounts
+	disturbances atomic.Int32
+	prober       *prober
+	poisons      poisons
+	faults       map[string]int
+	attempted    atomic.Int64
+	succeeded    atomic.Int64
+	streams      streamCounts
 	lossState
 }
 
@@ -117,7 +119,7 @@
 func Run(ctx context.Context, o Options) (Result, error) {
 	r := &run{
 		options: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), history: newHistory(), ports: newPorts(), store: standin.New(),
-		keys: &keyring{keys: []string{"k0", "k1", "k2"}}, faults: map[string]int{}, routes: routes(),
+		keys: &keyring{keys: []string{"k0", "k1", "k2"}}, faults: map[string]int{}, routes: routes(), poisons: newPoisons(),
 	}
 	r.prober = &prober{
 		history: r.history, headers: platform.Codec{}.Headers(),
@@ -228,7 +230,14 @@
 	if err != nil {
 		return err
 	}
-	t.onPoison = func() { r.crashByPoison(t) }
+	t.findPoison = func(body, prompt string) *poisonCrashes {
+		c := r.poisons.find(body, prompt)
+		if c != nil {
+			c.recordArrival(time.Now(), r.isStable())
+		}
+		return c
+	}
+	t.onPoison = func(c *poisonCrashes) { r.crashByPoison(t, c) }
 	r.targets = append(r.targets, t)
 	return r.store.PutTarget(t.registration())
 }
@@ -257,6 +266,11 @@
 	if r.options.PoisonRequest {
 		wg.Go(func() { r.sendPoisonRequests(ctx) })
 	}
+	if r.options.CrashingParts {
+		for i, part := range crashingParts {
+			wg.Go(func() { r.sendCrashingPart(ctx, part, uint64(1_000_000*(i+1))) })
+		}
+	}
 	for _, d := range r.daemons {
 		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.disturbances.Load() == 0 && d.isStable() }) })
 	}
@@ -281,7 +295,7 @@
 	r.checkRecords()
 	cancel()
 	wg.Wait()
-	if r.options.PoisonRequest {
+	if r.options.PoisonRequest || r.options.CrashingParts {
 		r.checkPoisonCrashes()
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,11 @@
 	runSoak(t, soak.Options{Seed: 12, PoisonRequest: true})
 }
 
+// Like TestSoak, while requests that differ share parts that crash each target that runs them.
+func TestSoakWithCrashingParts(t *testing.T) {
+	runSoak(t, soak.Options{Seed: 14, CrashingParts: true})
+}
+
 // Like TestSoak, while one daemon after the other gets little processor time.
 func TestSoakWithStarvedDaemons(t *testing.T) {
 	runSoak(t, soak.Options{Seed: 13, StarveDaemons: true})
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -51,8 +51,11 @@
 	notices noticeLog
 	claimed atomic.Bool
 	room    room
-	// onPoison is called when the target starts to run the poison request, and crashes it.
-	onPoison func()
+	// findPoison returns what crashes the target when it runs a request, or nil. onPoison is
+	// called when it starts to, and crashes it.
+	findPoison func(body, prompt string) *poisonCrashes
+	onPoison   func(*poisonCrashes)
+	poisoned   sync.Once
 
 	mu  sync.Mutex
 	rnd *rand.Rand
@@ -137,9 +140,9 @@
 	h.Set(t.headers.Signature, "by "+t.name)
 	leaving := t.Leaving()
 	defer func() { t.notices.recordAnswer(time.Now(), from, leaving, 0) }()
-	if string(body) == poisonBody {
+	if c := t.findPoison(string(body), r.Header.Get(t.headers.Parts)); c != nil {
 		time.Sleep(workTime)
-		go t.onPoison() // closing the server must not wait for this handler
+		go t.poisoned.Do(func() { t.onPoison(c) }) // closing the server must not wait for this handler
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
