--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -132,6 +132,7 @@
 
 // waitForTarget queues the request in its pool until it is assigned a target.
 func (g *Gate) waitForTarget(c *call) (*attempt, *refusal) {
+	g.releaseVersion(c)
 	att := &attempt{}
 	att.Request = request.Request{
 		Work: fireflypath.Work{
@@ -258,6 +259,7 @@
 
 // requeueUnsent lets a request of which no byte was sent wait for a target again.
 func (g *Gate) requeueUnsent(c *call, att *attempt, n int) *refusal {
+	att.Work.Version = c.version
 	if err := att.Owner.Requeue(c.ctx, &att.Request); err != nil {
 		return g.waitRefusal(c, att, err)
 	}
--- a/internal/gate/version_test.go
+++ b/internal/gate/version_test.go
@@ -46,3 +46,34 @@
 		})
 	}
 }
+
+// Guards against a stream that two daemons know at two versions, because its first target ended before
+// the first event and the request went on at another version: the caller may come back to a daemon that
+// has heard of the first one only.
+func TestStreamThatHasNotBegunStaysAtItsVersion(t *testing.T) {
+	versions := map[string]string{"t1": "v1", "t2": "v2", "t3": "v2", "t4": "v1"}
+	for range 10 {
+		is := is.New(t)
+		s := startSite(t, func(cfg *fireflypath.Config) {
+			for _, name := range []string{"t3", "t4"} {
+				more := cfg.Targets[len(cfg.Targets)-2]
+				more.Name = name
+				cfg.Targets = append(cfg.Targets, more)
+			}
+			for i := range cfg.Targets {
+				cfg.Targets[i].Version = versions[cfg.Targets[i].Name]
+			}
+		}, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 1 {
+				writeRaw(w, r, http.StatusOK, frameChunked, endCut, eventText(1)[:3])
+				return
+			}
+			fmt.Fprint(w, eventText(1)+eventText(2))
+		})
+		got := s.receive("HTTP/1.1", http.MethodPost, "/resume/x")
+		is.Equal(got.body, eventText(1)+eventText(2))
+		sent := s.requests()
+		is.Equal(len(sent), 2)
+		is.Equal(versions[sent[0].Header.Get("T-Target")], versions[sent[1].Header.Get("T-Target")])
+	}
+}
