--- a/cmd/fireflypath/held.go
+++ b/cmd/fireflypath/held.go
@@ -15,7 +15,7 @@
 // newHeldCommand returns the command that lists the requests held in quarantine.
 func newHeldCommand() *cli.Command {
 	return &cli.Command{
-		Name: "held", Usage: "list the requests that are held because they crash targets",
+		Name: "held", Usage: "list the requests, and the parts of prompts, that are held because they crash targets",
 		Flags: operatorFlags(), OnUsageError: usageError,
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			c, err := newClient(cmd)
@@ -30,9 +30,9 @@
 				return printJSON(cmd.Root().Writer, rows)
 			}
 			var b strings.Builder
-			b.WriteString("DIGEST\tPOOL\tSTATE\tTARGETS\tTIMES\tUNTIL\n")
+			b.WriteString("DIGEST\tKIND\tPOOL\tSTATE\tTARGETS\tTIMES\tUNTIL\tMEMBERS\n")
 			for _, r := range rows {
-				fmt.Fprintf(&b, "%s\t%s\t%s\t%d\t%d\t%s\n", r.Digest, r.Pool, r.State, r.Targets, r.Times, r.Until.UTC().Format(time.RFC3339))
+				fmt.Fprintf(&b, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", r.Digest, r.Kind, r.Pool, r.State, r.Targets, r.Times, r.Until.UTC().Format(time.RFC3339), strings.Join(r.Members, " "))
 			}
 			w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
 			if _, err := io.WriteString(w, b.String()); err != nil {
