--- a/internal/decide/poison/attribution.go
+++ b/internal/decide/poison/attribution.go
@@ -143,22 +143,18 @@
 	return evidence{}, false
 }
 
-// crashedAlone reports whether a target crashed on which no other suspect ran. Several causes that
-// crash targets at the same time together explain the crashes of a request that is often retried,
-// although none of them explains all.
+// crashedAlone reports whether a target crashed on which no comparable suspect ran, one with more than
+// half as many crashes. Several causes that crash targets at the same time together explain the crashes
+// of a request that is often retried, although none of them explains all.
 func (det *Detector) crashedAlone(d digest.Digest, r *cause, crashes []targetCrash) bool {
 	inseparable := det.inseparable(d, r)
+	isComparable := func(o digest.Digest) bool {
+		other := det.causes[o]
+		return other != nil && !other.suspectSince.IsZero() && 2*len(other.crashes) > len(r.crashes) && !slices.Contains(inseparable, o)
+	}
 	return slices.ContainsFunc(crashes, func(c targetCrash) bool {
 		t := det.crashedTargets[c.target]
-		return t != nil && !slices.ContainsFunc(t.runs, func(ran run) bool { return det.hasOtherSuspect(ran, inseparable) })
-	})
-}
-
-// hasOtherSuspect reports whether a run had a suspect that is not among the causes.
-func (det *Detector) hasOtherSuspect(ran run, causes []digest.Digest) bool {
-	return slices.ContainsFunc(ran.causes, func(o digest.Digest) bool {
-		other := det.causes[o]
-		return other != nil && !other.suspectSince.IsZero() && !slices.Contains(causes, o)
+		return t != nil && !slices.ContainsFunc(t.runs, func(ran run) bool { return slices.ContainsFunc(ran.causes, isComparable) })
 	})
 }
 
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -39,6 +39,10 @@
 		return
 	}
 	r, now := c.r, c.r.w.loop.Now()
+	if r.w.quarantine.isHeld(r) {
+		c.refuse(heldRetryAfter)
+		return
+	}
 	k := r.spec()
 	c.tries++
 	c.work = fireflypath.Work{
@@ -150,7 +154,9 @@
 				w.recordTurnedAway(c.target)
 			}
 			w.loop.After(w.options.Fleet.Hop.Duration(), c.handleEngineRefusal)
+			return
 		}
+		w.quarantine.reachesEngine(c)
 	})
 }
 
@@ -202,6 +208,7 @@
 	if last {
 		c.finished = true
 		c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventDone, Tokens: c.events})
+		r.w.quarantine.served(c)
 	}
 	r.w.loop.After(r.w.options.Fleet.CallerHop.Duration(), func() { r.handleEvent(r.w.loop.Now(), last) })
 }
@@ -213,6 +220,9 @@
 		return
 	}
 	c.notifyScheduler(fireflypath.Event{Kind: fireflypath.EventFailed, NotByTarget: notByTarget, Tokens: c.events})
+	if !notByTarget {
+		c.r.w.quarantine.engineCrashed(c)
+	}
 	c.engineRequest, c.events = nil, 0
 	if c.r.spec().Repeat && c.tries < 2 {
 		c.offer()
@@ -240,6 +250,9 @@
 	c.refuse(engineRefusalRetryAfter)
 }
 
+// heldRetryAfter is the retry delay sent to a caller whose request is held.
+const heldRetryAfter = time.Hour
+
 // engineRefusalRetryAfter is the retry delay sent to a caller whose request no engine
 // accepted.
 const engineRefusalRetryAfter = 300 * time.Millisecond
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/sim/fleet"
 	"github.com/fireflypath/fireflypath/internal/sim/load"
 	"github.com/fireflypath/fireflypath/internal/sim/loop"
@@ -61,6 +62,9 @@
 	// counted is true if the first attempt was made while paths were lost, countedCut if at a daemon
 	// without paths.
 	counted, countedCut bool
+	// crashes is the part by which the request crashes engines, or 0; away is how long these are gone.
+	crashes digest.Digest
+	away    time.Duration
 }
 
 func (r *request) spec() fleet.Kind { return r.w.options.Fleet.Kinds[r.kind] }
@@ -210,6 +214,9 @@
 		return
 	}
 	r.ended = true
+	if r.crashes != 0 {
+		return // nobody waits for it
+	}
 	if o == outcomeInTime || o == outcomeLate {
 		r.w.countServed(r)
 	}
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -36,6 +36,8 @@
 	Versions int
 	// Breaks make engines break answers off.
 	Breaks []Break
+	// CrashingParts are parts of prompts that crash engines.
+	CrashingParts []CrashingPart
 	// Silences make engines fall silent for a moment.
 	Silences []Silence
 	// Restarts kill and restart daemons.
@@ -115,6 +117,13 @@
 	Fraction     float64
 }
 
+// CrashingPart adds requests that all differ and share a part of their prompts. Each engine that begins
+// to answer one of them crashes, and is away for some time. They come in bursts.
+type CrashingPart struct {
+	At, Duration, Interval, Away time.Duration
+	Burst                        int
+}
+
 // Restart kills a fraction of the daemons; they restart immediately with empty state.
 type Restart struct {
 	At       time.Duration
@@ -172,6 +181,15 @@
 		{Name: "silences", Rate: 0.8, Silences: []Silence{
 			{At: seconds(4), Duration: seconds(1.2), Fraction: 0.34}, {At: seconds(11), Duration: seconds(1.5), Fraction: 0.5},
 		}},
+		{Name: "part", Rate: 0.7, CrashingParts: []CrashingPart{{At: seconds(5), Duration: seconds(14), Interval: seconds(0.33), Away: seconds(3)}}},
+		{Name: "part-bursts", Rate: 0.7, CrashingParts: []CrashingPart{{At: seconds(5), Duration: seconds(14), Interval: seconds(2), Away: seconds(3), Burst: 6}}},
+		{
+			Name: "parts-shortage", Rate: 0.7, CrashingParts: []CrashingPart{
+				{At: seconds(4), Duration: seconds(16), Interval: seconds(0.5), Away: seconds(2)},
+				{At: seconds(4.1), Duration: seconds(16), Interval: seconds(0.4), Away: seconds(2)},
+			},
+			Outages: []Outage{{At: seconds(5), Duration: seconds(4), Fraction: 0.33}}, Restarts: []Restart{{At: seconds(7), Fraction: 0.34}},
+		},
 		{Name: "versions", Rate: 0.8, Versions: 2, Breaks: []Break{{At: seconds(2), Duration: seconds(24), Fraction: 0.3}}},
 		{
 			Name: "versions-release", Rate: 0.8, Versions: 3, Breaks: []Break{{At: seconds(2), Duration: seconds(24), Fraction: 0.3}},
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -53,6 +53,8 @@
 	streams     streamCounts
 	// breaking is the fraction of answers that engines break off at present.
 	breaking float64
+	// quarantine holds the requests with parts that crash engines.
+	quarantine *quarantine
 }
 
 // target is an engine together with its entry in the target list.
@@ -62,12 +64,14 @@
 	speed float64
 	notices
 	brittleness brittleness
+	// incarnation counts the restarts after crashes by a part of a prompt.
+	incarnation int
 }
 
 // Run simulates one run. Equal options give equal results.
 func Run(o Options) Result {
 	w := &world{options: o, loop: loop.New(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), cuts: map[*daemon]map[*target]bool{}}
-	w.tally = newTally(o.Fleet)
+	w.tally, w.quarantine = newTally(o.Fleet), newQuarantine(w)
 	for i := range o.Fleet.Engines.Count {
 		w.startEngine(o.Fleet.Engines.Speeds[i%len(o.Fleet.Engines.Speeds)])
 	}
@@ -83,7 +87,7 @@
 		res.addBroken(t.broken)
 		res.Falls += t.brittleness.falls
 	}
-	res.Streams = w.streams
+	res.Streams, res.Parts = w.streams, w.quarantine.result()
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
 	return res
@@ -166,6 +170,9 @@
 	for _, c := range w.options.Load.Cuts {
 		w.loop.After(c.At, func() { w.applyCut(c) })
 	}
+	for i, p := range w.options.Load.CrashingParts {
+		w.loop.After(p.At, func() { w.sendCrashingPart(i, p) })
+	}
 	for _, s := range w.options.Load.Silences {
 		w.loop.After(s.At, func() { w.applySilence(s) })
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -164,6 +164,34 @@
 	}
 }
 
+// Requests that differ share a part that crashes each engine that begins to answer them: one after the
+// other, in bursts, two parts at once while engines and daemons are lost. At most three may reach engines
+// later than three seconds after the fifth crash, no other request may be refused for it, and the others
+// must be served as often as without it from then on.
+func TestCrashingPartsAreHeld(t *testing.T) {
+	for _, pattern := range []string{"part", "part-bursts", "parts-shortage"} {
+		for _, mix := range []string{"gent", "norte"} {
+			t.Run(pattern+" "+mix, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				for seed := range uint64(3) {
+					res := simulate(t, mix, pattern, seed+1, seed < 2)
+					if res.Parts.Crashes < 3 || res.Parts.Late > 3 {
+						t.Errorf("seed %d: %d requests reached engines late, %d engines crashed", seed+1, res.Parts.Late, res.Parts.Crashes)
+					}
+					is.Equal(res.Parts.Refused, 0)
+					sent, failed := 0, 0
+					for _, k := range res.Kinds {
+						sent, failed = sent+k.Sent, failed+k.Failed
+					}
+					t.Logf("seed %d: %d crashes, %d late, %d of %d sound requests failed", seed+1, res.Parts.Crashes, res.Parts.Late, failed, sent)
+					is.True(failed*5 < sent)
+				}
+			})
+		}
+	}
+}
+
 func TestRunIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	for _, dispatched := range []bool{false, true} {
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -70,6 +70,8 @@
 	CutSent, CutServed, OtherSent, OtherServed int `json:"-"`
 	// Streams counts streams where engines have several versions.
 	Streams streamCounts `json:"-"`
+	// Parts counts requests with parts that crash engines.
+	Parts partCounts `json:"-"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
