--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflypath/fireflypath"
 )
 
@@ -38,6 +40,8 @@
 	// is true for a caller whose requests crash targets.
 	prompt func(id string) string
 	poison bool
+	// crowd is where most callers are at present.
+	crowd *atomic.Pointer[crowd]
 	// sendsSharedBody makes some requests use sharedBody, and some repeat a failed one.
 	sendsSharedBody bool
 	// failedBody and failedPath are those of the last request if it failed. It may be
@@ -94,11 +98,16 @@
 	r.Header.Set(c.headers.Deadline, strconv.FormatInt(limit.Milliseconds(), 10))
 	c.history.recordRequest(id, &request{atMostOnce: path == "/once/" || path == "/stream/", body: body, sentAt: time.Now(), key: key, daemon: d})
 	c.attempted.Add(1)
+	at, status := c.crowd.Load(), 0
+	if limit == requestTimeout {
+		defer func() { c.countCrowd(at, d, status, served) }()
+	}
 	resp, err := c.pickClient().Do(r)
 	if err != nil {
 		return false // a closed connection says nothing about whether the request ran
 	}
 	defer resp.Body.Close()
+	status = resp.StatusCode
 	text, dropped, err := readStream(resp.Body, c.dropAfter(path))
 	if path == "/resume/" {
 		c.streams.countNew(resp.StatusCode == http.StatusOK && text != "")
@@ -129,6 +138,9 @@
 // newRequest returns a request to a random daemon.
 func (c *caller) newRequest(ctx context.Context, id, path, body, key string) (*http.Request, *process, error) {
 	d := c.daemons[c.rnd.IntN(len(c.daemons))]
+	if at := c.crowd.Load(); at != nil && at.at != nil && xxhash.Sum64String(id)%crowdSpared != 0 {
+		d = at.at
+	}
 	form := ""
 	if path == "/stream/" || path == "/resume/" {
 		form = "?form=events"
@@ -156,6 +168,9 @@
 
 // pickClient returns what sends the next request.
 func (c *caller) pickClient() *http.Client {
+	if at := c.crowd.Load(); at != nil && at.at != nil {
+		return at.client
+	}
 	if c.rnd.IntN(oldClientRatio) == 0 {
 		return &http.Client{Transport: oldTransport{}}
 	}
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -135,7 +135,7 @@
 	return &caller{
 		index: -1, headers: platform.Codec{}.Headers(), history: r.history, daemons: r.daemons, keys: r.keys, poison: true,
 		client: &http.Client{Transport: &http.Transport{}}, rnd: rnd, attempted: &atomic.Int64{}, succeeded: &atomic.Int64{},
-		losses: &atomic.Pointer[lossWindow]{}, streams: &streamCounts{},
+		losses: &atomic.Pointer[lossWindow]{}, crowd: &r.crowd, streams: &streamCounts{},
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,6 +52,9 @@
 	PoisonRequest bool
 	// CrashingParts adds callers whose requests differ and share parts that crash targets.
 	CrashingParts bool
+	// CrowdCallers has nearly all callers come to one daemon for a while, each request on a
+	// connection of its own.
+	CrowdCallers bool
 	// StarveDaemons gives one daemon after the other little processor time.
 	StarveDaemons bool
 }
@@ -112,6 +115,8 @@
 	attempted    atomic.Int64
 	succeeded    atomic.Int64
 	streams      streamCounts
+	// crowd is where most callers are at present, or nil.
+	crowd atomic.Pointer[crowd]
 	lossState
 }
 
@@ -259,7 +264,7 @@
 			index: i, headers: platform.Codec{}.Headers(), history: r.history, daemons: r.daemons, keys: r.keys,
 			client: &http.Client{Transport: &http.Transport{}},
 			rnd:    rand.New(rand.NewPCG(r.options.Seed, uint64(100+i))), attempted: &r.attempted, succeeded: &r.succeeded, sendsSharedBody: r.options.PoisonRequest,
-			losses: &r.losses, streams: &r.streams,
+			losses: &r.losses, crowd: &r.crowd, streams: &r.streams,
 		}
 		wg.Go(func() { c.run(ctx) })
 	}
@@ -274,6 +279,9 @@
 	for _, d := range r.daemons {
 		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.disturbances.Load() == 0 && d.isStable() }) })
 	}
+	if r.options.CrowdCallers {
+		r.moveCallers(ctx)
+	}
 	if !r.options.NoFaults {
 		wg.Go(func() { r.announceNotices(ctx) })
 		wg.Go(func() { r.injectLosses(ctx) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,11 @@
 	runSoak(t, soak.Options{Seed: 13, StarveDaemons: true})
 }
 
+// Nearly all callers come to one daemon, each request on a connection of its own.
+func TestSoakWithCallersAtOneDaemon(t *testing.T) {
+	runSoak(t, soak.Options{Seed: 15, CrowdCallers: true, NoFaults: true})
+}
+
 func runSoak(t *testing.T, o soak.Options) {
 	t.Helper()
 	is := is.New(t)
