--- a/internal/decide/poison/cause.go
+++ b/internal/decide/poison/cause.go
@@ -85,22 +85,3 @@
 	// explained is true once a request that is held is known to have run there.
 	explained bool
 }
-
-// hold is a set of causes. Requests with all of them are refused.
-type hold struct {
-	// members is ordered and not empty.
-	members []digest.Digest
-	pool    string
-	kind    Kind
-	// until is when such requests may run again; count is how often they were held.
-	until   time.Time
-	count   int
-	crashes int
-}
-
-// digest identifies the set.
-func (h *hold) digest() digest.Digest { return digest.OfSet(h.members) }
-
-func (h *hold) verdict(s State) Verdict {
-	return Verdict{Digest: h.digest(), Members: h.members, Kind: h.kind, Pool: h.pool, State: s, Until: h.until, Crashes: h.crashes, Holds: h.count}
-}
--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -62,68 +62,6 @@
 	maxDoublings = 4
 )
 
-// Config sets when a request is held, and for how long.
-type Config struct {
-	// MinCrashes is how many targets, at least 2, must crash under a request in
-	// consecutive runs.
-	MinCrashes int
-	// HoldTime is the length of the first hold; each further hold is twice as long.
-	HoldTime time.Duration
-}
-
-// Crash reports that a target crashed while it ran a request.
-type Crash struct {
-	// Causes are what may be to blame: the request itself, then the parts that it shares with
-	// others. It is not empty.
-	Causes []digest.Digest
-	Pool   string
-	// Target identifies one incarnation of the target; PoolSize is the number of targets
-	// in its pool.
-	Target   string
-	PoolSize int
-	// Started is when the request was sent, Ended when the connection broke.
-	Started, Ended time.Time
-}
-
-// State is the state of a cause in the quarantine.
-type State string
-
-// The states of a cause.
-const (
-	// Suspect is a cause that may crash targets; requests with it are still served normally.
-	Suspect State = "suspect"
-	// Held is a set of causes; requests with all of them are refused.
-	Held State = "held"
-	// Cleared is a cause that was suspect or held and has turned out to be healthy.
-	Cleared State = "free"
-)
-
-// Kind tells what is held.
-type Kind string
-
-// The kinds of what is held.
-const (
-	// KindRequest is one request, whoever sends it again.
-	KindRequest Kind = "request"
-	// KindPart is all requests with a part, or with some parts together.
-	KindPart Kind = "part"
-)
-
-// Verdict is a change of the state of a cause or a set of causes.
-type Verdict struct {
-	// Digest identifies the cause or the set.
-	Digest digest.Digest
-	// Members are the causes of a set that is held.
-	Members []digest.Digest
-	Kind    Kind
-	Pool    string
-	State   State
-	// Until is when held requests may run again.
-	Until time.Time
-	// Crashes is how many targets crashed, Holds how often the set was held.
-	Crashes, Holds int
-}
-
 // Detector collects crash reports from daemons. It is not safe for concurrent use.
 type Detector struct {
 	cfg    Config
@@ -201,18 +139,6 @@
 	return r
 }
 
-// isHeld reports whether requests with the causes are held.
-func (det *Detector) isHeld(now time.Time, causes []digest.Digest) bool {
-	for _, d := range causes {
-		for _, h := range det.holdsOf[d] {
-			if now.Before(h.until) && containsAll(causes, h.members) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // explain takes the crash of a target out of what counts against the causes that ran there: a
 // held request crashed it.
 func (det *Detector) explain(name string, t *crashedTarget) {
@@ -277,37 +203,6 @@
 	}
 }
 
-// withoutMember replaces a hold by one of the other members, which are to blame then.
-func (det *Detector) withoutMember(key digest.Digest, h *hold, d digest.Digest) []Verdict {
-	det.removeHold(key)
-	cleared := h.verdict(Cleared)
-	rest := *h
-	rest.members = slices.DeleteFunc(slices.Clone(h.members), func(o digest.Digest) bool { return o == d })
-	if len(rest.members) == 0 {
-		return []Verdict{cleared}
-	}
-	if same := det.holds[rest.digest()]; same != nil && same.until.After(rest.until) {
-		return []Verdict{cleared}
-	}
-	det.addHold(&rest)
-	return []Verdict{cleared, rest.verdict(Held)}
-}
-
-// Release ends the hold or the suspicion that the digest identifies. It reports false if there is
-// none.
-func (det *Detector) Release(d digest.Digest) (Verdict, bool) {
-	if h := det.holds[d]; h != nil {
-		det.removeHold(d)
-		return h.verdict(Cleared), true
-	}
-	r := det.causes[d]
-	if r == nil || r.suspectSince.IsZero() {
-		return Verdict{}, false
-	}
-	det.forget(d, r)
-	return Verdict{Digest: d, Pool: r.pool, State: Cleared, Crashes: r.total()}, true
-}
-
 // ApplyVerdict applies a verdict of another daemon.
 func (det *Detector) ApplyVerdict(now time.Time, v Verdict) {
 	switch v.State {
@@ -329,41 +224,6 @@
 	}
 }
 
-// addHold holds a set of causes and restarts the count of their crashes.
-func (det *Detector) addHold(h *hold) {
-	key := h.digest()
-	det.removeHold(key)
-	det.holds[key] = h
-	for _, d := range h.members {
-		det.holdsOf[d] = append(det.holdsOf[d], h)
-	}
-	for name, t := range det.crashedTargets {
-		if !t.explained && slices.ContainsFunc(t.runs, func(r run) bool { return r.hasAll(h.members) }) {
-			det.explain(name, t)
-		}
-	}
-	for _, d := range h.members {
-		if r := det.causes[d]; r != nil {
-			r.suspectSince = time.Time{}
-		}
-	}
-}
-
-// removeHold removes a hold, if there is one.
-func (det *Detector) removeHold(key digest.Digest) {
-	h := det.holds[key]
-	if h == nil {
-		return
-	}
-	delete(det.holds, key)
-	for _, d := range h.members {
-		det.holdsOf[d] = slices.DeleteFunc(det.holdsOf[d], func(o *hold) bool { return o == h })
-		if len(det.holdsOf[d]) == 0 {
-			delete(det.holdsOf, d)
-		}
-	}
-}
-
 // candidate is a cause that is to blame for crashes.
 type candidate struct {
 	digest  digest.Digest
@@ -405,22 +265,6 @@
 	return out, pending
 }
 
-// holdCause holds a cause together with those that it was never seen without.
-func (det *Detector) holdCause(now time.Time, c candidate) Verdict {
-	h := &hold{members: det.inseparable(c.digest, c.cause), pool: c.cause.pool, kind: KindPart, crashes: c.crashes}
-	slices.Sort(h.members)
-	if slices.ContainsFunc(h.members, func(d digest.Digest) bool { return det.causes[d] != nil && det.causes[d].isRequest }) {
-		h.kind = KindRequest
-	}
-	holds := 0
-	if old := det.holds[h.digest()]; old != nil {
-		holds = old.count
-	}
-	h.until, h.count = now.Add(det.cfg.HoldTime<<min(holds, maxDoublings)), holds+1
-	det.addHold(h)
-	return h.verdict(Held)
-}
-
 // isSuspect reports whether enough targets crashed under a cause to ask whether it was answered.
 func (det *Detector) isSuspect(d digest.Digest, r *cause) bool {
 	if len(r.crashes) == 0 {
