--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -53,24 +53,23 @@
 	targetsStarted int
 	// crashes holds the times at which targets crashed on crashingBody.
 	crashes []time.Time
-	// delay is how long a target works before it answers or crashes, away how long it is gone
-	// after a crash.
-	delay, away time.Duration
+	// delay is how long a target works before it answers or crashes.
+	delay time.Duration
+	// away is how long a target is gone after a crash by a part.
+	away time.Duration
 	// crashingParts are the parts of prompts that crash each target that starts to answer them.
 	// partArrivals holds the times at which requests with them reached targets, partCrashes those
 	// at which targets crashed on them.
 	crashingParts             []string
 	partArrivals, partCrashes map[string][]time.Time
 	restarts                  sync.WaitGroup
-	// arrivals holds when requests reached each target.
-	arrivals map[string][]time.Time
 }
 
 func newCrashCluster(t *testing.T, targets int) *crashCluster {
 	t.Helper()
 	s := &crashCluster{
 		is: is.New(t), logs: testkit.NewLogs(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond,
-		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{},
+		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 	}
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(srv.Close)
@@ -163,19 +162,20 @@
 	var crash sync.Once
 	srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		s.mu.Lock()
-		s.arrivals[name] = append(s.arrivals[name], time.Now())
-		s.mu.Unlock()
 		part := s.crashingPart(r.Header.Get(h.Parts))
 		s.recordPart(s.partArrivals, part)
 		time.Sleep(s.delay)
-		if part != "" || string(body) == crashingBody {
+		if part != "" {
 			crash.Do(func() {
 				s.recordPart(s.partCrashes, part)
-				s.crashTarget(t, name, srv)
+				s.crashByPart(t, name, srv)
 			})
 			panic(http.ErrAbortHandler)
 		}
+		if string(body) == crashingBody {
+			s.crashTarget(t, name, srv)
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set(h.ID, r.Header.Get(h.ID))
 		w.Header().Set(h.Signature, "by "+name)
 		_, _ = io.WriteString(w, "whole")
@@ -189,20 +189,28 @@
 // crashTarget ends a target like a process crash and starts another one.
 func (s *crashCluster) crashTarget(t *testing.T, name string, srv *httptest.Server) {
 	t.Helper()
+	s.endTarget(name, srv)
+	s.startTarget(t)
+}
+
+// crashByPart ends a target like a process crash and starts another one after some time.
+func (s *crashCluster) crashByPart(t *testing.T, name string, srv *httptest.Server) {
+	t.Helper()
+	s.endTarget(name, srv)
+	s.restarts.Go(func() {
+		time.Sleep(s.away)
+		s.startTarget(t)
+	})
+}
+
+// endTarget ends a target like a process crash.
+func (s *crashCluster) endTarget(name string, srv *httptest.Server) {
 	srv.Listener.Close()
 	srv.CloseClientConnections()
 	s.mu.Lock()
 	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
 	s.store.RemoveTarget(name)
-	if s.away == 0 {
-		s.startTarget(t)
-		return
-	}
-	s.restarts.Go(func() {
-		time.Sleep(s.away)
-		s.startTarget(t)
-	})
 }
 
 // crashingPart returns the part of a prompt that crashes targets, or "".
@@ -215,19 +223,6 @@
 	return ""
 }
 
-// usedTargets returns the number of targets that got a request after the given time.
-func (s *crashCluster) usedTargets(from time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, at := range s.arrivals {
-		if at[len(at)-1].After(from) {
-			n++
-		}
-	}
-	return n
-}
-
 // recordPart adds the current time to the events of a part.
 func (s *crashCluster) recordPart(events map[string][]time.Time, part string) {
 	if part == "" {
--- a/internal/daemon/notices_test.go
+++ b/internal/daemon/notices_test.go
@@ -115,8 +115,7 @@
 	served := s.sendEvenly(duration)
 	s.is.Equal(served, perSecond*int(duration/time.Second)) // the other targets take the rest
 	received := limited.received(from)
-	// It is used as far as it allows. Requests in turn may all go to one target that is free.
-	s.is.True(len(received) > 0 || s.usedTargets(from) < 2)
+	s.is.True(len(received) > 0) // it is used as far as it allows
 	var c ratewindow.Counter
 	for _, a := range received {
 		c.Add(a.at)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,7 +28,7 @@
 	// measureTime is how long requests are counted after that. At least the fraction
 	// minSuccessRatio of them must receive a complete response.
 	measureTime     = 3 * time.Second
-	minSuccessRatio = 0.95
+	minSuccessRatio = 0.975
 	// startTimeout limits the time until all daemons are ready.
 	startTimeout = 20 * time.Second
 )
