fix(logs): a write holds whole lines of at most 4 KB

Operators saw slots that looked idle while work waited: by the daemons' lines 2.4 of 4 slots of an engine were in use in cells with a long queue.

Cause: a busy daemon writes the lines of 0.2 s at once.

Change: writes of whole lines up to PIPE_BUF.

--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -2,6 +2,7 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -16,9 +17,12 @@
 	// about three seconds of a daemon that serves 57 requests a second and logs three
 	// lines of 500 bytes for each.
 	maxBufferedBytes = 256 << 10
-	// flushInterval is the time between two writes, and thus the longest that a line
+	// maxWriteBytes bounds a single write. Up to PIPE_BUF, 4,096 bytes on Linux, a write to a pipe is
+	// atomic. Of a longer one, what reads the log may get or keep a part only.
+	maxWriteBytes = 4096
+	// flushInterval is the time between two flushes, and thus the longest that a line
 	// waits unless the output blocks. Lines that are logged in between are written
-	// together with one system call.
+	// together, with a system call for each maxWriteBytes.
 	flushInterval = 200 * time.Millisecond
 )
 
@@ -105,14 +109,37 @@
 	w.spare = nil
 	w.mu.Unlock()
 	if len(lines) > 0 {
-		// An error of the log's own output cannot be reported anywhere.
-		_, _ = w.out.Write(lines)
+		writeLines(w.out, lines)
 	}
 	w.mu.Lock()
 	w.spare = lines[:0]
 	w.mu.Unlock()
 }
 
+// writeLines writes whole lines, as many at a time as maxWriteBytes allows. A longer line is written alone.
+func writeLines(out io.Writer, lines []byte) {
+	for len(lines) > 0 {
+		n := nextWrite(lines)
+		// An error of the log's own output cannot be reported anywhere.
+		_, _ = out.Write(lines[:n])
+		lines = lines[n:]
+	}
+}
+
+// nextWrite returns the number of bytes to write next.
+func nextWrite(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // New returns a logger that writes JSON lines to w.
 func New(w *Writer, level zapcore.Level) *zap.Logger {
 	enc := zap.NewProductionEncoderConfig()
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -53,3 +53,28 @@
 	is.NoErr(w.Close())
 	is.True(strings.Contains(out.buf.String(), `"msg":"hello","n":3`))
 }
+
+// pipeReader keeps at most the first 4,096 bytes of a write, as a reader of a pipe may.
+type pipeReader struct{ bytes.Buffer }
+
+func (r *pipeReader) Write(b []byte) (int, error) {
+	_, _ = r.Buffer.Write(b[:min(len(b), 4096)])
+	return len(b), nil
+}
+
+// Guards against lost lines of a busy daemon: what reads its log keeps only the first part of a large
+// write, and the requests of the rest look as if they had never been served.
+func TestManyLinesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	out := &pipeReader{}
+	w := logs.NewWriter(out)
+	var want strings.Builder
+	for i := range 200 {
+		line := strings.Repeat("x", 100+i*7%900) + "\n"
+		want.WriteString(line)
+		_, err := w.Write([]byte(line))
+		is.NoErr(err)
+	}
+	is.NoErr(w.Close())
+	is.Equal(out.String(), want.String())
+}
