fix(poison): a hold is withdrawn once later holds explain all its crashes

Cause: the body met each crash, more of them than each of the three deadly causes, and was held first. As it is refused from then on, no answer clears it.

Change: each hold remembers the crashed targets that led to it. If requests of later holds, which are proved by crashes without it and share no member with it, ran on all of these targets, the hold is withdrawn; once for each set.

--- a/internal/decide/poison/detector.go
+++ b/internal/decide/poison/detector.go
@@ -69,6 +69,9 @@
 	// holds is keyed by the digest of the set, holdsOf by each member.
 	holds   map[digest.Digest]*hold
 	holdsOf map[digest.Digest][]*hold
+	// lastHold is the number of the last hold. withdrawn contains the sets whose hold was withdrawn.
+	lastHold  int
+	withdrawn map[digest.Digest]bool
 	// crashedTargets is keyed by target, whatever requests ran there.
 	crashedTargets map[string]*crashedTarget
 	// lastPruned is when old data was last removed.
@@ -82,7 +85,7 @@
 func New(cfg Config) *Detector {
 	return &Detector{
 		cfg: cfg, causes: map[digest.Digest]*cause{}, holds: map[digest.Digest]*hold{}, holdsOf: map[digest.Digest][]*hold{},
-		crashedTargets: map[string]*crashedTarget{},
+		withdrawn: map[digest.Digest]bool{}, crashedTargets: map[string]*crashedTarget{},
 	}
 }
 
@@ -262,7 +265,7 @@
 			out = append(out, det.holdCause(now, c))
 		}
 	}
-	return out, pending
+	return append(out, det.withdrawExplained(now)...), pending
 }
 
 // isSuspect reports whether enough targets crashed under a cause to ask whether it was answered.
@@ -305,6 +308,9 @@
 	for _, name := range oldest(det.crashedTargets, maxCrashedTargets, func(t *crashedTarget) time.Time { return t.crashedAt }) {
 		delete(det.crashedTargets, name)
 	}
+	if len(det.withdrawn) > maxHolds {
+		clear(det.withdrawn)
+	}
 	for _, d := range oldest(det.holds, maxHolds, func(h *hold) time.Time { return h.until }) {
 		det.removeHold(d)
 	}
--- a/internal/decide/poison/hold.go
+++ b/internal/decide/poison/hold.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,10 @@
 	until   time.Time
 	count   int
 	crashes int
+	// number grows with each hold of this detector.
+	number int
+	// evidence names the crashed targets that led to the hold. It is empty if another daemon decided.
+	evidence []string
 }
 
 // digest identifies the set.
@@ -73,6 +78,8 @@
 func (det *Detector) addHold(h *hold) {
 	key := h.digest()
 	det.removeHold(key)
+	det.lastHold++
+	h.number = det.lastHold
 	det.holds[key] = h
 	for _, d := range h.members {
 		det.holdsOf[d] = append(det.holdsOf[d], h)
@@ -107,6 +114,9 @@
 // holdCause holds a cause together with those that it was never seen without.
 func (det *Detector) holdCause(now time.Time, c candidate) Verdict {
 	h := &hold{members: det.inseparable(c.digest, c.cause), pool: c.cause.pool, kind: KindPart, crashes: c.crashes}
+	for _, crash := range c.cause.crashes {
+		h.evidence = append(h.evidence, crash.target)
+	}
 	slices.Sort(h.members)
 	if slices.ContainsFunc(h.members, func(d digest.Digest) bool { return det.causes[d] != nil && det.causes[d].isRequest }) {
 		h.kind = KindRequest
@@ -119,3 +129,52 @@
 	det.addHold(h)
 	return h.verdict(Held)
 }
+
+// withdrawExplained ends the holds whose crashes are all explained by what was held later, and returns
+// their verdicts. While several causes crash all targets, a sound request that many send meets more
+// crashes than each of them and is held first. It is refused from then on, so that no answer can clear
+// it. A later hold is proved by crashes without it. A set is withdrawn once only: if it crashes targets
+// again, it is held for good.
+func (det *Detector) withdrawExplained(now time.Time) []Verdict {
+	var out []Verdict
+	for key, h := range det.holds {
+		if len(h.evidence) == 0 || det.withdrawn[key] || !now.Before(h.until) || !det.explainedByLaterHolds(now, h) {
+			continue
+		}
+		det.withdrawn[key] = true
+		det.removeHold(key)
+		out = append(out, h.verdict(Cleared))
+	}
+	slices.SortFunc(out, func(a, b Verdict) int { return cmp.Compare(a.Digest, b.Digest) })
+	return out
+}
+
+// explainedByLaterHolds reports whether on each target whose crash led to the hold, a request ran that
+// is held by a later one.
+func (det *Detector) explainedByLaterHolds(now time.Time, h *hold) bool {
+	for _, name := range h.evidence {
+		t := det.crashedTargets[name]
+		if t == nil || !slices.ContainsFunc(t.runs, func(r run) bool { return det.isHeldLater(now, h, r.causes) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// isHeldLater reports whether requests with the causes are held by a hold that began after h and has
+// no member in common with it.
+func (det *Detector) isHeldLater(now time.Time, h *hold, causes []digest.Digest) bool {
+	for _, d := range causes {
+		for _, o := range det.holdsOf[d] {
+			if o.number > h.number && now.Before(o.until) && containsAll(causes, o.members) && !sharesMember(o, h) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// sharesMember reports whether two holds have a cause in common.
+func sharesMember(a, b *hold) bool {
+	return slices.ContainsFunc(a.members, func(d digest.Digest) bool { return slices.Contains(b.members, d) })
+}
