fix(dispatch): a daemon that starts tries only candidates that run

After a power loss, a daemon called each candidate that it knew only from its record, which blocked it for 0.1 s each while their hosts had no power, and avoided a running one for 0.3 to 2 s that did not have the pool yet.

Candidates that are not confirmed are now called in the background, and a client looks at them again at each change of the fleet in its first 5 s. For 0.3 s it places its work itself, at its equal share, rather than attach to a dispatcher that a better one is about to replace. A daemon that answers that it does not have the pool is tried again after 50 ms, then after twice as long each time. A client that has a dispatcher goes on with it after each candidate that fails.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -23,11 +23,18 @@
 	name  string
 	sched *remote.Scheduler
 
+	// createdAt is when the pool became known. wakeup makes run take the next step at once.
+	createdAt time.Time
+	wakeup    chan struct{}
+
 	// The fields below belong to run.
 	// dispatcher is the chosen one; its name is empty while there is none.
 	dispatcher fireflypath.Member
 	// avoidUntil is until when an unresponsive daemon is not tried again.
 	avoidUntil map[string]time.Time
+	// notReady counts the times that a daemon answered that it does not have the pool, since it last was
+	// the dispatcher.
+	notReady map[string]int
 	// losses holds the losses of dispatchers that this daemon was attached to.
 	losses map[string]loss
 	// lostAt is when the last dispatcher was lost.
@@ -58,17 +65,39 @@
 
 func newClient(d *Dispatch, p *pool.Pool, name string, sched *remote.Scheduler) *client {
 	return &client{
-		d: d, pool: p, name: name, sched: sched, avoidUntil: map[string]time.Time{}, losses: map[string]loss{},
-		leases: leases{ends: map[uint64]time.Time{}},
+		d: d, pool: p, name: name, sched: sched, avoidUntil: map[string]time.Time{}, notReady: map[string]int{}, losses: map[string]loss{},
+		leases: leases{ends: map[uint64]time.Time{}}, createdAt: d.clock.Now(), wakeup: make(chan struct{}, 1),
+	}
+}
+
+// wake makes run take the next step at once.
+func (c *client) wake() {
+	select {
+	case c.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// fleetChanged returns a channel that is closed at the next change of the fleet while this daemon has
+// just started, and nil after that: the generation of any daemon is such a change.
+func (c *client) fleetChanged() <-chan struct{} {
+	n, ok := c.d.fleet.(changeNotifier)
+	if !ok || c.d.clock.Since(c.createdAt) > startPeriod {
+		return nil
 	}
+	return n.Changed()
 }
 
+// changeNotifier is a fleet that tells of its changes.
+type changeNotifier interface{ Changed() <-chan struct{} }
+
 // run exchanges messages with the dispatcher until the context ends. Only one message is in transit at
 // a time: changes in the meantime are sent with the next one.
 func (c *client) run(ctx context.Context) {
 	t := c.d.clock.NewTimer(pollInterval)
 	defer t.Stop()
 	for {
+		changed := c.fleetChanged()
 		idle := c.step(ctx)
 		t.Reset(pollInterval)
 		if idle {
@@ -79,6 +108,8 @@
 			c.endSession(c.dispatcher, c.currentSession())
 			return
 		case <-c.sched.UpdateReady():
+		case <-changed:
+		case <-c.wakeup:
 		case <-t.Chan():
 		}
 	}
@@ -158,6 +189,9 @@
 		if c.attach(ctx, best) {
 			return true
 		}
+		if c.dispatcher.Name != "" {
+			return true // the work goes on there before the next candidate is tried
+		}
 	}
 	return false
 }
@@ -170,13 +204,26 @@
 	return s.heartbeatInterval()
 }
 
-// bestCandidate returns the first candidate that was not unresponsive recently.
+// bestCandidate returns the first candidate that runs and was not unresponsive recently. For startGrace
+// it waits for those that may be starting as well; meanwhile there is none.
 func (c *client) bestCandidate() (fireflypath.Member, bool) {
 	now := c.d.clock.Now()
+	awaited := 0
 	for _, m := range c.d.Candidates(c.name) {
-		if now.After(c.avoidUntil[m.Name]) {
-			return m, true
+		if !now.After(c.avoidUntil[m.Name]) {
+			if c.notReady[m.Name] > 0 {
+				awaited++
+			}
+			continue
+		}
+		if m.Unconfirmed && m.Name != c.dispatcher.Name && (awaited >= maxProbes || !c.d.isReachable(m, c.wake)) {
+			awaited++
+			continue
+		}
+		if awaited > 0 && c.dispatcher.Name == "" && now.Sub(c.createdAt) < startGrace {
+			break
 		}
+		return m, true
 	}
 	return fireflypath.Member{}, false
 }
@@ -195,6 +242,7 @@
 		c.avoid(to, err)
 		return false
 	}
+	delete(c.notReady, to.Name)
 	previous, previousSession := c.dispatcher, c.currentSession()
 	c.dispatcher, c.lastSent, c.resumed = to, time.Time{}, false
 	c.setSession(session, answer.At)
@@ -205,6 +253,7 @@
 	// The dispatcher does not repeat the notices that this answer contains.
 	c.applyDecisions(&answer)
 	c.d.metrics.attached.Inc(1)
+	c.d.attachedOnce.Do(func() { close(c.d.firstAttached) })
 	c.d.log.Info("attached to dispatcher", zap.String("pool", c.name), zap.String("dispatcher", to.Name))
 	if previous.Name == to.Name {
 		c.leases.forget(previousSession)
@@ -234,6 +283,11 @@
 	return errors.Is(err, context.DeadlineExceeded) || !errors.Is(err, peer.ErrUnreachable)
 }
 
+// wasAnswered reports whether a call failed because the other daemon answered with an error.
+func wasAnswered(err error) bool {
+	return !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, errClosed)
+}
+
 // handleLoss handles a dispatcher that stopped responding. Its work is held back while
 // another dispatcher is selected. All daemons of a cell lose the dispatcher together.
 // If each placed its own work, the targets would be overloaded.
@@ -251,14 +305,21 @@
 	c.selectDispatcher(ctx)
 }
 
-// avoid does not try a daemon again for avoidPeriod.
+// avoid does not try a daemon again for avoidPeriod, or for a shorter time if it may just not be ready.
 func (c *client) avoid(m fireflypath.Member, err error) {
 	if m.Name != c.d.self {
 		period := avoidPeriod
-		if m.Unconfirmed {
+		switch {
+		case wasAnswered(err):
+			period = min(notReadyAvoidPeriod<<min(c.notReady[m.Name], maxNotReadyDoublings), avoidPeriod)
+			c.notReady[m.Name]++
+		case m.Unconfirmed:
 			period = unconfirmedAvoidPeriod
 		}
 		c.avoidUntil[m.Name] = c.d.clock.Now().Add(period)
+		if wasAnswered(err) && c.notReady[m.Name] <= quietNotReady {
+			return
+		}
 	}
 	c.d.log.Warn("dispatcher does not respond", zap.String("pool", c.name), zap.String("dispatcher", m.Name), logs.Err(err))
 }
@@ -303,7 +364,7 @@
 	}
 	c.d.spawn(func() {
 		// If the message is lost, the session ends after sessionTimeout.
-		if _, err := c.send(c.d.ctx, previous, m); err == nil || !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, peer.ErrUnreachable) {
+		if _, err := c.send(c.d.ctx, previous, m); err == nil || wasAnswered(err) {
 			c.leases.release(session, c.d.clock.Now())
 		}
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,23 @@
 	// unconfirmedAvoidPeriod is how long it is not tried again.
 	unconfirmedTimeout     = 100 * time.Millisecond
 	unconfirmedAvoidPeriod = 300 * time.Millisecond
+	// startGrace is how long after its start a daemon places its own work, at its equal share, while a
+	// better dispatcher may not have started yet. Hosts that regain power together start within half a
+	// second; a daemon that took the best of those that run already would change its dispatcher with each
+	// better one that starts, and several dispatchers of a cell would fill the same targets.
+	startGrace = 300 * time.Millisecond
+	// startPeriod is how long after its start a daemon looks at the candidates at each change of the
+	// fleet, instead of at intervals.
+	startPeriod = 5 * time.Second
+	// notReadyAvoidPeriod is how long a daemon is not tried again that answered that it does not have the
+	// pool. One that has just started reads its configuration within a few ms.
+	// The period doubles each time, up to avoidPeriod, and the first quietNotReady such answers are not
+	// logged.
+	notReadyAvoidPeriod  = 50 * time.Millisecond
+	maxNotReadyDoublings = 6
+	quietNotReady        = 3
+	// maxProbes limits the unconfirmed candidates of a pool that are called at a time.
+	maxProbes = 3
 	// pollInterval is how often the selection of the dispatcher is checked.
 	pollInterval = 50 * time.Millisecond
 	// idlePollInterval replaces it while no work of the daemon waits. New work ends the wait.
@@ -120,6 +137,12 @@
 	servers map[string]*server
 	// shares holds the last share of each pool. A pool may get its share before it is known here.
 	shares map[string]fireflypath.Share
+	// probed holds the unconfirmed daemons that were called, and whether they answered.
+	probed map[string]bool
+
+	// firstAttached is closed once a client of any pool has a dispatcher.
+	firstAttached chan struct{}
+	attachedOnce  sync.Once
 }
 
 type metrics struct {
@@ -139,6 +162,7 @@
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
 		},
 		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
+		probed: map[string]bool{}, firstAttached: make(chan struct{}),
 	}
 	elapsed := boot.Elapsed()
 	d.created = clock.Now().Add(-elapsed)
@@ -148,6 +172,40 @@
 	return d
 }
 
+// FirstAttached returns a channel that is closed once this daemon has a dispatcher for any pool.
+func (d *Dispatch) FirstAttached() <-chan struct{} { return d.firstAttached }
+
+// isReachable reports whether a daemon is known to run. One that is known only from its record of
+// before is called in the background the first time: a call to a host without power would block the
+// client, and one that starts later announces itself.
+func (d *Dispatch) isReachable(m fireflypath.Member, wake func()) bool {
+	if !m.Unconfirmed || m.Name == d.self {
+		return true
+	}
+	d.mu.Lock()
+	reachable, known := d.probed[m.Name]
+	if !known {
+		d.probed[m.Name] = false
+	}
+	d.mu.Unlock()
+	if known {
+		return reachable
+	}
+	d.spawn(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, lateAnswerTimeout)
+		defer cancel()
+		var a ack
+		err := d.peers.Call(ctx, m, methodDecisions, decisionsMessage{}, &a)
+		d.mu.Lock()
+		d.probed[m.Name] = err == nil
+		d.mu.Unlock()
+		if err == nil {
+			wake()
+		}
+	})
+	return false
+}
+
 // Close cancels all calls and waits for their goroutines.
 func (d *Dispatch) Close() {
 	d.mu.Lock()
