feat(gate): requests wait for the first configuration

After a power loss, 1,240 requests were refused because of a stale view before their daemons had a first configuration, and callers avoided such a daemon for about a second: one refused at 0.05 s after its start, with a configuration after 0.43 s, received its next request after 1.2 s.

In the first second after the start of a daemon, requests now wait up to 0.25 s for the first configuration, at most 256 at a time. They are admitted once the pools, the dispatcher and the daemon's share of the targets follow from it, and the view is confirmed before it is published. A caller refused because too many wait is told to return after 0.1 s.

A line "ready to serve" for each start says when the records, the view and the configuration were there, where the view came from, and how many requests waited; the counter gate.held_at_start counts these.

go test -race -run 'Start|Wait|FirstConf' ./internal/gate passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/engine"
+	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	gatelimits "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -106,9 +107,13 @@
 	ready            atomic.Bool
 
 	// The fields below are set only in a daemon with a gate.
-	quarantine   *quarantine.Quarantine
-	origins      *origins.Registry
-	directory    *directory.Directory
+	quarantine *quarantine.Quarantine
+	origins    *origins.Registry
+	directory  *directory.Directory
+	// feed is nil in a daemon without peers. inForce is closed once the first configuration is in force
+	// in all parts of the daemon.
+	feed         *follow.Feed
+	inForce      chan struct{}
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
 	targetClient *http1.Client
@@ -156,7 +161,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{cfg: cfg, deps: deps, steps: steps(), ctx: ctx, cancel: cancel}
+	d := &Daemon{cfg: cfg, deps: deps, steps: steps(), ctx: ctx, cancel: cancel, inForce: make(chan struct{})}
 	if cfg.Gate != nil {
 		d.steps = gatedSteps()
 	}
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -132,6 +132,7 @@
 		d.directory.OnChange(quarantine.Prefix, d.quarantine.ApplyStoreEntry)
 	}
 	if relay != nil {
+		d.feed = relay
 		relay.Serve(d.directory)
 		relay.OnStart(d.members.AdoptDomain)
 		d.directory.OnRead(member.RecordPrefix, d.members.AdoptRecords)
@@ -149,6 +150,7 @@
 func (directoryReader) String() string { return "directory reader" }
 
 func (directoryReader) Run(_ context.Context, d *Daemon) error {
+	d.background.Go(d.reportStart)
 	d.background.Go(func() { _ = d.directory.Run(d.ctx) })
 	return nil
 }
@@ -269,6 +271,7 @@
 		Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
+		Started:            d.inForce,
 	}
 	if d.quarantine != nil {
 		deps.Quarantine = d.quarantine
--- a/internal/daemon/gatemembership.go
+++ b/internal/daemon/gatemembership.go
@@ -48,15 +48,7 @@
 	for {
 		layoutChanged := d.members.Changed()
 		cfg := d.deps.Configs.Current()
-		targets := map[string][]string{}
-		for _, t := range cfg.Targets {
-			targets[t.Pool] = append(targets[t.Pool], t.Name)
-		}
-		for pool, names := range targets {
-			share := d.poolShare(names)
-			d.pools.ApplyShare(pool, share)
-			d.dispatch.SetShare(pool, share)
-		}
+		d.applyShares(cfg)
 		select {
 		case <-d.ctx.Done():
 			return
@@ -66,6 +58,19 @@
 	}
 }
 
+// applyShares sets this daemon's share of the targets of a configuration.
+func (d *Daemon) applyShares(cfg *fireflypath.Config) {
+	targets := map[string][]string{}
+	for _, t := range cfg.Targets {
+		targets[t.Pool] = append(targets[t.Pool], t.Name)
+	}
+	for pool, names := range targets {
+		share := d.poolShare(names)
+		d.pools.ApplyShare(pool, share)
+		d.dispatch.SetShare(pool, share)
+	}
+}
+
 // poolShare returns the share of a pool's targets that this daemon's cell serves.
 func (d *Daemon) poolShare(names []string) fireflypath.Share {
 	layout := d.members.Layout()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -46,6 +46,9 @@
 	// MaxNotFoundViewAge is the maximum age of the configuration view for refusing a route
 	// or key as unknown.
 	MaxNotFoundViewAge time.Duration
+	// Started is closed once the first configuration is in force in all parts of the daemon. It may be
+	// nil; then no request waits for it.
+	Started <-chan struct{}
 }
 
 // Quarantine tracks poison requests: requests that crash the targets that run them. A request is
@@ -88,6 +91,7 @@
 	mu             sync.Mutex
 	// retryDetectors distinguish callers that retry from new ones, by route.
 	retryDetectors map[string]*retrydetect.Detector
+	start          startHold
 	// draining is true once a planned shutdown began.
 	draining atomic.Bool
 }
@@ -102,7 +106,7 @@
 func New(deps Deps) *Gate {
 	g := &Gate{
 		deps: deps, headers: deps.Codec.Headers(), droppedHeaders: map[string]bool{}, metrics: newMetrics(deps.Scope),
-		retryDetectors: map[string]*retrydetect.Detector{},
+		retryDetectors: map[string]*retrydetect.Detector{}, start: startHold{since: deps.Clock.Now()},
 	}
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
@@ -134,10 +138,12 @@
 
 // ServeHTTP runs the steps for one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := g.deps.Clock.Now()
+	g.awaitStart(r.Context(), arrived)
 	cfg := g.deps.Configs.Current()
 	c := &call{
 		w: w, r: r, conn: callerconn.From(r.Context()), cfg: cfg, table: g.tables.For(cfg),
-		id: r.Header.Get(g.headers.ID), arrived: g.deps.Clock.Now(), viewAge: g.deps.Freshness.Age(),
+		id: r.Header.Get(g.headers.ID), arrived: arrived, viewAge: g.deps.Freshness.Age(),
 	}
 	c.ctx = r.Context()
 	if g.draining.Load() {
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -28,7 +28,9 @@
 	// endedByClose counts responses that ended with their connection, partialEvents streams that
 	// ended in the middle of an event.
 	endedByClose, partialEvents tally.Counter
-	byRank                      [16]*rankMetrics
+	// heldAtStart counts requests that waited for the first configuration.
+	heldAtStart tally.Counter
+	byRank      [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -41,6 +43,7 @@
 	m := &metrics{
 		scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle"),
 		endedByClose: scope.Counter("ended_by_close"), partialEvents: scope.Counter("partial_events"),
+		heldAtStart: scope.Counter("held_at_start"),
 	}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: retryAfterStaleView,
+		status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: g.staleViewRetry(c),
 		detail: "the view of the configuration is too old",
 	}
 }
@@ -85,7 +85,7 @@
 	}
 	if !g.keysTrusted(c) {
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: retryAfterStaleView,
+			status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: g.staleViewRetry(c),
 			detail: "a key may have been taken away since the view was made",
 		}
 	}
