fix(dispatch): only a candidate that answered replaces a dispatcher

A client that had a dispatcher called each better candidate in its place and sent its dispatcher nothing for up to 0.2 s, and avoided a daemon for 2 s also if it had started again since.

A candidate that would replace a dispatcher that works is now called in the background first, and an avoided daemon is tried once it is known to have started again.

go test -run 'PowerLoss|HalfOf|Started|Leaves|Lost' ./internal/dispatch passes.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -32,6 +32,8 @@
 	dispatcher fireflypath.Member
 	// avoidUntil is until when an unresponsive daemon is not tried again.
 	avoidUntil map[string]time.Time
+	// avoided holds these daemons as they were known then. One that has started again is tried.
+	avoided map[string]fireflypath.Member
 	// notReady counts the times that a daemon answered that it does not have the pool, since it last was
 	// the dispatcher.
 	notReady map[string]int
@@ -65,7 +67,7 @@
 
 func newClient(d *Dispatch, p *pool.Pool, name string, sched *remote.Scheduler) *client {
 	return &client{
-		d: d, pool: p, name: name, sched: sched, avoidUntil: map[string]time.Time{}, notReady: map[string]int{}, losses: map[string]loss{},
+		d: d, pool: p, name: name, sched: sched, avoidUntil: map[string]time.Time{}, avoided: map[string]fireflypath.Member{}, notReady: map[string]int{}, losses: map[string]loss{},
 		leases: leases{ends: map[uint64]time.Time{}}, createdAt: d.clock.Now(), wakeup: make(chan struct{}, 1),
 	}
 }
@@ -205,22 +207,32 @@
 }
 
 // bestCandidate returns the first candidate that runs and was not unresponsive recently. For startGrace
-// it waits for those that may be starting as well; meanwhile there is none.
+// it waits for those that may be starting as well; meanwhile there is none. A candidate that is known only
+// from its record, or that would replace a dispatcher that works, has to answer a probe first.
 func (c *client) bestCandidate() (fireflypath.Member, bool) {
-	now := c.d.clock.Now()
-	awaited := 0
+	now, attached := c.d.clock.Now(), c.dispatcher.Name != ""
+	awaited, pending := 0, 0
 	for _, m := range c.d.Candidates(c.name) {
-		if !now.After(c.avoidUntil[m.Name]) {
+		if !now.After(c.avoidUntil[m.Name]) && isSameStart(c.avoided[m.Name], m) {
 			if c.notReady[m.Name] > 0 {
 				awaited++
 			}
 			continue
 		}
-		if m.Unconfirmed && m.Name != c.dispatcher.Name && (awaited >= maxProbes || !c.d.isReachable(m, c.wake)) {
-			awaited++
-			continue
+		known := m.Name == c.d.self || m.Name == c.dispatcher.Name || !m.Unconfirmed && !attached
+		if !known {
+			if pending >= maxProbes {
+				continue
+			}
+			if p := c.d.probe(m); !p.answered {
+				awaited++
+				if p.pending {
+					pending++
+				}
+				continue
+			}
 		}
-		if awaited > 0 && c.dispatcher.Name == "" && now.Sub(c.createdAt) < startGrace {
+		if awaited > 0 && !attached && now.Sub(c.createdAt) < startGrace {
 			break
 		}
 		return m, true
@@ -316,7 +328,7 @@
 		case m.Unconfirmed:
 			period = unconfirmedAvoidPeriod
 		}
-		c.avoidUntil[m.Name] = c.d.clock.Now().Add(period)
+		c.avoidUntil[m.Name], c.avoided[m.Name] = c.d.clock.Now().Add(period), m
 		if wasAnswered(err) && c.notReady[m.Name] <= quietNotReady {
 			return
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 	notReadyAvoidPeriod  = 50 * time.Millisecond
 	maxNotReadyDoublings = 6
 	quietNotReady        = 3
-	// maxProbes limits the unconfirmed candidates of a pool that are called at a time.
+	// maxProbes limits the candidates of a pool that are called at a time to find out whether they run.
 	maxProbes = 3
 	// pollInterval is how often the selection of the dispatcher is checked.
 	pollInterval = 50 * time.Millisecond
@@ -137,8 +137,8 @@
 	servers map[string]*server
 	// shares holds the last share of each pool. A pool may get its share before it is known here.
 	shares map[string]fireflypath.Share
-	// probed holds the unconfirmed daemons that were called, and whether they answered.
-	probed map[string]bool
+	// probes holds the last probe of each daemon.
+	probes map[string]probe
 
 	// firstAttached is closed once a client of any pool has a dispatcher.
 	firstAttached chan struct{}
@@ -162,7 +162,7 @@
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
 		},
 		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
-		probed: map[string]bool{}, firstAttached: make(chan struct{}),
+		probes: map[string]probe{}, firstAttached: make(chan struct{}),
 	}
 	elapsed := boot.Elapsed()
 	d.created = clock.Now().Add(-elapsed)
@@ -175,35 +175,59 @@
 // FirstAttached returns a channel that is closed once this daemon has a dispatcher for any pool.
 func (d *Dispatch) FirstAttached() <-chan struct{} { return d.firstAttached }
 
-// isReachable reports whether a daemon is known to run. One that is known only from its record of
-// before is called in the background the first time: a call to a host without power would block the
-// client, and one that starts later announces itself.
-func (d *Dispatch) isReachable(m fireflypath.Member, wake func()) bool {
-	if !m.Unconfirmed || m.Name == d.self {
-		return true
-	}
+// probe is the last call that found out whether a daemon runs.
+type probe struct {
+	// of is the daemon as it was known then.
+	of fireflypath.Member
+	// pending is true until it ends at endedAt.
+	pending  bool
+	endedAt  time.Time
+	answered bool
+}
+
+// probe reports whether a daemon has answered recently. If that is not known, it is called in the
+// background, and all clients take their next step once it answers: a call to a host without power would
+// block a client for its whole timeout.
+func (d *Dispatch) probe(m fireflypath.Member) probe {
 	d.mu.Lock()
-	reachable, known := d.probed[m.Name]
-	if !known {
-		d.probed[m.Name] = false
+	p := d.probes[m.Name]
+	now := d.clock.Now()
+	if isSameStart(p.of, m) && (p.pending || now.Sub(p.endedAt) < avoidPeriod) {
+		d.mu.Unlock()
+		return p
 	}
+	p = probe{of: m, pending: true}
+	d.probes[m.Name] = p
 	d.mu.Unlock()
-	if known {
-		return reachable
-	}
 	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, lateAnswerTimeout)
 		defer cancel()
 		var a ack
+		// A message without a pool changes nothing there.
 		err := d.peers.Call(ctx, m, methodDecisions, decisionsMessage{}, &a)
 		d.mu.Lock()
-		d.probed[m.Name] = err == nil
-		d.mu.Unlock()
-		if err == nil {
-			wake()
+		if isSameStart(d.probes[m.Name].of, m) {
+			d.probes[m.Name] = probe{of: m, endedAt: d.clock.Now(), answered: err == nil}
+		}
+		defer d.mu.Unlock()
+		if err != nil {
+			return
+		}
+		for _, c := range d.clients {
+			c.wake()
 		}
 	})
-	return false
+	return p
+}
+
+// minRestartTime is the shortest time between two starts of a daemon, in ms. Its incarnation grows by
+// that at a start, and by one when it refutes a suspicion.
+const minRestartTime = 100
+
+// isSameStart reports whether two records are of the same start of a daemon, and both confirmed or not.
+func isSameStart(a, b fireflypath.Member) bool {
+	return a.Name == b.Name && a.Unconfirmed == b.Unconfirmed &&
+		max(a.Incarnation, b.Incarnation)-min(a.Incarnation, b.Incarnation) < minRestartTime
 }
 
 // Close cancels all calls and waits for their goroutines.
