feat(follow): the first view comes with the members that its source knows

The response to a first read now contains the live members, if they are at most 128.

The head start of a source is as long as the store took to list the failure domain, 10 to 50 ms, instead of 30 ms. A load balancer that asks whether the daemon is ready before its first configuration gets its answer up to 0.25 s later: one that read "not ready" sent callers only after its next check, about a second later.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -137,6 +137,7 @@
 		relay.OnStart(d.members.AdoptDomain)
 		d.directory.OnRead(member.RecordPrefix, d.members.AdoptRecords)
 		relay.OnRecords(d.adoptRecords)
+		relay.OnMembers(d.members.AdoptMembers)
 	}
 	d.deps.Configs = d.directory
 	d.startRollouts()
--- a/internal/daemon/gatelisteners.go
+++ b/internal/daemon/gatelisteners.go
@@ -113,6 +113,7 @@
 	srv := &http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: zap.NewStdLog(zap.NewNop()),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			d.awaitInForce()
 			if !d.canServe() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
@@ -127,6 +128,19 @@
 	return nil
 }
 
+// readyHold is how long the answer to a load balancer waits for the first configuration. A balancer that
+// reads "not ready" sends no callers until its next check, a second later.
+const readyHold = 250 * time.Millisecond
+
+// awaitInForce waits up to readyHold until the first configuration is in force.
+func (d *Daemon) awaitInForce() {
+	select {
+	case <-d.inForce:
+	case <-d.ctx.Done():
+	case <-d.deps.Clock.After(readyHold):
+	}
+}
+
 // Stop runs after the last answer, so that the load balancer reads "not ready" until then. If it did
 // not close the listener, the process would not end until it is killed.
 func (readyListener) Stop(_ context.Context, d *Daemon) error {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -103,6 +103,8 @@
 	firstReadAt time.Time
 	recordsTook time.Duration
 	started     atomic.Pointer[Start]
+	// adoptMembers may be nil.
+	adoptMembers func([]fireflypath.Member)
 	// adoptRecords may be nil.
 	adoptRecords func([]fireflypath.Entry)
 	// tree is the last selection of watchers and relays.
@@ -260,6 +262,9 @@
 	if err != nil {
 		return fireflypath.Listing{}, nil, err
 	}
+	if err := f.adoptFrom(response.Members); err != nil {
+		return fireflypath.Listing{}, nil, errors.Wrapf(err, "members from %s", w.Name)
+	}
 	age := time.Duration(response.AgeMillis) * time.Millisecond
 	if response.Receiving && !anyAge && f.canAwaitWatcher() {
 		return fireflypath.Listing{Partial: true}, nil, nil
@@ -299,6 +304,7 @@
 // newRequest returns the request for changes after a revision.
 func (f *Feed) newRequest(after uint64, wait time.Duration) followRequest {
 	req := followRequest{After: after, WaitMillis: wait.Milliseconds(), FetchesLarge: true, AcceptsPacked: true}
+	req.WantsMembers = after == 0 && !f.hasView() && f.adoptMembers != nil
 	if after != 0 && len(f.currentTree().relays) > 0 {
 		req.KnownAgeMillis = f.view.Age().Milliseconds()
 	}
--- a/internal/follow/message.go
+++ b/internal/follow/message.go
@@ -35,6 +35,8 @@
 	KnownAgeMillis int64 `json:"k,omitempty"`
 	// AcceptsPacked is true if the requester reads Packed.
 	AcceptsPacked bool `json:"z,omitempty"`
+	// WantsMembers asks for the live daemons that the responder knows.
+	WantsMembers bool `json:"n,omitempty"`
 	// PageAfter asks for the next page: the revision of the last entry received.
 	PageAfter uint64 `json:"b,omitempty"`
 }
@@ -49,6 +51,8 @@
 	LargeValues []largeValue `json:"l,omitempty"`
 	// HasMore is true if there is another page.
 	HasMore bool `json:"m,omitempty"`
+	// Members holds the live daemons, compressed, if the requester asked for them.
+	Members []byte `json:"n,omitempty"`
 	// Receiving is true if the view is old because the watcher is still receiving a large
 	// response from the store.
 	Receiving bool `json:"t,omitempty"`
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/directory"
+	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
 // Serve registers the handlers that serve the view to other daemons. It must be called
@@ -55,6 +56,11 @@
 		Revision: l.Revision, Receiving: f.isReceiving(req, l),
 		AgeMillis: l.Age.Milliseconds() + 1, HeldMillis: f.clock.Since(startedAt).Milliseconds(), LapseMillis: l.LapseWindow.Milliseconds(),
 	}
+	if req.WantsMembers && len(t.live) <= maxMembersSent {
+		if r.Members, err = packMembers(t.live); err != nil {
+			return nil, err
+		}
+	}
 	switch {
 	case req.AcceptsPacked:
 		r.addPage(l.Entries, req.PageAfter, maxPackedPageSize)
@@ -67,6 +73,38 @@
 	return r, nil
 }
 
+// maxMembersSent is the largest number of live daemons that are sent to one that starts. In a larger
+// fleet, what a relay sends to all its followers would grow with the square of the fleet.
+const maxMembersSent = 128
+
+// packMembers compresses members.
+func packMembers(members []fireflypath.Member) ([]byte, error) {
+	updates := make([]peer.MemberUpdate, 0, len(members))
+	for _, m := range members {
+		updates = append(updates, peer.MemberUpdate{State: peer.Alive, Member: m})
+	}
+	return peer.PackUpdates(updates)
+}
+
+// adoptFrom adopts the members that a source has sent to this daemon, which starts. Without them it
+// would know only those of its failure domain until it has met the others, and choose its cell, its
+// dispatcher and its share of the targets as if there were no others.
+func (f *Feed) adoptFrom(packed []byte) error {
+	if packed == nil || f.adoptMembers == nil {
+		return nil
+	}
+	updates, err := peer.UnpackUpdates(packed)
+	if err != nil {
+		return err
+	}
+	members := make([]fireflypath.Member, 0, len(updates))
+	for _, u := range updates {
+		members = append(members, u.Member)
+	}
+	f.adoptMembers(members)
+	return nil
+}
+
 // isReceiving reports whether there is nothing new for a follower because the store's
 // response is still being received, not because this daemon is cut off.
 //
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -31,12 +31,14 @@
 	peerViewWait     = time.Second
 	peerPollInterval = 10 * time.Millisecond
 	maxPeersAsked    = 3
-	// sourceHeadStart is how long the first read waits for another daemon before it also reads from the
-	// store. A daemon that runs answers within it: over links of 1.4 ms the connection, the introduction
-	// and the call take 9 ms. One whose host has no power yet does not answer at all.
+	// minHeadStart and maxHeadStart limit how long the first read waits for another daemon to accept a
+	// connection before it also reads from the store: as long as the store took to list the daemons of the
+	// failure domain, since that is the time of a connection and a call from this host. One whose host
+	// has no power yet does not answer at all.
+	minHeadStart = 10 * time.Millisecond
+	maxHeadStart = 50 * time.Millisecond
 	// connectedHeadStart replaces it if the other daemon has accepted the connection: its first page of
 	// up to 45 KB takes 36 ms on 10 Mbit/s.
-	sourceHeadStart    = 30 * time.Millisecond
 	connectedHeadStart = 100 * time.Millisecond
 	// startBackoff is how long a daemon that has no view does not call a source after a failed call.
 	startBackoff = 100 * time.Millisecond
@@ -74,6 +76,10 @@
 // so that they can be asked for their view at the start. It must be called before the first Snapshot.
 func (f *Feed) OnRecords(adopt func([]fireflypath.Entry)) { f.adoptRecords = adopt }
 
+// OnMembers sets the function that adopts the daemons that a source knows, if the first view comes from
+// it. It must be called before the first Snapshot.
+func (f *Feed) OnMembers(adopt func([]fireflypath.Member)) { f.adoptMembers = adopt }
+
 // OnStart sets the function that finds the daemons of this failure domain in the store before the
 // first read, and returns their number. It must be called before the first Snapshot.
 func (f *Feed) OnStart(findDomain func(context.Context) (int, error)) { f.findDomain = findDomain }
@@ -171,7 +177,8 @@
 			fromStore <- peerListing{Listing: l, err: err}
 		}()
 	})
-	headStart := f.clock.After(sourceHeadStart)
+	wait := min(max(f.recordsTook, minHeadStart), maxHeadStart)
+	headStart := f.clock.After(wait)
 	extended := false
 	var failures error
 	for results := 0; results < 2; {
@@ -192,7 +199,7 @@
 			failures = errors.CombineErrors(r.err, failures)
 		case <-headStart:
 			if !extended && f.anyConnected(map[string]bool{source.Name: true}) {
-				extended, headStart = true, f.clock.After(connectedHeadStart-sourceHeadStart)
+				extended, headStart = true, f.clock.After(connectedHeadStart-wait)
 				continue
 			}
 			askStore()
