--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,6 +72,23 @@
 	// unconfirmedAvoidPeriod is how long it is not tried again.
 	unconfirmedTimeout     = 100 * time.Millisecond
 	unconfirmedAvoidPeriod = 300 * time.Millisecond
+	// startGrace is how long after its start a daemon places its own work, at its equal share, while a
+	// better dispatcher may not have started yet. Hosts that regain power together start within half a
+	// second; a daemon that took the best of those that run already would change its dispatcher with each
+	// better one that starts, and several dispatchers of a cell would fill the same targets.
+	startGrace = 300 * time.Millisecond
+	// startPeriod is how long after its start a daemon looks at the candidates at each change of the
+	// fleet, instead of at intervals.
+	startPeriod = 5 * time.Second
+	// notReadyAvoidPeriod is how long a daemon is not tried again that answered that it does not have the
+	// pool. One that has just started reads its configuration within a few ms.
+	// The period doubles each time, up to avoidPeriod, and the first quietNotReady such answers are not
+	// logged.
+	notReadyAvoidPeriod  = 50 * time.Millisecond
+	maxNotReadyDoublings = 6
+	quietNotReady        = 3
+	// maxProbes limits the candidates of a pool that are called at a time to find out whether they run.
+	maxProbes = 3
 	// pollInterval is how often the selection of the dispatcher is checked.
 	pollInterval = 50 * time.Millisecond
 	// idlePollInterval replaces it while no work of the daemon waits. New work ends the wait.
@@ -120,6 +137,12 @@
 	servers map[string]*server
 	// shares holds the last share of each pool. A pool may get its share before it is known here.
 	shares map[string]fireflypath.Share
+	// probes holds the last probe of each daemon.
+	probes map[string]probe
+
+	// firstAttached is closed once a client of any pool has a dispatcher.
+	firstAttached chan struct{}
+	attachedOnce  sync.Once
 }
 
 type metrics struct {
@@ -139,6 +162,7 @@
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
 		},
 		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
+		probes: map[string]probe{}, firstAttached: make(chan struct{}),
 	}
 	elapsed := boot.Elapsed()
 	d.created = clock.Now().Add(-elapsed)
@@ -148,6 +172,64 @@
 	return d
 }
 
+// FirstAttached returns a channel that is closed once this daemon has a dispatcher for any pool.
+func (d *Dispatch) FirstAttached() <-chan struct{} { return d.firstAttached }
+
+// probe is the last call that found out whether a daemon runs.
+type probe struct {
+	// of is the daemon as it was known then.
+	of fireflypath.Member
+	// pending is true until it ends at endedAt.
+	pending  bool
+	endedAt  time.Time
+	answered bool
+}
+
+// probe reports whether a daemon has answered recently. If that is not known, it is called in the
+// background, and all clients take their next step once it answers: a call to a host without power would
+// block a client for its whole timeout.
+func (d *Dispatch) probe(m fireflypath.Member) probe {
+	d.mu.Lock()
+	p := d.probes[m.Name]
+	now := d.clock.Now()
+	if isSameStart(p.of, m) && (p.pending || now.Sub(p.endedAt) < avoidPeriod) {
+		d.mu.Unlock()
+		return p
+	}
+	p = probe{of: m, pending: true}
+	d.probes[m.Name] = p
+	d.mu.Unlock()
+	d.spawn(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, lateAnswerTimeout)
+		defer cancel()
+		var a ack
+		// A message without a pool changes nothing there.
+		err := d.peers.Call(ctx, m, methodDecisions, decisionsMessage{}, &a)
+		d.mu.Lock()
+		if isSameStart(d.probes[m.Name].of, m) {
+			d.probes[m.Name] = probe{of: m, endedAt: d.clock.Now(), answered: err == nil}
+		}
+		defer d.mu.Unlock()
+		if err != nil {
+			return
+		}
+		for _, c := range d.clients {
+			c.wake()
+		}
+	})
+	return p
+}
+
+// minRestartTime is the shortest time between two starts of a daemon, in ms. Its incarnation grows by
+// that at a start, and by one when it refutes a suspicion.
+const minRestartTime = 100
+
+// isSameStart reports whether two records are of the same start of a daemon, and both confirmed or not.
+func isSameStart(a, b fireflypath.Member) bool {
+	return a.Name == b.Name && a.Unconfirmed == b.Unconfirmed &&
+		max(a.Incarnation, b.Incarnation)-min(a.Incarnation, b.Incarnation) < minRestartTime
+}
+
 // Close cancels all calls and waits for their goroutines.
 func (d *Dispatch) Close() {
 	d.mu.Lock()
