feat(slots): fair shares among the teams of a rank

Order, refusal on arrival, displacement and Retry-After follow one account where Tuning.FairTeams is set: the team with the lowest turn goes first, and the requests ahead of another are those that the order puts ahead of it. A request costs its slot time, and the other slots' time during its prefill.

--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -75,6 +75,7 @@
 		return
 	}
 	delete(s.inFlight, e.Work)
+	s.settleTeam(now, e, f)
 	t := f.target
 	t.requests--
 	t.ownFreedAt = now
@@ -114,6 +115,7 @@
 		}
 		if e.Work.Lifecycle.State() == fireflypath.StateWaiting {
 			s.waiting = append(s.waiting, e.Work)
+			s.teams.join(e.Work)
 		}
 	default:
 	}
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -33,12 +33,7 @@
 // Free slots serve requests at once: a completion rate measured at low load says
 // nothing about them.
 func (s *Scheduler) expectedWait(now time.Time, w *fireflypath.Work) (time.Duration, bool) {
-	ahead := 1 - s.freeSlots(now, w)
-	for _, o := range s.waiting {
-		if !s.servedBefore(now, w, o) {
-			ahead++
-		}
-	}
+	ahead := 1 - s.freeSlots(now, w) + s.countAhead(now, w, "")
 	if ahead <= 0 {
 		return 0, true
 	}
@@ -80,12 +75,7 @@
 // limitedWait returns how long the request would wait behind all waiting work of its tier and
 // of higher ones, if the targets take the given number of requests per second.
 func (s *Scheduler) limitedWait(now time.Time, w *fireflypath.Work, perSecond float64) time.Duration {
-	ahead := 1 - s.freeSlots(now, w)
-	for _, o := range s.waiting {
-		if o.Rank <= w.Rank {
-			ahead++
-		}
-	}
+	ahead := 1 - s.freeSlots(now, w) + s.countAheadOrSame(w)
 	return time.Duration(max(float64(ahead), 0) / perSecond * float64(time.Second))
 }
 
@@ -111,12 +101,7 @@
 	if rate <= 0 {
 		return minRetryAfter
 	}
-	ahead := 1.0
-	for _, o := range s.waiting {
-		if o.Rank <= w.Rank {
-			ahead++
-		}
-	}
+	ahead := 1 + float64(s.countAheadOrSame(w))
 	spare := max(rate-s.arrivalRate(now, w.Rank), minSpareFraction*rate)
 	sec := ahead / spare * (1 + retryJitter*(2*s.jitterFraction(w)-1))
 	return min(max(time.Duration(sec*float64(time.Second)), minRetryAfter), maxRetryAfter)
@@ -152,7 +137,9 @@
 
 // shed returns the refusal of a request, with the time after which to retry.
 func (s *Scheduler) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: s.retryAfter(now, w)}
+	sh := fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail + s.limitedDetail(now, w), RetryAfter: s.retryAfter(now, w)}
+	s.teams.leave(w)
+	return sh
 }
 
 // Expire removes the waiting requests that have expired and appends their refusals.
@@ -200,7 +187,7 @@
 	for freed := 0; freed < tokens; {
 		at := -1
 		for i, w := range s.waiting {
-			if w.Rank > rank && (at < 0 || w.Rank > s.waiting[at].Rank) {
+			if w.Rank > rank && (at < 0 || w.Rank > s.waiting[at].Rank || w.Rank == s.waiting[at].Rank && s.teams.tag(w) > s.teams.tag(s.waiting[at])) {
 				at = i
 			}
 		}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -95,6 +95,8 @@
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
 	competitors []competitor
+	// teams holds what teams use, or nil if teams do not matter.
+	teams *teamAccounts
 }
 
 // dispatched describes a request in flight at a target.
@@ -106,6 +108,8 @@
 	// reported, whose answers had not begun at the target when this request was
 	// dispatched.
 	prefillAhead int
+	// charge is what the request's team was charged.
+	charge charge
 }
 
 var _ fireflypath.Scheduler = (*Scheduler)(nil)
@@ -117,7 +121,7 @@
 		pool: pool, seed: seed, tuning: tuning, share: fireflypath.Share{Default: 1},
 		targets: map[string]*target{}, replaced: map[string]*target{}, inFlight: map[*fireflypath.Work]dispatched{},
 		completions: rate.Meter{TimeConstant: rateHorizon}, floor: floor.New(tuning.MinServedRatio),
-		backpressure: backpressure.New(),
+		backpressure: backpressure.New(), teams: newTeamAccounts(tuning),
 	}
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
@@ -131,6 +135,7 @@
 	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
+	s.teams.join(w)
 	if s.noTargetLeft(w) {
 		return append(out, s.shed(now, w, noTargetDetail))
 	}
@@ -150,6 +155,9 @@
 	if ra != rb {
 		return ra < rb
 	}
+	if before, differ := s.teams.compare(a, b); differ {
+		return before
+	}
 	if s.tuning.LatestGoalFirst && !s.allLimited && ra%2 == 0 {
 		return a.Goal.After(b.Goal)
 	}
@@ -255,7 +263,7 @@
 }
 
 func (s *Scheduler) dispatch(now time.Time, w *fireflypath.Work, t *target, p *fireflypath.Placement) {
-	s.inFlight[w] = dispatched{target: t, at: now, prefillAhead: t.pendingPrefill + t.peerPrefill}
+	s.inFlight[w] = dispatched{target: t, at: now, prefillAhead: t.pendingPrefill + t.peerPrefill, charge: s.chargeTeam(now, t, w)}
 	s.floor.CountServed(now, w.Rank)
 	t.requests++
 	t.pendingPrefill += w.Cost.Prompt
@@ -273,6 +281,7 @@
 	for i, o := range s.waiting {
 		if o == w {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			s.teams.leave(w)
 			return true
 		}
 	}
--- a/internal/decide/slots/starvation.go
+++ b/internal/decide/slots/starvation.go
@@ -12,13 +12,7 @@
 	if !s.floor.Due(now, w.Rank) {
 		return false
 	}
-	queued := 0
-	for _, o := range s.waiting {
-		if o.Rank == w.Rank {
-			queued++
-		}
-	}
-	return float64(queued) < max(1, s.floor.Rate(now, w.Rank)*w.Goal.Sub(now).Seconds())
+	return float64(s.countQueued(w)) < max(1, s.floor.Rate(now, w.Rank)*w.Goal.Sub(now).Seconds())
 }
 
 // starvedTier returns the rank of the lowest tier that is below its minimum of
--- a/internal/decide/slots/transfer.go
+++ b/internal/decide/slots/transfer.go
@@ -23,6 +23,7 @@
 	} else {
 		t.pendingPrefill += w.Cost.Prompt
 	}
+	f.charge = s.adoptTeam(now, t, w)
 	s.inFlight[w] = f
 	t.markProbe(now)
 }
@@ -31,6 +32,9 @@
 func (s *Scheduler) TakeWaiting() []*fireflypath.Work {
 	out := s.waiting
 	s.waiting = nil
+	for _, w := range out {
+		s.teams.leave(w)
+	}
 	return out
 }
 
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -25,6 +25,8 @@
 	// LatestGoalFirst serves the punctual requests of a tier with the latest goal
 	// first, instead of the earliest.
 	LatestGoalFirst bool `json:"newest"`
+	// FairTeams divides the capacity for a rank among its teams in proportion to their weights.
+	FairTeams bool `json:"fair"`
 	// MaxWaitFraction is the fraction of the time until its caller gives up that a
 	// request may wait, or be expected to wait on arrival. A caller refused then
 	// can retry while there is still time; one that waits longer gives up without
--- a/internal/decide/slots/version.go
+++ b/internal/decide/slots/version.go
@@ -94,11 +94,6 @@
 	if w.Version == "" {
 		return 0
 	}
-	ahead := 1
-	for _, o := range s.waiting {
-		if o.Version == w.Version && !s.servedBefore(now, w, o) {
-			ahead++
-		}
-	}
+	ahead := 1 + s.countAhead(now, w, w.Version)
 	return time.Duration(float64(ahead) / (rate * s.slotsFraction(w)) * float64(time.Second))
 }
