feat(dispatcher): offers name the team and its weight

A dispatcher decides for other daemons and needs to know whose requests they are. Offers and the work in flight that a new dispatcher receives carry the team (m), and the weight (q) unless it is the default; both are left out where teams do not matter. A new dispatcher charges the work in flight; what ended before is lost.

--- a/dispatch.go
+++ b/dispatch.go
@@ -28,6 +28,10 @@
 	Avoid []string `json:"v,omitempty"`
 	// Version is the version of the targets that may run the work; empty if any may.
 	Version string `json:"x,omitempty"`
+	// Team is the caller's team and Weight its weight, where capacity is divided among teams; 0
+	// stands for the default weight.
+	Team   string `json:"m,omitempty"`
+	Weight int    `json:"q,omitempty"`
 }
 
 // InFlightWork is work that is already at a target when a daemon opens a session with a
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -15,12 +15,14 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/targets"
+	"github.com/fireflypath/fireflypath/internal/decide/teamshare"
 )
 
 // Scheduler is a scheduler that can also account for work placed by others.
@@ -199,7 +201,7 @@
 func (d *Dispatcher) addEntry(now time.Time, daemon string, s *session, o *fireflypath.Offer) *entry {
 	e := &entry{session: s, number: o.Number}
 	e.work = fireflypath.Work{
-		ID: daemon + "." + strconv.FormatUint(o.Number, 10), Rank: o.Rank, Pool: d.pool, Weight: 1,
+		ID: daemon + "." + strconv.FormatUint(o.Number, 10), Rank: o.Rank, Pool: d.pool, Team: o.Team, Weight: cmp.Or(o.Weight, teamshare.DefaultWeight),
 		Arrived: now.Add(-o.Waited.Std()), Deadline: now.Add(o.Deadline.Std()), Goal: now.Add(o.Goal.Std()),
 		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid, Version: o.Version, Sender: daemon,
 	}
@@ -349,6 +351,17 @@
 	return d.scheduler.Notices(now)
 }
 
+// BusiestTeams appends the n teams that have recently used most of the capacity of their rank. It appends
+// none if the scheduler does not know what teams use.
+func (d *Dispatcher) BusiestTeams(now time.Time, n int, out []teamshare.Share) []teamshare.Share {
+	if s, ok := d.scheduler.(interface {
+		BusiestTeams(now time.Time, n int, out []teamshare.Share) []teamshare.Share
+	}); ok {
+		return s.BusiestTeams(now, n, out)
+	}
+	return out
+}
+
 // SetTargets replaces the targets of the pool.
 func (d *Dispatcher) SetTargets(now time.Time, list []fireflypath.Target) {
 	d.list.Replace(list)
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -13,6 +13,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/targets"
+	"github.com/fireflypath/fireflypath/internal/decide/teamshare"
 )
 
 // Local is the scheduler used while there is no dispatcher. It tracks this daemon's
@@ -53,6 +54,8 @@
 	Local
 	// attached is true while a dispatcher decides.
 	attached bool
+	// sendTeams makes offers name the caller's team.
+	sendTeams bool
 	// unknownSenders is true if the targets are shared with daemons that receive no report
 	// of this one.
 	unknownSenders bool
@@ -88,6 +91,9 @@
 	}
 }
 
+// SendTeams makes offers to the dispatcher name the caller's team and its weight.
+func (s *Scheduler) SendTeams() { s.sendTeams = true }
+
 // Attach switches to a new dispatcher and sends it all waiting and in-flight requests.
 func (s *Scheduler) Attach(now time.Time) {
 	if s.attached {
@@ -253,6 +259,12 @@
 	if !w.PatienceEnds.IsZero() {
 		o.Patience = max(fireflypath.MicrosOf(w.PatienceEnds.Sub(now)), 1)
 	}
+	if s.sendTeams {
+		o.Team = w.Team
+		if w.Weight != teamshare.DefaultWeight {
+			o.Weight = w.Weight
+		}
+	}
 	return o
 }
 
