--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -206,11 +206,16 @@
 // share the pool's targets.
 func (d *Daemon) gatedScheduler(p fireflypath.Pool) fireflypath.Scheduler {
 	seed, tuning := xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.StandaloneTuning()
+	tuning.FairTeams = d.cfg.Gate.Fair
 	if d.members == nil {
 		return slots.New(p, seed, tuning)
 	}
 	tuning.UseTargetReports = true
-	return remote.New(slots.New(p, seed, tuning))
+	r := remote.New(slots.New(p, seed, tuning))
+	if d.cfg.Gate.Fair {
+		r.SendTeams()
+	}
+	return r
 }
 
 // dispatcherScheduler returns the scheduler that a dispatcher uses for all daemons that share the
@@ -220,6 +225,7 @@
 	if p.Kind != fireflypath.KindEngine {
 		tuning = slots.ServiceDispatcherTuning()
 	}
+	tuning.FairTeams = d.cfg.Gate.Fair
 	return slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name), tuning)
 }
 
@@ -269,6 +275,7 @@
 		Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
+		Fair:               g.Fair,
 	}
 	if d.quarantine != nil {
 		deps.Quarantine = d.quarantine
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -146,6 +146,9 @@
 	if c.team != nil {
 		att.Work.Team = c.team.Name
 	}
+	if g.deps.Fair {
+		att.Work.Weight = c.table.Weight(c.team)
+	}
 	if p := c.route.Patience.Std(); p > 0 && c.chunks == 0 {
 		att.Work.PatienceEnds = c.arrived.Add(p)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -46,6 +46,8 @@
 	// MaxNotFoundViewAge is the maximum age of the configuration view for refusing a route
 	// or key as unknown.
 	MaxNotFoundViewAge time.Duration
+	// Fair gives requests the weights of their teams.
+	Fair bool
 }
 
 // Quarantine tracks poison requests: requests that crash the targets that run them. A request is
--- a/internal/gate/table/table.go
+++ b/internal/gate/table/table.go
@@ -20,6 +20,8 @@
 	routesByHost   map[string][]*fireflypath.Route
 	teamsByKeyHash map[[sha256.Size]byte]*fireflypath.Team
 	poolsByName    map[string]*fireflypath.Pool
+	// leastQuota is the smallest quota of each group of comparable ones.
+	leastQuota map[quotaGroup]float64
 }
 
 // New builds the index of a configuration.
@@ -28,6 +30,7 @@
 		routesByHost:   map[string][]*fireflypath.Route{},
 		teamsByKeyHash: map[[sha256.Size]byte]*fireflypath.Team{},
 		poolsByName:    map[string]*fireflypath.Pool{},
+		leastQuota:     smallestQuotas(cfg.Teams),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -148,6 +148,8 @@
 	Quotas QuotaTolerance `json:"quotas"`
 	// Quarantine holds back requests that crash the targets that run them.
 	Quarantine Quarantine `json:"quarantine"`
+	// Fair divides the capacity of a pool among the teams of a rank.
+	Fair bool `json:"fair,omitempty"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
