--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,6 +103,7 @@
 	clock   clockwork.Clock
 	boot    boottime.Clock
 	log     *zap.Logger
+	scope   tally.Scope
 	metrics metrics
 	// newScheduler creates the scheduler that the dispatcher of a pool uses.
 	newScheduler func(fireflypath.Pool) dispatcher.Scheduler
@@ -133,7 +134,7 @@
 ) *Dispatch {
 	scope = scope.SubScope("dispatch")
 	d := &Dispatch{
-		self: self, peers: peers, fleet: fleet, clock: clock, boot: boot, log: log, newScheduler: newScheduler,
+		self: self, peers: peers, fleet: fleet, clock: clock, boot: boot, log: log, newScheduler: newScheduler, scope: scope,
 		metrics: metrics{
 			attached: scope.Counter("attached"), lost: scope.Counter("lost"), placed: scope.Counter("placed"),
 			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -32,6 +32,7 @@
 	targets int
 	// ranking is the last result of candidates.
 	ranking ranking
+	teams   *teamView
 	timer   clockwork.Timer
 	wakeAt  time.Time
 }
@@ -49,7 +50,7 @@
 func newServer(d *Dispatch, cfg fireflypath.Pool) *server {
 	return &server{
 		d: d, pool: cfg.Name, queue: dispatcher.New(cfg.Name, d.newScheduler(cfg)), sessions: map[string]*session{},
-		cellOnly: cfg.Kind == fireflypath.KindEngine,
+		cellOnly: cfg.Kind == fireflypath.KindEngine, teams: newTeamView(cfg.Name, d.scope, d.log),
 	}
 }
 
@@ -222,6 +223,7 @@
 // pushDecisions starts sending pending decisions to their daemons and sets the next wake
 // time. The caller holds mu.
 func (s *server) pushDecisions(now time.Time) {
+	s.teams.update(now, s.queue.BusiestTeams)
 	s.d.metrics.sessions.Update(float64(len(s.sessions)))
 	for name, sess := range s.sessions {
 		if sess.pushing || !s.queue.HasDecisions(name) {
