--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -50,6 +50,7 @@
 		Goal: r.goal(), Cost: fireflypath.Cost{Prompt: r.prompt + r.generated, MaxOutput: r.outputEstimate}, ExpectedOutput: max(r.outputEstimate-r.generated, 1),
 		Gap: k.Gap.Duration(), Idempotent: k.Repeat, Avoid: c.avoid, Version: r.version,
 	}
+	r.w.setTeam(r, &c.work)
 	if r.generated == 0 {
 		c.work.PatienceEnds = now.Add(k.Patience())
 	}
--- a/internal/sim/daemon.go
+++ b/internal/sim/daemon.go
@@ -70,6 +70,9 @@
 	d.dispatchClient, d.dispatcher = nil, nil
 	if local, ok := d.scheduler.(remote.Local); ok && d.w.options.NewDispatcherScheduler != nil {
 		r := remote.New(local)
+		if len(d.w.options.Load.Teams) > 0 {
+			r.SendTeams()
+		}
 		d.scheduler = r
 		d.dispatchClient = &dispatchClient{d: d, scheduler: r, sessionID: uint64(d.incarnation) << 32}
 	}
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -45,6 +45,14 @@
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
 	// to three times instead of once.
 	Impatient float64
+	// Teams are the teams that send the work; without any, teams do not matter.
+	Teams []Team
+}
+
+// Team is one of the teams that send work. Rates are relative to each other.
+type Team struct {
+	// Rate is what the team sends, Usual what it usually sends and by which its weight is set.
+	Rate, Usual float64
 }
 
 // Burst is an interval with a higher rate.
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -89,6 +89,7 @@
 	}
 	res.Streams, res.Parts = w.streams, w.quarantine.result()
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
+	res.Teams = w.teamResults()
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
 	return res
 }
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -72,6 +72,8 @@
 	Streams streamCounts `json:"-"`
 	// Parts counts requests with parts that crash engines.
 	Parts partCounts `json:"-"`
+	// Teams counts what the callers of each team received, if the load has teams.
+	Teams []Team `json:"teams,omitempty"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
