--- a/internal/decide/slots/transfer.go
+++ b/internal/decide/slots/transfer.go
@@ -24,6 +24,7 @@
 	} else {
 		t.pendingPrefill += w.Cost.Prompt
 	}
+	f.charge = s.adoptTeam(now, t, w)
 	s.inFlight[w] = f
 	t.markProbe(now)
 }
@@ -32,6 +33,9 @@
 func (s *Scheduler) TakeWaiting() []*fireflypath.Work {
 	out := s.waiting
 	s.waiting = nil
+	for _, w := range out {
+		s.teams.leave(w)
+	}
 	return out
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -49,6 +49,8 @@
 	// Started is closed once the first configuration is in force in all parts of the daemon. It may be
 	// nil; then no request waits for it.
 	Started <-chan struct{}
+	// Fair gives requests the weights of their teams.
+	Fair bool
 }
 
 // Quarantine tracks poison requests: requests that crash the targets that run them. A request is
