--- a/request.go
+++ b/request.go
@@ -60,6 +60,27 @@
 	return l.state.CompareAndSwap(uint32(from), uint32(to))
 }
 
+// ReturnState tells whether a request is that of a caller who was refused before.
+type ReturnState uint8
+
+const (
+	// ReturnNone is a newcomer, or a caller whose refusal is not known.
+	ReturnNone ReturnState = iota
+	// ReturnKept is a caller who returns at the time that it was promised.
+	ReturnKept
+	// ReturnEarly is a caller who returns before that time.
+	ReturnEarly
+)
+
+// String returns the name that is used in logs.
+func (s ReturnState) String() string {
+	names := [...]string{"none", "kept", "early"}
+	if int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
 // Cost is the estimated amount of work of a request.
 type Cost struct {
 	// Prompt is the number of prompt tokens to prefill; at least 1 for model work.
@@ -119,6 +140,14 @@
 	Sender string
 	// RetriedEarly is true if the caller retried before the time given in its last refusal.
 	RetriedEarly bool
+	// Digest is a short hash that is equal for requests for the same work; 0 if it is not used.
+	Digest uint32
+	// Elapsed is for how long the caller has been trying before this request, as far as known.
+	Elapsed time.Duration
+	// Return tells whether the caller returns after a refusal, and when. Promised is true if a
+	// refusal names a time at which there will be room for the caller. The scheduler sets both.
+	Return   ReturnState
+	Promised bool
 	// Lifecycle is the state, which the route and the scheduler change concurrently.
 	Lifecycle Lifecycle
 }
