feat(slots): promised times, and callers that keep them before newcomers

Cause: a returning caller is late by its goal, so it was queued behind everything punctual and refused again.

The zero value changes nothing.

--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -26,7 +26,7 @@
 	if w.PatienceEnds.IsZero() {
 		return w.Deadline.Add(-expiryMargin)
 	}
-	return w.Arrived.Add(time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(w.Arrived))))
+	return w.Arrived.Add(time.Duration(s.maxWaitFraction(w) * float64(callerGivesUpAt(w).Sub(w.Arrived))))
 }
 
 // expectedWait returns how long the request would wait, if it can be estimated.
@@ -52,7 +52,7 @@
 // hopeless reports whether the request is refused on arrival, because its turn is expected to
 // come too late, and when that is.
 func (s *Scheduler) hopeless(now time.Time, w *fireflypath.Work) (wait time.Duration, refuse bool) {
-	longest := time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(now)))
+	longest := time.Duration(s.maxWaitFraction(w) * float64(callerGivesUpAt(w).Sub(now)))
 	if wait, declared := s.declaredWait(now, w); declared {
 		// The targets say when they take more. Work that they cannot take by its goal waits in
 		// vain: if not this request, then an older one.
@@ -82,7 +82,7 @@
 func (s *Scheduler) limitedWait(now time.Time, w *fireflypath.Work, perSecond float64) time.Duration {
 	ahead := 1 - s.freeSlots(now, w)
 	for _, o := range s.waiting {
-		if o.Rank <= w.Rank {
+		if o.Rank < w.Rank || o.Rank == w.Rank && (!isKept(w) || isKept(o)) {
 			ahead++
 		}
 	}
@@ -152,7 +152,11 @@
 
 // shed returns the refusal of a request, with the time after which to retry.
 func (s *Scheduler) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: s.retryAfter(now, w)}
+	retryAfter := s.retryAfter(now, w)
+	if after, ok := s.promiseReturn(now, w, detail); ok {
+		retryAfter = after
+	}
+	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: retryAfter}
 }
 
 // Expire removes the waiting requests that have expired and appends their refusals.
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -95,6 +95,8 @@
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
 	competitors []competitor
+	// returns holds the times promised to refused callers; nil if none are.
+	returns *promises
 }
 
 // dispatched describes a request in flight at a target.
@@ -119,6 +121,9 @@
 		completions: rate.Meter{TimeConstant: rateHorizon}, floor: floor.New(tuning.MinServedRatio),
 		backpressure: backpressure.New(),
 	}
+	if tuning.Returns {
+		s.returns = newPromises()
+	}
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
 	}
@@ -128,7 +133,9 @@
 // Offer queues the request, or refuses it if its expected wait is too long.
 func (s *Scheduler) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
 	s.lowestRank = max(s.lowestRank, w.Rank)
-	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
+	if !s.recognizeReturn(now, w) {
+		s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
+	}
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
 	if s.noTargetLeft(w) {
@@ -138,6 +145,7 @@
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
+	s.admitReturn(now, w)
 	return out
 }
 
@@ -150,6 +158,11 @@
 	if ra != rb {
 		return ra < rb
 	}
+	if kept := isKept(a); kept != isKept(b) {
+		return kept
+	} else if kept {
+		return a.Goal.Before(b.Goal)
+	}
 	if s.tuning.LatestGoalFirst && !s.allLimited && ra%2 == 0 {
 		return a.Goal.After(b.Goal)
 	}
@@ -171,6 +184,8 @@
 func (s *Scheduler) isLate(now time.Time, w *fireflypath.Work) bool {
 	minSeconds := s.tuning.LatenessMargin
 	switch {
+	case isKept(w):
+		return false // it is late because it waited for the time that it was given
 	case !s.tuning.PredictLateness:
 		return now.After(w.Goal)
 	case s.maxPrefillRate > 0:
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -62,6 +62,9 @@
 	// LimitToEqualShare limits a daemon to its equal part of the slots while the others that use
 	// the same targets report nothing.
 	LimitToEqualShare bool `json:"equal_share"`
+	// Returns gives refused callers times at which there will be room for them, and serves those that
+	// return then before newcomers.
+	Returns bool `json:"returns"`
 	// ScoreNoise is the fraction of the expected time by which the scores of
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
