feat(dispatch): what identifies a returning caller travels with its offer

Cause: the dispatcher knows neither what a request asks for nor for how long its caller has been trying.

Change: Offer carries a hash of 32 bits (h), the elapsed time (k) and whether the caller was recognized before (u), so that a new dispatcher need not know the promise; Decision carries the last (u) and whether the time is promised (p). All are left out when empty; daemons that do not know them ignore them.

--- a/dispatch.go
+++ b/dispatch.go
@@ -28,6 +28,11 @@
 	Avoid []string `json:"v,omitempty"`
 	// Version is the version of the targets that may run the work; empty if any may.
 	Version string `json:"x,omitempty"`
+	// Digest and Elapsed identify callers that return after a refusal. Return is set if the caller is
+	// known to do so.
+	Digest  uint32      `json:"h,omitempty"`
+	Elapsed Micros      `json:"k,omitempty"`
+	Return  ReturnState `json:"u,omitempty"`
 }
 
 // InFlightWork is work that is already at a target when a daemon opens a session with a
@@ -95,6 +100,10 @@
 	Reason Reason `json:"r,omitempty"`
 	Detail string `json:"d,omitempty"`
 	Retry  Micros `json:"y,omitempty"`
+	// Return tells whether the caller returned after a refusal. Promised is true if there will be room
+	// for the caller after Retry.
+	Return   ReturnState `json:"u,omitempty"`
+	Promised bool        `json:"p,omitempty"`
 }
 
 // Micros is a duration in microseconds.
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -202,6 +202,7 @@
 		ID: daemon + "." + strconv.FormatUint(o.Number, 10), Rank: o.Rank, Pool: d.pool, Weight: 1,
 		Arrived: now.Add(-o.Waited.Std()), Deadline: now.Add(o.Deadline.Std()), Goal: now.Add(o.Goal.Std()),
 		Cost: fireflypath.Cost{Prompt: o.Prompt, MaxOutput: o.MaxOutput}, ExpectedOutput: o.ExpectedOutput, Gap: o.Gap.Std(), Avoid: o.Avoid, Version: o.Version, Sender: daemon,
+		Digest: o.Digest, Elapsed: o.Elapsed.Std(), Return: o.Return,
 	}
 	if o.Patience > 0 {
 		e.work.PatienceEnds = now.Add(o.Patience.Std())
@@ -254,6 +255,7 @@
 		d.removeEntry(e)
 		e.session.decisions = append(e.session.decisions, fireflypath.Decision{
 			Number: e.number, Reason: s.Reason, Detail: s.Detail, Retry: fireflypath.MicrosOf(s.RetryAfter),
+			Return: e.work.Return, Promised: e.work.Promised,
 		})
 	}
 }
@@ -280,6 +282,7 @@
 		e.work.Lifecycle.Transition(fireflypath.StateWaiting, fireflypath.StateDispatched)
 		e.session.decisions = append(e.session.decisions, fireflypath.Decision{
 			Number: e.number, Target: d.identityOf(d.placement.Target), PromptAhead: d.placement.PromptAhead, TimeToFirst: fireflypath.MicrosOf(d.placement.TimeToFirst),
+			Return: e.work.Return,
 		})
 	}
 }
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -215,6 +215,7 @@
 			continue // taken back in the meantime; the dispatcher was informed
 		}
 		delete(s.pending, d.Number)
+		w.Return, w.Promised = d.Return, d.Promised
 		if d.Target != "" {
 			s.placements = append(s.placements, placement{work: w, decision: d})
 			continue
@@ -249,6 +250,7 @@
 		Number: s.lastNumber, Rank: w.Rank, Prompt: w.Cost.Prompt, MaxOutput: w.Cost.MaxOutput, ExpectedOutput: w.ExpectedOutput,
 		Waited: fireflypath.MicrosOf(now.Sub(w.Arrived)), Goal: fireflypath.MicrosOf(w.Goal.Sub(now)),
 		Deadline: fireflypath.MicrosOf(w.Deadline.Sub(now)), Gap: fireflypath.MicrosOf(w.Gap), Avoid: w.Avoid, Version: w.Version,
+		Digest: w.Digest, Elapsed: fireflypath.MicrosOf(w.Elapsed), Return: w.Return,
 	}
 	if !w.PatienceEnds.IsZero() {
 		o.Patience = max(fireflypath.MicrosOf(w.PatienceEnds.Sub(now)), 1)
