feat(gate): setting gate.returns, counters and log fields of returning callers

Cause: an operator must see why a caller was refused again.

Change: the setting enables promised times in the pools' schedulers and the dispatchers. gate_returns_promised, _unpromised, _kept, _refused_again and _early count at the daemon that has the caller; the lines of such requests have return, elapsed and promised.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -206,6 +206,7 @@
 // share the pool's targets.
 func (d *Daemon) gatedScheduler(p fireflypath.Pool) fireflypath.Scheduler {
 	seed, tuning := xxhash.Sum64String(d.cfg.Name+"/"+p.Name), slots.StandaloneTuning()
+	tuning.Returns = d.cfg.Gate.Returns
 	if d.members == nil {
 		return slots.New(p, seed, tuning)
 	}
@@ -220,6 +221,7 @@
 	if p.Kind != fireflypath.KindEngine {
 		tuning = slots.ServiceDispatcherTuning()
 	}
+	tuning.Returns = d.cfg.Gate.Returns
 	return slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name), tuning)
 }
 
@@ -266,7 +268,7 @@
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
 		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder, Origins: d.origins,
-		Scope: d.scope, Log: d.deps.Log,
+		Returns: g.Returns, Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -146,6 +146,7 @@
 	if c.team != nil {
 		att.Work.Team = c.team.Name
 	}
+	g.identifyReturn(c, &att.Work)
 	if p := c.route.Patience.Std(); p > 0 && c.chunks == 0 {
 		att.Work.PatienceEnds = c.arrived.Add(p)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,6 +38,9 @@
 	Quarantine Quarantine
 	// Origins may be nil; then a caller's resumed stream may go on at any target.
 	Origins Origins
+	// Returns gives refused callers times at which there will be room for them, and recognizes those
+	// that return then.
+	Returns bool
 	Scope   tally.Scope
 	Log     *zap.Logger
 	// MaxKeyViewAge is the maximum age of the configuration view for requests with a key:
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -144,22 +144,27 @@
 	if change != nil {
 		change(s.cfg)
 	}
+	s.serve(slots.StandaloneTuning(), tally.NoopScope, zap.NewNop())
+	return s
+}
+
+// serve starts the gate. It replaces one that was started before.
+func (s *testSite) serve(tuning slots.Tuning, scope tally.Scope, log *zap.Logger) {
 	clock := clockwork.NewRealClock()
-	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1, slots.StandaloneTuning()) })
+	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1, tuning) })
 	ps.Apply(s.cfg)
 	s.pools, s.client = ps, http1.New(clock, "T-Id", http1.Direct{})
 	g := gate.New(gate.Deps{
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
 		Client: s.client, Quarantine: &s.quarantine,
-		Limits: limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Scope:  tally.NoopScope, Log: zap.NewNop(),
+		Limits:  limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
+		Returns: tuning.Returns, Scope: scope, Log: log,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
 	s.gateServer = httptest.NewUnstartedServer(g)
 	s.gateServer.Config.ConnContext = callerconn.Context
 	s.gateServer.Start()
-	t.Cleanup(s.gateServer.Close)
-	return s
+	s.t.Cleanup(s.gateServer.Close)
 }
 
 func route(name, prefix string, form fireflypath.Form, repeat fireflypath.Repeat) fireflypath.Route {
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -28,6 +28,7 @@
 	// endedByClose counts responses that ended with their connection, partialEvents streams that
 	// ended in the middle of an event.
 	endedByClose, partialEvents tally.Counter
+	returns                     returnMetrics
 	byRank                      [16]*rankMetrics
 }
 
@@ -40,6 +41,7 @@
 	scope = scope.SubScope("gate")
 	m := &metrics{
 		scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle"),
+		returns:      newReturnMetrics(scope),
 		endedByClose: scope.Counter("ended_by_close"), partialEvents: scope.Counter("partial_events"),
 	}
 	for i := range m.byRank {
@@ -74,6 +76,7 @@
 	if !c.firstByte.IsZero() {
 		m.firstByte.RecordDuration(c.firstByte.Sub(c.arrived))
 	}
+	g.countReturn(c)
 	g.logEnd(c, now)
 	for _, att := range c.attempts {
 		att.Draft.End(now, att.Work.Lifecycle.State(), att.Tokens, nil)
@@ -98,7 +101,7 @@
 
 // logEnd logs the outcome of a request and what determined it.
 func (g *Gate) logEnd(c *call, now time.Time) {
-	fields := make([]zap.Field, 0, 24)
+	fields := make([]zap.Field, 0, 27)
 	fields = append(fields, zap.String("request", c.id), zap.Int("status", c.status),
 		zap.Duration("took", now.Sub(c.arrived)), zap.Uint64("version", c.cfg.Version),
 		zap.Duration("age", c.viewAge))
@@ -117,6 +120,7 @@
 	if c.resumes != "" {
 		fields = append(fields, zap.String("resumes", c.resumes), zap.String("after", c.r.Header.Get(g.headers.Event)))
 	}
+	fields = append(fields, g.returnFields(c)...)
 	if c.digest != 0 {
 		fields = append(fields, zap.Stringer("digest", c.digest), c.partsField())
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -148,6 +148,9 @@
 	Quotas QuotaTolerance `json:"quotas"`
 	// Quarantine holds back requests that crash the targets that run them.
 	Quarantine Quarantine `json:"quarantine"`
+	// Returns gives refused callers times at which there will be room for them, and serves those that
+	// return then before newcomers.
+	Returns bool `json:"returns,omitempty"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
