test(sim): callers that keep to the time they were told, at 3, 8 and 73 daemons

Cause: the simulation counted second refusals, but not of whom.

Change: it counts callers that were told a time within a third of what they have left and returned then, those that were told more, how many were refused again and recognized, and the largest wave in a tenth of a second. Daemons estimate the elapsed time with the detector that gates use.

--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -23,7 +23,9 @@
 	sentAt        time.Time
 	engineRequest *engine.Request
 	finished      bool
-	events        int
+	// elapsed is for how long the caller has been trying, as the daemon estimates it.
+	elapsed time.Duration
+	events  int
 	// viaPeer is true for a connection through another daemon.
 	viaPeer bool
 }
@@ -44,11 +46,15 @@
 		return
 	}
 	k := r.spec()
+	if c.tries == 0 {
+		c.elapsed = c.d.estimateElapsed(r)
+	}
 	c.tries++
 	c.work = fireflypath.Work{
 		ID: r.id + "-" + strconv.Itoa(c.number), Rank: r.rank, Pool: poolName, Weight: 1, Arrived: now, Deadline: r.deadline(),
 		Goal: r.goal(), Cost: fireflypath.Cost{Prompt: r.prompt + r.generated, MaxOutput: r.outputEstimate}, ExpectedOutput: max(r.outputEstimate-r.generated, 1),
 		Gap: k.Gap.Duration(), Idempotent: k.Repeat, Avoid: c.avoid, Version: r.version,
+		Digest: r.digest(), Elapsed: c.elapsed,
 	}
 	if r.generated == 0 {
 		c.work.PatienceEnds = now.Add(k.Patience())
@@ -68,6 +74,7 @@
 		return
 	}
 	c.finished = true
+	c.countRecognized(true)
 	c.r.w.loop.After(c.r.w.options.Fleet.CallerHop.Duration(), func() { c.r.handleRefusal(after) })
 }
 
@@ -191,6 +198,7 @@
 	}
 	r, now := c.r, c.r.w.loop.Now()
 	if c.events == 0 {
+		c.countRecognized(false)
 		r.recordVersion(c.target)
 		c.scheduleBreak()
 		if !c.viaPeer {
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -62,6 +62,8 @@
 	// counted is true if the first attempt was made while paths were lost, countedCut if at a daemon
 	// without paths.
 	counted, countedCut bool
+	// keeps is true once the caller returned at the time that it was told.
+	keeps bool
 	// crashes is the part by which the request crashes engines, or 0; away is how long these are gone.
 	crashes digest.Digest
 	away    time.Duration
@@ -135,6 +137,8 @@
 	r.attempts++
 	if r.attempts == 1 {
 		r.w.countAttempt(r)
+	} else {
+		r.w.returns.countAttempt(r)
 	}
 	c := &call{r: r, d: d, number: r.attempts}
 	now := r.w.loop.Now()
@@ -171,6 +175,7 @@
 	r.refusals++
 	remaining := r.deadline().Sub(r.w.loop.Now())
 	limit := maxRetries
+	r.countRefusal(after, remaining)
 	if r.impatient {
 		limit, after = maxImpatientRetries, 0
 	}
@@ -220,5 +225,6 @@
 	if o == outcomeInTime || o == outcomeLate {
 		r.w.countServed(r)
 	}
+	r.countReturned(o)
 	r.w.tally.finish(r, o)
 }
--- a/internal/sim/daemon.go
+++ b/internal/sim/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/path"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
+	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 )
 
 const (
@@ -49,6 +50,8 @@
 	nextWake    time.Time
 	incarnation int
 	share       fireflypath.Share
+	// detectors distinguish callers that retry from new ones, by kind of work.
+	detectors []retrydetect.Detector
 	// dispatchClient and dispatcher are nil where daemons decide alone; dispatcher is
 	// also nil in all daemons that are not the dispatcher of their group.
 	dispatchClient *dispatchClient
@@ -75,6 +78,7 @@
 	}
 	d.calls = map[*fireflypath.Work]*call{}
 	d.paths = path.New()
+	d.detectors = make([]retrydetect.Detector, len(d.w.options.Fleet.Kinds))
 	d.peerReports = map[string]fireflypath.PeerLoad{}
 	d.lastReport = fireflypath.NewPeerLoad(d.name)
 	d.nextWake = time.Time{}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -55,6 +55,7 @@
 	breaking float64
 	// quarantine holds the requests with parts that crash engines.
 	quarantine *quarantine
+	returns    returnCounts
 }
 
 // target is an engine together with its entry in the target list.
@@ -87,7 +88,7 @@
 		res.addBroken(t.broken)
 		res.Falls += t.brittleness.falls
 	}
-	res.Streams, res.Parts = w.streams, w.quarantine.result()
+	res.Streams, res.Parts, res.Returns = w.streams, w.quarantine.result(), w.returns.result()
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
 	return res
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -35,9 +35,9 @@
 const (
 	// window is the length of the intervals of which the worst two enter the score.
 	window = 2 * time.Second
-	// repeatedRefusalPenalty is the fraction of its worth that is deducted for a
+	// RepeatedRefusalPenalty is the fraction of its worth that is deducted for a
 	// request that retried after a refusal and was refused again.
-	repeatedRefusalPenalty = 0.3
+	RepeatedRefusalPenalty = 0.3
 	// maxRelativeWeight bounds the worth of one request relative to the mean of its
 	// kind.
 	maxRelativeWeight = 4
@@ -72,6 +72,8 @@
 	Streams streamCounts `json:"-"`
 	// Parts counts requests with parts that crash engines.
 	Parts partCounts `json:"-"`
+	// Returns counts callers that returned after a refusal.
+	Returns Returns `json:"returns"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
@@ -167,7 +169,7 @@
 		}
 	}
 	if total > 0 {
-		res.RefusalPenalty = repeatedRefusalPenalty * repeated / total
+		res.RefusalPenalty = RepeatedRefusalPenalty * repeated / total
 	}
 	for i := range int(load.Span / window) {
 		var arrivals []*sample
