--- a/internal/decide/slots/fair.go
+++ b/internal/decide/slots/fair.go
@@ -221,7 +221,9 @@
 		switch {
 		case o.Rank != w.Rank || o == w && s.teams != nil:
 		case s.teams == nil || o.Team == w.Team:
-			own++
+			if !isKept(w) || isKept(o) {
+				own++
+			}
 		default:
 			s.teams.count(o)
 		}
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -26,7 +26,7 @@
 	if w.PatienceEnds.IsZero() {
 		return w.Deadline.Add(-expiryMargin)
 	}
-	return w.Arrived.Add(time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(w.Arrived))))
+	return w.Arrived.Add(time.Duration(s.maxWaitFraction(w) * float64(callerGivesUpAt(w).Sub(w.Arrived))))
 }
 
 // expectedWait returns how long the request would wait, if it can be estimated.
@@ -47,7 +47,7 @@
 // hopeless reports whether the request is refused on arrival, because its turn is expected to
 // come too late, and when that is.
 func (s *Scheduler) hopeless(now time.Time, w *fireflypath.Work) (wait time.Duration, refuse bool) {
-	longest := time.Duration(s.tuning.MaxWaitFraction * float64(callerGivesUpAt(w).Sub(now)))
+	longest := time.Duration(s.maxWaitFraction(w) * float64(callerGivesUpAt(w).Sub(now)))
 	if wait, declared := s.declaredWait(now, w); declared {
 		// The targets say when they take more. Work that they cannot take by its goal waits in
 		// vain: if not this request, then an older one.
@@ -137,7 +137,11 @@
 
 // shed returns the refusal of a request, with the time after which to retry.
 func (s *Scheduler) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	sh := fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail + s.limitedDetail(now, w), RetryAfter: s.retryAfter(now, w)}
+	retryAfter := s.retryAfter(now, w)
+	if after, ok := s.promiseReturn(now, w, detail); ok {
+		retryAfter = after
+	}
+	sh := fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail + s.limitedDetail(now, w), RetryAfter: retryAfter}
 	s.teams.leave(w)
 	return sh
 }
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -97,6 +97,8 @@
 	competitors []competitor
 	// teams holds what teams use, or nil if teams do not matter.
 	teams *teamAccounts
+	// returns holds the times promised to refused callers; nil if none are.
+	returns *promises
 }
 
 // dispatched describes a request in flight at a target.
@@ -123,6 +125,9 @@
 		completions: rate.Meter{TimeConstant: rateHorizon}, floor: floor.New(tuning.MinServedRatio),
 		backpressure: backpressure.New(), teams: newTeamAccounts(tuning),
 	}
+	if tuning.Returns {
+		s.returns = newPromises()
+	}
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
 	}
@@ -132,7 +137,9 @@
 // Offer queues the request, or refuses it if its expected wait is too long.
 func (s *Scheduler) Offer(now time.Time, w *fireflypath.Work, out []fireflypath.Shed) []fireflypath.Shed {
 	s.lowestRank = max(s.lowestRank, w.Rank)
-	s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
+	if !s.recognizeReturn(now, w) {
+		s.arrivals[min(max(w.Rank, 0), numTiers-1)].Add(now, 1)
+	}
 	s.floor.CountOffered(now, w.Rank)
 	s.completions.Advance(now, len(s.waiting) > 0)
 	s.teams.join(w)
@@ -143,6 +150,7 @@
 		return append(out, s.shed(now, w, fmt.Sprintf("turn expected in %v", wait.Round(time.Millisecond))))
 	}
 	s.waiting = append(s.waiting, w)
+	s.admitReturn(now, w)
 	return out
 }
 
@@ -158,6 +166,11 @@
 	if before, differ := s.teams.compare(a, b); differ {
 		return before
 	}
+	if kept := isKept(a); kept != isKept(b) {
+		return kept
+	} else if kept {
+		return a.Goal.Before(b.Goal)
+	}
 	if s.tuning.LatestGoalFirst && !s.allLimited && ra%2 == 0 {
 		return a.Goal.After(b.Goal)
 	}
@@ -179,6 +192,8 @@
 func (s *Scheduler) isLate(now time.Time, w *fireflypath.Work) bool {
 	minSeconds := s.tuning.LatenessMargin
 	switch {
+	case isKept(w):
+		return false // it is late because it waited for the time that it was given
 	case !s.tuning.PredictLateness:
 		return now.After(w.Goal)
 	case s.maxPrefillRate > 0:
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -149,6 +149,7 @@
 	if g.deps.Fair {
 		att.Work.Weight = c.table.Weight(c.team)
 	}
+	g.identifyReturn(c, &att.Work)
 	if p := c.route.Patience.Std(); p > 0 && c.chunks == 0 {
 		att.Work.PatienceEnds = c.arrived.Add(p)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -150,6 +150,9 @@
 	Quarantine Quarantine `json:"quarantine"`
 	// Fair divides the capacity of a pool among the teams of a rank.
 	Fair bool `json:"fair,omitempty"`
+	// Returns gives refused callers times at which there will be room for them, and serves those that
+	// return then before newcomers.
+	Returns bool `json:"returns,omitempty"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
