--- a/internal/decide/cell/layout.go
+++ b/internal/decide/cell/layout.go
@@ -96,6 +96,48 @@
 	return l.names[from:to]
 }
 
+// ID returns the identifier of the cell of a daemon, or 0 if the daemon is unknown. Identifiers are
+// CellCount to 2*CellCount-1, so that none means another cell in a layout with more cells.
+func (l *Layout) ID(name string) int {
+	i := l.index(name)
+	if i < 0 {
+		return 0
+	}
+	return l.idAt(i)
+}
+
+func (l *Layout) idAt(i int) int {
+	if l.prefixBits == 0 {
+		return 1
+	}
+	return 1<<l.prefixBits + int(l.hashes[i]>>(64-l.prefixBits))
+}
+
+// MembersOf returns the daemons in the cell with the identifier.
+func (l *Layout) MembersOf(id int) []string {
+	from := sort.Search(len(l.hashes), func(j int) bool { return l.idAt(j) >= id })
+	to := sort.Search(len(l.hashes), func(j int) bool { return l.idAt(j) > id })
+	return l.names[from:to]
+}
+
+// Owners returns the identifier of the cell that each of a pool's targets is assigned to, or nothing if
+// cells share targets.
+func (l *Layout) Owners(targets []string) map[string]int {
+	out := make(map[string]int, len(targets))
+	if l.sharingBits(len(targets)) < l.prefixBits {
+		return out
+	}
+	ts := sortByHash(targets)
+	for from := 0; from < len(l.names); {
+		_, to := l.hashRange(from, l.prefixBits)
+		for _, t := range ts[partitionStart(len(ts), from, len(l.names)):partitionStart(len(ts), to, len(l.names))] {
+			out[t] = l.idAt(from)
+		}
+		from = to
+	}
+	return out
+}
+
 // meanFarNeighbours is the mean number of neighbours in other cells at the largest
 // fleet size for a number of cells. At the smallest size it is half of that, which
 // still connects each cell to most others, so that updates reach the whole fleet in
