feat(slots): a cell places work in slots that another cell has lent

A scheduler with Tuning.Lend counts lent slots as in use at its own targets, and may use borrowed ones until their lease ends. A decision for a borrowed target carries until when the daemon may send the request, so that one that arrives late is not sent. Requests whose expected run at a borrowed target is longer than 750 ms stay at the cell's own targets, so that the lender has its slots back within a second. Targets that name limits, are brittle, leave or were ejected are not lent, and a borrowed one that declares so is not used.

--- a/dispatch.go
+++ b/dispatch.go
@@ -58,11 +58,14 @@
 	Offers    []Offer         `json:"o,omitempty"`
 	Progress  []Progress      `json:"p,omitempty"`
 	Withdrawn []uint64        `json:"w,omitempty"`
+	// Loads holds the requests beside those of the daemon at targets for which the dispatcher asked
+	// for that, by the targets' own reports. Targets are keyed by identity.
+	Loads map[string]int `json:"l,omitempty"`
 }
 
 // Empty reports whether the update contains nothing.
 func (u *DispatchUpdate) Empty() bool {
-	return len(u.Notices)+len(u.Backoffs)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn) == 0
+	return len(u.Notices)+len(u.Backoffs)+len(u.InFlight)+len(u.Offers)+len(u.Progress)+len(u.Withdrawn)+len(u.Loads) == 0
 }
 
 // TargetNotice is a target's notice as daemons pass it on.
@@ -91,6 +94,11 @@
 	// work. TimeToFirst is the expected time until the answer begins.
 	PromptAhead int    `json:"a,omitempty"`
 	TimeToFirst Micros `json:"f,omitempty"`
+	// Within is the time since the arrival of the work within which it may be sent to the target, which
+	// another cell has lent; 0 means no limit.
+	Within Micros `json:"w,omitempty"`
+	// Load is true if the dispatcher needs the target's own report of its load.
+	Load bool `json:"l,omitempty"`
 	// Reason, Detail and Retry are set for a refusal.
 	Reason Reason `json:"r,omitempty"`
 	Detail string `json:"d,omitempty"`
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -58,6 +58,8 @@
 	// pausedUntil is the time until which no work is dispatched.
 	pausedUntil time.Time
 	leases      leaseCount
+	// lender is the scheduler if it may lend slots to other cells, or nil.
+	lender Lender
 }
 
 // orphan is work still in flight at a target that no daemon with a session
@@ -97,7 +99,7 @@
 // New returns a Dispatcher without work.
 func New(pool string, sched Scheduler) *Dispatcher {
 	return &Dispatcher{
-		pool: pool, scheduler: sched, sessions: map[string]*session{}, entries: map[*fireflypath.Work]*entry{},
+		lender: lenderOf(sched), pool: pool, scheduler: sched, sessions: map[string]*session{}, entries: map[*fireflypath.Work]*entry{},
 	}
 }
 
@@ -168,6 +170,7 @@
 	}
 	d.scheduler.ApplyNotices(now, update.Notices)
 	d.scheduler.ApplyBackoffs(now, daemon, update.Backoffs)
+	d.applyLoads(now, daemon, update.Loads)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
@@ -278,9 +281,11 @@
 			continue
 		}
 		e.work.Lifecycle.Transition(fireflypath.StateWaiting, fireflypath.StateDispatched)
-		e.session.decisions = append(e.session.decisions, fireflypath.Decision{
+		decision := fireflypath.Decision{
 			Number: e.number, Target: d.identityOf(d.placement.Target), PromptAhead: d.placement.PromptAhead, TimeToFirst: fireflypath.MicrosOf(d.placement.TimeToFirst),
-		})
+		}
+		d.addLendingTerms(now, e, &decision)
+		e.session.decisions = append(e.session.decisions, decision)
 	}
 }
 
--- a/internal/decide/remote/remote.go
+++ b/internal/decide/remote/remote.go
@@ -71,7 +71,9 @@
 	// sentNotices and sentBackoffs are the versions of the notices and the backoffs that the
 	// dispatcher was sent.
 	sentNotices, sentBackoffs uint64
-	updateReady               chan struct{}
+	// loadsWanted holds the targets whose own load reports the dispatcher needs.
+	loadsWanted map[string]bool
+	updateReady chan struct{}
 }
 
 type placement struct {
@@ -122,6 +124,7 @@
 	clear(s.numbers)
 	s.outbox = fireflypath.DispatchUpdate{}
 	s.sentNotices, s.sentBackoffs = 0, 0
+	clear(s.loadsWanted)
 }
 
 // takePending takes back all requests that Next has not returned: the undecided ones in
@@ -275,13 +278,15 @@
 			s.submit(now, next.work)
 			continue
 		}
-		if s.Refuses(now, next.decision.Target) {
-			// The dispatcher does not know that yet. It is no failure of the target.
+		if s.Refuses(now, next.decision.Target) || leaseEnded(now, &next) {
+			// The dispatcher does not know that yet, or the decision came late. It is no failure of
+			// the target.
 			s.withdrawPending(next.decision.Number, next.work)
 			s.submit(now, next.work)
 			continue
 		}
 		s.AddInFlight(now, next.work, next.decision.Target, now, false)
+		s.wantLoad(t.Name, next.decision.Load)
 		*p = fireflypath.Placement{
 			Work: next.work, Target: t.Name, Waited: now.Sub(next.work.Arrived), PromptAhead: next.decision.PromptAhead,
 			TimeToFirst: next.decision.TimeToFirst.Std(), Considered: p.Considered[:0],
@@ -334,6 +339,7 @@
 	n, known := s.numbers[e.Work]
 	if e.Work == nil || !known {
 		s.Local.Observe(now, e)
+		s.reportLoad(&e)
 		if s.attached && (s.NoticeVersion() != s.sentNotices || s.BackoffVersion() != s.sentBackoffs) {
 			s.signal()
 		}
--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -46,7 +46,7 @@
 	if !mayRun(t, w) || s.inBackoff(now, t, w) || s.busyReason(now, t, s.allowedExtra(t, w.Rank)) != "" {
 		return false
 	}
-	return (t.unassigned || s.hasTurn(now, t, w.Rank)) && s.suits(now, t, w)
+	return (t.unassigned || s.hasTurn(now, t, w.Rank)) && s.suits(now, t, w) && s.endsInTime(t, w)
 }
 
 // suits reports whether the request may go to the target although faster ones may
--- a/internal/decide/slots/observe.go
+++ b/internal/decide/slots/observe.go
@@ -62,7 +62,7 @@
 // updateFastest makes the target the fastest one if its prefill rate exceeds all
 // known ones. Work does not wait for a target that is leaving.
 func (s *Scheduler) updateFastest(t *target) {
-	if t.speed.PrefillRate() > s.maxPrefillRate && !t.isLeaving() {
+	if t.speed.PrefillRate() > s.maxPrefillRate && !t.isLeaving() && !s.isForeign(t) {
 		s.maxPrefillRate, s.fastest = t.speed.PrefillRate(), t
 	}
 }
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -95,6 +95,8 @@
 	reporters int
 	// competitors are the other daemons with requests waiting for the pool.
 	competitors []competitor
+	// lending is nil unless the tuning allows lending.
+	lending *lending
 }
 
 // dispatched describes a request in flight at a target.
@@ -122,6 +124,9 @@
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
 	}
+	if tuning.Lend {
+		s.lending = &lending{}
+	}
 	return s
 }
 
@@ -189,6 +194,7 @@
 	if len(s.waiting) == 0 || s.equalShareUsed() {
 		return false
 	}
+	s.expireLoans(now)
 	s.findNeededVersions()
 	if !s.anyTargetAccepts(now) {
 		return false
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -80,6 +80,10 @@
 	// probing is true while a single request decides whether the target has
 	// recovered.
 	probing bool
+	// lent is the number of slots lent to other cells, borrowed what another cell has lent of the
+	// target to this one.
+	lent     int
+	borrowed borrowed
 }
 
 // SetTargets replaces the targets and keeps the state of those that stay. A target
@@ -131,10 +135,11 @@
 func (s *Scheduler) updateShared() {
 	s.shared = s.shared[:0]
 	for _, t := range s.ordered {
-		if !t.unassigned {
+		if !t.unassigned || t.borrowed.cell != 0 {
 			s.shared = append(s.shared, t)
 		}
 	}
+	s.updateLent()
 }
 
 // slots returns the number of slots of the target.
@@ -155,7 +160,7 @@
 	if useReport && now.Sub(t.reportedAt) <= reportTTL {
 		n = max(n, t.reportedRequests)
 	}
-	return n + t.previousRequests(now)
+	return n + t.previousRequests(now) + t.lentSlots()
 }
 
 // previousRequests returns the assumed number of requests that the target's
@@ -191,7 +196,7 @@
 // skipReason returns why the target accepts no request, or "" if it does. extra is
 // the number of requests allowed beyond its slots.
 func (s *Scheduler) skipReason(now time.Time, t *target, extra int) string {
-	if t.unassigned {
+	if t.unassigned && t.borrowed.cell == 0 {
 		return "foreign"
 	}
 	return s.busyReason(now, t, extra)
@@ -206,6 +211,8 @@
 		return "ejected"
 	case t.probing:
 		return "probing"
+	case t.borrowed.cell != 0 && !t.mayBorrow(now):
+		return "foreign"
 	case !s.limitAllows(now, t):
 		return "limited"
 	case t.declared.Brittle():
--- a/internal/decide/slots/transfer.go
+++ b/internal/decide/slots/transfer.go
@@ -25,6 +25,7 @@
 	}
 	s.inFlight[w] = f
 	t.markProbe(now)
+	s.noteForeign(t)
 }
 
 // TakeWaiting removes and returns all waiting requests in order of arrival.
--- a/internal/decide/slots/tuning.go
+++ b/internal/decide/slots/tuning.go
@@ -66,6 +66,8 @@
 	// daemons differ at random, so that daemons with equal views do not all choose
 	// the same target.
 	ScoreNoise float64 `json:"spread"`
+	// Lend allows lending slots to other cells and borrowing some of theirs.
+	Lend bool `json:"lend"`
 }
 
 // StandaloneTuning returns the tuning of a daemon that decides for itself alongside
--- a/internal/decide/slots/version.go
+++ b/internal/decide/slots/version.go
@@ -20,7 +20,7 @@
 // targetsFor returns the targets that the request may be sent to if they accept it. Work that needs a
 // version goes to targets of other groups of daemons if this group has none: it could run nowhere.
 func (s *Scheduler) targetsFor(w *fireflypath.Work) []*target {
-	if w.Version == "" || slices.ContainsFunc(s.shared, func(t *target) bool { return mayRun(t, w) }) {
+	if w.Version == "" || slices.ContainsFunc(s.shared, func(t *target) bool { return !t.unassigned && mayRun(t, w) }) {
 		return s.shared
 	}
 	return s.ordered
--- a/internal/decide/targets/list.go
+++ b/internal/decide/targets/list.go
@@ -75,4 +75,7 @@
 	return t, ok && t.Identity() == identity
 }
 
+// All returns the targets by name. They must not be changed.
+func (l *List) All() []fireflypath.Target { return l.current }
+
 func compareNames(a, b fireflypath.Target) int { return strings.Compare(a.Name, b.Name) }
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -156,6 +156,7 @@
 			w.loop.After(w.options.Fleet.Hop.Duration(), c.handleEngineRefusal)
 			return
 		}
+		w.recordOccupancy(c.target)
 		w.quarantine.reachesEngine(c)
 	})
 }
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -150,7 +150,8 @@
 		if d == r.lastDaemon && n > 1 {
 			return 0
 		}
-		return 1 + balancerSkew*(1-2*float64(d.index)/float64(max(n-1, 1)))
+		even := 1 + balancerSkew*(1-2*float64(d.index)/float64(max(n-1, 1)))
+		return even * w.options.Load.CellFactor(d.cell, w.loop.Now().Sub(loop.Epoch))
 	}
 	sum := 0.0
 	for _, d := range w.daemons {
--- a/internal/sim/daemon.go
+++ b/internal/sim/daemon.go
@@ -49,6 +49,8 @@
 	nextWake    time.Time
 	incarnation int
 	share       fireflypath.Share
+	// cell is the number of the daemon's cell, from 0.
+	cell int
 	// dispatchClient and dispatcher are nil where daemons decide alone; dispatcher is
 	// also nil in all daemons that are not the dispatcher of their group.
 	dispatchClient *dispatchClient
@@ -136,7 +138,9 @@
 		targets = append(targets, t.Name)
 	}
 	cells := cell.New(names)
+	w.cells = cells
 	for _, d := range w.daemons {
+		d.cell = cells.ID(d.name) - cells.CellCount()
 		assigned, peers := cells.AssignedTargets(d.name, targets)
 		share := fireflypath.Share{Default: 1, Senders: len(peers), Index: slices.Index(peers, d.name)}
 		if cells.CellCount() > 1 {
--- a/internal/sim/dispatch.go
+++ b/internal/sim/dispatch.go
@@ -110,6 +110,7 @@
 		}
 		to.Apply(loop.Now(), c.d.name, &updates)
 		notices, decisions := to.TakeNotices(loop.Now(), c.d.name), to.TakeDecisions(c.d.name)
+		to.countBorrowed(decisions)
 		to.pushDecisions()
 		loop.After(c.replyDelay(to), func() {
 			if c.node != to || c.sessionID != id {
@@ -140,6 +141,7 @@
 	loop := k.d.w.loop
 	for _, name := range k.Sessions() {
 		decisions := k.TakeDecisions(name)
+		k.countBorrowed(decisions)
 		o := k.d.w.findDaemon(name)
 		if len(decisions) == 0 || o == nil || o.dispatchClient == nil {
 			continue
--- a/internal/sim/engine/engine.go
+++ b/internal/sim/engine/engine.go
@@ -70,6 +70,19 @@
 // Load returns the number of running and of queued requests.
 func (e *Engine) Load() (running, waiting int) { return len(e.batch), len(e.queue) }
 
+// Live returns the number of requests that run or wait and whose callers have not left.
+func (e *Engine) Live() int {
+	n := 0
+	for _, l := range [][]*Request{e.batch, e.queue} {
+		for _, r := range l {
+			if !r.cancelled {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Prefilling returns the number of running requests whose prompt is not fully
 // prefilled.
 func (e *Engine) Prefilling() int {
--- a/internal/sim/load/load.go
+++ b/internal/sim/load/load.go
@@ -42,6 +42,8 @@
 	Silences []Silence
 	// Restarts kill and restart daemons.
 	Restarts []Restart
+	// Skews send more of the requests to some cells of daemons than to others.
+	Skews []Skew
 	// Impatient is the fraction of callers that retry immediately after a refusal, up
 	// to three times instead of once.
 	Impatient float64
@@ -130,6 +132,13 @@
 	Fraction float64
 }
 
+// Skew multiplies the part of the requests that the daemons of the first cells get.
+type Skew struct {
+	At, Duration time.Duration
+	Cells        int
+	Factor       float64
+}
+
 // Span is the duration over which requests arrive.
 const Span = 30 * time.Second
 
@@ -234,6 +243,17 @@
 	return l
 }
 
+// CellFactor returns the factor on the part of the requests that a cell gets at a time.
+func (l Load) CellFactor(cell int, at time.Duration) float64 {
+	f := 1.0
+	for _, s := range l.Skews {
+		if at >= s.At && at < s.At+s.Duration && cell < s.Cells {
+			f *= s.Factor
+		}
+	}
+	return f
+}
+
 // RateFactor returns the factor on the rate of a kind of work at a time.
 func (l Load) RateFactor(kind int, at time.Duration) float64 {
 	f := l.Rate
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/sim/engine"
@@ -55,6 +56,10 @@
 	breaking float64
 	// quarantine holds the requests with parts that crash engines.
 	quarantine *quarantine
+	// cells is the present layout.
+	cells *cell.Layout
+	// lending counts what cells lend each other.
+	lending LendingCounts
 }
 
 // target is an engine together with its entry in the target list.
@@ -80,6 +85,7 @@
 	}
 	w.assignCells()
 	w.scheduleFaults()
+	w.exchangeLoans()
 	w.scheduleArrivals()
 	w.loop.Run(loop.Epoch.Add(load.Span + settleTime))
 	res := w.tally.result()
@@ -88,6 +94,7 @@
 		res.Falls += t.brittleness.falls
 	}
 	res.Streams, res.Parts = w.streams, w.quarantine.result()
+	res.Lending = w.lending
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
 	return res
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -72,6 +72,8 @@
 	Streams streamCounts `json:"-"`
 	// Parts counts requests with parts that crash engines.
 	Parts partCounts `json:"-"`
+	// Lending counts what cells lent each other.
+	Lending LendingCounts `json:"lending"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
