feat(lending): dispatchers of cells exchange need and free slots

Work whose daemon is no longer heard of counts at a borrowed target for ten seconds: a borrower that was cut off from its cell took the slots of its daemons' requests for free after 150 ms, and a target got five requests in four slots (TestFailuresExceedNoTarget/borrower_cut_off, red before). Setting gate.lend; without it nothing changes.

--- a/dispatch.go
+++ b/dispatch.go
@@ -58,8 +58,8 @@
 	Offers    []Offer         `json:"o,omitempty"`
 	Progress  []Progress      `json:"p,omitempty"`
 	Withdrawn []uint64        `json:"w,omitempty"`
-	// Loads holds the requests beside those of the daemon at targets for which the dispatcher asked
-	// for that, by the targets' own reports. Targets are keyed by identity.
+	// Loads holds how many requests at targets may be those of other cells, by the targets' own reports,
+	// for the targets of which the dispatcher wants to know. Targets are keyed by identity.
 	Loads map[string]int `json:"l,omitempty"`
 }
 
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -23,6 +23,7 @@
 	"github.com/fireflypath/fireflypath/internal/gate"
 	gatelimits "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/lending"
 	"github.com/fireflypath/fireflypath/internal/member"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
 	"github.com/fireflypath/fireflypath/internal/rollout"
@@ -194,6 +195,10 @@
 	d.pools.SetMaxWaitingBytes(maxWaitingBytes)
 	if d.members != nil {
 		d.dispatch = dispatch.New(d.cfg.Name, d.peers, d.members, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log, d.dispatcherScheduler)
+		if d.cfg.Gate.Lend {
+			l := lending.New(d.cfg.Name, d.peers, d.dispatch, d.deps.Clock, d.scope, d.deps.Log)
+			d.background.Go(func() { l.Run(d.ctx) })
+		}
 		d.pools.OnCreate(d.addToDispatcher)
 		d.background.Go(d.updateDispatcher)
 	}
@@ -209,7 +214,7 @@
 	if d.members == nil {
 		return slots.New(p, seed, tuning)
 	}
-	tuning.UseTargetReports = true
+	tuning.UseTargetReports, tuning.Lend = true, d.lends(p)
 	return remote.New(slots.New(p, seed, tuning))
 }
 
@@ -220,9 +225,15 @@
 	if p.Kind != fireflypath.KindEngine {
 		tuning = slots.ServiceDispatcherTuning()
 	}
+	tuning.Lend = d.lends(p)
 	return slots.New(p, xxhash.Sum64String(d.cfg.Name+"/"+p.Name), tuning)
 }
 
+// lends reports whether cells lend each other slots of the pool.
+func (d *Daemon) lends(p fireflypath.Pool) bool {
+	return d.cfg.Gate.Lend && p.Kind == fireflypath.KindEngine
+}
+
 // addToDispatcher has the dispatcher place the work of a pool whose scheduler is remote.
 func (d *Daemon) addToDispatcher(cfg fireflypath.Pool, p *pool.Pool, s fireflypath.Scheduler) {
 	if r, ok := s.(*remote.Scheduler); ok {
--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -142,6 +142,9 @@
 	d.orphans = slices.DeleteFunc(d.orphans, func(o orphan) bool {
 		expired := o.daemon == daemon || now.Sub(o.orphanedAt) >= orphanTimeout
 		if expired {
+			if d.lender != nil && o.daemon != daemon {
+				d.lender.Lose(now, &o.work)
+			}
 			d.withdraw(now, o.entry)
 		}
 		return expired
@@ -170,7 +173,7 @@
 	}
 	d.scheduler.ApplyNotices(now, update.Notices)
 	d.scheduler.ApplyBackoffs(now, daemon, update.Backoffs)
-	d.applyLoads(now, daemon, update.Loads)
+	d.applyLoads(now, update.Loads)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
--- a/internal/decide/dispatcher/lend.go
+++ b/internal/decide/dispatcher/lend.go
@@ -18,6 +18,8 @@
 	ApplyGrant(now time.Time, cell int, until time.Time, g *lend.Grant)
 	AskFailed(now time.Time, cell int)
 	EndBorrowing()
+	// Lose has a request at a borrowed target count as in flight although its daemon is not heard of.
+	Lose(now time.Time, w *fireflypath.Work)
 	// BorrowedUntil returns until when work may be sent to the target if it is borrowed, or zero.
 	BorrowedUntil(target string) time.Time
 	// Loans returns what is lent. LoanChanges changes whenever it does.
@@ -26,7 +28,7 @@
 	AdoptLoans(now time.Time, loans []lend.Loan, replace bool)
 	// WantsLoad reports whether the target's own report of its load is needed, which ObserveLoad takes.
 	WantsLoad(now time.Time, target string) bool
-	ObserveLoad(now time.Time, daemon, identity string, others int)
+	ObserveLoad(now time.Time, identity string, others int)
 	LendingState(now time.Time) (held, lenders, lent int, counts lend.Counts)
 }
 
@@ -93,11 +95,11 @@
 }
 
 // applyLoads applies what targets report of their load.
-func (d *Dispatcher) applyLoads(now time.Time, daemon string, loads map[string]int) {
+func (d *Dispatcher) applyLoads(now time.Time, loads map[string]int) {
 	if d.lender == nil {
 		return
 	}
 	for identity, others := range loads {
-		d.lender.ObserveLoad(now, daemon, identity, others)
+		d.lender.ObserveLoad(now, identity, others)
 	}
 }
--- a/internal/decide/lend/book.go
+++ b/internal/decide/lend/book.go
@@ -140,7 +140,7 @@
 // Unsettled reports whether slots of the target count as lent although the lease has ended.
 func (b *Book) Unsettled(now time.Time, target string) bool {
 	for _, l := range b.loans {
-		if e := l.find(target); e != nil && e.counted > 0 && !now.Before(l.until) {
+		if e := l.find(target); e != nil && e.counted > 0 && !now.Before(l.until.Add(ReportAge)) {
 			return true
 		}
 	}
@@ -421,10 +421,11 @@
 }
 
 // Release lowers what counts as lent at a target to n: the target's own report shows that no more of
-// other cells' work is there. Slots under a lease that has not ended stay counted.
+// other cells' work is there. Slots under a lease that has not ended, or only after the report, stay
+// counted.
 func (b *Book) Release(now time.Time, target string, n int) {
 	for _, l := range b.loans {
-		if now.Before(l.until) {
+		if now.Before(l.until.Add(ReportAge)) {
 			continue
 		}
 		if e := l.find(target); e != nil && e.counted > n {
--- a/internal/decide/lend/lend.go
+++ b/internal/decide/lend/lend.go
@@ -37,6 +37,9 @@
 	// Linger is how long a lender counts slots after the end of a lease if it hears no more of the
 	// borrower. It is the longest time that callers wait for an answer; the work has ended by then.
 	Linger = 10 * time.Second
+	// ReportAge bounds the time from a target's report of its load to the decision that uses it. A report
+	// takes 10 ms in 99 of 100 cases; a stalled host delays it by 100 ms.
+	ReportAge = 250 * time.Millisecond
 	// MaxRun is the longest expected run of a request at a borrowed target. Together with
 	// RenewInterval it gives the lender its slots back within a second.
 	MaxRun = 750 * time.Millisecond
--- a/internal/decide/lend/lend_test.go
+++ b/internal/decide/lend/lend_test.go
@@ -136,6 +136,7 @@
 	b := side{name: "b", cell: 9}
 	is.Equal(b.ask(epoch, &book, s, nil, 14), 14)
 	lapsed := epoch.Add(lend.Lease + lend.Margin)
+	lapsed = lapsed.Add(lend.ReportAge)
 	book.Release(lapsed.Add(-time.Millisecond), "t00", 0)
 	is.Equal(book.Total(), 14) // the lease still holds
 	at := book.Lent("t00")
--- a/internal/decide/remote/lent.go
+++ b/internal/decide/remote/lent.go
@@ -22,7 +22,9 @@
 	s.loadsWanted[target] = true
 }
 
-// reportLoad passes a target's report on if the dispatcher needs it, less this daemon's own requests.
+// reportLoad passes a target's report on if the dispatcher needs it, less the request that was answered
+// with it. Other requests of the cell are not subtracted: some of them may have ended at the target
+// before it made the report, of which neither the daemon nor the dispatcher has heard.
 func (s *Scheduler) reportLoad(e *fireflypath.Event) {
 	if e.Kind != fireflypath.EventReport || !s.attached || !s.loadsWanted[e.Target] {
 		return
@@ -31,16 +33,10 @@
 	if !ok || t.Incarnation != e.Incarnation {
 		return
 	}
-	others := e.Report.Running + e.Report.Waiting
-	s.EachInFlight(func(_ *fireflypath.Work, identity string, _ time.Time, _ bool) {
-		if identity == t.Identity() {
-			others--
-		}
-	})
 	if s.outbox.Loads == nil {
 		s.outbox.Loads = map[string]int{}
 	}
-	s.outbox.Loads[t.Identity()] = max(others, 0)
+	s.outbox.Loads[t.Identity()] = max(e.Report.Running+e.Report.Waiting-1, 0)
 	delete(s.loadsWanted, e.Target)
 	s.signal()
 }
--- a/internal/decide/slots/lent.go
+++ b/internal/decide/slots/lent.go
@@ -7,10 +7,6 @@
 	"github.com/fireflypath/fireflypath/internal/decide/lend"
 )
 
-// reportAge is how long before a target's load report arrives here a request must have been placed to
-// count as contained in it. A report takes 10 ms in 99 of 100 cases; a stalled host delays it by 100 ms.
-const reportAge = 200 * time.Millisecond
-
 // lending is what a scheduler knows of slots that cells lend to each other.
 type lending struct {
 	book     lend.Book
@@ -22,20 +18,34 @@
 	supply  lend.Supply
 	need    lend.Need
 	used    []lend.Slots
+	// lost lists work at borrowed targets whose daemon is no longer heard of, oldest first.
+	lost []lostWork
+}
+
+// lostWork is a request at a borrowed target whose daemon is no longer heard of.
+type lostWork struct {
+	target *target
+	until  time.Time
 }
 
+// maxLost bounds the list of lost work. It is more than the slots of a cell; beyond it, the oldest counts
+// no longer.
+const maxLost = 256
+
 // borrowed is the part of a target that another cell has lent.
 type borrowed struct {
 	// cell is the lender, or 0.
 	cell  int
 	slots int
 	until time.Time
+	// lost is the number of requests there whose daemon is no longer heard of.
+	lost int
 }
 
 // lentSlots returns how many of the target's slots the other side of a loan may use.
 func (t *target) lentSlots() int {
 	if t.unassigned && t.borrowed.cell != 0 {
-		return t.slots() - t.borrowed.slots
+		return t.slots() - t.borrowed.slots + t.borrowed.lost
 	}
 	return t.lent
 }
@@ -78,8 +88,34 @@
 	if s.lending == nil {
 		return
 	}
-	s.lending.book.Expire(now)
+	l := s.lending
+	l.book.Expire(now)
 	s.applyChanges()
+	for len(l.lost) > 0 && !now.Before(l.lost[0].until) {
+		s.dropLost()
+	}
+}
+
+// dropLost no longer counts the oldest lost request.
+func (s *Scheduler) dropLost() {
+	l := s.lending
+	l.lost[0].target.borrowed.lost--
+	l.lost = append(l.lost[:0], l.lost[1:]...)
+}
+
+// Lose has a request count as in flight for some time although its daemon is no longer heard of, if it
+// is at a borrowed target. The daemon may be cut off from the dispatcher and not from the target, and
+// the target's own cell relies on what is reported here.
+func (s *Scheduler) Lose(now time.Time, w *fireflypath.Work) {
+	f, ok := s.inFlight[w]
+	if s.lending == nil || !ok || !f.target.unassigned || f.target.borrowed.cell == 0 {
+		return
+	}
+	if len(s.lending.lost) == maxLost {
+		s.dropLost()
+	}
+	f.target.borrowed.lost++
+	s.lending.lost = append(s.lending.lost, lostWork{target: f.target, until: now.Add(lend.Linger)})
 }
 
 // applyChanges applies the book to the targets if it has changed.
@@ -136,7 +172,7 @@
 	for i := first; i < len(calls); i++ {
 		from := len(l.used)
 		for _, t := range s.shared {
-			if n := t.requests + t.peerRequests; n > 0 && t.unassigned && t.borrowed.cell == calls[i].Cell {
+			if n := t.requests + t.peerRequests + t.borrowed.lost; n > 0 && t.unassigned && t.borrowed.cell == calls[i].Cell {
 				l.used = append(l.used, lend.Slots{Target: t.id, Count: n})
 			}
 		}
@@ -150,7 +186,7 @@
 	s.lending.foreign = false
 	for _, t := range s.ordered {
 		if t.unassigned && t.requests > 0 && t.borrowed.cell == 0 {
-			t.borrowed = borrowed{cell: owner(t.Name)}
+			t.borrowed = borrowed{cell: owner(t.Name), lost: t.borrowed.lost}
 		}
 	}
 	s.updateShared()
@@ -200,10 +236,10 @@
 	for _, t := range s.shared {
 		switch {
 		case !t.unassigned || t.borrowed.cell != cell:
-		case !known && t.requests == 0:
+		case !known && t.requests+t.borrowed.lost == 0:
 			t.borrowed = borrowed{}
 		case !usable || !g.Same:
-			t.borrowed = borrowed{cell: cell}
+			t.borrowed = borrowed{cell: cell, lost: t.borrowed.lost}
 		default:
 			t.borrowed.until = until
 		}
@@ -225,7 +261,7 @@
 	if t == nil || t.id != g.Target || !t.unassigned {
 		return // that incarnation has ended, or the target has become this cell's own
 	}
-	t.borrowed = borrowed{cell: cell, slots: min(g.Count, t.slots()), until: until}
+	t.borrowed = borrowed{cell: cell, slots: min(g.Count, t.slots()), until: until, lost: t.borrowed.lost}
 	if !t.speedKnown() && g.Prefill > 0 && g.Decode > 0 {
 		t.speed.AdoptRates(float64(g.Prefill), float64(g.Decode))
 	}
@@ -271,18 +307,13 @@
 	return s.lending != nil && t != nil && t.lent > 0 && s.lending.book.Unsettled(now, t.id)
 }
 
-// ObserveLoad lowers what counts as lent at the target with the identity, at which its own report counts
-// the given number of requests beside those of the daemon.
-func (s *Scheduler) ObserveLoad(now time.Time, daemon, identity string, others int) {
+// ObserveLoad lowers what counts as lent at the target with the identity, at which at most the given
+// number of requests belong to other cells, according to its own report.
+func (s *Scheduler) ObserveLoad(now time.Time, identity string, others int) {
 	t := s.targets[fireflypath.NameOfIdentity(identity)]
 	if s.lending == nil || t == nil || t.id != identity || t.lent == 0 {
 		return
 	}
-	for w, f := range s.inFlight {
-		if f.target == t && w.Sender != daemon && now.Sub(f.at) >= reportAge {
-			others--
-		}
-	}
 	s.lending.book.Release(now, t.id, max(others, 0))
 	s.updateLent()
 }
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -44,9 +44,13 @@
 	mu sync.Mutex
 	// session is 0 while there is none.
 	session uint64
+	// attachedTo is the dispatcher of the session.
+	attachedTo string
 	// received is when the dispatcher sent the last message of the session that was received here, by its
 	// own clock.
 	received fireflypath.Micros
+	// lentVersion is the version of what the cell has lent, as the dispatcher of the session said.
+	lentVersion uint64
 }
 
 // loss describes how a dispatcher was lost the last time.
@@ -187,7 +191,7 @@
 	session := rand.Uint64()
 	first := updateMessage{Pool: c.name, Session: session, First: true}
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
-		first.Notices = c.sched.Notices(now)
+		first.Notices, first.Lent = c.sched.Notices(now), c.loans()
 		return out
 	})
 	answer, err := c.send(ctx, to, first)
@@ -198,6 +202,7 @@
 	previous, previousSession := c.dispatcher, c.currentSession()
 	c.dispatcher, c.lastSent, c.resumed = to, time.Time{}, false
 	c.setSession(session, answer.At)
+	c.setAttachedTo(to.Name)
 	c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 		c.sched.Attach(now)
 		return out
@@ -318,7 +323,13 @@
 func (c *client) setSession(session uint64, received fireflypath.Micros) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.session, c.received = session, received
+	c.session, c.received, c.lentVersion, c.attachedTo = session, received, 0, ""
+}
+
+func (c *client) setAttachedTo(dispatcher string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attachedTo = dispatcher
 }
 
 func (c *client) send(ctx context.Context, to fireflypath.Member, m updateMessage) (decisionsMessage, error) {
@@ -388,6 +399,7 @@
 		c.applyNotices(m.Notices)
 		return false
 	}
+	c.applyLoans(m.Lent)
 	if len(m.Notices)+len(m.Decisions) > 0 {
 		c.pool.Update(func(now time.Time, out []fireflypath.Shed) []fireflypath.Shed {
 			c.sched.ApplyNotices(now, m.Notices)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/fireflypath/fireflypath/internal/boottime"
 	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
+	"github.com/fireflypath/fireflypath/internal/decide/lend"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
@@ -123,8 +124,8 @@
 }
 
 type metrics struct {
-	attached, lost, placed, refused tally.Counter
-	sessions                        tally.Gauge
+	attached, lost, placed, refused, borrowed tally.Counter
+	sessions                                  tally.Gauge
 }
 
 // New registers the methods for calls. It must be called before the endpoint serves.
@@ -136,7 +137,7 @@
 		self: self, peers: peers, fleet: fleet, clock: clock, boot: boot, log: log, newScheduler: newScheduler,
 		metrics: metrics{
 			attached: scope.Counter("attached"), lost: scope.Counter("lost"), placed: scope.Counter("placed"),
-			refused: scope.Counter("refused"), sessions: scope.Gauge("sessions"),
+			refused: scope.Counter("refused"), borrowed: scope.Counter("borrowed"), sessions: scope.Gauge("sessions"),
 		},
 		clients: map[string]*client{}, servers: map[string]*server{}, shares: map[string]fireflypath.Share{},
 	}
@@ -176,6 +177,8 @@
 	Session uint64 `json:"s"`
 	First   bool   `json:"first,omitempty"`
 	End     bool   `json:"end,omitempty"`
+	// Lent is what the cell has lent, as far as the daemon knows, in the first message of a session.
+	Lent []lend.Loan `json:"lent,omitempty"`
 	leaseTerms
 	fireflypath.DispatchUpdate
 }
@@ -188,6 +191,7 @@
 	At        fireflypath.Micros         `json:"at,omitempty"`
 	Notices   []fireflypath.TargetNotice `json:"notices,omitempty"`
 	Decisions []fireflypath.Decision     `json:"turns,omitempty"`
+	Lent      *lentMessage               `json:"lent,omitempty"`
 }
 
 // ack says whether the daemon still has the session.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -32,8 +32,11 @@
 	targets int
 	// ranking is the last result of candidates.
 	ranking ranking
-	timer   clockwork.Timer
-	wakeAt  time.Time
+	// since is when the first of the present sessions began.
+	since  time.Time
+	owners owners
+	timer  clockwork.Timer
+	wakeAt time.Time
 }
 
 // session is a daemon whose work this one places.
@@ -42,6 +45,7 @@
 	lastHeard time.Time
 	// synced is true once the daemon has reported its in-flight work.
 	synced bool
+	lent   sentLoans
 	// pushing is true while a goroutine sends decisions to the daemon.
 	pushing bool
 }
@@ -109,6 +113,7 @@
 	now := s.now()
 	if m.First {
 		s.startSession(now, from, m.Session)
+		s.adoptLoans(now, m.Lent)
 	}
 	sess := s.sessions[from]
 	if m.First || sess == nil || sess.id != m.Session {
@@ -132,7 +137,7 @@
 		sess.synced = true
 		s.releaseIfSynced(now)
 	}
-	out := decisionsMessage{Session: m.Session, At: s.sentAt(), Notices: s.queue.TakeNotices(now, from), Decisions: s.queue.TakeDecisions(from)}
+	out := decisionsMessage{Session: m.Session, At: s.sentAt(), Notices: s.queue.TakeNotices(now, from), Decisions: s.queue.TakeDecisions(from), Lent: s.takeLoans(now, sess)}
 	s.countDecisions(out.Decisions)
 	s.pushDecisions(now)
 	return out, nil
@@ -143,6 +148,7 @@
 // in-flight work. It holds all work back for gatherTimeout.
 func (s *server) startSession(now time.Time, from string, id uint64) {
 	if len(s.sessions) == 0 {
+		s.since = now
 		s.queue.PauseUntil(now, now.Add(gatherTimeout))
 	}
 	s.sessions[from] = &session{id: id}
@@ -172,6 +178,7 @@
 	suspended := elapsed - now.Sub(s.d.created)
 	if suspended-s.suspended > minSuspension {
 		s.queue.EndLeases(now, s.d.self)
+		s.queue.EndBorrowing()
 	}
 	s.suspended = max(s.suspended, suspended)
 	return now
@@ -210,6 +217,9 @@
 		} else {
 			s.d.metrics.placed.Inc(1)
 		}
+		if t.Within > 0 {
+			s.d.metrics.borrowed.Inc(1)
+		}
 	}
 }
 
@@ -243,7 +253,7 @@
 			return
 		}
 		m := decisionsMessage{
-			Pool: s.pool, Session: sess.id, At: s.sentAt(), Notices: s.queue.TakeNotices(s.now(), name), Decisions: s.queue.TakeDecisions(name),
+			Pool: s.pool, Session: sess.id, At: s.sentAt(), Notices: s.queue.TakeNotices(s.now(), name), Decisions: s.queue.TakeDecisions(name), Lent: s.takeLoans(s.now(), sess),
 		}
 		s.countDecisions(m.Decisions)
 		s.mu.Unlock()
@@ -335,7 +345,7 @@
 
 func (s *server) setTargets(targets []fireflypath.Target) {
 	s.change(func(now time.Time) {
-		s.targets = len(targets)
+		s.targets, s.owners = len(targets), owners{}
 		s.queue.SetTargets(now, targets)
 	})
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -148,6 +148,8 @@
 	Quotas QuotaTolerance `json:"quotas"`
 	// Quarantine holds back requests that crash the targets that run them.
 	Quarantine Quarantine `json:"quarantine"`
+	// Lend lets cells with free slots lend some to cells in which work waits.
+	Lend bool `json:"lend,omitempty"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
