--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -64,7 +64,9 @@
 	// Held is the number of slots that it holds of Lenders other cells, Lent the number that count as
 	// in use by others.
 	Held, Lenders, Lent int
-	Counts              lend.Counts
+	// Borrowers are the dispatchers that Lent counts for.
+	Borrowers []string
+	Counts    lend.Counts
 }
 
 // PlanBorrowing returns the requests that are due to other cells, for the pools whose work this daemon
@@ -89,6 +91,11 @@
 		if l := s.lender(); l != nil {
 			state := LendingState{Pool: s.pool}
 			state.Held, state.Lenders, state.Lent, state.Counts = l.LendingState(s.now())
+			if state.Lent > 0 {
+				for _, loan := range l.Loans() {
+					state.Borrowers = append(state.Borrowers, loan.Borrower)
+				}
+			}
 			out = append(out, state)
 		}
 		s.mu.Unlock()
@@ -221,7 +228,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil || !known {
-		s.queue.Lender().CancelGrant(from)
+		if l := s.queue.Lender(); l != nil {
+			l.CancelGrant(from)
+		}
 		return lend.Grant{}, errUnconfirmed
 	}
 	if m.Lent != nil {
--- a/internal/lending/cluster_test.go
+++ b/internal/lending/cluster_test.go
@@ -31,6 +31,8 @@
 	slotsPerTarget = 4
 	// detectionTime is how long a dead daemon stays a member.
 	detectionTime = 2 * time.Second
+	// requestTime is how long a target takes for a request.
+	requestTime = 400 * time.Millisecond
 )
 
 var engines = fireflypath.Pool{Name: "p", Kind: fireflypath.KindEngine, Stride: 3}
@@ -307,9 +309,8 @@
 	}
 }
 
-// send has a daemon serve a request that occupies a target for the given time. It reports whether it was
-// served.
-func (c *cluster) send(d *node, id string, rank int, duration time.Duration) bool {
+// send has a daemon serve a request. It reports whether it was served.
+func (c *cluster) send(d *node, id string, rank int) bool {
 	now := time.Now()
 	r := &request.Request{
 		Work: fireflypath.Work{
@@ -328,14 +329,14 @@
 	c.mostRunning[name] = max(c.mostRunning[name], c.running[name])
 	c.arrivals[name] = append(c.arrivals[name], arrival{time.Now(), c.cellOf(d.name), rank})
 	c.mu.Unlock()
-	served := c.run(d, duration/2)
+	served := c.run(d, requestTime/2)
 	if served {
 		c.mu.Lock()
 		running := c.running[name]
 		c.mu.Unlock()
 		d.pool.Observe(fireflypath.Event{Kind: fireflypath.EventReport, Target: name, Cached: -1, Report: fireflypath.Report{Running: running}})
 		d.pool.Notify(r, fireflypath.EventFirstOutput, -1)
-		served = c.run(d, duration/2)
+		served = c.run(d, requestTime/2)
 	}
 	c.mu.Lock()
 	c.running[name]--
@@ -385,14 +386,14 @@
 	wg           sync.WaitGroup
 }
 
-func (c *cluster) stream(daemons []*node, perSecond int, rank int, length, duration time.Duration) *stream {
+func (c *cluster) stream(daemons []*node, perSecond int, rank int, length time.Duration) *stream {
 	s := &stream{}
 	s.wg.Go(func() {
 		for i := range int(float64(perSecond) * length.Seconds()) {
 			if d := daemons[i%len(daemons)]; !c.isKilled(d.name) {
 				s.sent.Add(1)
 				s.wg.Go(func() {
-					if c.send(d, fmt.Sprint(d.name, "-", time.Now().UnixNano(), "-", i), rank, duration) {
+					if c.send(d, fmt.Sprint(d.name, "-", time.Now().UnixNano(), "-", i), rank) {
 						s.served.Add(1)
 					}
 				})
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +76,8 @@
 	// busy holds the cells that a request is on the way to; known the dispatchers that answered last.
 	busy  map[key]bool
 	known map[key]string
+	// lenders holds the dispatchers whose grants this daemon has got in the present episode, by pool.
+	lenders map[string]map[string]bool
 	// reports holds what was last logged, by pool. It belongs to Run.
 	reports map[string]*report
 }
@@ -92,7 +96,7 @@
 			asked: scope.Counter("asked"), unanswered: scope.Counter("unanswered"), granted: scope.Counter("granted"),
 			refused: scope.Counter("refused"), expired: scope.Counter("expired"), held: scope.Gauge("held"), lent: scope.Gauge("lent"),
 		},
-		busy: map[key]bool{}, known: map[key]string{}, reports: map[string]*report{},
+		busy: map[key]bool{}, known: map[key]string{}, lenders: map[string]map[string]bool{}, reports: map[string]*report{},
 	}
 	peers.Handle(methodAsk, l.handleAsk)
 	return l
@@ -180,6 +184,9 @@
 		answer, err := l.call(ctx, m, r)
 		if err == nil && !answer.NotDispatcher {
 			l.remember(k, m.Name)
+			if answer.Lease > 0 {
+				l.addLender(r.Pool, m.Name)
+			}
 			l.dispatch.ApplyGrant(r, &answer.Grant)
 			return
 		}
@@ -202,6 +209,27 @@
 	return answer, err
 }
 
+// addLender notes a dispatcher for the log.
+func (l *Lending) addLender(pool, dispatcher string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lenders[pool] == nil {
+		l.lenders[pool] = map[string]bool{}
+	}
+	l.lenders[pool][dispatcher] = true
+}
+
+// takeLenders returns the dispatchers whose grants this daemon has got, and forgets them if end is true.
+func (l *Lending) takeLenders(pool string, end bool) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := slices.Sorted(maps.Keys(l.lenders[pool]))
+	if end {
+		delete(l.lenders, pool)
+	}
+	return out
+}
+
 func (l *Lending) lastKnown(k key) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -28,7 +28,7 @@
 			is := is.New(t)
 			c, needy, idle := twoCells(t, lends)
 			began := time.Now()
-			s := c.stream(c.cells()[needy], 130, 1, 5*time.Second, 400*time.Millisecond)
+			s := c.stream(c.cells()[needy], 130, 1, 5*time.Second)
 			s.wg.Wait()
 			served[lends] = int(s.served.Load())
 			t.Logf("lends %v: %d of %d served, %d borrowed", lends, served[lends], s.sent.Load(), c.borrowedSince(idle, began))
@@ -45,10 +45,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c, needy, idle := twoCells(t, true)
-		s := c.stream(c.cells()[needy], 200, 1, 6*time.Second, 400*time.Millisecond)
+		s := c.stream(c.cells()[needy], 200, 1, 6*time.Second)
 		time.Sleep(2 * time.Second)
 		is.True(c.borrowedSince(idle, time.Now().Add(-time.Second)) > 20)
-		own := c.stream(c.cells()[idle], 200, 1, 3*time.Second, 400*time.Millisecond)
+		own := c.stream(c.cells()[idle], 200, 1, 3*time.Second)
 		time.Sleep(800 * time.Millisecond)
 		is.Equal(c.borrowedSince(idle, time.Now().Add(-200*time.Millisecond)), 0)
 		time.Sleep(400 * time.Millisecond)
@@ -114,14 +114,14 @@
 				synctest.Test(t, func(t *testing.T) {
 					c, needy, idle := twoCells(t, lends)
 					cells := c.cells()
-					s := c.stream(cells[needy], 140, 1, 8*time.Second, 400*time.Millisecond)
-					o := c.stream(cells[idle], 30, 1, 2*time.Second, 400*time.Millisecond)
+					s := c.stream(cells[needy], 140, 1, 8*time.Second)
+					o := c.stream(cells[idle], 30, 1, 2*time.Second)
 					time.Sleep(2 * time.Second)
 					if lends && c.borrowedSince(idle, time.Now().Add(-time.Second)) < 20 {
 						t.Error("nothing borrowed before the failure")
 					}
 					fail(c, cells[needy], cells[idle])
-					own := c.stream(cells[idle], 120, 1, 3*time.Second, 400*time.Millisecond)
+					own := c.stream(cells[idle], 120, 1, 3*time.Second)
 					s.wg.Wait()
 					own.wg.Wait()
 					o.wg.Wait()
@@ -167,8 +167,8 @@
 		time.Sleep(2 * time.Second)
 		cells, began := c.cells(), time.Now()
 		is.Equal(len(cells), 4)
-		a := c.stream(cells[4], 160, 1, 5*time.Second, 400*time.Millisecond)
-		b := c.stream(cells[5], 160, 1, 5*time.Second, 400*time.Millisecond)
+		a := c.stream(cells[4], 160, 1, 5*time.Second)
+		b := c.stream(cells[5], 160, 1, 5*time.Second)
 		a.wg.Wait()
 		b.wg.Wait()
 		c.checkSlots()
@@ -193,9 +193,9 @@
 		c := start(t, 30, 40, true)
 		time.Sleep(2 * time.Second)
 		cells := c.cells()
-		low := c.stream(cells[4], 320, 3, 6*time.Second, 400*time.Millisecond)
+		low := c.stream(cells[4], 320, 3, 6*time.Second)
 		time.Sleep(2 * time.Second)
-		high := c.stream(cells[5], 320, 0, 4*time.Second, 400*time.Millisecond)
+		high := c.stream(cells[5], 320, 0, 4*time.Second)
 		time.Sleep(1500 * time.Millisecond)
 		from, byRank := time.Now(), map[int]int{}
 		high.wg.Wait()
@@ -220,7 +220,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c, needy, idle := twoCells(t, true)
-		s := c.stream(c.cells()[needy], 130, 1, 5*time.Second, 400*time.Millisecond)
+		s := c.stream(c.cells()[needy], 130, 1, 5*time.Second)
 		time.Sleep(2 * time.Second)
 		owners, leaving := c.owners(), map[string]bool{}
 		for i := range c.targets {
@@ -257,7 +257,7 @@
 				if id%2 == 0 {
 					perSecond = 250
 				}
-				streams = append(streams, c.stream(daemons, perSecond, 1, 3*time.Second, 400*time.Millisecond))
+				streams = append(streams, c.stream(daemons, perSecond, 1, 3*time.Second))
 			}
 			sent, served := 0, 0
 			for _, s := range streams {
@@ -276,12 +276,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c, needy, idle := twoCells(t, true)
-		a := c.stream(c.cells()[needy], 50, 1, 5*time.Second, 400*time.Millisecond)
-		b := c.stream(c.cells()[idle], 50, 1, 5*time.Second, 400*time.Millisecond)
+		a := c.stream(c.cells()[needy], 50, 1, 5*time.Second)
+		b := c.stream(c.cells()[idle], 50, 1, 5*time.Second)
 		a.wg.Wait()
 		b.wg.Wait()
 		is.Equal(c.messages, 0)
-		s := c.stream(c.cells()[needy], 200, 1, 4*time.Second, 400*time.Millisecond)
+		s := c.stream(c.cells()[needy], 200, 1, 4*time.Second)
 		s.wg.Wait()
 		during, bytes := c.messages, c.bytes
 		is.True(during > 10)
--- a/internal/lending/report.go
+++ b/internal/lending/report.go
@@ -38,10 +38,10 @@
 		}
 		l.count(r, s)
 		if r.borrowing.update(l.clock.Now(), s.Held) {
-			l.logEpisode("borrowing", &r.borrowing, s.Pool, s.Held, zap.Int("cells", s.Lenders))
+			l.logBorrowing(r, s.Pool, s.Held)
 		}
 		if r.lending.update(l.clock.Now(), s.Lent) {
-			l.logEpisode("lending", &r.lending, s.Pool, s.Lent, zap.Int("expired", s.Counts.Expired))
+			l.logEpisode("lending", &r.lending, s.Pool, s.Lent, zap.Strings("borrowers", s.Borrowers), zap.Int("expired", s.Counts.Expired))
 		}
 	}
 	for pool, r := range l.reports {
@@ -50,7 +50,7 @@
 		}
 		// Another daemon has become the dispatcher.
 		if r.borrowing.update(l.clock.Now(), 0) {
-			l.logEpisode("borrowing", &r.borrowing, pool, 0)
+			l.logBorrowing(r, pool, 0)
 		}
 		if r.lending.update(l.clock.Now(), 0) {
 			l.logEpisode("lending", &r.lending, pool, 0)
@@ -60,6 +60,10 @@
 	l.metrics.lent.Update(float64(lent))
 }
 
+func (l *Lending) logBorrowing(r *report, pool string, held int) {
+	l.logEpisode("borrowing", &r.borrowing, pool, held, zap.Strings("lenders", l.takeLenders(pool, held == 0)))
+}
+
 func (l *Lending) count(r *report, s *dispatch.LendingState) {
 	l.metrics.granted.Inc(int64(s.Counts.Granted - r.counts.Granted))
 	l.metrics.refused.Inc(int64(s.Counts.Refused - r.counts.Refused))
