--- a/internal/decide/dispatcher/dispatcher.go
+++ b/internal/decide/dispatcher/dispatcher.go
@@ -60,6 +60,8 @@
 	// pausedUntil is the time until which no work is dispatched.
 	pausedUntil time.Time
 	leases      leaseCount
+	// lender is the scheduler if it may lend slots to other cells, or nil.
+	lender Lender
 }
 
 // orphan is work still in flight at a target that no daemon with a session
@@ -99,7 +101,7 @@
 // New returns a Dispatcher without work.
 func New(pool string, sched Scheduler) *Dispatcher {
 	return &Dispatcher{
-		pool: pool, scheduler: sched, sessions: map[string]*session{}, entries: map[*fireflypath.Work]*entry{},
+		lender: lenderOf(sched), pool: pool, scheduler: sched, sessions: map[string]*session{}, entries: map[*fireflypath.Work]*entry{},
 	}
 }
 
@@ -142,6 +144,9 @@
 	d.orphans = slices.DeleteFunc(d.orphans, func(o orphan) bool {
 		expired := o.daemon == daemon || now.Sub(o.orphanedAt) >= orphanTimeout
 		if expired {
+			if d.lender != nil && o.daemon != daemon {
+				d.lender.Lose(now, &o.work)
+			}
 			d.withdraw(now, o.entry)
 		}
 		return expired
@@ -170,6 +175,7 @@
 	}
 	d.scheduler.ApplyNotices(now, update.Notices)
 	d.scheduler.ApplyBackoffs(now, daemon, update.Backoffs)
+	d.applyLoads(now, update.Loads)
 	for i := range update.InFlight {
 		f := &update.InFlight[i]
 		e := d.addEntry(now, daemon, s, &f.Offer)
@@ -282,10 +288,12 @@
 			continue
 		}
 		e.work.Lifecycle.Transition(fireflypath.StateWaiting, fireflypath.StateDispatched)
-		e.session.decisions = append(e.session.decisions, fireflypath.Decision{
+		decision := fireflypath.Decision{
 			Number: e.number, Target: d.identityOf(d.placement.Target), PromptAhead: d.placement.PromptAhead, TimeToFirst: fireflypath.MicrosOf(d.placement.TimeToFirst),
 			Return: e.work.Return,
-		})
+		}
+		d.addLendingTerms(now, e, &decision)
+		e.session.decisions = append(e.session.decisions, decision)
 	}
 }
 
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -99,6 +99,8 @@
 	teams *teamAccounts
 	// returns holds the times promised to refused callers; nil if none are.
 	returns *promises
+	// lending is nil unless the tuning allows lending.
+	lending *lending
 }
 
 // dispatched describes a request in flight at a target.
@@ -131,6 +133,9 @@
 	for i := range s.arrivals {
 		s.arrivals[i].TimeConstant = rateHorizon
 	}
+	if tuning.Lend {
+		s.lending = &lending{}
+	}
 	return s
 }
 
@@ -212,6 +217,7 @@
 	if len(s.waiting) == 0 || s.equalShareUsed() {
 		return false
 	}
+	s.expireLoans(now)
 	s.findNeededVersions()
 	if !s.anyTargetAccepts(now) {
 		return false
--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -164,6 +164,7 @@
 			w.loop.After(w.options.Fleet.Hop.Duration(), c.handleEngineRefusal)
 			return
 		}
+		w.recordOccupancy(c.target)
 		w.quarantine.reachesEngine(c)
 	})
 }
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/decide/cell"
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/place"
 	"github.com/fireflypath/fireflypath/internal/sim/engine"
@@ -56,6 +57,10 @@
 	// quarantine holds the requests with parts that crash engines.
 	quarantine *quarantine
 	returns    returnCounts
+	// cells is the present layout.
+	cells *cell.Layout
+	// lending counts what cells lend each other.
+	lending LendingCounts
 }
 
 // target is an engine together with its entry in the target list.
@@ -81,6 +86,7 @@
 	}
 	w.assignCells()
 	w.scheduleFaults()
+	w.exchangeLoans()
 	w.scheduleArrivals()
 	w.loop.Run(loop.Epoch.Add(load.Span + settleTime))
 	res := w.tally.result()
@@ -89,6 +95,7 @@
 		res.Falls += t.brittleness.falls
 	}
 	res.Streams, res.Parts, res.Returns = w.streams, w.quarantine.result(), w.returns.result()
+	res.Lending = w.lending
 	res.CutSent, res.CutServed = w.cutCount.cutSent, w.cutCount.cutServed
 	res.Teams = w.teamResults()
 	res.OtherSent, res.OtherServed = w.cutCount.otherSent, w.cutCount.otherServed
--- a/internal/sim/tally.go
+++ b/internal/sim/tally.go
@@ -76,6 +76,8 @@
 	Teams []Team `json:"teams,omitempty"`
 	// Returns counts callers that returned after a refusal.
 	Returns Returns `json:"returns"`
+	// Lending counts what cells lent each other.
+	Lending LendingCounts `json:"lending"`
 	// Windows is the earned fraction of the worth per interval of arrival.
 	Windows []float64 `json:"windows"`
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -153,6 +153,8 @@
 	// Returns gives refused callers times at which there will be room for them, and serves those that
 	// return then before newcomers.
 	Returns bool `json:"returns,omitempty"`
+	// Lend lets cells with free slots lend some to cells in which work waits.
+	Lend bool `json:"lend,omitempty"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
