feat(rollout): versions are tried on a share of the requests

An ordered version got no work and was rolled back. With gate.rollouts, one daemon holds the trial of a pool in the store, gives the others permissions that last about a second, collects their counts and decides. Its record is one key that is only changed from the revision that was read. Before it is completed, all requests go to the new version and the daemons report that their work at the old one has ended.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -46,6 +46,8 @@
 	store   *standin.Store
 	daemons []*daemon.Daemon
 	client  *http.Client
+	// rollouts is the setting of all daemons.
+	rollouts *settings.Rollouts
 	// seed is the peer address of the first daemon, storeAddr the address of the store.
 	seed, storeAddr string
 
@@ -65,12 +67,15 @@
 	restarts                  sync.WaitGroup
 }
 
-func newCrashCluster(t *testing.T, targets int) *crashCluster {
+func newCrashCluster(t *testing.T, targets int, options ...func(*crashCluster)) *crashCluster {
 	t.Helper()
 	s := &crashCluster{
 		is: is.New(t), logs: testkit.NewLogs(t), store: standin.New(), client: &http.Client{Timeout: 10 * time.Second}, delay: 5 * time.Millisecond,
 		partArrivals: map[string][]time.Time{}, partCrashes: map[string][]time.Time{},
 	}
+	for _, option := range options {
+		option(s)
+	}
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(srv.Close)
 	var routes []fireflypath.Route
@@ -116,6 +121,7 @@
 			RevocationDelay: fireflypath.Duration(5 * time.Second), ActivationDelay: fireflypath.Duration(2 * time.Second),
 			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
 			Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
+			Rollouts:         s.rollouts,
 		},
 	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: s.logs.Logger(name)})
 	s.is.NoErr(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/fireflypath/fireflypath/internal/origins"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
+	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -106,8 +107,10 @@
 	ready            atomic.Bool
 
 	// The fields below are set only in a daemon with a gate.
-	quarantine   *quarantine.Quarantine
-	origins      *origins.Registry
+	quarantine *quarantine.Quarantine
+	origins    *origins.Registry
+	// rollouts is nil if versions are not tried.
+	rollouts     *rollout.Tracker
 	directory    *directory.Directory
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -16,6 +16,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/dispatcher"
 	"github.com/fireflypath/fireflypath/internal/decide/quota"
 	"github.com/fireflypath/fireflypath/internal/decide/remote"
+	decide "github.com/fireflypath/fireflypath/internal/decide/rollout"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/dispatch"
@@ -168,10 +169,23 @@
 	if !ok || d.members == nil {
 		return
 	}
-	c := rollout.New(rollout.Deps{
+	deps := rollout.Deps{
 		Self: d.cfg.Name, Members: d.members, Store: d.deps.Store, Codec: codec, Configs: d.directory,
 		Clock: d.deps.Clock, Scope: d.scope, Log: d.deps.Log,
-	})
+	}
+	if s := d.cfg.Gate.Rollouts; s != nil {
+		deps.Policy = decide.Policy{Share: s.Share, Slack: s.Slack, Rollback: s.Rollback.Std()}
+		d.directory.EnableTrials()
+		d.rollouts = rollout.NewTracker(rollout.TrackerDeps{
+			Self: d.cfg.Name, Members: d.members, Peers: d.peers, Configs: d.directory, Policy: deps.Policy,
+			Clock: d.deps.Clock, Scope: d.scope, Log: d.deps.Log,
+		})
+		deps.Tracker = d.rollouts
+	}
+	c := rollout.New(deps)
+	if d.rollouts != nil {
+		d.background.Go(func() { d.rollouts.Run(d.ctx) })
+	}
 	d.background.Go(func() { c.Run(d.ctx) })
 }
 
@@ -270,6 +284,9 @@
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
 	}
+	if d.rollouts != nil {
+		deps.Rollouts = d.rollouts
+	}
 	if d.quarantine != nil {
 		deps.Quarantine = d.quarantine
 		d.background.Go(func() { _ = d.quarantine.Run(d.ctx) })
--- a/internal/decide/rollout/counter.go
+++ b/internal/decide/rollout/counter.go
@@ -80,8 +80,13 @@
 // Start counts a request that is sent to the version on trial.
 func (c *Counter) Start() { c.trial++ }
 
-// Cancel takes back a trial request of which nothing was sent.
-func (c *Counter) Cancel() { c.trial-- }
+// Cancel takes back a request of which nothing was sent. trial is true if it counts as one on trial.
+func (c *Counter) Cancel(trial bool) {
+	c.seen--
+	if trial {
+		c.trial--
+	}
+}
 
 // Targets returns the targets that are tried.
 func (c *Counter) Targets() []string { return c.permission.Targets }
--- a/internal/decide/rollout/versions.go
+++ b/internal/decide/rollout/versions.go
@@ -15,13 +15,22 @@
 // Versions holds the orders of an operator, their status, and the versions that were rolled back.
 // It is not safe for concurrent use.
 //
-// A version that was ordered receives no work until its status is completed, and none ever
-// after it was rolled back. What a daemon does not know of a roll-out counts as a no: an order
-// without a status is not tried.
+// A version that was ordered is not in the view until all requests go to it, and never after it was rolled
+// back. What a daemon does not know of a roll-out counts as a no: an order without a status or a trial is
+// not tried.
 type Versions struct {
 	orders  map[string]order
 	status  map[string]status
 	refused map[string]refused
+	records map[string]record
+	// trials is true if versions are tried. dropped then holds the versions whose orders were replaced.
+	trials  bool
+	dropped map[string][]string
+}
+
+type record struct {
+	fireflypath.RolloutRecord
+	revision uint64
 }
 
 type order struct {
@@ -41,15 +50,75 @@
 
 // New returns a Versions without orders.
 func New() *Versions {
-	return &Versions{orders: map[string]order{}, status: map[string]status{}, refused: map[string]refused{}}
+	return &Versions{
+		orders: map[string]order{}, status: map[string]status{}, refused: map[string]refused{},
+		records: map[string]record{}, dropped: map[string][]string{},
+	}
 }
 
+// EnableTrials makes a version whose order was replaced wait for another order.
+func (v *Versions) EnableTrials() { v.trials = true }
+
 // SetOrder records an order for a pool, stored at the given revision.
 func (v *Versions) SetOrder(pool string, o fireflypath.RolloutOrder, revision uint64) {
 	o.Pool = pool
+	if last, ok := v.orders[pool]; ok && v.trials && last.Version != o.Version && !v.isCompleted(pool) {
+		v.dropped[pool] = append(v.dropped[pool], last.Version)
+	}
 	v.orders[pool] = order{o, revision}
 }
 
+// isCompleted reports whether the ordered version was completed.
+func (v *Versions) isCompleted(pool string) bool {
+	if state, ok := v.decided(pool); ok {
+		return state == fireflypath.RolloutCompleted
+	}
+	r := v.records[pool]
+	return r.Version == v.orders[pool].Version && r.Phase == fireflypath.RolloutAccepted
+}
+
+// SetRecord records the trial of a pool, stored at the given revision.
+func (v *Versions) SetRecord(pool string, r fireflypath.RolloutRecord, revision uint64) {
+	v.records[pool] = record{r, revision}
+	if r.Phase == fireflypath.RolloutAccepted {
+		v.dropped[pool] = slices.DeleteFunc(v.dropped[pool], func(version string) bool { return version == r.Version })
+	}
+}
+
+// tried returns the trial of the pool's newest order. One that is older than the order belongs to an
+// earlier order.
+func (v *Versions) tried(pool string) (record, bool) {
+	o, r := v.orders[pool], v.records[pool]
+	return r, r.ID != 0 && r.Version == o.Version && r.revision >= o.revision
+}
+
+// isWithheld reports whether a version that is not ordered was tried without being completed.
+func (v *Versions) isWithheld(pool, version string) bool {
+	r := v.records[pool]
+	if r.ID != 0 && r.Version == version {
+		return r.Phase != fireflypath.RolloutAccepted
+	}
+	return slices.Contains(r.Withheld, version) || slices.Contains(v.dropped[pool], version)
+}
+
+// withheld lists the versions of a pool that are neither ordered nor completed.
+func (v *Versions) withheld(pool string) []string {
+	r := v.records[pool]
+	var out []string
+	for _, version := range slices.Concat(r.Withheld, v.dropped[pool], []string{r.Version}) {
+		if version != v.orders[pool].Version && v.isWithheld(pool, version) && !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
+// hasStopped reports whether a version gets no more work because its successor gets it all.
+func (v *Versions) hasStopped(pool, version string) bool {
+	r, ok := v.tried(pool)
+	return ok && version != r.Version && (r.Phase == fireflypath.RolloutSwitch || r.Phase == fireflypath.RolloutAccepted)
+}
+
 // HasOrder reports whether the order is the one that is known for a pool.
 func (v *Versions) HasOrder(pool string, o fireflypath.RolloutOrder) bool {
 	known, ok := v.orders[pool]
@@ -83,6 +152,12 @@
 	return s.State, true
 }
 
+// isRunning reports whether the status of a pool's newest order is that it is running.
+func (v *Versions) isRunning(pool string) bool {
+	o, s := v.orders[pool], v.status[pool]
+	return s.Version == o.Version && s.revision >= o.revision && s.State == fireflypath.RolloutRunning
+}
+
 // admits reports whether targets of a version may receive work. onlyVersion is true if the
 // pool has targets of no other version.
 func (v *Versions) admits(pool, version string, onlyVersion bool) bool {
@@ -91,25 +166,37 @@
 	}
 	o, ordered := v.orders[pool]
 	if !ordered || o.Version != version {
-		return true
+		return !v.isWithheld(pool, version)
+	}
+	if state, ok := v.decided(pool); ok {
+		return state == fireflypath.RolloutCompleted
 	}
-	state, ok := v.decided(pool)
-	if !ok {
-		return onlyVersion
+	r, tried := v.tried(pool)
+	switch {
+	case tried && r.Phase == fireflypath.RolloutRejected:
+		return false
+	case tried && r.Phase != fireflypath.RolloutTrial:
+		return true
+	case !tried && r.Version == version && r.Phase == fireflypath.RolloutAccepted:
+		return true // the order of the version that serves comes again
 	}
-	return state == fireflypath.RolloutCompleted
+	return onlyVersion
 }
 
 // Filter returns the targets that may receive work. It leaves the order of the targets and
 // returns the argument itself if no order is known.
 func (v *Versions) Filter(targets []fireflypath.Target) []fireflypath.Target {
-	if len(v.orders) == 0 && len(v.refused) == 0 {
+	if len(v.orders) == 0 && len(v.refused) == 0 && len(v.records) == 0 {
 		return targets
 	}
 	single := singleVersions(targets)
-	return slices.DeleteFunc(slices.Clone(targets), func(t fireflypath.Target) bool {
+	out := slices.DeleteFunc(slices.Clone(targets), func(t fireflypath.Target) bool {
 		return !v.admits(t.Pool, t.Version, single[t.Pool])
 	})
+	for i, t := range out {
+		out[i].Drained = t.Drained || v.hasStopped(t.Pool, t.Version)
+	}
+	return out
 }
 
 // singleVersions returns the pools whose targets are all of one version.
@@ -136,11 +223,23 @@
 	for _, pool := range slices.Sorted(maps.Keys(v.orders)) {
 		o := v.orders[pool]
 		_, decided := v.decided(pool)
-		served := slices.ContainsFunc(targets, func(t fireflypath.Target) bool { return t.Pool == pool && t.Version == o.Version })
-		out = append(out, fireflypath.Rollout{
-			RolloutOrder: o.RolloutOrder, Decided: decided, Fulfilled: single[pool] && served,
+		r, tried := v.tried(pool)
+		next := fireflypath.Rollout{
+			RolloutOrder: o.RolloutOrder, Decided: decided, Running: v.isRunning(pool),
 			Refused: v.refused[pool].versions, StatusRevision: v.status[pool].revision, RefusedRevision: v.refused[pool].revision,
-		})
+			Record: r.RolloutRecord, RecordRevision: r.revision, Tried: tried, Withheld: v.withheld(pool),
+		}
+		for _, t := range targets {
+			switch {
+			case t.Pool != pool:
+			case t.Version != o.Version:
+				next.OldTargets++
+			case !t.Drained:
+				next.Targets = append(next.Targets, t)
+			}
+		}
+		next.Fulfilled = single[pool] && slices.ContainsFunc(targets, func(t fireflypath.Target) bool { return t.Pool == pool && t.Version == o.Version })
+		out = append(out, next)
 	}
 	return out
 }
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -16,6 +16,13 @@
 // back; the pool's name follows.
 const RefusedPrefix = "versions/"
 
+// RolloutPrefix is the prefix of the keys that hold the trials of new versions; the pool's name follows.
+const RolloutPrefix = "rollouts/"
+
+// EnableTrials makes versions whose orders were replaced wait for another order. It must be called before
+// Run.
+func (d *Directory) EnableTrials() { d.rollouts.EnableTrials() }
+
 // RefusedVersions is the stored list of the versions of a pool that were rolled back.
 type RefusedVersions struct {
 	Refused []string `json:"refused"`
@@ -28,7 +35,7 @@
 
 func (d *Directory) rolloutPrefixes() []string {
 	orders, status := d.rolloutCodec.RolloutPrefixes()
-	return []string{orders, status, RefusedPrefix}
+	return []string{orders, status, RefusedPrefix, RolloutPrefix}
 }
 
 // applyRollout applies an entry whose key belongs to a roll-out. A value that cannot be decoded
@@ -43,6 +50,8 @@
 		err = d.applyOrder(strings.TrimPrefix(e.Key, orders), e)
 	case strings.HasPrefix(e.Key, status):
 		err = d.applyStatus(strings.TrimPrefix(e.Key, status), e)
+	case strings.HasPrefix(e.Key, RolloutPrefix):
+		err = d.applyRecord(strings.TrimPrefix(e.Key, RolloutPrefix), e)
 	default:
 		err = d.applyRefused(strings.TrimPrefix(e.Key, RefusedPrefix), e)
 	}
@@ -100,6 +109,18 @@
 	return nil
 }
 
+func (d *Directory) applyRecord(pool string, e fireflypath.Entry) error {
+	if e.Deleted {
+		return nil // what was decided stays so
+	}
+	var r fireflypath.RolloutRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return errors.Wrap(err, "decode trial of a version")
+	}
+	d.rollouts.SetRecord(pool, r, e.Revision)
+	return nil
+}
+
 // removeRollouts applies the removal of the keys of roll-outs that a read of all keys did not
 // return.
 func (d *Directory) removeRollouts(seen map[string]bool) {
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -207,6 +207,7 @@
 		return
 	}
 	att.started = true
+	att.rollout.First()
 	if c.firstByte.IsZero() {
 		c.firstByte = g.deps.Clock.Now()
 	}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 )
@@ -93,6 +94,12 @@
 	request.Request
 	target fireflypath.Target
 	pool   *pool.Pool
+	// rollout tracks the attempt by the version of its target.
+	rollout rollout.Attempt
+	// direct is true if the pool did not choose the target, and unsent if nothing was sent there.
+	direct, unsent bool
+	// status is the status of the target's response.
+	status int
 	// started is true once the target's response began.
 	started bool
 	// timedOut is true once the attempt was cancelled because the target stayed silent.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -42,7 +42,7 @@
 // and can still help.
 func (g *Gate) forward(c *call) *refusal {
 	for {
-		att, ref := g.waitForTarget(c)
+		att, ref := g.nextAttempt(c)
 		if ref != nil {
 			return g.finishFailed(c, ref)
 		}
@@ -51,9 +51,13 @@
 			return g.finishFailed(c, ref)
 		}
 		out, ref := g.sendAttempt(c, att)
+		g.endTracked(c, att, out, ref)
 		if out == outcomeDone {
 			return ref
 		}
+		if att.unsent && c.ctx.Err() == nil {
+			continue // the request has not been sent anywhere
+		}
 		c.mayHaveRun = c.mayHaveRun || out == outcomeUnknown
 		if c.ctx.Err() != nil {
 			return g.finishFailed(c, g.deadlineRefusal(c))
@@ -218,6 +222,12 @@
 		}
 		g.deps.Log.Info("request not sent to target", zap.String("request", c.id), zap.String("target", att.target.Name), logs.Err(err))
 		att.PathLost = errors.Is(err, http1.ErrPathLost)
+		att.rollout.Unsent()
+		if att.direct {
+			att.unsent, att.result = true, err.Error()
+			g.markNotRun(att)
+			return outcomeNotRun, nil
+		}
 		if ref := g.requeueUnsent(c, att, unsent); ref != nil {
 			return outcomeDone, g.finishFailed(c, ref)
 		}
@@ -225,8 +235,15 @@
 			g.releaseUnsent(att)
 			return outcomeDone, g.finishFailed(c, ref)
 		}
+		var redirected bool
+		if _, att.rollout, redirected = g.deps.Rollouts.Begin(c.route.Name, att.target, false); redirected {
+			g.releaseUnsent(att)
+			att.unsent = true
+			return outcomeNotRun, nil
+		}
 	}
 	defer a.Close()
+	att.status = a.Status
 	g.observeTarget(att, a)
 	return g.relayAnswer(c, att, a)
 }
@@ -274,6 +291,9 @@
 // markFailed ends an attempt that may have run.
 func (g *Gate) markFailed(c *call, att *attempt) {
 	att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateFailed)
+	if att.direct {
+		return
+	}
 	att.pool.Observe(fireflypath.Event{
 		Kind: fireflypath.EventFailed, Target: att.target.Name, Work: &att.Work, Sent: att.Sent, Tokens: att.Tokens, Cached: -1,
 		NotByTarget: att.pathLost || c.r.Context().Err() != nil,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,8 +38,10 @@
 	Quarantine Quarantine
 	// Origins may be nil; then a caller's resumed stream may go on at any target.
 	Origins Origins
-	Scope   tally.Scope
-	Log     *zap.Logger
+	// Rollouts may be nil; then no version is tried.
+	Rollouts Rollouts
+	Scope    tally.Scope
+	Log      *zap.Logger
 	// MaxKeyViewAge is the maximum age of the configuration view for requests with a key:
 	// the key may have been revoked since.
 	MaxKeyViewAge time.Duration
@@ -107,6 +109,9 @@
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
 	}
+	if g.deps.Rollouts == nil {
+		g.deps.Rollouts = noRollouts{}
+	}
 	if g.deps.Origins == nil {
 		g.deps.Origins = noOrigins{}
 	}
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -64,6 +64,11 @@
 // releaseUnsent ends an attempt that has a target but was not sent.
 func (g *Gate) releaseUnsent(att *attempt) {
 	att.result = string(reasonHeld)
+	att.rollout.Unsent()
+	if att.direct {
+		att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateWithdrawn)
+		return
+	}
 	att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateWithdrawn)
 	att.pool.Observe(fireflypath.Event{
 		Kind: fireflypath.EventFailed, Target: att.target.Name, Work: &att.Work, Sent: att.Sent, Cached: -1, NotByTarget: true,
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -14,6 +14,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/coordinator"
+	decide "github.com/fireflypath/fireflypath/internal/decide/rollout"
 	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/internal/logs"
 )
@@ -35,13 +36,16 @@
 	Store   fireflypath.Store
 	Codec   fireflypath.RolloutCodec
 	Configs fireflypath.Configs
+	// Tracker reports to this coordinator. Nil if versions are not tried; Policy then has no meaning.
+	Tracker *Tracker
+	Policy  decide.Policy
 	Clock   clockwork.Clock
 	Scope   tally.Scope
 	Log     *zap.Logger
 }
 
-// Coordinator writes the result of each ordered roll-out to the store. A new version is not tried:
-// its order is completed if the pool has targets of no other version, and rolled back
+// Coordinator writes the result of each ordered roll-out to the store. If versions are not tried, an
+// order is completed if the pool has targets of no other version, and rolled back
 // otherwise. All writes are conditional on what was read, so that of several daemons that
 // answer an order only one succeeds, and a result is never replaced by another one.
 type Coordinator struct {
@@ -49,11 +53,20 @@
 	writes tally.Counter
 	// pendingSince is when an order without a result was first seen, by pool and version.
 	pendingSince map[string]time.Time
+	trials       trials
+	startedAt    time.Time
 }
 
 // New returns a Coordinator.
 func New(deps Deps) *Coordinator {
-	return &Coordinator{deps: deps, writes: deps.Scope.SubScope("rollout").Counter("writes"), pendingSince: map[string]time.Time{}}
+	c := &Coordinator{
+		deps: deps, writes: deps.Scope.SubScope("rollout").Counter("writes"), pendingSince: map[string]time.Time{},
+		trials: newTrials(), startedAt: deps.Clock.Now(),
+	}
+	if deps.Tracker != nil {
+		deps.Tracker.receive = c.receive
+	}
+	return c
 }
 
 // Run answers orders until the context ends.
@@ -62,7 +75,7 @@
 		cfg := c.deps.Configs.Current()
 		var retry <-chan time.Time
 		if c.Step(ctx) {
-			retry = c.deps.Clock.After(stepInterval)
+			retry = c.deps.Clock.After(c.interval())
 		}
 		select {
 		case <-ctx.Done():
@@ -76,7 +89,7 @@
 // Step answers the orders for which it is this daemon's turn. It reports whether orders
 // without a result remain.
 func (c *Coordinator) Step(ctx context.Context) bool {
-	pending := map[string]time.Time{}
+	pending, pools := map[string]time.Time{}, map[string]bool{}
 	for _, r := range c.deps.Configs.Current().Rollouts {
 		if r.Decided {
 			continue
@@ -86,7 +99,11 @@
 		if !ok {
 			since = c.deps.Clock.Now()
 		}
-		pending[id] = since
+		pending[id], pools[r.Pool] = since, true
+		if c.deps.Tracker != nil && !r.Fulfilled && !slices.Contains(r.Refused, r.Version) || r.Tried {
+			c.try(ctx, r, since)
+			continue
+		}
 		if !c.isTurn(since) {
 			continue
 		}
@@ -95,6 +112,7 @@
 		}
 	}
 	c.pendingSince = pending
+	c.forget(pools)
 	return len(pending) > 0
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -148,6 +148,19 @@
 	Quotas QuotaTolerance `json:"quotas"`
 	// Quarantine holds back requests that crash the targets that run them.
 	Quarantine Quarantine `json:"quarantine"`
+	// Rollouts, if set, tries ordered versions. Otherwise they are rolled back without a trial.
+	Rollouts *Rollouts `json:"rollouts,omitempty"`
+}
+
+// Rollouts bounds what a bad version may get on trial. It has to be the same at all daemons.
+type Rollouts struct {
+	// Share is the fraction of the requests of a pool that the new version may get.
+	Share float64 `json:"share" validate:"gt=0,lte=0.5"`
+	// Slack is an additional number of requests.
+	Slack int `json:"slack" validate:"min=1"`
+	// Rollback is the time after its 50th bad response within which a bad version gets no more
+	// requests.
+	Rollback fireflypath.Duration `json:"rollback" validate:"min=1000000000"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
