test(rollout): holder, all daemons and long streams

Guards against a rollout without a result after its holder or all daemons have ended, and against streams that are cut off when the old targets stop.

--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/directory"
 	"github.com/fireflypath/fireflypath/pkg/settings"
 	"github.com/fireflypath/fireflypath/platform"
 	"github.com/fireflypath/fireflypath/platform/standin"
@@ -78,6 +82,7 @@
 		s.addTarget(fmt.Sprint("old-", i), "v1", 20*time.Millisecond, respond())
 	}
 	stream := streamRoute()
+	stream.Timeout = fireflypath.Duration(14 * time.Second)
 	s.is.NoErr(s.store.PutConfig(2, []fireflypath.Route{crashRoute("safe"), stream}, []fireflypath.Pool{{Name: crashPool}}, nil))
 	s.awaitReady()
 	return s
@@ -97,6 +102,10 @@
 		time.Sleep(takes)
 		w.Header().Set(h.ID, r.Header.Get(h.ID))
 		w.Header().Set(h.Signature, "by "+name)
+		if strings.HasPrefix(r.URL.Path, "/resume/") {
+			writeStream(w, r, 6*time.Second)
+			return
+		}
 		if do(s, w, r) {
 			s.mu.Lock()
 			s.bad = append(s.bad, time.Now())
@@ -313,3 +322,180 @@
 		}
 	}
 }
+
+// holder returns the index of the daemon that holds the trial, or -1.
+func (s *rolloutSite) holder() int {
+	var r fireflypath.RolloutRecord
+	if b := s.store.Get(directory.RolloutPrefix + crashPool); b == nil || json.Unmarshal(b, &r) != nil {
+		return -1
+	}
+	n, err := strconv.Atoi(strings.TrimPrefix(r.Holder, "entry"))
+	s.is.NoErr(err)
+	return n
+}
+
+// awaitPhase waits until the stored trial has a phase.
+func (s *rolloutSite) awaitPhase(phase fireflypath.RolloutPhase) {
+	s.t.Helper()
+	for time.Since(s.ordered) < rolloutLimit {
+		var r fireflypath.RolloutRecord
+		if b := s.store.Get(directory.RolloutPrefix + crashPool); b != nil && json.Unmarshal(b, &r) == nil && r.Phase == phase {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("the trial does not reach the phase %s", phase)
+}
+
+// others returns the daemons without one.
+func (s *rolloutSite) others(without int) []int {
+	var out []int
+	for i := range s.daemons {
+		if i != without {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Guards against a rollout without a result, or with more exposure than allowed, because the daemon that
+// decides has ended at some step of it.
+func TestRolloutOutlivesItsHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   behavior
+		want fireflypath.RolloutState
+		stop func(s *rolloutSite)
+	}{
+		"bad version, at once":     {fail(0.4), fireflypath.RolloutRolledBack, func(s *rolloutSite) { s.awaitPhase(fireflypath.RolloutTrial) }},
+		"bad version, after 1.5 s": {fail(0.4), fireflypath.RolloutRolledBack, func(*rolloutSite) { time.Sleep(1500 * time.Millisecond) }},
+		"bad version, decided":     {fail(1), fireflypath.RolloutRolledBack, func(s *rolloutSite) { s.awaitPhase(fireflypath.RolloutRejected) }},
+		"good version, after 5 s":  {respond(), fireflypath.RolloutCompleted, func(*rolloutSite) { time.Sleep(5 * time.Second) }},
+		"good version, switched":   {respond(), fireflypath.RolloutCompleted, func(s *rolloutSite) { s.awaitPhase(fireflypath.RolloutSwitch) }},
+		"good version, decided":    {respond(), fireflypath.RolloutCompleted, func(s *rolloutSite) { s.awaitPhase(fireflypath.RolloutAccepted) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRolloutSite(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			s.order(20*time.Millisecond, c.do)
+			s.awaitPhase(fireflypath.RolloutTrial)
+			holder := s.holder()
+			wg := s.load(ctx, s.others(holder)...)
+			c.stop(s)
+			s.is.NoErr(s.daemons[s.holder()].Stop(context.Background()))
+			s.is.Equal(s.awaitResult(), c.want)
+			s.checkFinal(c.want, 2*time.Second)
+			cancel()
+			wg.Wait()
+			if c.want == fireflypath.RolloutRolledBack {
+				s.checkExposure()
+			}
+			t.Logf("%d callers, lost: %v", s.callers.Load(), s.lost)
+			s.is.Equal(len(s.lost), 0)
+		})
+	}
+}
+
+// Guards against an order that gets another result, or a bad version that gets work, because all daemons
+// have ended and started again.
+func TestRolloutOutlivesAllDaemons(t *testing.T) {
+	for name, c := range map[string]struct {
+		do    behavior
+		after time.Duration
+	}{"on trial": {fail(0.4), time.Second}, "rolled back": {fail(1), 5 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRolloutSite(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			wg := s.load(ctx, 0, 1, 2)
+			s.order(20*time.Millisecond, c.do)
+			time.Sleep(c.after)
+			cancel()
+			wg.Wait()
+			for _, d := range s.daemons {
+				s.is.NoErr(d.Stop(context.Background()))
+			}
+			n := len(s.daemons)
+			s.seed = freePeerPort(t)
+			s.daemons = nil
+			for range n {
+				s.startDaemon(t, "a")
+			}
+			clear(s.lost)
+			ctx, cancel = context.WithCancel(t.Context())
+			wg = s.load(ctx, 0, 1, 2)
+			s.is.Equal(s.awaitResult(), fireflypath.RolloutRolledBack)
+			s.checkFinal(fireflypath.RolloutRolledBack, time.Until(s.ordered.Add(rolloutLimit)))
+			cancel()
+			wg.Wait()
+			s.checkExposure()
+		})
+	}
+}
+
+// Guards against streams that are cut off because the old targets stop while they run.
+func TestLongStreamsEndBeforeCompletion(t *testing.T) {
+	t.Parallel()
+	s := newRolloutSite(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	wg := s.load(ctx, 0, 1, 2)
+	const streamTime = 6 * time.Second // as writeStream is told
+	var streams sync.WaitGroup
+	var began, whole atomic.Int64
+	streams.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			streams.Go(func() {
+				began.Add(1)
+				if s.longStream(i%3, fmt.Sprint("stream-", i), streamTime) {
+					whole.Add(1)
+				}
+			})
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	time.Sleep(streamTime + time.Second)
+	s.order(20*time.Millisecond, respond())
+	s.is.Equal(s.awaitResult(), fireflypath.RolloutCompleted)
+	cancel()
+	wg.Wait()
+	streams.Wait()
+	t.Logf("%d of %d streams were whole, %d callers, lost: %v", whole.Load(), began.Load(), s.callers.Load(), s.lost)
+	s.is.Equal(whole.Load(), began.Load())
+	s.is.Equal(len(s.lost), 0)
+}
+
+// longStream sends a request for a stream and reports whether it came whole.
+func (s *rolloutSite) longStream(d int, id string, takes time.Duration) bool {
+	h := platform.Codec{}.Headers()
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.daemons[d].CallerAddr()+"/resume/x", strings.NewReader(id))
+	s.is.NoErr(err)
+	r.GetBody = nil
+	r.Host = crashHost
+	r.Header.Set(h.ID, id)
+	r.Header.Set(h.Deadline, strconv.FormatInt((2*takes).Milliseconds(), 10))
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(b), "last")
+}
+
+// writeStream answers with a stream of 20 events.
+func writeStream(w http.ResponseWriter, r *http.Request, takes time.Duration) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := range 20 {
+		text := "more"
+		if n == 19 {
+			text = "last"
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, text)
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(takes / 20):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
