--- a/internal/decide/rollout/trial.go
+++ b/internal/decide/rollout/trial.go
@@ -110,11 +110,11 @@
 
 	test    comparison
 	daemons map[string]*daemonState
-	// reserved is the part of the slack that the store says was reserved in all; spent is the part of
-	// it that this coordinator did not reserve or has granted.
-	reserved   int
-	spent      float64
-	canaryDone bool
+	// reserved is the part of the slack that the store says was reserved in all, inherited the part that
+	// earlier coordinators reserved. spent is the latter and what this one has granted.
+	reserved, inherited int
+	spent               float64
+	canaryDone          bool
 	// reports counts the reports while the version is suspicious.
 	reports int
 	// candidates are the targets of the new version, targets those that are tried.
@@ -144,7 +144,7 @@
 // that earlier coordinators have reserved.
 func NewTrial(p Policy, now, began time.Time, limit time.Duration, spent int) *Trial {
 	return &Trial{
-		policy: p, test: NewTest(), began: began, limit: limit, takenOver: now, daemons: map[string]*daemonState{}, reserved: spent, spent: float64(spent),
+		policy: p, test: NewTest(), began: began, limit: limit, takenOver: now, daemons: map[string]*daemonState{}, reserved: spent, inherited: spent, spent: float64(spent),
 	}
 }
 
@@ -183,9 +183,9 @@
 // WantReserved returns how much of the slack should be reserved in all.
 func (t *Trial) WantReserved() int {
 	switch {
-	case t.reserved == 0:
-		return min(canaryRequests, t.policy.Slack)
-	case t.canaryDone && float64(t.reserved)-t.spent < slackBlock/2:
+	case !t.canaryDone:
+		return min(t.inherited+canaryRequests, t.policy.Slack)
+	case float64(t.reserved)-t.spent < slackBlock/2:
 		return min(t.reserved+slackBlock, t.policy.Slack)
 	}
 	return t.reserved
@@ -215,7 +215,7 @@
 	}
 	d.at, d.last = now, r
 	t.updateRate(now)
-	if n := t.test.New(); n.N >= canaryRequests || now.Sub(t.takenOver) >= canaryTime && n.N > 0 {
+	if n := t.test.New(); n.N >= canaryRequests || now.Sub(t.takenOver) >= canaryTime && (n.N > 0 || t.inherited >= t.policy.Slack) {
 		t.canaryDone = true
 	}
 	return t.permit(now, d)
--- a/internal/decide/rollout/trial_sim_test.go
+++ b/internal/decide/rollout/trial_sim_test.go
@@ -79,6 +79,8 @@
 // simRoutes holds the cumulative fractions of the requests on each route.
 var simRoutes = []float64{0.5, 0.75, 0.93, 1}
 
+var simRouteNames = []string{"", "r1", "r2", "r3", "r4"}
+
 // simRequest is a request in flight.
 type simRequest struct {
 	daemon, target, route int
@@ -143,7 +145,7 @@
 			if r.isNew {
 				name = targets[r.target]
 			}
-			counters[r.daemon].First(fmt.Sprint("r", r.route), name, r.first)
+			counters[r.daemon].First(simRouteNames[r.route], name, r.first)
 		}
 		for _, r := range ends[tick] {
 			name := ""
@@ -160,7 +162,7 @@
 				oldInFlight[r.daemon]--
 				oldRunning--
 			}
-			counters[r.daemon].End(fmt.Sprint("r", r.route), name, rollout.Result{Failed: r.failed, Took: r.took})
+			counters[r.daemon].End(simRouteNames[r.route], name, rollout.Result{Failed: r.failed, Took: r.took})
 		}
 		meanLoad = 0.95*meanLoad + 0.05*float64(oldRunning)/float64(f.targets)
 		n := f.rate * simTick.Seconds()
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -376,7 +376,7 @@
 func (t *Tracker) Run(ctx context.Context) {
 	go t.follow(ctx)
 	for {
-		wait := t.reportDue(ctx)
+		wait := t.Step(ctx)
 		timer := t.deps.Clock.NewTimer(wait)
 		select {
 		case <-ctx.Done():
@@ -402,8 +402,8 @@
 	}
 }
 
-// reportDue sends the reports that are due and returns when the next one is.
-func (t *Tracker) reportDue(ctx context.Context) time.Duration {
+// Step sends the reports that are due and returns the time until the next one.
+func (t *Tracker) Step(ctx context.Context) time.Duration {
 	wait := 30 * time.Second
 	members := t.deps.Members.Live()
 	interval := decide.ReportInterval(len(members))
--- a/internal/rollout/trials.go
+++ b/internal/rollout/trials.go
@@ -213,6 +213,9 @@
 	if err := c.write(ctx, r, next, h); err != nil {
 		return err
 	}
+	if next.Phase.Final() {
+		return nil // the status follows once the view shows the record
+	}
 	c.deps.Log.Info("trial of a version began", zap.String("pool", r.Pool), zap.String("version", r.Version), zap.Duration("within", r.Duration))
 	return c.putStatus(ctx, r, fireflypath.RolloutRunning)
 }
