feat(rollout): long streams count before they end, and completion leaves them time

The new version of a pool with streams of several seconds was not proved good before the time limit, since responses counted at their end. A stream that goes on after 1.2 s counts as one that has not failed.

--- a/internal/decide/rollout/counter.go
+++ b/internal/decide/rollout/counter.go
@@ -100,9 +100,20 @@
 	}
 }
 
+// Ripen counts a response that has not ended and is as good as others that have: a long stream says
+// nothing of its version until its end otherwise. To count all at their first byte would make a version look
+// bad whose failures take longer than that.
+func (c *Counter) Ripen(route, target string) {
+	if s := c.sample(route, target); s != nil {
+		s.N++
+	}
+}
+
 // Result is the outcome of a request.
 type Result struct {
 	Failed bool
+	// Ripe is true if Ripen has counted the response.
+	Ripe bool
 	// Pace is the mean time between events, or 0.
 	Pace time.Duration
 	// Took is the time to the end.
@@ -111,14 +122,16 @@
 
 // End counts a result on a route.
 func (c *Counter) End(route, target string, r Result) {
-	if target == "" {
+	if target == "" && !r.Failed {
 		c.longest = max(c.longest, r.Took)
 	}
 	s := c.sample(route, target)
 	if s == nil {
 		return
 	}
-	s.N++
+	if !r.Ripe {
+		s.N++
+	}
 	if r.Failed {
 		s.Failed++
 	} else if r.Pace > 0 {
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -161,7 +161,9 @@
 				return g.callerLeft(c, att)
 			}
 			c.flush()
-			c.recordGap(g.deps.Clock.Now())
+			now := g.deps.Clock.Now()
+			c.recordGap(now)
+			att.rollout.Progress(now)
 			c.chunks++
 			c.lastEvent = src.LastID()
 		}
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -28,6 +28,8 @@
 	// settleTime is how long after a switch the pools may still place requests at the old version.
 	// Such requests are sent to the new version, so that this only avoids detours.
 	settleTime = 200 * time.Millisecond
+	// ripeTime is the time after which a response that goes on counts as one that has not failed.
+	ripeTime = 1200 * time.Millisecond
 	// maxVersions bounds the versions of pools that are remembered without requests.
 	maxVersions = 1024
 	// durationMemory is for how long the longest time of requests is remembered at least.
@@ -213,7 +215,9 @@
 	// isNew is true at a target of the new version.
 	isNew bool
 	// tried is true if the request counts as one on trial.
-	tried   bool
+	tried bool
+	// ripe is true once the response has been counted before its end.
+	ripe    bool
 	started time.Time
 	first   time.Time
 }
@@ -324,6 +328,17 @@
 	}
 }
 
+// Progress records that the response goes on.
+func (a *Attempt) Progress(now time.Time) {
+	if a.trial == nil || a.ripe || a.route == "" || now.Sub(a.started) < ripeTime {
+		return
+	}
+	a.ripe = true
+	a.trial.mu.Lock()
+	defer a.trial.mu.Unlock()
+	a.trial.counter.Ripen(a.route, a.target)
+}
+
 // End records the end of the response, which had the given number of events. Canceled is true if the result
 // says nothing of the target.
 func (a *Attempt) End(failed, canceled bool, events int) {
@@ -332,13 +347,13 @@
 	}
 	now := a.t.deps.Clock.Now()
 	a.version.inFlight.Add(-1)
-	if !canceled {
+	if !canceled && !failed {
 		a.version.recordDuration(now, now.Sub(a.started))
 	}
 	if a.trial == nil {
 		return
 	}
-	result := decide.Result{Failed: failed, Took: now.Sub(a.started)}
+	result := decide.Result{Failed: failed, Ripe: a.ripe, Took: now.Sub(a.started)}
 	if events > 1 && !a.first.IsZero() {
 		result.Pace = now.Sub(a.first) / time.Duration(events-1)
 	}
