--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -47,7 +47,9 @@
 	// lost counts the callers without a good response, by status and version of the last target.
 	lost    map[string]int
 	callers atomic.Int64
-	servers map[string][]*httptest.Server
+	// streamTime is how long streams take.
+	streamTime atomic.Int64
+	servers    map[string][]*httptest.Server
 }
 
 // behavior is what a target of the new version does with a request. It reports whether the response is bad.
@@ -103,7 +105,7 @@
 		w.Header().Set(h.ID, r.Header.Get(h.ID))
 		w.Header().Set(h.Signature, "by "+name)
 		if strings.HasPrefix(r.URL.Path, "/resume/") {
-			writeStream(w, r, 6*time.Second)
+			writeStream(w, r, time.Duration(s.streamTime.Load()))
 			return
 		}
 		if do(s, w, r) {
@@ -433,35 +435,48 @@
 	}
 }
 
-// Guards against streams that are cut off because the old targets stop while they run.
+// Guards against streams that are cut off because the old targets stop while they run: streams of 6 s that
+// begin all the time, and streams of 10 s that are in progress when the order comes.
 func TestLongStreamsEndBeforeCompletion(t *testing.T) {
-	t.Parallel()
-	s := newRolloutSite(t)
-	ctx, cancel := context.WithCancel(t.Context())
-	wg := s.load(ctx, 0, 1, 2)
-	const streamTime = 6 * time.Second // as writeStream is told
-	var streams sync.WaitGroup
-	var began, whole atomic.Int64
-	streams.Go(func() {
-		for i := 0; ctx.Err() == nil; i++ {
+	for name, c := range map[string]struct {
+		takes, before time.Duration
+		goOn          bool
+	}{"all the time": {6 * time.Second, 7 * time.Second, true}, "in progress": {10 * time.Second, time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newRolloutSite(t)
+			s.streamTime.Store(int64(c.takes))
+			ctx, cancel := context.WithCancel(t.Context())
+			wg := s.load(ctx, 0, 1, 2)
+			var streams sync.WaitGroup
+			var began, whole atomic.Int64
+			streaming, stop := context.WithCancel(ctx)
+			defer stop()
 			streams.Go(func() {
-				began.Add(1)
-				if s.longStream(i%3, fmt.Sprint("stream-", i), streamTime) {
-					whole.Add(1)
+				for i := 0; streaming.Err() == nil; i++ {
+					streams.Go(func() {
+						began.Add(1)
+						if s.longStream(i%3, fmt.Sprint("stream-", i), c.takes) {
+							whole.Add(1)
+						}
+					})
+					time.Sleep(200 * time.Millisecond)
 				}
 			})
-			time.Sleep(200 * time.Millisecond)
-		}
-	})
-	time.Sleep(streamTime + time.Second)
-	s.order(20*time.Millisecond, respond())
-	s.is.Equal(s.awaitResult(), fireflypath.RolloutCompleted)
-	cancel()
-	wg.Wait()
-	streams.Wait()
-	t.Logf("%d of %d streams were whole, %d callers, lost: %v", whole.Load(), began.Load(), s.callers.Load(), s.lost)
-	s.is.Equal(whole.Load(), began.Load())
-	s.is.Equal(len(s.lost), 0)
+			time.Sleep(c.before)
+			s.order(20*time.Millisecond, respond())
+			if !c.goOn {
+				stop()
+			}
+			s.is.Equal(s.awaitResult(), fireflypath.RolloutCompleted)
+			cancel()
+			wg.Wait()
+			streams.Wait()
+			t.Logf("%d of %d streams were whole, %d callers, lost: %v", whole.Load(), began.Load(), s.callers.Load(), s.lost)
+			s.is.Equal(whole.Load(), began.Load())
+			s.is.Equal(len(s.lost), 0)
+		})
+	}
 }
 
 // longStream sends a request for a stream and reports whether it came whole.
--- a/internal/decide/rollout/counter.go
+++ b/internal/decide/rollout/counter.go
@@ -162,7 +162,7 @@
 		Seen: c.seen, Trial: c.trial, Granted: c.permission.Granted, Longest: int(c.longest.Milliseconds()),
 	}
 	for key, s := range c.cells {
-		r.Cells = append(r.Cells, Cell{key.route, key.target, *s})
+		r.Cells = append(r.Cells, Cell{key.route, key.target, s.rounded()})
 	}
 	// The old version comes first: its samples are what the others are compared with.
 	slices.SortFunc(r.Cells, func(a, b Cell) int {
--- a/internal/decide/rollout/evidence.go
+++ b/internal/decide/rollout/evidence.go
@@ -68,6 +68,11 @@
 	m.N, m.Sum, m.Squares = m.N+o.N, m.Sum+o.Sum, m.Squares+o.Squares
 }
 
+// rounded returns the moments with few digits, as messages carry them.
+func (m Moments) rounded() Moments {
+	return Moments{m.N, math.Round(1000*m.Sum) / 1000, math.Round(1000*m.Squares) / 1000}
+}
+
 // minus returns the moments without those of an earlier state.
 func (m Moments) minus(o Moments) Moments {
 	return Moments{m.N - o.N, m.Sum - o.Sum, m.Squares - o.Squares}
@@ -97,6 +102,11 @@
 	s.Pace.merge(o.Pace)
 }
 
+// rounded returns the sample as messages carry it.
+func (s Sample) rounded() Sample {
+	return Sample{s.N, s.Failed, s.First.rounded(), s.Pace.rounded()}
+}
+
 // minus returns the sample without an earlier state of it.
 func (s Sample) minus(o Sample) Sample {
 	return Sample{s.N - o.N, s.Failed - o.Failed, s.First.minus(o.First), s.Pace.minus(o.Pace)}
--- a/internal/decide/rollout/trial.go
+++ b/internal/decide/rollout/trial.go
@@ -323,7 +323,7 @@
 // switchAfter returns the time after the order at which the new version gets all requests.
 func (t *Trial) switchAfter() time.Duration {
 	limit := float64(t.limit)
-	return time.Duration(max(earliestSwitch*limit, min(switchPart*limit, limit-float64(completionMargin)-float64(t.longestOld()))))
+	return time.Duration(max(earliestSwitch*limit, min(switchPart*limit, limit-float64(finalMargin)-float64(t.longestOld()))))
 }
 
 // Decide returns the phase that should follow and why. live are the daemons that belong to the fleet.
--- a/internal/decide/rollout/trial_test.go
+++ b/internal/decide/rollout/trial_test.go
@@ -192,11 +192,11 @@
 		{Route: "r", Target: "t1", Sample: rollout.Sample{N: 20}},
 		{Route: "r", Target: "t2", Sample: rollout.Sample{N: 20}},
 	}}
-	at := trialStart.Add(4 * time.Second)
+	at := trialStart.Add(3500 * time.Millisecond)
 	trial.Report(at, "a", 1, r)
 	phase, _ := trial.Decide(at, []string{"a"})
 	is.Equal(phase, rollout.PhaseTrial)
-	phase, _ = trial.Decide(trialStart.Add(4600*time.Millisecond), []string{"a"})
+	phase, _ = trial.Decide(trialStart.Add(4*time.Second), []string{"a"})
 	is.Equal(phase, rollout.PhaseSwitch)
 }
 
--- a/internal/query/eval/tables.go
+++ b/internal/query/eval/tables.go
@@ -50,6 +50,8 @@
 		return keys(cfg), nil
 	case "daemons":
 		return e.daemons(), nil
+	case "rollouts":
+		return rollouts(cfg), nil
 	case "requests":
 		return e.requests(q)
 	case "open":
@@ -69,6 +71,27 @@
 	return t
 }
 
+// rollouts lists the ordered versions, with what is stored of their trials. The counts are as of the last
+// write of the holder, about once a second.
+func rollouts(cfg *fireflypath.Config) *table.Table {
+	t := newTable(
+		textColumn("pool"), textColumn("version"), textColumn("phase"), boolColumn("decided"), textColumn("holder"), numberColumn("targets"),
+		numberColumn("responses"), numberColumn("failed"), numberColumn("old"), numberColumn("slack"), textColumn("why"),
+	)
+	for i := range cfg.Rollouts {
+		v := &cfg.Rollouts[i]
+		r, phase := fireflypath.RolloutRecord{}, "untried"
+		if v.Tried {
+			r, phase = v.Record, string(v.Record.Phase)
+		}
+		t.Rows = append(t.Rows, table.Row{
+			table.Str(v.Pool), table.Str(v.Version), table.Str(phase), table.Flag(v.Decided), table.Str(r.Holder), table.Num(len(v.Targets)),
+			table.Num(r.Tried), table.Num(r.Failed), table.Num(r.Old), table.Num(r.Reserved), table.Str(r.Why),
+		})
+	}
+	return t
+}
+
 func teams(cfg *fireflypath.Config) *table.Table {
 	t := newTable(textColumn("name"), listColumn("tier"), listColumn("pool"), numberColumn("weight"), numberColumn("keys"))
 	for _, v := range cfg.Teams {
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -107,9 +107,20 @@
 	}
 }
 
+// versionCounters count the requests of a pool while an order has no result.
+type versionCounters struct{ requests, failed tally.Counter }
+
+// newVersionCounters returns the counters of the old or the new version.
+func (t *Tracker) newVersionCounters(pool, version string) versionCounters {
+	s := t.scope.Tagged(map[string]string{"pool": pool, "version": version})
+	return versionCounters{s.Counter("requests"), s.Counter("failed")}
+}
+
 // poolTrial is the trial of one pool.
 type poolTrial struct {
-	phase atomic.Pointer[fireflypath.Rollout]
+	// old counts the requests to the old version, next those to the new one.
+	old, next versionCounters
+	phase     atomic.Pointer[fireflypath.Rollout]
 
 	mu      sync.Mutex
 	counter decide.Counter
@@ -158,7 +169,7 @@
 		r := &cfg.Rollouts[i]
 		p := old[r.Pool]
 		if p == nil || p.phase.Load().Version != r.Version || p.id != 0 && r.Tried && p.id != r.Record.ID {
-			p = &poolTrial{inFlight: map[string]int{}}
+			p = &poolTrial{inFlight: map[string]int{}, old: t.newVersionCounters(r.Pool, "old"), next: t.newVersionCounters(r.Pool, r.Version)}
 		}
 		p.mu.Lock()
 		if r.Tried {
@@ -365,6 +376,14 @@
 	if a.route != "" && !canceled {
 		p.counter.End(a.route, a.target, result)
 	}
+	counters := p.old
+	if a.isNew {
+		counters = p.next
+	}
+	counters.requests.Inc(1)
+	if failed && !canceled {
+		counters.failed.Inc(1)
+	}
 	urgent := a.isNew && failed
 	p.urgent = p.urgent || urgent
 	p.mu.Unlock()
