fix(rollout): a suspicious version is tried at its load for 25 more responses

Throttled at once, a version that fails under load looked good again. The switch waits while there is evidence above a quarter of what is bad.

--- a/internal/decide/rollout/trial.go
+++ b/internal/decide/rollout/trial.go
@@ -22,6 +22,11 @@
 	// share. Trial requests are not queued, and more load would make good targets slow. Less would hide
 	// that a version fails under load, so that the targets are tried in turn.
 	loadMargin = 1.25
+	// suspectedResponses is the number of responses for which a suspicious version is tried as before. It
+	// is well below the 50 bad ones after which no more may be sent for long.
+	suspectedResponses = 25
+	// cautious is the evidence above which the switch waits, until lastSwitch.
+	cautious = 0.25
 	// catchUp times its share of the requests since its last report is what a daemon may send at once,
 	// although its share allows for more.
 	catchUp = 2
@@ -116,7 +121,9 @@
 	reserved, inherited int
 	spent               float64
 	canaryDone          bool
-	// reports counts the reports while the version is suspicious.
+	// suspected is the number of responses when the version became suspicious, or -1.
+	suspected int
+	// reports counts the reports while the daemons are throttled.
 	reports int
 	// candidates are the targets of the new version, targets those that are tried.
 	candidates, targets []string
@@ -145,7 +152,7 @@
 // that earlier coordinators have reserved.
 func NewTrial(p Policy, now, began time.Time, limit time.Duration, spent int) *Trial {
 	return &Trial{
-		policy: p, test: NewTest(), began: began, limit: limit, takenOver: now, daemons: map[string]*daemonState{}, reserved: spent, inherited: spent, spent: float64(spent),
+		policy: p, test: NewTest(), began: began, limit: limit, takenOver: now, daemons: map[string]*daemonState{}, reserved: spent, inherited: spent, spent: float64(spent), suspected: -1,
 	}
 }
 
@@ -272,9 +279,10 @@
 		share = t.policy.Share
 		grown := float64(d.last.Seen - d.seenLast)
 		most = d.last.Trial + 1 + int(catchUp*share*grown)
-		if f.Suspicious() {
-			most = d.last.Trial + t.trickle()
-		}
+	}
+	throttled := t.isThrottled(f)
+	if throttled {
+		most = d.last.Trial + t.trickle()
 	}
 	// A daemon that has requests is granted what it lacks of one trial request.
 	missing := 1 - (d.granted + share*float64(d.last.Seen+1) - float64(d.last.Trial))
@@ -284,7 +292,7 @@
 	}
 	d.seenLast = d.last.Seen
 	targets := t.targetsInTurn(now)
-	if f.Suspicious() {
+	if throttled {
 		targets = t.targets // others have to agree
 		if most <= d.last.Trial {
 			targets = nil
@@ -293,6 +301,20 @@
 	return Permission{Granted: d.granted, Share: share, Most: max(most, 0), Targets: targets}
 }
 
+// isThrottled reports whether daemons send few requests because the version is suspicious. Until some
+// responses have come, it is tried as before: a version that fails under load would look good.
+func (t *Trial) isThrottled(f Finding) bool {
+	if !f.Suspicious() {
+		t.suspected = -1
+		return false
+	}
+	n := t.test.New().N
+	if t.suspected < 0 {
+		t.suspected = n
+	}
+	return n-t.suspected >= suspectedResponses
+}
+
 // trickle returns how many more trial requests a daemon may send while the version is suspicious. All
 // daemons together may send about trickleRequests in a report interval.
 func (t *Trial) trickle() int {
@@ -347,6 +369,8 @@
 		return PhaseRolledBack, "it was not proved good in time: " + f.String()
 	case len(t.targets) == 0 || elapsed < t.switchAfter() || f.Suspicious():
 		return PhaseTrial, ""
+	case f.Evidence >= cautious && elapsed < time.Duration(lastSwitch*float64(t.limit)):
+		return PhaseTrial, ""
 	case t.proved(), elapsed >= time.Duration(lastSwitch*float64(t.limit)) && t.test.LikelyGood():
 		return PhaseSwitch, fmt.Sprintf("%d responses on trial, %d failures", n.N, n.Failed)
 	}
