--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/fireflypath/fireflypath/internal/origins"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/quarantine"
+	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route"
 	"github.com/fireflypath/fireflypath/internal/route/evidence"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
@@ -112,8 +113,10 @@
 	directory  *directory.Directory
 	// feed is nil in a daemon without peers. inForce is closed once the first configuration is in force
 	// in all parts of the daemon.
-	feed         *follow.Feed
-	inForce      chan struct{}
+	feed    *follow.Feed
+	inForce chan struct{}
+	// rollouts is nil if versions are not tried.
+	rollouts     *rollout.Tracker
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
 	targetClient *http1.Client
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -161,7 +161,9 @@
 				return g.callerLeft(c, att)
 			}
 			c.flush()
-			c.recordGap(g.deps.Clock.Now())
+			now := g.deps.Clock.Now()
+			c.recordGap(now)
+			att.rollout.Progress(now)
 			c.chunks++
 			c.lastEvent = src.LastID()
 		}
@@ -207,6 +209,7 @@
 		return
 	}
 	att.started = true
+	att.rollout.First()
 	if c.firstByte.IsZero() {
 		c.firstByte = g.deps.Clock.Now()
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,8 +41,10 @@
 	// Returns gives refused callers times at which there will be room for them, and recognizes those
 	// that return then.
 	Returns bool
-	Scope   tally.Scope
-	Log     *zap.Logger
+	// Rollouts may be nil; then no version is tried.
+	Rollouts Rollouts
+	Scope    tally.Scope
+	Log      *zap.Logger
 	// MaxKeyViewAge is the maximum age of the configuration view for requests with a key:
 	// the key may have been revoked since.
 	MaxKeyViewAge time.Duration
@@ -116,6 +118,9 @@
 	if g.deps.Quarantine == nil {
 		g.deps.Quarantine = noQuarantine{}
 	}
+	if g.deps.Rollouts == nil {
+		g.deps.Rollouts = noRollouts{}
+	}
 	if g.deps.Origins == nil {
 		g.deps.Origins = noOrigins{}
 	}
