fix(daemon): two sources of a daemon's shares do not undo each other

The start and the goroutine that follows the layout both apply the shares of targets; the one that had read an earlier layout could end last, and its shares stayed until the next change. They now exclude each other. A dial that found a daemon that has started again wakes the membership again, which lost up to 0.25 s on the way to its neighbors.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -114,6 +115,7 @@
 	// in all parts of the daemon.
 	feed         *follow.Feed
 	inForce      chan struct{}
+	sharesMu     sync.Mutex
 	dispatch     *dispatch.Dispatch
 	limits       *gatelimits.Limits
 	targetClient *http1.Client
--- a/internal/daemon/gatemembership.go
+++ b/internal/daemon/gatemembership.go
@@ -58,8 +58,11 @@
 	}
 }
 
-// applyShares sets this daemon's share of the targets of a configuration.
+// applyShares sets this daemon's share of the targets of a configuration. Two calls at a time could leave
+// the share of an earlier layout in force.
 func (d *Daemon) applyShares(cfg *fireflypath.Config) {
+	d.sharesMu.Lock()
+	defer d.sharesMu.Unlock()
 	targets := map[string][]string{}
 	for _, t := range cfg.Targets {
 		targets[t.Pool] = append(targets[t.Pool], t.Name)
--- a/internal/member/run.go
+++ b/internal/member/run.go
@@ -153,8 +153,12 @@
 		_, err := m.peers.Connect(ctx, other.PeerAddr)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if e.member.Incarnation != other.Incarnation && !e.dialing {
-			return // the daemon has started again since
+		if e.member.Incarnation != other.Incarnation {
+			// The daemon has started again since, which has ended this attempt for the entry.
+			if err == nil {
+				m.wakeIfJoining()
+			}
+			return
 		}
 		e.dialing = false
 		now := m.clock.Now()
