test(follow): the store's list of rejected daemons is set before the start

The test of a start after a power loss wrote it while daemons that had started read it. go test -race -run TestView ./internal/follow passes; it reported the race before.

--- a/internal/follow/start_test.go
+++ b/internal/follow/start_test.go
@@ -69,6 +69,7 @@
 			})
 			d.feed.OnRecords(func([]fireflypath.Entry) {})
 			f.daemons[m.Name], f.silent[m.Name] = d, true
+			f.store.rejected[m.Name] = p.rejected != nil && p.rejected(d)
 		}
 		var mu sync.Mutex
 		for i, m := range f.members {
@@ -76,7 +77,6 @@
 			if p.lost != nil && p.lost(d) {
 				continue
 			}
-			f.store.rejected[m.Name] = p.rejected != nil && p.rejected(d)
 			at := time.Duration(i*37%p.daemons) * powerLossSpread / time.Duration(p.daemons)
 			if p.watchersLast && d.feed.IsWatcher() {
 				at = powerLossSpread
