--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -113,8 +114,9 @@
 	directory  *directory.Directory
 	// feed is nil in a daemon without peers. inForce is closed once the first configuration is in force
 	// in all parts of the daemon.
-	feed    *follow.Feed
-	inForce chan struct{}
+	feed     *follow.Feed
+	inForce  chan struct{}
+	sharesMu sync.Mutex
 	// rollouts is nil if versions are not tried.
 	rollouts     *rollout.Tracker
 	dispatch     *dispatch.Dispatch
