perf(slots): promises count completions, and more is promised

Cause: the rate from the last requests' time in their slots varies by a factor of two with the mix of work. Promises by its peaks brought callers back in waves of up to 15 in a tenth of a second at 65 requests/s (austral, 3 daemons).

A refusal computes one forecast in place of two.

Trials with 0.05, 0.1 and 0.35 left more callers refused twice.

--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -152,9 +152,9 @@
 
 // shed returns the refusal of a request, with the time after which to retry.
 func (s *Scheduler) shed(now time.Time, w *fireflypath.Work, detail string) fireflypath.Shed {
-	retryAfter := s.retryAfter(now, w)
-	if after, ok := s.promiseReturn(now, w, detail); ok {
-		retryAfter = after
+	retryAfter, ok := s.promiseReturn(now, w, detail)
+	if !ok {
+		retryAfter = s.retryAfter(now, w)
 	}
 	return fireflypath.Shed{Work: w, Reason: fireflypath.ReasonDeadline, Detail: detail, RetryAfter: retryAfter}
 }
--- a/internal/decide/slots/returns.go
+++ b/internal/decide/slots/returns.go
@@ -12,14 +12,8 @@
 	// keptWaitFraction replaces MaxWaitFraction for callers that return at the time that they were given.
 	// They do not return a third time, so that there is no use in refusing them while there is time left.
 	keptWaitFraction = 0.9
-	// promisedFraction is the fraction of the capacity that higher ranks leave which is promised to refused
-	// callers while newcomers alone exceed it. Every request that is served late for a promise takes the
-	// place of one that would be in time: 0.2 costs callers 0.01 more of what they are owed than 0.1, in
-	// simulated bursts at 3 and 73 daemons.
-	promisedFraction = 0.1
-	// burstHorizon is the time constant of the arrival rates that notice a burst. With those of rateHorizon
-	// alone, too much is promised in its first second: 0.16 of the callers that kept to their time were
-	// refused again in the worst of these bursts, in place of 0.05.
+	// burstHorizon is the time constant of the arrival rates that notice a burst. Those of rateHorizon alone
+	// lag behind by seconds, in which too much is promised.
 	burstHorizon = 700 * time.Millisecond
 )
 
@@ -103,13 +97,15 @@
 }
 
 // returnForecast returns the capacity that is expected for returning callers of the request's rank, if the
-// targets complete the given number of requests per second.
+// targets complete the given number of requests per second. While newcomers exceed what higher ranks leave,
+// minSpareFraction of that is promised: each request that is served late for a promise takes the place of one
+// that would be in time. Of 0.05, 0.1, 0.2 and 0.35, 0.2 left fewest callers refused twice in simulated bursts.
 func (s *Scheduler) returnForecast(now time.Time, w *fireflypath.Work, perSecond float64) returns.Forecast {
 	perSecond *= s.slotsFraction(w)
 	left := max(perSecond-s.newcomerRate(now, w.Rank-1), 0)
-	f := returns.Forecast{Rate: max(perSecond-s.newcomerRate(now, w.Rank), promisedFraction*left), Capacity: perSecond}
+	f := returns.Forecast{Rate: max(perSecond-s.newcomerRate(now, w.Rank), minSpareFraction*left), Capacity: perSecond}
 	for _, o := range s.waiting {
-		if o != w && (s.priority(now, o) < 2*w.Rank || isKept(o) && o.Rank == w.Rank) {
+		if o.Rank < w.Rank && s.priority(now, o) < 2*w.Rank || o.Rank == w.Rank && isKept(o) && o != w {
 			f.Ahead++
 		}
 	}
--- a/internal/decide/slots/returns_test.go
+++ b/internal/decide/slots/returns_test.go
@@ -224,7 +224,7 @@
 	b, a := before.result(), after.result()
 	t.Logf("before %+v", b)
 	t.Logf("after  %+v", a)
-	is.True(a.kept >= 25)
+	is.True(a.kept >= 40)
 	is.True(10*a.keptRefused < a.kept)
 	is.True(a.served >= b.served-b.sent/100)
 	is.True(a.servedByRank[0] >= b.servedByRank[0]-b.sentByRank[0]/100)
@@ -283,7 +283,8 @@
 }
 
 // Newcomers that wait for the same rank were served before a caller that came back at its time, whose goal
-// has passed. It must go before them, also after the dispatcher has moved, and not before a higher rank.
+// has passed. It must go before them, also if another scheduler takes the waiting work over with what is known
+// of it, and not before a higher rank.
 func TestKeptTimeComesBeforeNewcomers(t *testing.T) {
 	for _, moved := range []bool{false, true} {
 		t.Run(fmt.Sprint("moved ", moved), func(t *testing.T) {
@@ -355,3 +356,28 @@
 	is.Equal(w.Return, fireflypath.ReturnNone)
 	is.True(!w.Promised)
 }
+
+// Refusing and recognizing a caller must stay cheap while hundreds of requests wait.
+func BenchmarkReturnWhileWorkWaits(b *testing.B) {
+	for _, returns := range []bool{false, true} {
+		b.Run(fmt.Sprint("returns ", returns), func(b *testing.B) {
+			p := newReturnPool(returns)
+			p.burst(20*time.Second, nil)
+			for i := range 500 {
+				p.Offer(p.now, newWork(fmt.Sprint("waiting-", i), i%3, p.now), nil)
+			}
+			w := newWork("w", 2, p.now)
+			w.Digest, w.Elapsed = 7, time.Second
+			w.PatienceEnds, w.Goal = p.now.Add(time.Millisecond), p.now.Add(-time.Second)
+			var out []fireflypath.Shed
+			b.ReportAllocs()
+			for b.Loop() {
+				w.Return = fireflypath.ReturnNone
+				out = p.Offer(p.now, w, out[:0])
+				if len(out) == 0 {
+					b.Fatal("the request was not refused")
+				}
+			}
+		})
+	}
+}
--- a/internal/sim/returns_test.go
+++ b/internal/sim/returns_test.go
@@ -93,7 +93,9 @@
 			is.True(after.Told > 0)
 			is.True(10*after.KeptRefused < after.Told)
 			is.True(after.OthersRecognized*50 <= after.Told) // those without a promise take no promised place
-			is.True(after.worth > before.worth-0.015)
+			is.True(after.ToldWave < before.ToldWave)
+			is.True(after.refusedAgain <= before.refusedAgain)
+			is.True(after.worth > before.worth-0.005)
 			is.True(100*after.inTime > 100*before.inTime-2*before.sent)
 		})
 	}
@@ -115,7 +117,7 @@
 			before := simulateReturns(t, "norte", 8, 4, false, fault)
 			after := simulateReturns(t, "norte", 8, 4, true, fault)
 			is.True(after.KeptRefused*before.Told <= before.KeptRefused*after.Told)
-			is.True(after.worth > before.worth-0.015)
+			is.True(after.worth > before.worth-0.01)
 		})
 	}
 }
