--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -63,6 +63,8 @@
 	crashingParts             []string
 	partArrivals, partCrashes map[string][]time.Time
 	restarts                  sync.WaitGroup
+	// lend is the setting of that name.
+	lend bool
 }
 
 func newCrashCluster(t *testing.T, targets int) *crashCluster {
@@ -116,6 +118,7 @@
 			RevocationDelay: fireflypath.Duration(5 * time.Second), ActivationDelay: fireflypath.Duration(2 * time.Second),
 			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
 			Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
+			Lend:             s.lend,
 		},
 	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: s.logs.Logger(name)})
 	s.is.NoErr(err)
