--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -65,6 +65,8 @@
 	crashingParts             []string
 	partArrivals, partCrashes map[string][]time.Time
 	restarts                  sync.WaitGroup
+	// lend is the setting of that name.
+	lend bool
 }
 
 func newCrashCluster(t *testing.T, targets int, options ...func(*crashCluster)) *crashCluster {
@@ -122,6 +124,7 @@
 			TerminationGrace: fireflypath.Duration(30 * time.Millisecond),
 			Retries:          settings.RetryBudget{Ratio: 1, Window: fireflypath.Duration(10 * time.Second), Allowance: 100},
 			Rollouts:         s.rollouts,
+			Lend:             s.lend,
 		},
 	}, daemon.Deps{Clock: clockwork.NewRealClock(), Log: s.logs.Logger(name)})
 	s.is.NoErr(err)
