fix(settings): any figures of the platform for rollouts are accepted

A daemon would not have started with a share above 0.5, no slack, a fractional slack or a rollback below a second.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -174,7 +174,7 @@
 		Clock: d.deps.Clock, Scope: d.scope, Log: d.deps.Log,
 	}
 	if s := d.cfg.Gate.Rollouts; s != nil {
-		deps.Policy = decide.Policy{Share: s.Share, Slack: s.Slack, Rollback: s.Rollback.Std()}
+		deps.Policy = decide.Policy{Share: s.Share, Slack: int(s.Slack), Rollback: s.Rollback.Std()}
 		d.directory.EnableTrials()
 		d.rollouts = rollout.NewTracker(rollout.TrackerDeps{
 			Self: d.cfg.Name, Members: d.members, Peers: d.peers, Configs: d.directory, Policy: deps.Policy,
--- a/internal/decide/rollout/trial_test.go
+++ b/internal/decide/rollout/trial_test.go
@@ -236,3 +236,14 @@
 		trial.Report(now, "d", 1, c.Report())
 	}
 }
+
+// Guards against a trial without slack that never begins.
+func TestTrialWithoutSlackUsesItsShare(t *testing.T) {
+	is := is.New(t)
+	trial := rollout.NewTrial(rollout.Policy{Share: 0.1, Rollback: 5 * time.Second}, trialStart, trialStart, 12*time.Second, 0)
+	trial.SetTargets([]string{"t"}, 1)
+	is.Equal(trial.Report(trialStart, "a", 1, rollout.Report{Seen: 10}).Share, 0.0)
+	p := trial.Report(trialStart.Add(3*time.Second), "a", 1, rollout.Report{Seen: 100})
+	is.Equal(p.Share, 0.1)
+	is.Equal(p.Granted, 0.0)
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -155,12 +155,12 @@
 // Rollouts bounds what a bad version may get on trial. It has to be the same at all daemons.
 type Rollouts struct {
 	// Share is the fraction of the requests of a pool that the new version may get.
-	Share float64 `json:"share" validate:"gt=0,lte=0.5"`
+	Share float64 `json:"share" validate:"gt=0,lte=1"`
 	// Slack is an additional number of requests.
-	Slack int `json:"slack" validate:"min=1"`
+	Slack float64 `json:"slack" validate:"min=0"`
 	// Rollback is the time after its 50th bad response within which a bad version gets no more
 	// requests.
-	Rollback fireflypath.Duration `json:"rollback" validate:"min=1000000000"`
+	Rollback fireflypath.Duration `json:"rollback" validate:"gt=0"`
 }
 
 // Quarantine configures when a request that crashes targets is held back.
