--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -408,7 +409,9 @@
 
 // Run reports to the holders of trials until the context ends.
 func (t *Tracker) Run(ctx context.Context) {
-	go t.follow(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { t.follow(ctx) })
 	for {
 		wait := t.Step(ctx)
 		timer := t.deps.Clock.NewTimer(wait)
