--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -498,8 +498,9 @@
 	return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(b), "last")
 }
 
-// writeStream answers with a stream of 20 events.
+// writeStream answers with a stream of 20 events. Its end does not move when single events are late.
 func writeStream(w http.ResponseWriter, r *http.Request, takes time.Duration) {
+	began := time.Now()
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range 20 {
 		text := "more"
@@ -509,7 +510,7 @@
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, text)
 		w.(http.Flusher).Flush()
 		select {
-		case <-time.After(takes / 20):
+		case <-time.After(time.Until(began.Add(time.Duration(n+1) * takes / 20))):
 		case <-r.Context().Done():
 			return
 		}
