fix(gate): a stream that has not begun never changes its version

Cause: the exception that let a request without events go on at another version if no other target had the recorded one.

Change: the exception is gone. Such a request fails, and its caller starts a new one. TestStreamThatHasNotBegunNeverChangesVersion failed before (two targets got the request); internal/gate passes.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -41,6 +41,7 @@
 // forward sends the request to a target and retries at other targets where that is allowed
 // and can still help.
 func (g *Gate) forward(c *call) *refusal {
+	unsent := 0
 	for {
 		att, ref := g.nextAttempt(c)
 		if ref != nil {
@@ -56,7 +57,10 @@
 			return ref
 		}
 		if att.unsent && c.ctx.Err() == nil {
-			continue // the request has not been sent anywhere
+			if unsent++; unsent < maxUnsentAttempts {
+				continue // the request has not been sent anywhere
+			}
+			return g.finishFailed(c, notRun(fireflypath.ReasonTargetRefused, "no target takes connections", defaultRetryAfter))
 		}
 		c.mayHaveRun = c.mayHaveRun || out == outcomeUnknown
 		if c.ctx.Err() != nil {
@@ -136,7 +140,6 @@
 
 // waitForTarget queues the request in its pool until it is assigned a target.
 func (g *Gate) waitForTarget(c *call) (*attempt, *refusal) {
-	g.releaseVersion(c)
 	att := &attempt{}
 	att.Request = request.Request{
 		Work: fireflypath.Work{
--- a/internal/gate/resume.go
+++ b/internal/gate/resume.go
@@ -35,7 +35,7 @@
 // recordOrigin records at which version of its pool the stream begins or goes on, before the request
 // is sent. From then on the request stays with targets of that version, also if it is sent again before
 // the first event: other daemons may learn of a second version only after the caller has come back to
-// one of them.
+// one of them. If no other target has that version, the request fails and its caller starts a new one.
 func (g *Gate) recordOrigin(c *call, att *attempt) {
 	if !c.route.Resumable {
 		return
@@ -46,21 +46,6 @@
 	c.version = o.Version
 }
 
-// releaseVersion lets a stream that has not begun go on at any version if no other target has the
-// recorded one. A caller that comes back to a daemon that knows only that one is refused then.
-func (g *Gate) releaseVersion(c *call) {
-	if c.version == "" || c.chunks > 0 || c.lastEvent != "" || c.resumes != "" {
-		return
-	}
-	for _, t := range g.deps.Configs.Current().Targets {
-		used := slices.ContainsFunc(c.attempts, func(att *attempt) bool { return att.target.Name == t.Name })
-		if t.Pool == c.pool && t.Version == c.version && !t.Drained && !used {
-			return
-		}
-	}
-	c.version = ""
-}
-
 // streamKey returns the key of the stream that a request of the caller's team began.
 func (c *call) streamKey(id string) origin.Key {
 	if c.team == nil {
--- a/internal/gate/version_test.go
+++ b/internal/gate/version_test.go
@@ -77,3 +77,22 @@
 		is.Equal(versions[sent[0].Header.Get("T-Target")], versions[sent[1].Header.Get("T-Target")])
 	}
 }
+
+// Guards against the same if no other target has the version to which the request was sent first.
+func TestStreamThatHasNotBegunNeverChangesVersion(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, func(cfg *fireflypath.Config) {
+		for i := range cfg.Targets {
+			cfg.Targets[i].Version = fmt.Sprint("v", i)
+		}
+	}, func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			writeRaw(w, r, http.StatusOK, frameChunked, endCut, eventText(1)[:3])
+			return
+		}
+		fmt.Fprint(w, eventText(1)+eventText(2))
+	})
+	got := s.receive("HTTP/1.1", http.MethodPost, "/resume/x")
+	is.Equal(len(s.requests()), 1)
+	is.True(got.status == http.StatusBadGateway || got.status == http.StatusServiceUnavailable)
+}
