refactor: comments without figures, plainer names; faults found by reading the change

Comments no longer justify constants by figures.

go test of gate, decide, lending and rollout passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,9 +114,11 @@
 	directory  *directory.Directory
 	// feed is nil in a daemon without peers. inForce is closed once the first configuration is in force
 	// in all parts of the daemon.
-	feed     *follow.Feed
-	inForce  chan struct{}
+	feed    *follow.Feed
+	inForce chan struct{}
+	// sharesOf is the generation of the configuration whose shares were applied last.
 	sharesMu sync.Mutex
+	sharesOf uint64
 	// rollouts is nil if versions are not tried.
 	rollouts     *rollout.Tracker
 	dispatch     *dispatch.Dispatch
--- a/internal/daemon/gatelisteners.go
+++ b/internal/daemon/gatelisteners.go
@@ -129,7 +129,7 @@
 }
 
 // readyHold is how long the answer to a load balancer waits for the first configuration. A balancer that
-// reads "not ready" sends no callers until its next check, a second later.
+// reads "not ready" sends no callers until its next check.
 const readyHold = 250 * time.Millisecond
 
 // awaitInForce waits up to readyHold until the first configuration is in force.
--- a/internal/daemon/gatemembership.go
+++ b/internal/daemon/gatemembership.go
@@ -63,6 +63,10 @@
 func (d *Daemon) applyShares(cfg *fireflypath.Config) {
 	d.sharesMu.Lock()
 	defer d.sharesMu.Unlock()
+	if cfg.Generation < d.sharesOf {
+		return // a newer configuration was applied meanwhile
+	}
+	d.sharesOf = cfg.Generation
 	targets := map[string][]string{}
 	for _, t := range cfg.Targets {
 		targets[t.Pool] = append(targets[t.Pool], t.Name)
--- a/internal/decide/lend/book.go
+++ b/internal/decide/lend/book.go
@@ -9,8 +9,7 @@
 
 const (
 	// reserveFraction is the fraction of its slots that a lender keeps free for its own work, and
-	// minReserve their smallest number. The difference in load between cells with an even load is
-	// smaller than that most of the time, so that they do not exchange grants.
+	// minReserve their smallest number. They keep evenly loaded cells from exchanging grants.
 	reserveFraction = 1.0 / 8
 	minReserve      = 2
 	// holdOff is how long a cell lends nothing more after work of its own had to wait. It prevents
@@ -435,17 +434,6 @@
 	}
 }
 
-// NextChange returns when loans are forgotten if nothing is heard, or zero.
-func (b *Book) NextChange() time.Time {
-	var at time.Time
-	for _, l := range b.loans {
-		if due := l.until.Add(Linger); l.counted() > 0 && (at.IsZero() || due.Before(at)) {
-			at = due
-		}
-	}
-	return at
-}
-
 // Loans returns what is lent, for the other daemons of the cell.
 func (b *Book) Loans() []Loan {
 	var out []Loan
--- a/internal/decide/lend/borrower.go
+++ b/internal/decide/lend/borrower.go
@@ -7,15 +7,14 @@
 
 const (
 	// startDelay is how long the waiting work of a cell must be expected to wait for its own slots
-	// before the cell asks others. A message there and back takes 5 ms, and moments in which a few
-	// requests wait occur under any load.
+	// before the cell asks others. It is well above a round trip between cells, and moments in which
+	// a few requests wait occur under any load.
 	startDelay = 100 * time.Millisecond
 	// defaultSlotTime is how long a request is assumed to occupy a slot before any has ended.
 	defaultSlotTime = 400 * time.Millisecond
 	// idleTime is how long no work must wait before a borrower returns what it holds.
 	idleTime = 400 * time.Millisecond
-	// probesPerRound is how many cells are asked in addition to those that lend. With eight cells all
-	// are asked within a second.
+	// probesPerRound is how many cells are asked in addition to those that lend.
 	probesPerRound = 2
 	// refusalRest is how long a cell that refused is not asked again.
 	refusalRest = time.Second
--- a/internal/decide/lend/lend.go
+++ b/internal/decide/lend/lend.go
@@ -1,8 +1,7 @@
 // Package lend decides which slots a cell lends to other cells, and which cells it asks for some.
 //
-// It is meant for demand that is uneven over cells. Each cell sends its work to its own targets, so
-// that in a burst three of eight cells had 100 of their 200 slots free for ten seconds while up to 650
-// requests waited at the others. Without lending these wait until they are refused.
+// It is meant for demand that is uneven over cells. Each cell sends its work only to its own targets.
+// Without lending, requests of a busy cell are refused while other cells have free slots.
 //
 // The dispatcher of a cell in need asks those of a few other cells. The lender decides: it grants a
 // number of slots at named targets until a time, and counts them as in use until the borrower has
@@ -23,8 +22,7 @@
 	MaxBorrowers = 4
 	// MaxLenders is how many cells a cell borrows from at a time.
 	MaxLenders = 4
-	// MaxTargets is the number of targets in a grant. With 4 or 5 slots each they hold what a cell of
-	// 25 targets has to spare in a burst.
+	// MaxTargets is the number of targets in a grant.
 	MaxTargets = 16
 	// Lease is how long a borrower may use a grant from the moment at which it asked.
 	Lease = 500 * time.Millisecond
@@ -37,8 +35,8 @@
 	// Linger is how long a lender counts slots after the end of a lease if it hears no more of the
 	// borrower. It is the longest time that callers wait for an answer; the work has ended by then.
 	Linger = 10 * time.Second
-	// ReportAge bounds the time from a target's report of its load to the decision that uses it. A report
-	// takes 10 ms in 99 of 100 cases; a stalled host delays it by 100 ms.
+	// ReportAge bounds the time from a target's report of its load to the decision that uses it, with
+	// the stall of a host in between.
 	ReportAge = 250 * time.Millisecond
 	// MaxRun is the longest expected run of a request at a borrowed target. Together with
 	// RenewInterval it gives the lender its slots back within a second.
--- a/internal/decide/poison/hold.go
+++ b/internal/decide/poison/hold.go
@@ -133,19 +133,21 @@
 // withdrawExplained ends the holds whose crashes are all explained by what was held later, and returns
 // their verdicts. While several causes crash all targets, a sound request that many send meets more
 // crashes than each of them and is held first. It is refused from then on, so that no answer can clear
-// it. A later hold is proved by crashes without it. A set is withdrawn once only: if it crashes targets
-// again, it is held for good.
+// it. A later hold is proved by crashes without it. A set is withdrawn only once.
 func (det *Detector) withdrawExplained(now time.Time) []Verdict {
-	var out []Verdict
+	var explained []*hold
 	for key, h := range det.holds {
-		if len(h.evidence) == 0 || det.withdrawn[key] || !now.Before(h.until) || !det.explainedByLaterHolds(now, h) {
-			continue
+		if len(h.evidence) > 0 && !det.withdrawn[key] && now.Before(h.until) && det.explainedByLaterHolds(now, h) {
+			explained = append(explained, h)
 		}
-		det.withdrawn[key] = true
-		det.removeHold(key)
+	}
+	slices.SortFunc(explained, func(a, b *hold) int { return cmp.Compare(a.number, b.number) })
+	var out []Verdict
+	for _, h := range explained {
+		det.withdrawn[h.digest()] = true
+		det.removeHold(h.digest())
 		out = append(out, h.verdict(Cleared))
 	}
-	slices.SortFunc(out, func(a, b Verdict) int { return cmp.Compare(a.Digest, b.Digest) })
 	return out
 }
 
--- a/internal/decide/returns/returns.go
+++ b/internal/decide/returns/returns.go
@@ -2,8 +2,7 @@
 //
 // It is meant for a burst far above the capacity, of which the refused callers return some seconds later,
 // into a load that leaves little room. Told times that ignore the times given to others, they return
-// together and find a queue of newcomers ahead of them: most are refused a second time, which costs their
-// callers as much as the request is worth.
+// together, find a queue of newcomers ahead of them, and are refused again.
 //
 // A Ledger keeps a schedule of the work promised for each tenth of a second, and what was promised to whom.
 // It is kept in memory by the scheduler of one pool. Losing it makes callers newcomers again.
@@ -16,17 +15,15 @@
 )
 
 const (
-	// MaxPromises bounds the promises that a ledger remembers. A dispatcher of 12 daemons that refuses 300
-	// requests per second fills it in 13 s, more than any promise lasts. Beyond it the promise that is due
+	// MaxPromises bounds the promises that a ledger remembers. Beyond it the promise that is due
 	// first is forgotten, and its caller is treated as a newcomer.
 	MaxPromises = sets * ways
 	sets, ways  = 512, 8
 
-	// width is the length of a bucket of the schedule. Callers' own clocks and the network are exact to
-	// some milliseconds; ten buckets per second spread a burst well enough.
+	// width is the length of a bucket of the schedule.
 	width = 100 * time.Millisecond
 	// horizon is the number of buckets for which promises are given, longer than a third of the longest time
-	// limit (12 s). past is the number of buckets kept after they are over, the longest time by which a
+	// limit. past is the number of buckets kept after they are over, the longest time by which a
 	// caller may be late.
 	horizon, past = 50, 20
 	// ringSize is a power of two that holds horizon and past buckets.
@@ -41,19 +38,18 @@
 	earlyTolerance = 25 * time.Millisecond
 	// limitMargin is by how much a promised time is shorter than the longest time that the caller waits.
 	// Callers without a promise return at that time, and are told apart by it. It exceeds the inaccuracy of
-	// an estimated elapsed time (60 ms, retrydetect).
+	// an estimated elapsed time (retrydetect).
 	limitMargin = 150 * time.Millisecond
 	// repeatPeriod is the time within which the same request is taken for a repetition by a caller that does
 	// not wait. Afterwards it is another caller's request for the same work.
 	repeatPeriod = 100 * time.Millisecond
 	// spareBuckets is the number of buckets over which the room for callers of other dispatchers is summed
-	// that exceeds what was promised here. A cell has room for a few per second and rank.
+	// that exceeds what was promised here.
 	spareBuckets = 10
 	// waitedFraction is the fraction of its remaining time that a caller waits at most.
 	waitedFraction = 1.0 / 3
 	// minElapsedFraction is the fraction of the shortest time given here at the time of a caller's first
-	// attempt that the caller must have waited to count as one that another dispatcher promised. The times
-	// that dispatchers of equally loaded cells give differ by less.
+	// attempt that the caller must have waited to count as one that another dispatcher promised.
 	minElapsedFraction = 0.5
 )
 
--- a/internal/decide/rollout/counter.go
+++ b/internal/decide/rollout/counter.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxCells bounds the routes and targets of which a daemon keeps samples, about 150 bytes each. The
-	// responses of further ones are not compared.
+	// maxCells bounds the routes and targets of which a daemon keeps samples. The responses of
+	// further ones are not compared.
 	maxCells = 256
 )
 
--- a/internal/decide/rollout/trial.go
+++ b/internal/decide/rollout/trial.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// canaryRequests is the number of trial requests before any other daemon's share is used: a
-	// version that is bad at once is seen by few callers.
+	// canaryRequests is the number of trial requests before daemons may use their share, so that
+	// few callers see a version that is bad at once.
 	canaryRequests = 10
 	// canaryTime is after which time the share is used although fewer responses have come.
 	canaryTime = 2 * time.Second
@@ -22,8 +22,7 @@
 	// share. Trial requests are not queued, and more load would make good targets slow. Less would hide
 	// that a version fails under load, so that the targets are tried in turn.
 	loadMargin = 1.25
-	// suspectedResponses is the number of responses for which a suspicious version is tried as before. It
-	// is well below the 50 bad ones after which no more may be sent for long.
+	// suspectedResponses is the number of responses for which a suspicious version is tried as before.
 	suspectedResponses = 25
 	// cautious is the evidence above which the switch waits, until lastSwitch.
 	cautious = 0.25
@@ -44,7 +43,7 @@
 	// reachableTime is for how long a daemon that has not reported is waited for.
 	reachableTime = 3 * time.Second
 	// reportInterval is the time between reports of a daemon, reportIntervalPerDaemon the least time
-	// in a fleet, so that its coordinator gets 250 reports a second at most.
+	// in a fleet, which bounds the reports that its coordinator gets a second.
 	reportInterval, reportIntervalPerDaemon = 250 * time.Millisecond, 4 * time.Millisecond
 	// suspiciousResponses is the number of responses after which the evidence may be against a version for
 	// maxSuspicion of the time in which a bad one has to be rolled back.
@@ -90,8 +89,7 @@
 // Final reports whether the phase never changes again.
 func (p Phase) Final() bool { return p == PhaseCompleted || p == PhaseRolledBack }
 
-// comparison compares the responses of two versions. Test is the one in use; the simulation compares it
-// with another one.
+// comparison compares the responses of two versions. Test is the one in use.
 type comparison interface {
 	AddOld(route string, s Sample)
 	AddNew(route, target string, s Sample)
--- a/internal/decide/slots/fair.go
+++ b/internal/decide/slots/fair.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// tag returns the virtual time at which the team of a waiting request has used its share.
-func (a *teamAccounts) tag(w *fireflypath.Work) float64 {
+// turn returns the place of the request's team in the order of service, lowest first.
+func (a *teamAccounts) turn(w *fireflypath.Work) float64 {
 	if a == nil {
 		return 0
 	}
@@ -68,7 +68,7 @@
 	if a == nil || v.Team == w.Team {
 		return false, false
 	}
-	tv, tw := a.tag(v), a.tag(w)
+	tv, tw := a.turn(v), a.turn(w)
 	return tv < tw, tv != tw
 }
 
--- a/internal/decide/slots/refuse.go
+++ b/internal/decide/slots/refuse.go
@@ -191,7 +191,7 @@
 	for freed := 0; freed < tokens; {
 		at := -1
 		for i, w := range s.waiting {
-			if w.Rank > rank && (at < 0 || w.Rank > s.waiting[at].Rank || w.Rank == s.waiting[at].Rank && s.teams.tag(w) > s.teams.tag(s.waiting[at])) {
+			if w.Rank > rank && (at < 0 || w.Rank > s.waiting[at].Rank || w.Rank == s.waiting[at].Rank && s.teams.turn(w) > s.teams.turn(s.waiting[at])) {
 				at = i
 			}
 		}
--- a/internal/decide/slots/returns.go
+++ b/internal/decide/slots/returns.go
@@ -12,8 +12,7 @@
 	// keptWaitFraction replaces MaxWaitFraction for callers that return at the time that they were given.
 	// They do not return a third time, so that there is no use in refusing them while there is time left.
 	keptWaitFraction = 0.9
-	// burstHorizon is the time constant of the arrival rates that notice a burst. Those of rateHorizon alone
-	// lag behind by seconds, in which too much is promised.
+	// burstHorizon is the time constant of the arrival rates that notice a burst. rateHorizon reacts too late.
 	burstHorizon = 700 * time.Millisecond
 )
 
@@ -99,7 +98,7 @@
 // returnForecast returns the capacity that is expected for returning callers of the request's rank, if the
 // targets complete the given number of requests per second. While newcomers exceed what higher ranks leave,
 // minSpareFraction of that is promised: each request that is served late for a promise takes the place of one
-// that would be in time. Of 0.05, 0.1, 0.2 and 0.35, 0.2 left fewest callers refused twice in simulated bursts.
+// that would be in time.
 func (s *Scheduler) returnForecast(now time.Time, w *fireflypath.Work, perSecond float64) returns.Forecast {
 	perSecond *= s.slotsFraction(w)
 	left := max(perSecond-s.newcomerRate(now, w.Rank-1), 0)
@@ -116,8 +115,7 @@
 }
 
 // steadyRate returns the number of requests that complete per second, or 0 if unknown. The estimate of
-// completionRate from the last requests' time in their slots varies by a factor of two with the mix of work:
-// promises made by its peaks brought callers back in waves of twice what the targets complete.
+// completionRate varies with the mix of work, and promises made at its peaks exceed the capacity.
 func (s *Scheduler) steadyRate(now time.Time) float64 {
 	r := s.completions.Rate()
 	if r <= 0 {
--- a/internal/decide/teamshare/ledger.go
+++ b/internal/decide/teamshare/ledger.go
@@ -3,8 +3,7 @@
 //
 // It is meant for an overload that lasts, with teams that send different amounts. Without
 // it, requests of a rank are served by their goals alone, so all teams are refused at the
-// same rate, and a team that sends five times as much is served five times as much: by
-// sending more, one team takes capacity from all others.
+// same rate, and a team that sends more takes capacity from the others.
 //
 // Teams of a rank are scheduled by start-time fair queueing, like in package fair. A team's
 // tag is the virtual time at which it has used its share; it grows by cost/weight when a
@@ -27,24 +26,17 @@
 	// DefaultWeight is the weight of a team whose configured weight is 1. Weights are
 	// integers, and shares of quotas need a resolution of a tenth.
 	DefaultWeight = 10
-	// MaxAccounts bounds the accounts, each of one team in one rank. It is above the 29,000
-	// teams to design for. Beyond it, idle teams lose the record of their recent use, and if
+	// MaxAccounts bounds the accounts, each of one team in one rank. Beyond it, idle teams lose the record of their recent use, and if
 	// none is idle, further teams share one account.
 	MaxAccounts = 32_768
 	// maxLeadTime bounds how far a team's tag is ahead of the virtual time: to what its share
-	// earns in this time. It is a caller's usual patience, so that one expensive request
-	// does not cost the team a whole generation of callers. A team whose single requests use
-	// more than that gets more than its share.
+	// earns in this time. One expensive request does not block its team for longer.
 	maxLeadTime = 4 * time.Second
 	// creditTime bounds how far a team's tag is behind the virtual time: to what its share
-	// earns in this time. Without it, teams whose use was close to their share lost 0.07 to 0.11
-	// more of their requests in the random bursts of their own callers whenever another team
-	// sent too much, against 0.02 with it.
+	// earns in this time. It lets a team catch up after a random gap in its requests.
 	creditTime = maxLeadTime
-	// turnTime is the time within whose earnings teams count as having used equally much, so that
-	// the order is the same as without the package. With the exact order, the newest request of
-	// the team that is due is older, and 0.012 fewer of all requests were served in
-	// simulations of 73 daemons, against 0.006 with this one.
+	// turnTime is the resolution of the order of teams. Teams whose use differs by less than a
+	// share earns in this time are served in the order of their requests.
 	turnTime = 500 * time.Millisecond
 	// recentTime is the time constant of the recent use that is shown to operators and of
 	// the rate at which a rank's capacity is used.
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -58,6 +59,8 @@
 	// received is when the dispatcher sent the last message of the session that was received here, by its
 	// own clock.
 	received fireflypath.Micros
+	// loansMu is held while what the cell has lent is compared and applied. It is locked before mu.
+	loansMu sync.Mutex
 	// lentVersion is the version of what the cell has lent, as the dispatcher of the session said.
 	lentVersion uint64
 }
@@ -330,6 +333,7 @@
 		case wasAnswered(err):
 			period = min(notReadyAvoidPeriod<<min(c.notReady[m.Name], maxNotReadyDoublings), avoidPeriod)
 			c.notReady[m.Name]++
+			c.forgetGone()
 		case m.Unconfirmed:
 			period = unconfirmedAvoidPeriod
 		}
@@ -341,6 +345,14 @@
 	c.d.log.Warn("dispatcher does not respond", zap.String("pool", c.name), zap.String("dispatcher", m.Name), logs.Err(err))
 }
 
+// forgetGone forgets what is known of daemons that have left the fleet.
+func (c *client) forgetGone() {
+	live := c.d.fleet.Live()
+	isGone := func(name string) bool { _, ok := fireflypath.FindMember(live, name); return !ok }
+	maps.DeleteFunc(c.notReady, func(name string, _ int) bool { return isGone(name) })
+	maps.DeleteFunc(c.avoided, func(name string, _ fireflypath.Member) bool { return isGone(name) })
+}
+
 // prolongAvoidance avoids a dispatcher for longer if it was lost before. It answers now and then, and
 // each change delays the work that waits.
 func (c *client) prolongAvoidance(m fireflypath.Member) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -74,16 +74,14 @@
 	unconfirmedTimeout     = 100 * time.Millisecond
 	unconfirmedAvoidPeriod = 300 * time.Millisecond
 	// startGrace is how long after its start a daemon places its own work, at its equal share, while a
-	// better dispatcher may not have started yet. Hosts that regain power together start within half a
-	// second; a daemon that took the best of those that run already would change its dispatcher with each
+	// better dispatcher may not have started yet. A daemon that took the best of those that run already would change its dispatcher with each
 	// better one that starts, and several dispatchers of a cell would fill the same targets.
 	startGrace = 300 * time.Millisecond
 	// startPeriod is how long after its start a daemon looks at the candidates at each change of the
 	// fleet, instead of at intervals.
 	startPeriod = 5 * time.Second
 	// notReadyAvoidPeriod is how long a daemon is not tried again that answered that it does not have the
-	// pool. One that has just started reads its configuration within a few ms.
-	// The period doubles each time, up to avoidPeriod, and the first quietNotReady such answers are not
+	// pool yet. The period doubles each time, up to avoidPeriod, and the first quietNotReady such answers are not
 	// logged.
 	notReadyAvoidPeriod  = 50 * time.Millisecond
 	maxNotReadyDoublings = 6
@@ -142,6 +140,10 @@
 	// probes holds the last probe of each daemon.
 	probes map[string]probe
 
+	// applied is the generation of the last configuration.
+	applyMu sync.Mutex
+	applied uint64
+
 	// firstAttached is closed once a client of any pool has a dispatcher.
 	firstAttached chan struct{}
 	attachedOnce  sync.Once
@@ -198,6 +200,7 @@
 		d.mu.Unlock()
 		return p
 	}
+	maps.DeleteFunc(d.probes, func(_ string, old probe) bool { return !old.pending && now.Sub(old.endedAt) >= avoidPeriod })
 	p = probe{of: m, pending: true}
 	d.probes[m.Name] = p
 	d.mu.Unlock()
@@ -208,10 +211,10 @@
 		// A message without a pool changes nothing there.
 		err := d.peers.Call(ctx, m, methodDecisions, decisionsMessage{}, &a)
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		if isSameStart(d.probes[m.Name].of, m) {
 			d.probes[m.Name] = probe{of: m, endedAt: d.clock.Now(), answered: err == nil}
 		}
-		defer d.mu.Unlock()
 		if err != nil {
 			return
 		}
@@ -355,8 +358,15 @@
 	d.mu.Unlock()
 }
 
-// Apply passes the targets of a configuration to the pools' dispatchers.
+// Apply passes the targets of a configuration to the pools' dispatchers. One that is older than the last
+// is ignored: callers that follow the configuration independently may overtake each other.
 func (d *Dispatch) Apply(cfg *fireflypath.Config) {
+	d.applyMu.Lock()
+	defer d.applyMu.Unlock()
+	if cfg.Generation < d.applied {
+		return
+	}
+	d.applied = cfg.Generation
 	byPool := fireflypath.GroupByPool(cfg.Targets)
 	for _, p := range cfg.Pools {
 		d.ensureServer(p).setTargets(byPool[p.Name])
--- a/internal/dispatch/lend.go
+++ b/internal/dispatch/lend.go
@@ -303,6 +303,8 @@
 	if m == nil {
 		return
 	}
+	c.loansMu.Lock()
+	defer c.loansMu.Unlock()
 	c.mu.Lock()
 	newer := m.Version >= c.lentVersion
 	c.lentVersion = max(c.lentVersion, m.Version)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -352,6 +353,7 @@
 	if last, ok := f.failureLogged[w.Name]; ok && now.Sub(last) < watcherBackoff {
 		return
 	}
+	maps.DeleteFunc(f.failureLogged, func(_ string, at time.Time) bool { return now.Sub(at) >= watcherBackoff })
 	f.failureLogged[w.Name] = now
 	f.log.Info("watcher failed to deliver changes", zap.String("watcher", w.Name), zap.Uint64("after", after),
 		zap.Duration("took", took), logs.Err(err))
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -37,8 +37,8 @@
 	// has no power yet does not answer at all.
 	minHeadStart = 10 * time.Millisecond
 	maxHeadStart = 50 * time.Millisecond
-	// connectedHeadStart replaces it if the other daemon has accepted the connection: its first page of
-	// up to 45 KB takes 36 ms on 10 Mbit/s.
+	// connectedHeadStart replaces it once the other daemon has accepted the connection: it allows for
+	// the first page on a slow link.
 	connectedHeadStart = 100 * time.Millisecond
 	// startBackoff is how long a daemon that has no view does not call a source after a failed call.
 	startBackoff = 100 * time.Millisecond
@@ -52,7 +52,8 @@
 	// Records is how long it took to find the daemons of the failure domain in the store, View how
 	// long the whole read took.
 	Records, View time.Duration
-	// Source is the daemon that the view came from, or "store".
+	// Source is the daemon that the view came from, "another daemon" if its name is not known, or
+	// "store".
 	Source string
 }
 
--- a/internal/gate/start.go
+++ b/internal/gate/start.go
@@ -8,13 +8,11 @@
 
 const (
 	// startHoldPeriod is how long after its start a daemon lets requests wait for its first
-	// configuration, and maxStartWait how long each waits. A daemon whose store is in reach has a
-	// configuration 0.06 s after its start. Callers and load balancers avoid a daemon that has refused
-	// requests for about a second, much longer than it needs.
+	// configuration, and maxStartWait how long each waits. Callers and load balancers
+	// avoid a daemon that has refused requests for longer than a start takes.
 	startHoldPeriod = time.Second
 	maxStartWait    = 250 * time.Millisecond
-	// maxHeldAtStart limits the requests that wait. Their bodies have not been read, so that each takes
-	// some 10 KB.
+	// maxHeldAtStart limits the requests that wait. Their bodies have not been read.
 	maxHeldAtStart = 256
 	// retryAfterStart is the retry delay for callers refused before the first configuration because
 	// too many wait already. By then most of those that wait have been admitted.
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -166,6 +166,18 @@
 	delete(l.busy, k)
 }
 
+// nextCandidate returns the preferred member if it was not tried, or else the first one that was not.
+func nextCandidate(candidates []fireflypath.Member, preferred string, tried map[string]bool) (fireflypath.Member, bool) {
+	i := slices.IndexFunc(candidates, func(m fireflypath.Member) bool { return m.Name == preferred && !tried[m.Name] })
+	if i < 0 {
+		i = slices.IndexFunc(candidates, func(m fireflypath.Member) bool { return !tried[m.Name] })
+	}
+	if i < 0 {
+		return fireflypath.Member{}, false
+	}
+	return candidates[i], true
+}
+
 // ask sends a request to the dispatcher of another cell and applies its answer.
 func (l *Lending) ask(ctx context.Context, r *dispatch.AskRequest) {
 	k := key{r.Pool, r.Cell}
@@ -173,14 +185,13 @@
 	l.metrics.asked.Inc(1)
 	candidates := l.dispatch.CellCandidates(r.Cell)
 	to := l.lastKnown(k)
-	for try := 0; try < maxTries; try++ {
-		m, ok := fireflypath.FindMember(byName(candidates), to)
-		if !ok && try < len(candidates) {
-			m, ok = candidates[try], true
-		}
+	tried := map[string]bool{}
+	for len(tried) < maxTries {
+		m, ok := nextCandidate(candidates, to, tried)
 		if !ok {
 			break
 		}
+		tried[m.Name] = true
 		answer, err := l.call(ctx, m, r)
 		if err == nil && !answer.NotDispatcher {
 			l.remember(k, m.Name)
--- a/internal/lending/report.go
+++ b/internal/lending/report.go
@@ -2,12 +2,10 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/lend"
 	"github.com/fireflypath/fireflypath/internal/dispatch"
 )
@@ -95,8 +93,3 @@
 	l.log.Info(what+" slots ends", append(fields, zap.Int("most", e.most), zap.Duration("after", l.clock.Since(e.began)))...)
 	*e = episode{}
 }
-
-// byName returns the members sorted by name, as FindMember expects them.
-func byName(members []fireflypath.Member) []fireflypath.Member {
-	return slices.SortedFunc(slices.Values(members), func(a, b fireflypath.Member) int { return strings.Compare(a.Name, b.Name) })
-}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -41,8 +41,8 @@
 	// have brought the current state of all that run.
 	adoptionPeriod = 2 * time.Second
 	// domainDialDelay is how long after it has found the daemons of its failure domain a daemon that
-	// starts dials them, unless it has read all records before. A host with a fifth of a core can
-	// compute for 20 ms of its first 100 ms; spent on connections, its first view came 0.1 s later.
+	// starts dials them, unless it has read all records before. On a slow host,
+	// the processor time that connections take would delay the first view.
 	domainDialDelay = 50 * time.Millisecond
 	// bootstrapDelay is how long a daemon of a fleet that starts for the first time looks for
 	// others before it reads the configuration. Callers come only seconds later.
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -17,6 +17,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	decide "github.com/fireflypath/fireflypath/internal/decide/rollout"
+	"github.com/fireflypath/fireflypath/internal/logs"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -70,7 +71,7 @@
 }
 
 // Tracker decides which requests of this daemon go to versions on trial, and reports their results to the
-// daemon that holds the trial. Without an order, it costs two atomic operations for each request.
+// daemon that holds the trial.
 type Tracker struct {
 	deps  TrackerDeps
 	scope tally.Scope
@@ -495,6 +496,7 @@
 		}
 	} else if err := t.call(ctx, r.Record.Holder, members, m, &answer); err != nil {
 		t.scope.Counter("report_failures").Inc(1)
+		t.deps.Log.Debug("report on a trial failed", zap.String("pool", pool), logs.Err(err))
 		return
 	}
 	p.mu.Lock()
