--- a/internal/sim/returns_test.go
+++ b/internal/sim/returns_test.go
@@ -1,6 +1,7 @@
 package sim_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -15,6 +16,11 @@
 	"github.com/fireflypath/fireflypath/internal/sim/load"
 )
 
+// large adds the fleets of more than smallFleet daemons and further seeds, which take minutes under race.
+var large = flag.Bool("large", false, "run large fleets and further seeds")
+
+const smallFleet = 10
+
 // returnBurst runs a burst of 2.5 times the capacity for 4 s, followed by 0.9 of the capacity.
 func returnBurst(t *testing.T, mix string, daemons int, seed uint64, returns bool, change func(*sim.Options)) sim.Result {
 	t.Helper()
@@ -85,6 +91,9 @@
 		mix            string
 		daemons, seeds int
 	}{{"gent", 3, 4}, {"norte", 3, 4}, {"austral", 3, 4}, {"norte-grown", 73, 1}} {
+		if f.daemons > smallFleet && !*large {
+			continue
+		}
 		t.Run(fmt.Sprint(f.mix, " ", f.daemons), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/internal/sim/teams_test.go
+++ b/internal/sim/teams_test.go
@@ -70,6 +70,9 @@
 // the others must be served more of their requests than without fair shares, and all together no less.
 func TestTeamsShareFleet(t *testing.T) {
 	for _, daemons := range []int{3, 73} {
+		if daemons > smallFleet && !*large {
+			continue
+		}
 		seeds := 3
 		if daemons > 10 {
 			seeds = 1
