--- a/internal/decide/slots/choose.go
+++ b/internal/decide/slots/choose.go
@@ -15,12 +15,6 @@
 	// step alongside its running streams, the usual default with continuous
 	// batching.
 	prefillChunk = 2048
-	// idlePeriod is how long a target may go without a request while there are some that it could answer
-	// nearly as soon as the best one, in at most maxIdleScoreRatio of the time. What a target declares is
-	// in its answers: one that receives nothing cannot say that it is leaving or has a limit, and its
-	// speed is not learned.
-	idlePeriod        = 500 * time.Millisecond
-	maxIdleScoreRatio = 1.5
 	// defaultTokensPerEvent is used if the pool does not configure a stride.
 	defaultTokensPerEvent = 3
 )
@@ -30,16 +24,13 @@
 // targets' speeds nor each other: with one order, all of them sent their first requests
 // to the same few targets.
 func (s *Scheduler) chooseTarget(now time.Time, w *fireflypath.Work) *target {
-	var best, idle *target
-	bestScore, bestNeeded, idleScore := 0.0, false, 0.0
+	var best *target
+	bestScore, bestNeeded := 0.0, false
 	for _, t := range s.targetsFor(w) {
 		if !s.canTake(now, t, w) {
 			continue
 		}
 		v, isNeeded := s.score(now, t, w), s.isNeeded(t, w)
-		if s.isIdle(now, t) && (idle == nil || s.idleBefore(t, idle)) {
-			idle, idleScore = t, v
-		}
 		switch {
 		case best == nil, bestNeeded && !isNeeded:
 		case isNeeded != bestNeeded, v > bestScore, v == bestScore && s.noise(t) >= s.noise(best):
@@ -47,17 +38,9 @@
 		}
 		best, bestScore, bestNeeded = t, v, isNeeded
 	}
-	if idle != nil && idleScore <= maxIdleScoreRatio*bestScore && !s.isNeeded(idle, w) {
-		return idle
-	}
 	return best
 }
 
-// isIdle reports whether the target has no requests and has received none for idlePeriod.
-func (s *Scheduler) isIdle(now time.Time, t *target) bool {
-	return now.Sub(t.sentAt) >= idlePeriod && s.occupied(now, t) == 0
-}
-
 // canTake reports whether the target can take the request now.
 func (s *Scheduler) canTake(now time.Time, t *target, w *fireflypath.Work) bool {
 	if !mayRun(t, w) || s.inBackoff(now, t, w) || s.busyReason(now, t, s.allowedExtra(t, w.Rank)) != "" {
@@ -112,15 +95,6 @@
 	return sec
 }
 
-// idleBefore reports whether a has been idle for longer than b. Equal ones are ordered differently by
-// each daemon.
-func (s *Scheduler) idleBefore(a, b *target) bool {
-	if c := a.sentAt.Compare(b.sentAt); c != 0 {
-		return c < 0
-	}
-	return s.noise(a) < s.noise(b)
-}
-
 // speedKnown reports whether the target's prefill and decode rates are known, from
 // answers or from another daemon.
 func (t *target) speedKnown() bool {
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -287,7 +287,6 @@
 	s.inFlight[w] = dispatched{target: t, at: now, prefillAhead: t.pendingPrefill + t.peerPrefill, charge: s.chargeTeam(now, t, w)}
 	s.floor.CountServed(now, w.Rank)
 	t.requests++
-	t.sentAt = now
 	t.pendingPrefill += w.Cost.Prompt
 	t.markProbe(now)
 	t.declared.CountSent(now)
--- a/internal/decide/slots/target.go
+++ b/internal/decide/slots/target.go
@@ -56,8 +56,6 @@
 	// peerFreedAt is when another daemon's slot, or those of a new or reassigned
 	// target, last became free; ownFreedAt is when a slot of this daemon did.
 	peerFreedAt, ownFreedAt time.Time
-	// sentAt is when the last request was sent.
-	sentAt time.Time
 	// knownSince is when the target was first seen. takenOverAt is when it was
 	// reassigned to this daemon from others that may still have requests there.
 	knownSince, takenOverAt time.Time
@@ -121,7 +119,7 @@
 func (s *Scheduler) setTarget(now time.Time, t fireflypath.Target) {
 	entry := s.replaced[t.Name]
 	if entry == nil || entry.Addr != t.Addr || entry.Incarnation != t.Incarnation {
-		entry = &target{id: t.Identity(), nameHash: xxhash.Sum64String(t.Name), peerFreedAt: now, knownSince: now, sentAt: now}
+		entry = &target{id: t.Identity(), nameHash: xxhash.Sum64String(t.Name), peerFreedAt: now, knownSince: now}
 	}
 	entry.Target = t
 	entry.declared = s.backpressure.Find(entry.id)
--- a/internal/decide/slots/transfer.go
+++ b/internal/decide/slots/transfer.go
@@ -18,7 +18,6 @@
 	t := s.ordered[i]
 	f := dispatched{target: t, at: sent, prefillAhead: t.pendingPrefill + t.peerPrefill}
 	t.requests++
-	t.sentAt = now
 	if began {
 		f.firstEventAt = now
 	} else {
