Review: show that quick changes of a large configuration stop all daemons

Cause: the store's client reads at most 4 MiB of an answer. A watch that is three versions of 1 MiB behind gets more than that, cannot decode it, takes it for an outage and asks for the same again until the store has dropped its history.

--- a/review/world/main.go
+++ b/review/world/main.go
@@ -44,7 +44,7 @@
 
 // run runs one case and returns the exit code.
 func run(name, recordFile string, o options) int {
-	cases := map[string]func(*world) (string, error){"keys": revokeAllKeys}
+	cases := map[string]func(*world) (string, error){"keys": revokeAllKeys, "storm": changeLargeConfig}
 	fn, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
