fix(gate): ask for keys unless the configuration has no teams

Cause: the gate concluded from an index without keys that none is needed. The index is also empty if the teams hold no keys, if the list of teams is empty, if no key decodes, or if there is no configuration yet. Whether a key is needed is now decoded from the stored configuration: only one without the field for teams needs none. A key that is sent is checked there as well, and the empty key belongs to nobody, also for operators.

--- a/config.go
+++ b/config.go
@@ -15,6 +15,9 @@
 	Tiers []Tier `json:"tiers" validate:"dive"`
 	// Teams have distinct names.
 	Teams []Team `json:"teams" validate:"dive"`
+	// AllowsAnonymous is true if callers of routes need no key. It is true only where the
+	// configuration says so: teams without keys, or no teams, admit nobody.
+	AllowsAnonymous bool `json:"-"`
 	// Pools have distinct names.
 	Pools []Pool `json:"pools" validate:"dive"`
 	// Targets have distinct names and refer to existing pools.
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -77,10 +77,12 @@
 	return split[len(split)-1].Pool
 }
 
-// identifyTeam finds the team by its key.
+// identifyTeam finds the team by its key. Whether a key is needed is said by the configuration and
+// never concluded from the keys that are left: taking the last one away would admit everybody.
 func (g *Gate) identifyTeam(c *call) *refusal {
 	c.rank = c.route.Rank
-	if c.route.Public || !c.table.HasKeys() {
+	key := c.r.Header.Get(g.headers.Key)
+	if c.route.Public || key == "" && c.cfg.AllowsAnonymous {
 		return nil
 	}
 	if !g.keysTrusted(c) {
@@ -89,7 +91,7 @@
 			detail: "a key may have been taken away since the view was made",
 		}
 	}
-	c.team = c.table.Team(c.r.Header.Get(g.headers.Key))
+	c.team = c.table.Team(key)
 	if c.team == nil {
 		if ref := g.refuseIfViewStale(c); ref != nil {
 			return ref
--- a/internal/gate/table/table.go
+++ b/internal/gate/table/table.go
@@ -71,15 +71,13 @@
 	return nil
 }
 
-// HasKeys reports whether any team has a key; if so, requests to routes that are not public
-// must carry one.
-func (t *Table) HasKeys() bool {
-	return len(t.teamsByKeyHash) > 0
-}
-
-// Team returns the team that holds the key, or nil. The map lookup compares hashes, whose
+// Team returns the team that holds the key, or nil. The empty key is that of a request without one,
+// and no team holds it. The map lookup compares hashes, whose
 // bytes a caller cannot choose; the full hash is then compared in constant time.
 func (t *Table) Team(key string) *fireflypath.Team {
+	if key == "" {
+		return nil
+	}
 	sum := sha256.Sum256([]byte(key))
 	team := t.teamsByKeyHash[sum]
 	if team == nil {
--- a/internal/keys/keyring.go
+++ b/internal/keys/keyring.go
@@ -68,6 +68,9 @@
 
 // Operator returns the operator that the key belongs to, or nil if the key is unknown or expired.
 func (k *Keyring) Operator(key string, now time.Time) *fireflypath.Operator {
+	if key == "" {
+		return nil // a request without a key, even if a hash of nothing is configured
+	}
 	sum := sha256.Sum256([]byte(key))
 	candidates := k.currentIndex().byPrefix[hashPrefix(sum[:4])]
 	for i := range candidates {
--- a/internal/keys/keyring_test.go
+++ b/internal/keys/keyring_test.go
@@ -34,6 +34,8 @@
 	is.Equal(ring.Operator(old, now.Add(time.Minute)), nil) // the old key has expired
 	is.Equal(ring.Operator("fp_guess", now), nil)
 	is.Equal(ring.Operator("", now), nil)
+	f.cfg = &fireflypath.Config{Operators: []fireflypath.Operator{{Name: "eva", Keys: []fireflypath.Key{{Hash: keys.Hash("")}}}}}
+	is.Equal(ring.Operator("", now), nil) // a request without a key has no operator's key
 	f.cfg = &fireflypath.Config{}
 	is.Equal(ring.Operator(key, now), nil) // removed by the next configuration
 }
