fix(directory): distrust keys while a newer configuration is refused

A configuration that could not be decoded left the one before in force with its keys for as long as it stood, although it may take them away: the view's age only says when the store was last heard.

ConfigAge counts from the first refusal. The gate uses it for keys and for routes that do not exist, and reads it before the configuration. Readiness and requests without a key stay as they were.

TestRefusedConfigurationAgesTheOneInForce failed before (at line 164, the age stayed 0) and passes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,6 +62,10 @@
 	// confirmedAt is the last time at which the view is known to have been current, in
 	// nanoseconds of bootClock, or 0 before the first view.
 	confirmedAt atomic.Int64
+	// refusedAt is when a newer configuration than the one in force was first refused because it
+	// cannot be decoded, in nanoseconds of bootClock, or 0 if there is none. Such a configuration may
+	// take keys away.
+	refusedAt atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -102,6 +106,8 @@
 	needsRead bool
 	// configRevision is the revision of the configuration in force. It never decreases.
 	configRevision uint64
+	// refusedRevision is the revision of the last configuration that could not be decoded.
+	refusedRevision uint64
 	config         *fireflypath.Config
 	targets        *targetSet
 	// rejected holds the reason why a registration was rejected, by target, so that it is
@@ -225,6 +231,15 @@
 	return d.bootClock.Elapsed() - time.Duration(at)
 }
 
+// ConfigAge implements fireflypath.Freshness.
+func (d *Directory) ConfigAge() time.Duration {
+	age := d.Age()
+	if refusedAt := d.refusedAt.Load(); refusedAt != 0 {
+		return max(age, d.bootClock.Elapsed()-time.Duration(refusedAt))
+	}
+	return age
+}
+
 // Run follows the store until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
 	pause := minRetryDelay
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -149,6 +149,31 @@
 	is.Equal(d.Current().Version, uint64(5))
 }
 
+// Guards against keys that stay valid for as long as the configuration that takes them away cannot be
+// decoded.
+func TestRefusedConfigurationAgesTheOneInForce(t *testing.T) {
+	is := is.New(t)
+	f, d, clock := newDirectory(t, config(t, 4, 9))
+	malformed := fireflypath.Entry{Key: "config", Value: []byte("{"), Revision: 11}
+	f.changes = fireflypath.Listing{Revision: 11, Entries: []fireflypath.Entry{malformed}}
+	is.NoErr(d.Step(t.Context()))
+	clock.Advance(6 * time.Second)
+	f.changes = fireflypath.Listing{Revision: 11}
+	is.NoErr(d.Step(t.Context()))
+	is.Equal(d.Age(), time.Duration(0)) // the targets are current
+	is.True(d.ConfigAge() >= 6*time.Second)
+
+	f.err = fireflypath.ErrCompacted // the same configuration is read once more
+	is.NoErr(d.Step(t.Context()))
+	f.err, f.snapshot = nil, fireflypath.Listing{Revision: 11, Entries: []fireflypath.Entry{malformed}}
+	is.NoErr(d.Step(t.Context()))
+	is.True(d.ConfigAge() >= 6*time.Second)
+
+	f.changes = fireflypath.Listing{Revision: 12, Entries: []fireflypath.Entry{config(t, 5, 12)}}
+	is.NoErr(d.Step(t.Context()))
+	is.Equal(d.ConfigAge(), d.Age())
+}
+
 // Registrations lapse during an outage of the store although the targets are alive. The
 // targets register again about two seconds after the outage. If they were removed at once,
 // there would be no target for that time.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -73,6 +73,8 @@
 	}
 	cfg, err := d.codec.Config(e.Value)
 	if err != nil {
+		d.refusedRevision = e.Revision
+		d.refusedAt.CompareAndSwap(0, max(int64(d.bootClock.Elapsed()), 1))
 		d.log.Error("configuration refused, the last valid one stays in force", logs.Err(err),
 			zap.Uint64("revision", e.Revision), zap.Uint64("version", d.config.Version))
 		return
@@ -92,8 +94,16 @@
 		zap.Duration("age", d.Age()))
 }
 
+// endRefusal ends the effect of a configuration that was refused once a later one is in force.
+func (d *Directory) endRefusal() {
+	if d.configRevision > d.refusedRevision {
+		d.refusedAt.Store(0)
+	}
+}
+
 // publish puts the view in force if it has changed.
 func (d *Directory) publish() {
+	defer d.endRefusal()
 	d.logTargets()
 	old := d.current.Load()
 	if !d.targets.changed && !d.rolloutsChanged && old.Version == d.config.Version {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -30,7 +30,7 @@
 
 	id      string
 	arrived time.Time
-	// viewAge is the age of the configuration view when the request arrived.
+	// viewAge is the age of the configuration when the request arrived.
 	viewAge  time.Duration
 	deadline time.Time
 	// callerElapsed is the estimated time for which the caller has been trying before this
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -150,10 +150,12 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.deps.Clock.Now()
 	g.awaitStart(r.Context(), arrived)
+	// The age is read first, so that it is not that of a later configuration.
+	viewAge := g.deps.Freshness.ConfigAge()
 	cfg := g.deps.Configs.Current()
 	c := &call{
 		w: w, r: r, conn: callerconn.From(r.Context()), cfg: cfg, table: g.tables.For(cfg),
-		id: r.Header.Get(g.headers.ID), arrived: arrived, viewAge: g.deps.Freshness.Age(),
+		id: r.Header.Get(g.headers.ID), arrived: arrived, viewAge: viewAge,
 	}
 	c.ctx = r.Context()
 	if g.draining.Load() {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -70,6 +70,7 @@
 func (c *staticConfigs) Current() *fireflypath.Config   { return c.cfg }
 func (c *staticConfigs) Changed(uint64) <-chan struct{} { return nil }
 func (v *fakeFreshness) Age() time.Duration             { return v.age }
+func (v *fakeFreshness) ConfigAge() time.Duration       { return v.age }
 
 // fakeFreshness reports a fixed age of the configuration view.
 type fakeFreshness struct{ age time.Duration }
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -90,6 +90,8 @@
 	return json.Unmarshal(b, result)
 }
 
+func (d *daemon) ConfigAge() time.Duration { return d.Age() }
+
 func (d *daemon) Age() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/routing.go
+++ b/routing.go
@@ -190,4 +190,7 @@
 	// Age returns an upper bound of the time since the view was known to be current, including
 	// time in which the host was suspended. It is very large before the first view.
 	Age() time.Duration
+	// ConfigAge is like Age for the configuration alone. It is above Age while there is a newer
+	// configuration that could not be decoded.
+	ConfigAge() time.Duration
 }
