fix(gate): answer 503 while there are targets but no configuration

A daemon that read registrations before the first configuration, or whose first configuration did not decode, answered 404 to all requests: the view with targets alone counted as a configuration without routes.

TestTargetsAloneAreNoConfiguration failed before (404) and passes. A first try, which kept such a view from being published at all, hung tests of other packages and was taken back.

--- a/internal/gate/keys_test.go
+++ b/internal/gate/keys_test.go
@@ -76,3 +76,13 @@
 		})
 	}
 }
+
+// Guards against a daemon that knows targets but no configuration yet, and that refuses all requests as
+// ones for routes that do not exist instead of as not run.
+func TestTargetsAloneAreNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, func(cfg *fireflypath.Config) { cfg.Version, cfg.Routes, cfg.Teams = 0, nil, nil }, answerWhole)
+	resp, _, err := s.post("/once/", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503)
+}
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -45,7 +45,9 @@
 // refuseIfViewStale returns a not-run refusal if the view is too old to tell that a route or
 // key does not exist: one that was just added must not be reported as unknown.
 func (g *Gate) refuseIfViewStale(c *call) *refusal {
-	if c.cfg.Generation > 0 && c.viewAge <= g.deps.MaxNotFoundViewAge {
+	// Targets may be known before the first configuration, which then has neither version nor routes.
+	hasConfig := c.cfg.Generation > 0 && (c.cfg.Version > 0 || len(c.cfg.Routes) > 0)
+	if hasConfig && c.viewAge <= g.deps.MaxNotFoundViewAge {
 		return nil
 	}
 	return &refusal{
