test(gate): give the first configuration of the start tests a version

Their configuration without routes had no version either, which is what a daemon with targets alone has and no configuration of an operator does.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -108,8 +108,8 @@
 	configRevision uint64
 	// refusedRevision is the revision of the last configuration that could not be decoded.
 	refusedRevision uint64
-	config         *fireflypath.Config
-	targets        *targetSet
+	config          *fireflypath.Config
+	targets         *targetSet
 	// rejected holds the reason why a registration was rejected, by target, so that it is
 	// logged once and not with each read.
 	rejected map[string]string
--- a/internal/gate/start_test.go
+++ b/internal/gate/start_test.go
@@ -39,7 +39,7 @@
 
 // start puts a configuration without routes in force.
 func (g *startingGate) start() {
-	g.configs.cfg = &fireflypath.Config{Generation: 1}
+	g.configs.cfg = &fireflypath.Config{Generation: 1, Version: 1}
 	close(g.started)
 }
 
