fix(http1): bound the header of an answer in bytes, lines and time

A target may send bytes that are no answer without end. The client read a line, or header lines, until the caller's time was over, and kept all of it: one such target ends a daemon by its memory with all requests that it carries, and a repeat takes its bytes to the next one.

The reader below bufio bounds a header to 64 KB, 256 lines and 2 s from its first bytes on; only a header that takes more than one read sets a deadline. The body of an answer to another request is bounded to 1 MB and 1 s. Errors that quote what a target sent are cut to 200 bytes.

TestSlowHeaderFailsEarly: a byte each 20 ms ends an attempt after 2 s or 1 s. TestLongHeaderIsRead keeps sound headers of 40 KB in many packets.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -38,6 +38,11 @@
 	// maxMismatched is how many responses are read in search of the one with the
 	// request's id.
 	maxMismatched = 3
+	// maxMismatchedBody bounds the bodies of those that are read to their end, in bytes each. It is
+	// enough for a late answer; more is cheaper to drop with its connection.
+	maxMismatchedBody = 1 << 20
+	// mismatchTimeout bounds the time for one of them. A late answer has usually arrived whole.
+	mismatchTimeout = time.Second
 )
 
 // Client sends requests to targets and pools idle connections.
@@ -165,7 +170,8 @@
 		nc.Close()
 		return nil, errors.Mark(err, fireflypath.ErrUnsent)
 	}
-	return &conn{Conn: nc, raw: raw, reader: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	head := &headReader{conn: nc, clock: c.clock}
+	return &conn{Conn: nc, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 func (c *Client) pop(ep endpoint) *conn {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -12,7 +12,9 @@
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	Conn
-	raw    syscall.RawConn
+	raw syscall.RawConn
+	// head bounds the headers that reader reads.
+	head   *headReader
 	reader *bufio.Reader
 	// written counts the bytes that the kernel accepted. Only 0 proves that nothing
 	// was sent.
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -106,7 +106,7 @@
 func (resp *Response) readHeader(req *Request) error {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxMismatched {
-		httpResp, err := http.ReadResponse(resp.conn.reader, httpReq) //nolint:bodyclose // the connection is closed instead, by Close
+		httpResp, err := resp.readOneHeader(httpReq) //nolint:bodyclose // the connection is closed instead, by Close
 		if err != nil {
 			return err
 		}
@@ -121,13 +121,51 @@
 		if framingOf(req.Method, httpResp) == FramingClose {
 			return fireflypath.ErrRequestMismatch
 		}
-		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
+		if err := resp.discardMismatched(httpResp.Body); err != nil {
 			return errors.Mark(err, fireflypath.ErrRequestMismatch)
 		}
 	}
 	return fireflypath.ErrRequestMismatch
 }
 
+// readOneHeader reads the header of the next response on the connection.
+func (resp *Response) readOneHeader(req *http.Request) (*http.Response, error) {
+	resp.conn.head.begin()
+	httpResp, err := http.ReadResponse(resp.conn.reader, req)
+	if err != nil {
+		return nil, shortened(err)
+	}
+	return httpResp, resp.conn.head.end()
+}
+
+// maxErrorText bounds the text of an error that quotes what a target has sent, in bytes.
+const maxErrorText = 200
+
+// shortened bounds the text of an error. It ends up in log lines and in answers to callers.
+func shortened(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorText {
+		return err
+	}
+	return errors.Newf("%s ... (%d bytes)", text[:maxErrorText], len(text))
+}
+
+// discardMismatched reads the body of a response to another request. It gives up on one that does not
+// end soon: the caller would wait for it until its own time is over.
+func (resp *Response) discardMismatched(body io.Reader) error {
+	if err := resp.conn.SetReadDeadline(resp.client.clock.Now().Add(mismatchTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxMismatchedBody))
+	if err != nil {
+		return err
+	}
+	if n == maxMismatchedBody {
+		return errors.Newf("body of an answer to another request is above %d bytes", maxMismatchedBody)
+	}
+	return resp.conn.SetReadDeadline(time.Time{})
+}
+
 func (resp *Response) setHeader(method string, httpResp *http.Response) {
 	resp.httpResp = httpResp
 	resp.Status = httpResp.StatusCode
