fix(gate): end streams and discarded bodies that bring nothing new

A stream of comments, or of events that were delivered before, went on until the caller's time was over, and an event without end took a buffer of 1 MB for each stream. An event has 256 KB now, comments between two events as much, and what a resumed stream repeats 4 MB. A body that nobody reads holds its request for 0.2 s at most, where a slow one kept it from being sent elsewhere.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -24,6 +24,8 @@
 	maxBufferedAnswer = 256 << 10
 	// chunkSize is the read size for larger responses.
 	chunkSize = 32 << 10
+	// discardTimeout bounds the time for a body that nobody reads, which is sent with its header.
+	discardTimeout = 200 * time.Millisecond
 )
 
 // relayAnswer forwards a target's response, unless its status or headers rule that out.
@@ -64,9 +66,15 @@
 	http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
-// discardBody reads a short response body to its end, so that the connection can be reused.
+// discardBody reads a short response body to its end, so that the connection can be reused. One that
+// does not end soon is left to be closed: the request waits meanwhile to be sent to another target.
 func (g *Gate) discardBody(a *http1.Response) {
-	_, _ = io.CopyN(io.Discard, a, chunkSize)
+	if a.SetReadDeadline(g.deps.Clock.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, a, chunkSize); errors.Is(err, io.EOF) {
+		_ = a.SetReadDeadline(time.Time{}) // an error means that the connection is closed
+	}
 }
 
 // relayBuffered reads a response up to maxBufferedAnswer before forwarding it.
--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -13,13 +13,21 @@
 	// initialBuffer is the buffer's size in bytes before it grows; it fits several
 	// typical events.
 	initialBuffer = 4 << 10
-	// maxEvent is the buffer size in bytes beyond which it does not grow.
-	maxEvent = 1 << 20
+	// maxEvent is the buffer size in bytes beyond which it does not grow. A host holds one such
+	// buffer for each stream that it forwards.
+	maxEvent = 256 << 10
+	// maxComments bounds the bytes of comments and empty lines between two events.
+	maxComments = 256 << 10
+	// maxSkipped bounds the bytes of events that are skipped because they were delivered before.
+	maxSkipped = 4 << 20
 )
 
 var (
 	// ErrTooLarge is returned for an event that exceeds the maximum buffer size.
 	ErrTooLarge = errors.New("event is too large")
+	// ErrNoEvents is returned for a stream that goes on without new events: with comments only, or
+	// with events that were delivered before.
+	ErrNoEvents = errors.New("stream goes on without new events")
 	// ErrPartialEvent is returned for a stream that ends in the middle of an event, which its target
 	// has broken off.
 	ErrPartialEvent = errors.New("stream ended in the middle of an event")
@@ -37,6 +45,8 @@
 	lastID string
 	// skipThrough is the highest id of the events to skip, or -1.
 	skipThrough int64
+	// comments and skipped count the bytes that the limits of these names bound.
+	comments, skipped int
 	// partial is the number of bytes after the last event at the end of the stream.
 	partial int
 	// readErr is the error of the last read from src.
@@ -69,7 +79,11 @@
 // follow the last event. A partial event is discarded, and ErrPartialEvent is returned.
 func (r *Reader) Next() ([]byte, error) {
 	for {
-		if out := r.takeEvents(); len(out) > 0 {
+		out := r.takeEvents()
+		if r.comments > maxComments || r.skipped > maxSkipped {
+			return nil, ErrNoEvents
+		}
+		if len(out) > 0 {
 			return out, nil
 		}
 		if r.readErr != nil {
@@ -144,8 +158,10 @@
 			}
 			r.start += n
 			start = r.start
+			r.skipped += n
 			continue
 		}
+		r.countComments(event)
 		if ok {
 			r.lastID = id
 		}
@@ -153,6 +169,15 @@
 	}
 }
 
+// countComments counts the bytes since the last block that holds an event.
+func (r *Reader) countComments(block []byte) {
+	if !betweenEvents(block) {
+		r.comments = 0
+		return
+	}
+	r.comments += len(block)
+}
+
 func (r *Reader) alreadyDelivered(id string) bool {
 	if r.skipThrough < 0 {
 		return false
