--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -290,7 +290,7 @@
 	d.metrics.failures.Inc(1)
 	if errors.Is(err, fireflypath.ErrCompacted) {
 		// Changes may be missing from the view, so all keys are read again.
-		d.log.Info("store history was compacted or the store restored, reading all keys", zap.Uint64("revision", d.revision))
+		d.log.Info("changes cannot be followed, reading all keys", logs.Err(err), zap.Uint64("revision", d.revision))
 		d.scheduleRead()
 		return nil
 	}
