fix(engine): end answers of targets that bring nothing new

A trailer has the size of a header now, a stream ends after one event's size of comments and what it may repeat, and an answer has 32 MB at most.

Before: the trailer lasted for the caller's 10 s; the stream's test did not end (stopped after 10 s). Other cases of TestAnswerWithoutEndFailsEarly held before as well. The limit of the service's answers has no test.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -19,6 +19,7 @@
 	errTooLong  = errors.New("event is longer than the bound")
 	errNoNumber = errors.New("event has no number")
 	errGap      = errors.New("event numbers have a gap")
+	errNoEvents = errors.New("stream goes on without new events")
 )
 
 var (
@@ -51,6 +52,9 @@
 	// offset is the number of the last event returned.
 	offset   int
 	maxEvent int
+	// useless counts the bytes since the last new event: comments, and events that were returned
+	// before.
+	useless int
 	// buf holds the lines of the current event.
 	buf []byte
 	// ended is true once the event that ends the stream was returned.
@@ -83,8 +87,12 @@
 			return fireflypath.Chunk{}, err
 		}
 		if ev.data == nil || ev.number <= s.offset {
+			if s.useless += len(s.buf); s.useless > s.maxUseless() {
+				return fireflypath.Chunk{}, errNoEvents
+			}
 			continue
 		}
+		s.useless = 0
 		if ev.number != s.offset+1 {
 			return fireflypath.Chunk{}, errGap
 		}
@@ -101,6 +109,15 @@
 	}
 }
 
+// maxSkippedEvent is the size in bytes up to which all events that were returned before may come once
+// more.
+const maxSkippedEvent = 4 << 10
+
+// maxUseless returns how many bytes may arrive without a new event.
+func (s *stream) maxUseless() int {
+	return s.maxEvent + s.offset*maxSkippedEvent
+}
+
 // Close releases the connection.
 func (s *stream) Close() error {
 	if s.reader == nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -25,6 +25,8 @@
 	// maxConns limits the open connections: a daemon has a handful of watches and
 	// group-committed writes in progress at once.
 	maxConns = 64
+	// maxResponse limits the size of a response, in bytes: the largest listing and what JSON adds.
+	maxResponse = 32 << 20
 )
 
 // errDial marks a failure to connect, so that no byte of the request was sent.
@@ -59,7 +61,7 @@
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                noRetry,
-		MaxResponseBodySize:       0,
+		MaxResponseBodySize:       maxResponse,
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
 	}
--- a/internal/send/exchange.go
+++ b/internal/send/exchange.go
@@ -128,8 +128,11 @@
 	return n, io.EOF
 }
 
+// errOversizedTrailer means that a target sends more than a trailer may have.
+var errOversizedTrailer = errors.New("trailer is above the limit")
+
 func (x *Exchange) readTrailer() error {
-	for {
+	for size := 0; size <= maxHeader; {
 		line, err := x.reader.ReadSlice('\n')
 		if err != nil {
 			return err
@@ -137,7 +140,9 @@
 		if len(line) <= len("\r\n") {
 			return nil
 		}
+		size += len(line)
 	}
+	return errOversizedTrailer
 }
 
 func asTruncated(err error) error {
