fix(peer): bound what other daemons send without end

A listing went on for as long as a daemon said that it has another page, also if it repeated one; a message's memory was taken before its bytes came, up to 1 MB for each of 512 connections of anybody. Pages have to continue the listing and are 256 at most; a connection that was accepted has 64 KB until its hello, and a long message takes memory as it arrives.

TestListingWithoutEndIsGivenUp before: both cases asked for all 10,000 pages that the test has. TestInvalidClientsAreRejected, its new case: not refused before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,6 +52,9 @@
 	storeBackoff = time.Second
 )
 
+// errEndlessListing means that a daemon sends pages that do not continue the listing, or too many.
+var errEndlessListing = errors.New("listing does not end")
+
 // errStaleView means that the views of the available watchers are too old.
 var errStaleView = errors.New("view of the watcher is too old")
 
@@ -285,11 +288,16 @@
 		l.Pause = relayBatchDelay
 	}
 	largeValues := response.LargeValues
-	for response.HasMore {
-		response, err = f.callWatcher(ctx, w, followRequest{After: after, FetchesLarge: true, AcceptsPacked: true, PageAfter: response.lastRevision()}, timeout)
+	for pages := 1; response.HasMore; pages++ {
+		last := response.lastRevision()
+		response, err = f.callWatcher(ctx, w, followRequest{After: after, FetchesLarge: true, AcceptsPacked: true, PageAfter: last}, timeout)
 		if err != nil {
 			return fireflypath.Listing{}, nil, err
 		}
+		// A daemon that repeats a page, or never ends, would fill the memory of this one.
+		if pages >= maxPages || response.lastRevision() <= last {
+			return fireflypath.Listing{}, nil, errors.Wrapf(errEndlessListing, "%s: page %d", w.Name, pages+1)
+		}
 		l.Entries = append(l.Entries, response.Entries...)
 		largeValues = append(largeValues, response.LargeValues...)
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -244,6 +244,34 @@
 	is.Equal(d.targetNames(), "t1 t2")
 }
 
+// Guards against a daemon whose listing never ends, because it repeats a page or always has another one:
+// its follower reads until its memory is used up, and follows nothing meanwhile.
+func TestListingWithoutEndIsGivenUp(t *testing.T) {
+	for name, next := range map[string]func(revision uint64) uint64{
+		"repeated page":     func(revision uint64) uint64 { return revision },
+		"pages without end": func(revision uint64) uint64 { return revision + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			watcher, d, n, clock := newWatcherAndFollower(t)
+			revision, pages := uint64(1000), 0
+			n.methods[watcher.name]["follow"] = func(context.Context, string, json.RawMessage) (any, error) {
+				if pages++; pages > 10_000 {
+					return nil, errors.New("too many pages were asked for")
+				}
+				revision = next(revision)
+				return map[string]any{"e": []fireflypath.Entry{{Key: "x", Revision: revision}}, "r": 1 << 20, "m": true}, nil
+			}
+			d.store.putTarget("t2")
+			is.NoErr(d.view.Step(t.Context()))
+			is.True(pages < 1000)
+			clock.Advance(slowLinkLimit / 3)
+			is.NoErr(d.view.Step(t.Context()))
+			is.Equal(d.targetNames(), "t1 t2") // read from the store instead
+		})
+	}
+}
+
 // findWatcher returns the watcher and the two other daemons.
 func findWatcher(t *testing.T, ds []*daemon) (*daemon, []*daemon) {
 	t.Helper()
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -19,6 +19,7 @@
 type connection struct {
 	endpoint *Endpoint
 	conn     *jsonrpc2.Conn
+	stream   *stream
 	dialed   bool
 	openedAt time.Time
 	// lastReceived is the time of the last message received, in Unix nanoseconds.
@@ -52,7 +53,12 @@
 	}
 	c.recordReceived()
 	c.lastCall.Store(c.openedAt.UnixNano())
-	s := newStream(nc, maxMessageSize, maxMissedHeartbeats*e.heartbeatInterval, e.metrics)
+	limit := maxHelloSize
+	if dialed {
+		limit = maxMessageSize // its peer's first heartbeat may be read before the hello is complete
+	}
+	s := newStream(nc, limit, maxMissedHeartbeats*e.heartbeatInterval, e.metrics)
+	c.stream = s
 	c.conn = jsonrpc2.NewConn(e.ctx, s, c, jsonrpc2.SetLogger(discardLogger{}),
 		jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { c.recordReceived() }))
 	close(c.connSet)
@@ -73,6 +79,7 @@
 func (c *connection) completeHello(theirs hello) {
 	c.helloOnce.Do(func() {
 		c.peer, c.packs = theirs.Member, theirs.Packs
+		c.stream.limit.Store(maxMessageSize)
 		c.endpoint.addConnection(c)
 		close(c.ready)
 	})
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -39,6 +39,9 @@
 	// maxMessageSize limits the size of a message. A response with chunks of a
 	// configuration has up to 256 KB.
 	maxMessageSize = 1 << 20
+	// maxHelloSize limits the first message of a connection that was accepted, so that those of
+	// strangers take little memory.
+	maxHelloSize = 64 << 10
 	// maxAcceptedConnections limits incoming connections. A daemon usually has about
 	// ten. During a relief round in a fleet of 370 daemons, each of the others may
 	// connect for a short time.
--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -186,6 +186,7 @@
 		{"expired", true, func() settings.TLS { return a.issue("x", time.Unix(1, 0)) }, nil, "strangers"},
 		{"sends nothing", false, nil, []byte{}, "strangers"},
 		{"oversized", false, nil, []byte{0xff, 0xff, 0xff, 0xff}, "oversized"},
+		{"oversized before its hello", false, nil, []byte{0, 2, 0, 0}, "oversized"},
 		{"malformed", false, nil, frame(`{"jsonrpc":"2.0",`), "malformed"},
 		{"no hello", false, nil, frame(`{"jsonrpc":"2.0","method":"echo","params":1,"id":1}`), "strangers"},
 		{"other protocol", false, nil, frame(`{"jsonrpc":"2.0","method":"hello","params":{"protocol":9},"id":1}`), "strangers"},
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,9 +26,10 @@
 // stream implements jsonrpc2.ObjectStream. Each JSON object is preceded by its length as a
 // big-endian 32-bit integer.
 type stream struct {
-	conn  net.Conn
-	r     *bufio.Reader
-	limit int
+	conn net.Conn
+	r    *bufio.Reader
+	// limit is the size of the largest message, in bytes. It is small until the peer is known.
+	limit atomic.Int64
 	// timeout limits a write. Otherwise a peer that stops reading would block the lock
 	// that all writers of the connection need.
 	timeout time.Duration
@@ -41,7 +43,9 @@
 
 func newStream(conn net.Conn, limit int, timeout time.Duration, m *metrics) *stream {
 	const readBuffer = 2 << 10 // holds a heartbeat; bufio reads larger messages directly
-	return &stream{conn: conn, r: bufio.NewReaderSize(conn, readBuffer), limit: limit, timeout: timeout, metrics: m}
+	s := &stream{conn: conn, r: bufio.NewReaderSize(conn, readBuffer), timeout: timeout, metrics: m}
+	s.limit.Store(int64(limit))
+	return s
 }
 
 // WriteObject sends a message with a single write to the connection.
@@ -50,7 +54,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a message")
 	}
-	if len(b) > s.limit {
+	if int64(len(b)) > s.limit.Load() {
 		return errors.Wrapf(errOversized, "%d bytes", len(b))
 	}
 	s.mu.Lock()
@@ -84,12 +88,12 @@
 		return err
 	}
 	n := binary.BigEndian.Uint32(prefix[:])
-	if int64(n) > int64(s.limit) {
+	if int64(n) > s.limit.Load() {
 		s.metrics.oversized.Inc(1)
 		return errors.Wrapf(errOversized, "%d bytes", n)
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(s.r, b); err != nil {
+	b, err := s.readMessage(int(n))
+	if err != nil {
 		return err
 	}
 	s.metrics.received.Inc(1)
@@ -101,6 +105,24 @@
 	return nil
 }
 
+// maxUpfront is the size in bytes up to which a message is allocated before it arrives.
+const maxUpfront = 64 << 10
+
+// readMessage reads a message of n bytes. Memory for a long one grows with what arrives: its length is
+// only what the sender says.
+func (s *stream) readMessage(n int) ([]byte, error) {
+	if n <= maxUpfront {
+		b := make([]byte, n)
+		_, err := io.ReadFull(s.r, b)
+		return b, err
+	}
+	b, err := io.ReadAll(io.LimitReader(s.r, int64(n)))
+	if err == nil && len(b) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return b, err
+}
+
 // Close closes the connection.
 func (s *stream) Close() error {
 	return s.conn.Close()
