fix(gate): bound the bodies of requests together

The gate takes the memory for a body before it reads it, and returns it when the request ends.

Answers and events are not in this account.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -22,6 +22,7 @@
 	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
+	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	gatelimits "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/lending"
@@ -302,6 +303,7 @@
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
 		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder, Origins: d.origins,
+		Bodies:  bodybudget.New(d.maxBodyMemory()),
 		Returns: g.Returns, Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
@@ -321,6 +323,25 @@
 	return nil
 }
 
+const (
+	// bodyMemoryShare is the part of the host's memory that bodies may use. The garbage collector
+	// takes as much again, and the daemon itself needs the rest.
+	bodyMemoryShare = 0.25
+	// defaultBodyMemory is the limit in bytes if neither it nor the host's memory is set.
+	defaultBodyMemory = 64 << 20
+)
+
+// maxBodyMemory returns the limit in bytes of the bodies that the gate holds.
+func (d *Daemon) maxBodyMemory() int64 {
+	switch {
+	case d.cfg.Limits.PendingBodies > 0:
+		return int64(d.cfg.Limits.PendingBodies)
+	case d.cfg.Host.Memory > 0:
+		return int64(bodyMemoryShare * float64(d.cfg.Host.Memory) * (1 << 20))
+	}
+	return defaultBodyMemory
+}
+
 // targetDialer returns what connects to targets, through a peer where this daemon's own path is lost.
 func (d *Daemon) targetDialer() http1.Dialer {
 	direct := http1.Direct{Source: net.ParseIP(d.cfg.Host.Source)}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -41,6 +41,8 @@
 	pool          string
 	rank          int
 	body          []byte
+	// bodyMemory is what the body has taken of the memory for bodies, in bytes.
+	bodyMemory int64
 	// digest is equal for requests for the same work, whichever caller or daemon sends them.
 	digest digest.Digest
 	// parts are the digests of the parts that the prompt may share with others, whichever team
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/origin"
 	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 	"github.com/fireflypath/fireflypath/internal/digest"
+	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
@@ -34,6 +35,8 @@
 	Client    *http1.Client
 	Limits    *limits.Limits
 	Recorder  fireflypath.Recorder
+	// Bodies bounds the memory for the bodies of requests.
+	Bodies *bodybudget.Budget
 	// Quarantine may be nil; then no request is held.
 	Quarantine Quarantine
 	// Origins may be nil; then a caller's resumed stream may go on at any target.
@@ -170,7 +173,10 @@
 		}
 		g.endInOrder(c)
 	}()
-	defer func() { g.finish(c) }()
+	defer func() {
+		g.finish(c)
+		g.releaseBodyMemory(c)
+	}()
 	for _, s := range g.steps {
 		if ref := s.run(c); ref != nil {
 			ref.step = s.name
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -26,6 +26,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate"
+	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -109,6 +110,9 @@
 
 const key = "secret"
 
+// testBodyMemory is the limit in bytes of the bodies that a gate holds.
+const testBodyMemory = 16 << 20
+
 // startSite serves one pool with two targets. The handler answer gets the number of the
 // request, counted from 1.
 func startSite(t *testing.T, change func(*fireflypath.Config), answer func(n int, w http.ResponseWriter, r *http.Request)) *testSite {
@@ -159,6 +163,7 @@
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
 		Client: s.client, Quarantine: &s.quarantine,
 		Limits:  limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
+		Bodies:  bodybudget.New(testBodyMemory),
 		Returns: tuning.Returns, Scope: scope, Log: log,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -30,8 +30,11 @@
 	endedByClose, partialEvents tally.Counter
 	// heldAtStart counts requests that waited for the first configuration.
 	heldAtStart tally.Counter
-	returns     returnMetrics
-	byRank      [16]*rankMetrics
+	// bodyBytes is the memory in use for bodies, bodiesRefused counts requests whose body found none.
+	bodyBytes     tally.Gauge
+	bodiesRefused tally.Counter
+	returns       returnMetrics
+	byRank        [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -46,6 +49,7 @@
 		returns:      newReturnMetrics(scope),
 		endedByClose: scope.Counter("ended_by_close"), partialEvents: scope.Counter("partial_events"),
 		heldAtStart: scope.Counter("held_at_start"),
+		bodyBytes:   scope.Gauge("body_bytes"), bodiesRefused: scope.Counter("bodies_refused"),
 	}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
--- a/internal/gate/start_test.go
+++ b/internal/gate/start_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/gate"
+	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 )
 
@@ -31,6 +32,7 @@
 	g.Gate = gate.New(gate.Deps{
 		Clock: clock, Codec: testCodec{}, Configs: g.configs, Freshness: &fakeFreshness{},
 		Limits: limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
+		Bodies: bodybudget.New(testBodyMemory),
 		Scope:  tally.NoopScope, Log: zap.NewNop(), Started: g.started,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"hash/maphash"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,8 +17,6 @@
 	defaultTimeout = 30 * time.Second
 	// defaultGoal is the time-to-first-byte goal of routes that set none.
 	defaultGoal = time.Second
-	// defaultBody is the body size limit of configurations that set none.
-	defaultBody = 4 << 20
 	// retryAfterStaleView is the retry delay for callers refused for a stale view: other
 	// daemons have a current one, and this one gets it with a few calls to the store.
 	retryAfterStaleView = 300 * time.Millisecond
@@ -121,35 +117,6 @@
 	return c.viewAge <= g.deps.MaxKeyViewAge
 }
 
-// readBody reads the request body within the size limit.
-func (g *Gate) readBody(c *call) *refusal {
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	limit := c.cfg.Bounds.Body
-	if limit == 0 {
-		limit = defaultBody
-	}
-	if c.r.ContentLength > int64(limit) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: fireflypath.ReasonTooLarge, detail: "the body is above the limit"}
-	}
-	var err error
-	if n := c.r.ContentLength; n > 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(c.r.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
-	}
-	if err == nil {
-		return nil
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: fireflypath.ReasonTooLarge, detail: "the body is above the limit"}
-	}
-	return &refusal{status: http.StatusBadRequest, reason: fireflypath.ReasonMalformed, detail: "the body ended early"}
-}
-
 // setDeadlineAndCost sets the request's deadline, cost estimate and quota units.
 func (g *Gate) setDeadlineAndCost(c *call) *refusal {
 	limit := c.route.Timeout.Std()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -87,6 +87,8 @@
 	Cores    float64 `json:"cores,omitempty" validate:"min=0"`
 	// Link is the bandwidth of its network link in Mbit/s.
 	Link float64 `json:"link,omitempty" validate:"min=0"`
+	// Memory is the memory of the daemon in MB, above which the host ends it; 0 if unknown.
+	Memory int `json:"memory,omitempty" validate:"min=0"`
 	// Source is the local IP address of the connections to targets. If it is empty, the system
 	// chooses one.
 	Source string `json:"source,omitempty" validate:"omitempty,ip"`
@@ -97,7 +99,9 @@
 	// Body is the maximum size of a request body in bytes.
 	Body int `json:"body,omitempty" validate:"min=0"`
 	// PendingBodies is the maximum number of bytes of request bodies that are being read,
-	// summed over all connections. One body of the maximum size always fits.
+	// summed over all connections. One body of the maximum size always fits. With a gate, it
+	// bounds the bodies that are held until their requests end; the default is then a quarter of
+	// the host's memory.
 	PendingBodies int `json:"bodies,omitempty" validate:"min=0"`
 	// Header is the maximum size of a request header in bytes.
 	Header int `json:"header,omitempty" validate:"min=0"`
