--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			debug.FreeOSMemory() // what other tests have left does not count
 			var oversized atomic.Int32
 			s := startSite(t, func(cfg *fireflypath.Config) {
 				for i := range cfg.Targets {
