fix(gate): never end a stream that has begun with another answer

A target that answers a resumed stream with a failure or a document had it written into the stream, as its end in order: callers took a part of the answer for all of it.

TestResumedStreamIsNotEndedByOtherAnswer failed before in both cases ("no such prompt" behind the first event) and passes: the stream is broken off.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -51,6 +51,13 @@
 	if c.route.Form == fireflypath.FormEvents && a.Status/100 == 2 && !isDocument(a.Header) {
 		return g.relayStream(c, att, a)
 	}
+	if c.headerWritten {
+		// The stream has begun at another target. Written into it, this answer would look like its end.
+		att.result = "no stream in answer to a resumed one, status " + strconv.Itoa(a.Status)
+		g.discardBody(a)
+		g.markFailed(c, att)
+		return outcomeUnknown, nil
+	}
 	return g.relayBuffered(c, att, a)
 }
 
