fix(gate): keep the quota's units of each request that may have run

A long answer that broke off, or a caller that left while it was written, ended the request without saying that it may have run, so that its units were given back and the team could run more than its quota.

TestQuotaIsKeptForBrokenAnswer failed before (200 in place of 429) and passes.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -297,6 +297,7 @@
 
 // markFailed ends an attempt that may have run.
 func (g *Gate) markFailed(c *call, att *attempt) {
+	c.mayHaveRun = true
 	att.Work.Lifecycle.Transition(fireflypath.StateDispatched, fireflypath.StateFailed)
 	if att.direct {
 		return
