--- a/internal/follow/start_test.go
+++ b/internal/follow/start_test.go
@@ -154,6 +154,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			took, _ := powerLoss{daemons: 73, domains: 4, lost: lost, started: func(f *virtualFleet) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				for _, d := range f.daemons {
 					if !f.silent[d.name] {
 						is.True(d.view.Age() < fleetLimit)
