--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -323,25 +323,6 @@
 	return nil
 }
 
-const (
-	// bodyMemoryShare is the part of the host's memory that bodies may use. The garbage collector
-	// takes as much again, and the daemon itself needs the rest.
-	bodyMemoryShare = 0.25
-	// defaultBodyMemory is the limit in bytes if neither it nor the host's memory is set.
-	defaultBodyMemory = 64 << 20
-)
-
-// maxBodyMemory returns the limit in bytes of the bodies that the gate holds.
-func (d *Daemon) maxBodyMemory() int64 {
-	switch {
-	case d.cfg.Limits.PendingBodies > 0:
-		return int64(d.cfg.Limits.PendingBodies)
-	case d.cfg.Host.Memory > 0:
-		return int64(bodyMemoryShare * float64(d.cfg.Host.Memory) * (1 << 20))
-	}
-	return defaultBodyMemory
-}
-
 // targetDialer returns what connects to targets, through a peer where this daemon's own path is lost.
 func (d *Daemon) targetDialer() http1.Dialer {
 	direct := http1.Direct{Source: net.ParseIP(d.cfg.Host.Source)}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -87,7 +87,8 @@
 	Cores    float64 `json:"cores,omitempty" validate:"min=0"`
 	// Link is the bandwidth of its network link in Mbit/s.
 	Link float64 `json:"link,omitempty" validate:"min=0"`
-	// Memory is the memory of the daemon in MB, above which the host ends it; 0 if unknown.
+	// Memory is the memory of the daemon in MB, above which the host ends it; 0 selects what the
+	// system reports.
 	Memory int `json:"memory,omitempty" validate:"min=0"`
 	// Source is the local IP address of the connections to targets. If it is empty, the system
 	// chooses one.
