--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -42,9 +42,9 @@
 	// the use of some daemons is not reported here.
 	fraction float64
 	level    float64
-	// reach is the part of the daemons that were heard from a moment ago, with this one. While it is
-	// below 1, this daemon grants no more than own, its part of the level and of the rate: those that
-	// it does not hear grant theirs.
+	// reach is the fraction of the daemons that are in contact with this one, which is counted among
+	// them. While it is below 1, this daemon grants no more than own, its part of the level and of the
+	// rate: the daemons without contact grant theirs.
 	reach, own float64
 	refilledAt time.Time
 	// used is this daemon's own use, which is reported to the other daemons.
@@ -86,8 +86,8 @@
 	b.level = min(b.level, b.Capacity())
 }
 
-// SetReach sets the part of the daemons that were heard from a moment ago, with this one. Unlike
-// SetFraction, it takes nothing from the level: a silence that was only a delay leaves no trace.
+// SetReach sets the fraction of the daemons that are in contact with this one, which is counted among
+// them. Unlike SetFraction, it takes nothing from the level, as the loss of contact may only be a delay.
 func (b *Bucket) SetReach(now time.Time, reach float64) {
 	b.refill(now)
 	switch {
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -119,7 +119,7 @@
 			daemons = 8
 			step    = 10 * time.Millisecond
 			steps   = 2000
-			// noticed is when a daemon that hears nothing counts on its part, lost when the others
+			// noticed is when a daemon without contact counts on its part, lost when the others
 			// count as lost, in steps.
 			noticed, lost = 21, 250
 			// offered is what all daemons are offered together, times the quota.
@@ -131,7 +131,7 @@
 		size := float64(rapid.IntRange(500, 4000).Draw(t, "size"))
 		cutAt := rapid.IntRange(0, 1500).Draw(t, "cut at step")
 		healedAt := cutAt + rapid.IntRange(10, 700).Draw(t, "steps of the cut")
-		group := make([]int, daemons) // daemons of one group hear each other during the cut
+		group := make([]int, daemons) // daemons of one group stay in contact during the cut
 		groupSize := map[int]int{}
 		for d := range group {
 			group[d] = rapid.IntRange(0, daemons-1).Draw(t, "group")
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -52,9 +52,9 @@
 	// offset is the number of the last event returned.
 	offset   int
 	maxEvent int
-	// useless counts the bytes since the last new event: comments, and events that were returned
+	// sinceEvent counts the bytes since the last new event: comments, and events that were returned
 	// before.
-	useless int
+	sinceEvent int
 	// buf holds the lines of the current event.
 	buf []byte
 	// ended is true once the event that ends the stream was returned.
@@ -87,12 +87,12 @@
 			return fireflypath.Chunk{}, err
 		}
 		if ev.data == nil || ev.number <= s.offset {
-			if s.useless += len(s.buf); s.useless > s.maxUseless() {
+			if s.sinceEvent += len(s.buf); s.sinceEvent > s.maxWithoutEvent() {
 				return fireflypath.Chunk{}, errNoEvents
 			}
 			continue
 		}
-		s.useless = 0
+		s.sinceEvent = 0
 		if ev.number != s.offset+1 {
 			return fireflypath.Chunk{}, errGap
 		}
@@ -113,8 +113,8 @@
 // more.
 const maxSkippedEvent = 4 << 10
 
-// maxUseless returns how many bytes may arrive without a new event.
-func (s *stream) maxUseless() int {
+// maxWithoutEvent returns how many bytes may arrive without a new event.
+func (s *stream) maxWithoutEvent() int {
 	return s.maxEvent + s.offset*maxSkippedEvent
 }
 
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -14,8 +14,8 @@
 	defaultBody = 4 << 20
 	// initialBody is the first size of the buffer for a body of unknown length, in bytes.
 	initialBody = 4 << 10
-	// bodyRetryAfter is the retry delay for callers whose body finds no memory: most bodies are gone
-	// within the time that a request takes.
+	// bodyRetryAfter is the retry delay for callers whose body finds no memory: most requests end within
+	// that time.
 	bodyRetryAfter = time.Second
 	// discardBodyTimeout bounds the time for the rest of a body that is refused.
 	discardBodyTimeout = time.Second
--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -106,7 +106,7 @@
 	is.Equal(body, "whole")
 }
 
-// Guards against a target that refuses a request and dribbles the body of the refusal: the request waits
+// Guards against a target that refuses a request and sends the body of the refusal slowly: the request waits
 // for it instead of being sent to another target.
 func TestSlowRefusalDelaysNoRetry(t *testing.T) {
 	is := is.New(t)
--- a/internal/gate/events/endless_test.go
+++ b/internal/gate/events/endless_test.go
@@ -11,8 +11,8 @@
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 )
 
-// maxUseless is what may be read from a stream without new events, in bytes.
-const maxUseless = 8 << 20
+// maxRead is what may be read from a stream without new events, in bytes.
+const maxRead = 8 << 20
 
 // endlessReader returns a text again and again.
 type endlessReader struct {
@@ -45,7 +45,7 @@
 			src := &endlessReader{text: text}
 			r := events.NewReader(src, "5")
 			var err error
-			for err == nil && src.read < maxUseless {
+			for err == nil && src.read < maxRead {
 				_, err = r.Next()
 			}
 			is.True(errors.Is(err, events.ErrTooLarge) || errors.Is(err, events.ErrNoEvents))
--- a/internal/gate/limits/limits.go
+++ b/internal/gate/limits/limits.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// SetReach sets the part of the daemons that were heard from a moment ago, with this one. It has no
-// effect on the quotas of a large fleet.
+// SetReach sets the fraction of the daemons that are in contact with this one, which is counted among
+// them. It has no effect on the quotas of a large fleet.
 func (l *Limits) SetReach(now time.Time, reach float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -109,7 +109,7 @@
 const maxUpfront = 64 << 10
 
 // readMessage reads a message of n bytes. Memory for a long one grows with what arrives: its length is
-// only what the sender says.
+// only claimed by the sender.
 func (s *stream) readMessage(n int) ([]byte, error) {
 	if n <= maxUpfront {
 		b := make([]byte, n)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -31,12 +31,12 @@
 	// connection is found dead in about that time. By then its work at the targets is
 	// finished or cut off.
 	peerTimeout = 2500 * time.Millisecond
-	// reachTimeout is how long after its last message a peer counts as one that grants from the same
-	// quotas. What all daemons of a small fleet grant side by side in that time, after they were cut
-	// off from each other, is within the tolerance of a quota.
+	// reachTimeout is how long after its last message a peer counts as in contact for the quotas. All
+	// daemons of a small fleet may grant a whole quota each for that long after they were cut off from
+	// each other, which has to stay within the quota's tolerance.
 	reachTimeout = 180 * time.Millisecond
-	// keepAliveInterval is how often a peer gets a message from a daemon with quotas while nothing
-	// changes: reachTimeout, less two messages that are late.
+	// keepAliveInterval is how often a daemon with quotas sends a message while nothing changes. Three
+	// fit into reachTimeout.
 	keepAliveInterval = 60 * time.Millisecond
 	// refreshInterval is how often peers that fell silent and daemons that joined or
 	// left are checked for while no messages arrive.
@@ -187,7 +187,8 @@
 	}
 }
 
-// keepAliveDue reports whether the peers have to be told that this daemon goes on to grant quotas.
+// keepAliveDue reports whether a message has to be sent although nothing changed, so that the peers do not
+// take this daemon for one without contact.
 func (u *Usage) keepAliveDue(now time.Time, layout *cell.Layout) bool {
 	if layout.CellCount() > 1 || now.Sub(u.sentAt) < keepAliveInterval {
 		return false
@@ -197,22 +198,22 @@
 	return len(u.used) > 0
 }
 
-// applyReach tells the quotas which part of the daemons was heard from a moment ago. A daemon that hears
-// nothing from the others must not go on as if it alone granted all of a quota: they do the same.
+// applyReach passes the fraction of the daemons in contact to the quotas. A daemon that lost contact must
+// not go on to grant a whole quota, because the others may do the same.
 func (u *Usage) applyReach(now time.Time, layout *cell.Layout) {
 	live := u.fleet.Live()
 	if layout.CellCount() > 1 || len(live) <= 1 {
 		return
 	}
-	heard := 1
+	inContact := 1
 	u.mu.Lock()
 	for _, name := range layout.Members(u.self) {
 		if p := u.peerStates[name]; p != nil && name != u.self && now.Sub(p.at) <= reachTimeout {
-			heard++
+			inContact++
 		}
 	}
 	u.mu.Unlock()
-	u.limits.SetReach(now, min(1, float64(heard)/float64(len(live)+u.fleet.Missing())))
+	u.limits.SetReach(now, min(1, float64(inContact)/float64(len(live)+u.fleet.Missing())))
 }
 
 // readLocal reads this daemon's in-flight work and quota usage and reports whether they
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -126,8 +126,8 @@
 }
 
 // Guards against daemons that are cut off from each other and each go on to grant all of a team's quota,
-// and against one that is taken for cut off because it has nothing to say.
-func TestSilentPeerCountsAsOneThatGrants(t *testing.T) {
+// and against one that is taken for cut off because nothing of its state changes.
+func TestSilentPeerReducesReach(t *testing.T) {
 	is := is.New(t)
 	ds, clock := pair()
 	a, b := ds[0], ds[1]
