fix(events): search for the end of an event only once

With each piece of a stream that arrived, the reader searched for the end of the event from its first byte. A target that sends a long event, or one without end, in small pieces took the daemon's processor: 4.63 s for 200 KB in pieces of four bytes, 6 ms now (BenchmarkLongEventInPieces, one machine).

TestEventsDoNotDependOnPieces compares events in one piece and in drawn pieces; 50,000 draws hold. The first form of the change failed it at a half pair of line ends.

--- a/internal/gate/events/endless_test.go
+++ b/internal/gate/events/endless_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 )
@@ -67,3 +69,50 @@
 	is.Equal(strings.Count(got, "id:"), all-delivered)
 	is.Equal(r.LastID(), strconv.Itoa(all-1))
 }
+
+// piecesReader returns a text in pieces of the given sizes, and then byte by byte.
+type piecesReader struct {
+	text  string
+	sizes []int
+}
+
+func (r *piecesReader) Read(b []byte) (int, error) {
+	if r.text == "" {
+		return 0, io.EOF
+	}
+	size := 1
+	if len(r.sizes) > 0 {
+		size, r.sizes = r.sizes[0], r.sizes[1:]
+	}
+	n := copy(b, r.text[:min(size, len(r.text))])
+	r.text = r.text[n:]
+	return n, nil
+}
+
+// Guards against an end of an event that is missed or seen too early, depending on how the bytes arrive.
+func TestEventsDoNotDependOnPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SampledFrom([]string{"\r", "\n", "\r\n", "x", ":", "id: 7", "data: y"}), 0, 30).Draw(t, "parts")
+		text := strings.Join(parts, "")
+		whole, wholeErr := readAll(events.NewReader(strings.NewReader(text), ""))
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 5), 0, 20).Draw(t, "sizes")
+		pieces, piecesErr := readAll(events.NewReader(&piecesReader{text, sizes}, ""))
+		if whole != pieces || !errors.Is(piecesErr, wholeErr) {
+			t.Fatalf("%q, %v in one piece; %q, %v in pieces", whole, wholeErr, pieces, piecesErr)
+		}
+	})
+}
+
+// BenchmarkLongEventInPieces reads an event of 200 KB that arrives four bytes at a time.
+func BenchmarkLongEventInPieces(b *testing.B) {
+	text := "data: " + strings.Repeat("x", 200<<10) + "\n\n"
+	sizes := make([]int, len(text)/4)
+	for i := range sizes {
+		sizes[i] = 4
+	}
+	for b.Loop() {
+		if got, _ := readAll(events.NewReader(&piecesReader{text, sizes}, "")); got != text {
+			b.Fatal("event was not read")
+		}
+	}
+}
--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -45,6 +45,9 @@
 	lastID string
 	// skipThrough is the highest id of the events to skip, or -1.
 	skipThrough int64
+	// scan is how far the first unread event was searched for its end. Without it, a long event that
+	// arrives in small pieces is searched from its beginning with each of them.
+	scan scanState
 	// comments and skipped count the bytes that the limits of these names bound.
 	comments, skipped int
 	// partial is the number of bytes after the last event at the end of the stream.
@@ -137,6 +140,9 @@
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
 	n, err := r.src.Read(r.buf[r.end:])
+	if bytes.ContainsAny(r.buf[r.end:r.end+n], "\r\n") {
+		r.scan.newLines = true
+	}
 	r.end += n
 	r.readErr = err
 	return nil
@@ -146,10 +152,11 @@
 func (r *Reader) takeEvents() []byte {
 	start := r.start
 	for {
-		n := eventLength(r.buf[r.start:r.end])
+		n := r.scan.eventLength(r.buf[r.start:r.end])
 		if n == 0 {
 			return r.buf[start:r.start]
 		}
+		r.scan = scanState{newLines: true}
 		event := r.buf[r.start : r.start+n]
 		id, ok := eventID(event)
 		if ok && r.alreadyDelivered(id) {
@@ -186,21 +193,39 @@
 	return err == nil && n <= r.skipThrough
 }
 
+// scanState is how far an event was searched for its end.
+type scanState struct {
+	// searched is the length of the complete lines at the beginning of the event, none of which ends it.
+	searched int
+	// pairs is true if the last of them ends with a carriage return and a line feed.
+	pairs bool
+	// newLines is true if line ends may have arrived since the last search.
+	newLines bool
+}
+
 // eventLength returns the length of the first complete event in b, or 0. An event ends with an empty
-// line.
-func eventLength(b []byte) int {
-	pairs := false
-	for at := 0; at < len(b); {
-		line, n, complete := cutLine(b[at:])
+// line. Until it is found, b has to begin with the same event.
+func (s *scanState) eventLength(b []byte) int {
+	if !s.newLines {
+		return 0
+	}
+	s.newLines = false
+	for s.searched < len(b) {
+		line, n, complete := cutLine(b[s.searched:])
 		if !complete {
 			return 0
 		}
-		at += n
+		at := s.searched + n
 		switch {
+		case len(line) > 0 && b[at-1] == '\r' && at == len(b):
+			s.newLines = true // the next byte decides whether a line feed belongs to this line end
+			return 0
 		case len(line) > 0:
-			pairs = n == len(line)+len("\r\n")
-		case pairs && n == 1 && b[at-1] == '\r' && at == len(b):
-			return 0 // the other half of the pair is still on its way
+			s.pairs = n == len(line)+len("\r\n")
+			s.searched = at
+		case s.pairs && n == 1 && b[at-1] == '\r' && at == len(b):
+			s.newLines = true // the other half of the pair is still on its way
+			return 0
 		default:
 			return at
 		}
