test(gate): let all requests reach a target before answers begin

Its callers had 3 s, so that those that wait for a target whose first answers have failed end soon, and an attempt lasted longer there.

All 60 requests are at a target before any answer begins, so that none waits. The callers have 15 s, and only 502 or a broken stream passes; 503 and a whole 200 did before.

--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -1,7 +1,6 @@
 package gate_test
 
 import (
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -59,12 +58,17 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			debug.FreeOSMemory() // what other tests have left does not count
-			var oversized atomic.Int32
+			var arrived, oversized atomic.Int32
+			allArrived := make(chan struct{})
 			s := startSite(t, func(cfg *fireflypath.Config) {
 				for i := range cfg.Targets {
 					cfg.Targets[i].Slots = requests / len(cfg.Targets)
 				}
 			}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+				if arrived.Add(1) == requests {
+					close(allArrived)
+				}
+				<-allArrived // none waits for a target whose first answers have failed
 				if n := sendEndless(w, c.once, c.repeated); n > maxTaken {
 					oversized.Add(1)
 				}
@@ -73,12 +77,9 @@
 			for range requests {
 				wg.Go(func() {
 					r := s.request(t.Context(), c.path, "")
-					r.Header.Set("T-Deadline", "3000") // those that wait for a target are refused then
 					resp, _, err := s.do(r)
-					if err == nil && resp.StatusCode == http.StatusOK {
-						err = net.ErrClosed // only a stream that is broken off has begun
-					}
-					is.True(err != nil || resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusServiceUnavailable)
+					// An unknown outcome, before the caller's time is over, or a stream that is broken off.
+					is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
 				})
 			}
 			wg.Wait()
