refactor(bodies): read bodies with one reader and one budget

The gate had a budget and a reading loop of its own beside those of the product's own interface (internal/caller/bodies, readInto). Both use internal/bodies now; a budget says how much of it bodies above 64 KiB may use, which is all of it for the own interface, as before. The gate no longer allocates a body's declared length before its bytes arrive.

TestLargeBodiesAreBoundedTogether and the tests of internal/caller pass as they were, but for the names of the moved constant and constructor.

--- a/internal/caller/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -1,8 +1,11 @@
-// Package bodies bounds the memory for request bodies that are being read.
+// Package bodies bounds the memory for request bodies.
 package bodies
 
 import "sync"
 
+// smallBody is the size in bytes up to which a body may use all of a budget.
+const smallBody = 64 << 10
+
 // Budget bounds the bytes reserved for bodies over all connections.
 //
 // Without it the bound would be the number of connections times the largest body, 32 GiB by
@@ -10,15 +13,18 @@
 // host and end the daemon with all its requests.
 type Budget struct {
 	limit int
+	// largeLimit is how much of the limit is left to bodies above smallBody, so that they do not
+	// keep out small ones, which most callers send.
+	largeLimit int
 
 	mu           sync.Mutex
 	used         int
 	reservations map[*Reservation]struct{}
 }
 
-// New returns an unused budget with a limit in bytes.
-func New(limit int) *Budget {
-	return &Budget{limit: limit, reservations: map[*Reservation]struct{}{}}
+// New returns an unused budget with a limit in bytes, of which bodies above 64 KiB may use largeLimit.
+func New(limit, largeLimit int) *Budget {
+	return &Budget{limit: limit, largeLimit: largeLimit, reservations: map[*Reservation]struct{}{}}
 }
 
 // Reservation is the part of the budget that one body uses. It must be used by one goroutine
@@ -57,7 +63,11 @@
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.evicted || !b.makeRoom(n, r.rank) {
+	limit := b.limit
+	if r.reserved+n > smallBody {
+		limit = b.largeLimit
+	}
+	if r.evicted || !b.makeRoom(n, limit, r.rank) {
 		return false
 	}
 	r.reserved += n
@@ -67,8 +77,8 @@
 
 // makeRoom evicts lower tiers until n more bytes fit, and reports whether they do. It evicts
 // nothing if that would not be enough. The caller holds mu.
-func (b *Budget) makeRoom(n, rank int) bool {
-	if b.used+n <= b.limit {
+func (b *Budget) makeRoom(n, limit, rank int) bool {
+	if b.used+n <= limit {
 		return true
 	}
 	evictable := 0
@@ -77,10 +87,10 @@
 			evictable += r.reserved
 		}
 	}
-	if b.used+n-evictable > b.limit {
+	if b.used+n-evictable > limit {
 		return false
 	}
-	for b.used+n > b.limit {
+	for b.used+n > limit {
 		b.evictionCandidate().evict()
 	}
 	return true
@@ -111,7 +121,7 @@
 	return r.evicted
 }
 
-// Close releases the reserved bytes once the body was read or refused.
+// Close releases the reserved bytes once the body is no longer used.
 func (r *Reservation) Close() {
 	b := r.budget
 	b.mu.Lock()
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -1,13 +1,13 @@
 package caller
 
 import (
-	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/caller/bodies"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 )
 
 const (
@@ -15,10 +15,6 @@
 	// half of the default limit for waiting requests, because a body is read in
 	// milliseconds and a request waits for seconds.
 	defaultBodyMemory = 64 << 20
-	// initialBodyBuffer is the memory in bytes for a body of which nothing has arrived. It
-	// is enough for most bodies. For larger ones the buffer is doubled as bytes arrive, so
-	// that a declared length alone reserves no more memory.
-	initialBodyBuffer = 32 << 10
 	// prefetchedBody is how many bytes of a body the library reads before it calls the
 	// handler. It is as small as possible, so that no body is read for a caller without a
 	// key. It cannot be 0, so a caller that declares a length and sends no byte gets its
@@ -45,40 +41,18 @@
 	conn := ctx.Conn()
 	reservation := s.bodies.Reserve(rank, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer reservation.Close()
-	body, refusal := s.readInto(stream, length, reservation)
-	if reservation.Evicted() {
+	body, err := bodies.Read(stream, length, s.maxBody, reservation)
+	switch {
+	case reservation.Evicted():
 		return nil, fullRefusal("memory for the body went to a higher tier")
+	case errors.Is(err, bodies.ErrNoMemory):
+		return nil, fullRefusal(err.Error())
+	case errors.Is(err, bodies.ErrTooLarge):
+		return nil, newRefusal(fireflypath.ReasonTooLarge, err.Error())
+	case err != nil:
+		return nil, newRefusal(fireflypath.ReasonMalformed, "the body did not arrive whole")
 	}
-	return body, refusal
-}
-
-// readInto reads length bytes, or up to the end of the stream if length is negative. It
-// reserves memory as the buffer grows.
-func (s *Server) readInto(stream io.Reader, length int, reservation *bodies.Reservation) ([]byte, *fireflypath.Refusal) {
-	maxLen := length
-	if length < 0 {
-		maxLen = s.maxBody + 1 // one more byte shows that the body is too large
-	}
-	var buf []byte
-	for {
-		if len(buf) == cap(buf) && len(buf) < maxLen {
-			size := min(maxLen, max(initialBodyBuffer, 2*cap(buf)))
-			if !reservation.Grow(size - cap(buf)) {
-				return nil, fullRefusal("no memory for the body")
-			}
-			buf = append(make([]byte, 0, size), buf...)
-		}
-		read, err := stream.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+read]
-		switch {
-		case len(buf) > s.maxBody:
-			return nil, newRefusal(fireflypath.ReasonTooLarge, "the body is above the limit")
-		case length >= 0 && len(buf) == length, err == io.EOF && length < 0:
-			return buf, nil
-		case err != nil:
-			return nil, newRefusal(fireflypath.ReasonMalformed, "the body did not arrive whole")
-		}
-	}
+	return body, nil
 }
 
 func newRefusal(code fireflypath.Reason, detail string) *fireflypath.Refusal {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/caller/bodies"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/caller/disconnect"
 	"github.com/fireflypath/fireflypath/internal/route/refuse"
 	"github.com/fireflypath/fireflypath/internal/route/request"
@@ -65,9 +65,10 @@
 // New returns a server that does not listen yet.
 func New(route Route, disconnects *disconnect.Watcher, limits settings.Limits) *Server {
 	maxBody := orDefault(limits.Body, defaultMaxBody)
+	bodyMemory := max(maxBody+1, orDefault(limits.PendingBodies, defaultBodyMemory))
 	s := &Server{
 		route: route, disconnects: disconnects, maxBody: maxBody,
-		bodies: bodies.New(max(maxBody+1, orDefault(limits.PendingBodies, defaultBodyMemory))),
+		bodies: bodies.New(bodyMemory, bodyMemory),
 	}
 	app := fiber.New(fiber.Config{CaseSensitive: true, StrictRouting: true, DisableHeadAutoRegister: true})
 	app.Post("/v1/completions", s.handleCompletion)
@@ -199,7 +200,7 @@
 		}
 		s.route.Refuse(r, ref)
 	}
-	if n := c.Request.Header.ContentLength(); accepted || n < 0 || n > initialBodyBuffer {
+	if n := c.Request.Header.ContentLength(); accepted || n < 0 || n > bodies.InitialBuffer {
 		closeUnread(c) // the library reads and discards a small body itself
 	}
 	c.Response.Header.Set(headerID, r.Work.ID)
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -22,7 +22,6 @@
 	"github.com/fireflypath/fireflypath/internal/dispatch"
 	"github.com/fireflypath/fireflypath/internal/follow"
 	"github.com/fireflypath/fireflypath/internal/gate"
-	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	gatelimits "github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/lending"
@@ -303,7 +302,7 @@
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
 		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder, Origins: d.origins,
-		Bodies:  bodybudget.New(d.maxBodyMemory()),
+		Bodies:  d.newBodyBudget(),
 		Returns: g.Returns, Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -1,19 +1,19 @@
 package gate
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 )
 
 const (
 	// defaultBody is the body size limit of configurations that set none.
 	defaultBody = 4 << 20
-	// initialBody is the first size of the buffer for a body of unknown length, in bytes.
-	initialBody = 4 << 10
 	// bodyRetryAfter is the retry delay for callers whose body finds no memory: most requests end within
 	// that time.
 	bodyRetryAfter = time.Second
@@ -21,78 +21,40 @@
 	discardBodyTimeout = time.Second
 )
 
-// errNoBodyMemory means that the bodies of other requests take up all memory for them.
-var errNoBodyMemory = errors.New("no memory for the body")
-
 // readBody reads the request body within the size limit and the memory for bodies.
 func (g *Gate) readBody(c *call) *refusal {
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	limit := int64(c.cfg.Bounds.Body)
+	limit := c.cfg.Bounds.Body
 	if limit == 0 {
 		limit = defaultBody
 	}
-	if c.r.ContentLength > limit {
-		return tooLarge()
+	if c.r.ContentLength > int64(limit) {
+		return bodyTooLarge()
 	}
+	// All have the same rank: a body is needed until its request ends, so that none is evicted.
+	c.reservation = g.deps.Bodies.Reserve(0, func() {})
 	var err error
-	if n := c.r.ContentLength; n > 0 {
-		c.body, err = g.readSized(c, n)
-	} else {
-		c.body, err = g.readChunked(c, limit)
-	}
+	c.body, err = bodies.Read(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), int(c.r.ContentLength), limit, c.reservation)
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &large):
-		return tooLarge()
-	case errors.Is(err, errNoBodyMemory):
+	case errors.As(err, &large), errors.Is(err, bodies.ErrTooLarge):
+		return bodyTooLarge()
+	case errors.Is(err, bodies.ErrNoMemory):
 		g.metrics.bodiesRefused.Inc(1)
-		g.discardRequestBody(c, limit)
+		g.discardRequestBody(c, int64(limit))
 		return notRun(fireflypath.ReasonFull, err.Error(), bodyRetryAfter)
 	}
 	return &refusal{status: http.StatusBadRequest, reason: fireflypath.ReasonMalformed, detail: "the body ended early"}
 }
 
-func tooLarge() *refusal {
+func bodyTooLarge() *refusal {
 	return &refusal{status: http.StatusRequestEntityTooLarge, reason: fireflypath.ReasonTooLarge, detail: "the body is above the limit"}
 }
 
-// readSized reads a body of n bytes.
-func (g *Gate) readSized(c *call, n int64) ([]byte, error) {
-	if !g.takeBodyMemory(c, n) {
-		return nil, errNoBodyMemory
-	}
-	body := make([]byte, n)
-	_, err := io.ReadFull(c.r.Body, body)
-	return body, err
-}
-
-// readChunked reads a body of unknown length up to a limit.
-func (g *Gate) readChunked(c *call, limit int64) ([]byte, error) {
-	src := http.MaxBytesReader(c.w, c.r.Body, limit)
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			size := min(max(initialBody, 2*int64(cap(body))), limit+1) // one more byte shows that it is too large
-			if !g.takeBodyMemory(c, size-int64(cap(body))) {
-				return nil, errNoBodyMemory
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := src.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // discardRequestBody reads the rest of a body that is refused and keeps none of it. The connection would
 // otherwise be reset while the caller still sends, and with it the response that says "not run". A
 // caller that asks whether to send its body has not sent it.
@@ -109,22 +71,12 @@
 	}
 }
 
-// takeBodyMemory takes n more bytes for the body of a request, until the request ends.
-func (g *Gate) takeBodyMemory(c *call, n int64) bool {
-	if !g.deps.Bodies.Take(n, c.bodyMemory) {
-		return false
-	}
-	c.bodyMemory += n
-	return true
-}
-
-// releaseBodyMemory returns what the body of a request has taken.
-func (g *Gate) releaseBodyMemory(c *call) {
-	if c.bodyMemory == 0 {
+// releaseBody returns the memory of a request's body.
+func (g *Gate) releaseBody(c *call) {
+	if c.reservation == nil {
 		return
 	}
 	c.body = nil
-	g.deps.Bodies.Release(c.bodyMemory)
-	c.bodyMemory = 0
+	c.reservation.Close()
 	g.metrics.bodyBytes.Update(float64(g.deps.Bodies.Used()))
 }
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
@@ -41,8 +42,8 @@
 	pool          string
 	rank          int
 	body          []byte
-	// bodyMemory is what the body has taken of the memory for bodies, in bytes.
-	bodyMemory int64
+	// reservation is the memory of the body, or nil if there is none.
+	reservation *bodies.Reservation
 	// digest is equal for requests for the same work, whichever caller or daemon sends them.
 	digest digest.Digest
 	// parts are the digests of the parts that the prompt may share with others, whichever team
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/decide/origin"
 	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 	"github.com/fireflypath/fireflypath/internal/digest"
-	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
@@ -36,7 +36,7 @@
 	Limits    *limits.Limits
 	Recorder  fireflypath.Recorder
 	// Bodies bounds the memory for the bodies of requests.
-	Bodies *bodybudget.Budget
+	Bodies *bodies.Budget
 	// Quarantine may be nil; then no request is held.
 	Quarantine Quarantine
 	// Origins may be nil; then a caller's resumed stream may go on at any target.
@@ -175,7 +175,7 @@
 	}()
 	defer func() {
 		g.finish(c)
-		g.releaseBodyMemory(c)
+		g.releaseBody(c)
 	}()
 	for _, s := range g.steps {
 		if ref := s.run(c); ref != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -23,10 +23,10 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate"
-	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
@@ -163,7 +163,7 @@
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
 		Client: s.client, Quarantine: &s.quarantine,
 		Limits:  limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Bodies:  bodybudget.New(testBodyMemory),
+		Bodies:  bodies.New(testBodyMemory, testBodyMemory*3/4),
 		Returns: tuning.Returns, Scope: scope, Log: log,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
--- a/internal/gate/start_test.go
+++ b/internal/gate/start_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/gate"
-	"github.com/fireflypath/fireflypath/internal/gate/bodybudget"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 )
 
@@ -32,7 +32,7 @@
 	g.Gate = gate.New(gate.Deps{
 		Clock: clock, Codec: testCodec{}, Configs: g.configs, Freshness: &fakeFreshness{},
 		Limits: limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Bodies: bodybudget.New(testBodyMemory),
+		Bodies: bodies.New(testBodyMemory, testBodyMemory*3/4),
 		Scope:  tally.NoopScope, Log: zap.NewNop(), Started: g.started,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
