--- a/internal/follow/message.go
+++ b/internal/follow/message.go
@@ -15,7 +15,7 @@
 	// takes at most 45 KB, which is 36 ms on 10 Mbit/s. The registrations of 2,700 targets
 	// would take a second there if they were sent at once.
 	maxPageSize = 32 << 10
-	// maxPages limits the pages of one listing. The registrations of 2,700 targets take 30.
+	// maxPages limits the pages of one listing.
 	maxPages = 256
 	// partSize is the number of bytes of a patch in one response. Encoded, a part takes
 	// 18 ms on 10 Mbit/s, so that heartbeats and placements on the same connection are not
--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"io"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -54,6 +55,7 @@
 		"unsigned body":  {"/once/", "HTTP/1.1 200 OK\r\nT-Id: id-1\r\n\r\n", "x"},
 		"event":          {"/stream/", signed + "\r\n", "4\r\nxxxx\r\n"},
 		"comments":       {"/stream/", signed + "\r\n", "4\r\n:x\n\n\r\n"},
+		"refusal":        {"/once/", "HTTP/1.1 429 Wait\r\nT-Id: id-1\r\nT-Signature: x\r\n\r\n", "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -130,3 +132,25 @@
 	is.Equal(resp.StatusCode, 200)
 	is.True(time.Since(started) < 10*time.Second) // the caller's time is 15 s
 }
+
+// Guards against a long answer without end that is kept until it ends: it is passed on as it arrives, and
+// ends, broken off, with the request's time.
+func TestWholeAnswerWithoutEndIsBroken(t *testing.T) {
+	const maxKept = 64 << 20 // far below what arrives in the request's time, in bytes
+	is := is.New(t)
+	var sent atomic.Int64
+	s := startSite(t, nil, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		sent.Add(sendEndless(w, "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nT-Signature: x\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"))
+	})
+	debug.FreeOSMemory()
+	r := s.request(t.Context(), "/once/", "")
+	r.Header.Set("T-Deadline", "500")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.True(err != nil) // broken off, not complete
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	is.True(m.HeapSys-m.HeapReleased < maxKept)
+}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
 const (
@@ -26,17 +27,17 @@
 
 // endlessHeads are answers whose header has no end: what is sent once, and what is repeated after it.
 var endlessHeads = map[string]struct{ once, repeated string }{
-	"no line end":            {"", strings.Repeat("x", 1<<10)},
-	"zero bytes":             {"", strings.Repeat("\x00", 1<<10)},
-	"status line":            {"HTTP/1.1 200 ", strings.Repeat("O", 1<<10)},
-	"header line":            {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("v", 1<<10)},
-	"header lines":           {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: v\r\n", 1<<8)},
-	"short header lines":     {"HTTP/1.1 200 OK\r\n", strings.Repeat("a:\n", 1<<8)},
-	"continued header lines": {"HTTP/1.1 200 OK\r\nX: v\r\n", strings.Repeat(" v\r\n", 1<<8)},
-	"interim answer":         {"HTTP/1.1 103 Early Hints\r\n", strings.Repeat("X: v\r\n", 1<<8)},
+	"no line end":            {"", "x"},
+	"zero bytes":             {"", "\x00"},
+	"status line":            {"HTTP/1.1 200 ", "O"},
+	"header line":            {"HTTP/1.1 200 OK\r\nX: ", "v"},
+	"header lines":           {"HTTP/1.1 200 OK\r\n", "X: v\r\n"},
+	"short header lines":     {"HTTP/1.1 200 OK\r\n", "a:\n"},
+	"continued header lines": {"HTTP/1.1 200 OK\r\nX: v\r\n", " v\r\n"},
+	"interim answer":         {"HTTP/1.1 103 Early Hints\r\n", "X: v\r\n"},
 	"interim answers":        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	"body of another answer": {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
-	"long body of another":   {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 1<<10)},
+	"long body of another":   {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
 }
 
 // Guards against a target whose bytes are no answer and never end: they fill the daemon's memory until
@@ -45,19 +46,12 @@
 	for name, sent := range endlessHeads {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			tg := startTarget(t, func(c net.Conn, _ int, _ *http.Request) bool {
-				_, err := io.WriteString(c, sent.once)
-				repeated := []byte(sent.repeated) // converted once, as it counts as allocated
-				for err == nil {
-					_, err = c.Write(repeated)
-				}
-				return false
-			})
+			addr := testkit.ServeEndless(t, sent.once, sent.repeated)
 			ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			_, err := newClient().Send(ctx, fireflypath.Target{Name: "t", Addr: tg.addr()}, newRequest("1"))
+			_, err := newClient().Send(ctx, fireflypath.Target{Name: "t", Addr: addr}, newRequest("1"))
 			runtime.ReadMemStats(&after)
 			is.True(err != nil)
 			is.NoErr(ctx.Err()) // failed before the caller's time was over
--- a/internal/send/endless_test.go
+++ b/internal/send/endless_test.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
-	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/send"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 )
 
 // Guards against a target whose bytes are no answer and never end: the request waits for it until its
@@ -27,27 +26,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			ln, err := net.Listen("tcp", loopback.ListenAddr())
-			is.NoErr(err)
-			defer ln.Close()
-			go func() {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, err = io.WriteString(conn, sent.once)
-				for err == nil {
-					_, err = io.WriteString(conn, sent.repeated)
-				}
-			}()
+			addr := testkit.ServeEndless(t, sent.once, sent.repeated)
 			s := send.New(0)
 			defer s.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			var req fasthttp.Request
 			req.SetRequestURI("http://h.example/x")
-			x, err := s.Send(ctx, ln.Addr().String(), &req, false)
+			x, err := s.Send(ctx, addr, &req, false)
 			if err == nil {
 				_, err = io.ReadAll(x)
 				x.Close()
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/loopback"
 	"github.com/fireflypath/fireflypath/internal/peer"
+	"github.com/fireflypath/fireflypath/internal/testkit"
 	"github.com/fireflypath/fireflypath/internal/tunnel"
 )
 
@@ -280,3 +281,20 @@
 	is.True(tunnels["b"].ReportLoss(direct, f.target()))
 	is.True(!tunnels["b"].ReportLoss(direct, fireflypath.Target{Name: "u", Addr: "127.0.0.1:1"}))
 }
+
+// Guards against a daemon that never ends its answer to a request for a connection: it keeps the request
+// that needs the connection, and fills the memory of the daemon that asked.
+func TestAnswerToOpenWithoutEndFails(t *testing.T) {
+	for name, once := range map[string]string{
+		"length above the limit": "\xff\xff",
+		"no document":            "\x0f\xff",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, tunnels := start(t, map[string]bool{"a": true}, echo)
+			f.members = append(f.members, fireflypath.Member{Name: "b", PeerAddr: testkit.ServeEndless(t, once, "x")})
+			_, err := tunnels["a"].Dial(t.Context(), f.target())
+			is.True(errors.Is(err, fireflypath.ErrUnsent))
+		})
+	}
+}
--- a/store.go
+++ b/store.go
@@ -19,8 +19,8 @@
 	ErrLimited = errors.New("platform service limits the rate")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = errors.New("outcome of the write is unknown")
-	// ErrCompacted means that the requested history is no longer available, or that the store was
-	// restored from an older copy since.
+	// ErrCompacted means that the requested history is no longer available, that it is too long to be
+	// read, or that the store was restored from an older copy since.
 	ErrCompacted = errors.New("history of the store is gone")
 	// ErrLeaseExpired means that a lease is no longer held.
 	ErrLeaseExpired = errors.New("lease has lapsed")
