fix(gate): end answers to callers that stop reading at their deadline

What callers saw: a caller that sends a body and never reads its answer kept that memory for as long as it kept its connection; enough of them, and all further large bodies were refused with 503.

Cause: the deadline of a request ends its wait and its reads from the target, but a write to a full connection had no bound in time.

Change: the writes of an answer end one second after the request's deadline. An answer that was not written counts as one whose caller left; if its end is that of its connection, the connection is reset, also if only the last flush failed.

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -107,7 +107,9 @@
 		g.reportServed(c, att, a.Status)
 		att.result = "status " + strconv.Itoa(a.Status)
 		g.writeHeader(c, a, c.bodyLength(a, body))
-		_, _ = c.w.Write(body)
+		if _, err := c.w.Write(body); err != nil {
+			return outcomeDone, callerGone("the caller did not read its answer")
+		}
 		return outcomeDone, nil
 	}
 	return g.relayLong(c, att, a, body)
@@ -152,7 +154,7 @@
 func (g *Gate) callerLeft(c *call, att *attempt) (outcome, *refusal) {
 	att.result = "the caller left"
 	g.markFailed(c, att)
-	return outcomeDone, &refusal{reason: fireflypath.ReasonWithdrawn, detail: att.result, callerGone: true}
+	return outcomeDone, callerGone(att.result)
 }
 
 // relayStream forwards complete events as they arrive.
@@ -262,10 +264,15 @@
 
 // endInOrder lets a complete response end with its connection.
 func (g *Gate) endInOrder(c *call) {
-	if c.endsWithConn {
-		c.flush() // until then, the end of this daemon cuts the response off
-		g.logLinger(c, c.conn.Release())
+	if !c.endsWithConn {
+		return
+	}
+	// Until all is written, the end of this daemon cuts the response off.
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		c.conn.Break()
+		return
 	}
+	g.logLinger(c, c.conn.Release())
 }
 
 // logLinger logs that a caller may not be able to tell the end of a response from a break.
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -17,6 +17,9 @@
 	// bodyRetryAfter is the retry delay for callers whose body finds no memory: most requests end within
 	// that time.
 	bodyRetryAfter = time.Second
+	// writeGrace is for how long after its deadline a request's answer may still be written to a caller
+	// that reads slowly.
+	writeGrace = time.Second
 	// discardBodyTimeout bounds the time for the rest of a body that is refused.
 	discardBodyTimeout = time.Second
 )
@@ -80,3 +83,11 @@
 	c.reservation.Close()
 	g.metrics.bodyBytes.Update(float64(g.deps.Bodies.Used()))
 }
+
+// limitWriting bounds the time for writing the answer. A caller that stops reading would otherwise hold
+// its body, its answer and a target's slot for as long as it keeps its connection; enough of them leave
+// no memory for the bodies of others.
+func (c *call) limitWriting(deadline time.Time) {
+	// An error means that the connection is closed, or that the writer has none.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(writeGrace))
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -161,6 +161,7 @@
 		id: r.Header.Get(g.headers.ID), arrived: arrived, viewAge: viewAge,
 	}
 	c.ctx = r.Context()
+	c.limitWriting(arrived.Add(defaultTimeout))
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -86,6 +86,7 @@
 	pools      *pools.Pools
 	client     *http1.Client
 	quarantine recordedQuarantine
+	memory     *bodies.Budget
 	mu         sync.Mutex
 	received   []*http.Request
 	bodies     []string
@@ -156,6 +157,7 @@
 // serve starts the gate. It replaces one that was started before.
 func (s *testSite) serve(tuning slots.Tuning, scope tally.Scope, log *zap.Logger) {
 	clock := clockwork.NewRealClock()
+	s.memory = bodies.New(testBodyMemory, testBodyMemory*3/4)
 	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1, tuning) })
 	ps.Apply(s.cfg)
 	s.pools, s.client = ps, http1.New(clock, "T-Id", http1.Direct{})
@@ -163,7 +165,7 @@
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
 		Client: s.client, Quarantine: &s.quarantine,
 		Limits:  limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Bodies:  bodies.New(testBodyMemory, testBodyMemory*3/4),
+		Bodies:  s.memory,
 		Returns: tuning.Returns, Scope: scope, Log: log,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -76,6 +76,11 @@
 	return &refusal{status: http.StatusBadGateway, reason: fireflypath.ReasonTarget, detail: detail}
 }
 
+// callerGone returns the refusal of a request whose caller cannot get an answer any more.
+func callerGone(detail string) *refusal {
+	return &refusal{reason: fireflypath.ReasonWithdrawn, detail: detail, callerGone: true}
+}
+
 // notRun returns the refusal of a request that no target has run.
 func notRun(reason fireflypath.Reason, detail string, retry time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, detail: detail, retryAfter: retry}
--- a/internal/gate/steps.go
+++ b/internal/gate/steps.go
@@ -132,6 +132,7 @@
 		}
 	}
 	c.deadline = c.arrived.Add(limit)
+	c.limitWriting(c.deadline)
 	c.lastEvent = c.r.Header.Get(g.headers.Event)
 	c.resumes = c.r.Header.Get(g.headers.Resumes)
 	c.ctx, c.cancel = context.WithTimeout(c.ctx, limit+deadlineGrace)
