fix(gate): count answers, events and channels with the bodies

What callers would see: answers of up to 256 KB are read ahead of their callers and free their target's slot, so that only the number of connections bounded their sum; callers that read slowly could end a small host's daemon with all that it carries.

Change: internal/bodies becomes internal/memory, one budget for bodies, answers, parts of events and channels, counted by kind. While it is used up, new work is refused as not run before its body is read, with a Retry-After. An answer is read ahead only as far as there is memory, and a body is released once no attempt can need it. Metrics and the log line of the refusal say what holds the bytes.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -7,7 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 const (
@@ -39,15 +39,15 @@
 		return nil, newRefusal(fireflypath.ReasonTooLarge, "the body is above the limit")
 	}
 	conn := ctx.Conn()
-	reservation := s.bodies.Reserve(rank, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+	reservation := s.bodies.ReserveEvictable(rank, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer reservation.Close()
-	body, err := bodies.Read(stream, length, s.maxBody, reservation)
+	body, err := memory.ReadBody(stream, length, s.maxBody, reservation)
 	switch {
 	case reservation.Evicted():
 		return nil, fullRefusal("memory for the body went to a higher tier")
-	case errors.Is(err, bodies.ErrNoMemory):
+	case errors.Is(err, memory.ErrNoMemory):
 		return nil, fullRefusal(err.Error())
-	case errors.Is(err, bodies.ErrTooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, newRefusal(fireflypath.ReasonTooLarge, err.Error())
 	case err != nil:
 		return nil, newRefusal(fireflypath.ReasonMalformed, "the body did not arrive whole")
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -15,9 +15,9 @@
 	"github.com/matryer/is"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/caller/disconnect"
 	"github.com/fireflypath/fireflypath/internal/caller/listener"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/route/refuse"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 	"github.com/fireflypath/fireflypath/pkg/settings"
@@ -137,6 +137,6 @@
 	for range 16 {
 		s.send(bronzeTier+"Content-Length: 4000000\r\n", "x")
 	}
-	s.waitReserved(16 * bodies.InitialBuffer)
+	s.waitReserved(16 * memory.InitialBuffer)
 	s.expectResponse(s.send(bronzeTier+"Content-Length: 4000000\r\n", strings.Repeat("x", 4_000_000)), 200, "4000000 bytes")
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,8 +11,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/caller/disconnect"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/route/refuse"
 	"github.com/fireflypath/fireflypath/internal/route/request"
 	"github.com/fireflypath/fireflypath/pkg/settings"
@@ -57,7 +57,7 @@
 	route       Route
 	disconnects *disconnect.Watcher
 	server      *fasthttp.Server
-	bodies      *bodies.Budget
+	bodies      *memory.Budget
 	// maxBody bounds the body of a request in bytes.
 	maxBody int
 }
@@ -68,7 +68,7 @@
 	bodyMemory := max(maxBody+1, orDefault(limits.PendingBodies, defaultBodyMemory))
 	s := &Server{
 		route: route, disconnects: disconnects, maxBody: maxBody,
-		bodies: bodies.New(bodyMemory, bodyMemory),
+		bodies: memory.New(bodyMemory, bodyMemory),
 	}
 	app := fiber.New(fiber.Config{CaseSensitive: true, StrictRouting: true, DisableHeadAutoRegister: true})
 	app.Post("/v1/completions", s.handleCompletion)
@@ -200,7 +200,7 @@
 		}
 		s.route.Refuse(r, ref)
 	}
-	if n := c.Request.Header.ContentLength(); accepted || n < 0 || n > bodies.InitialBuffer {
+	if n := c.Request.Header.ContentLength(); accepted || n < 0 || n > memory.InitialBuffer {
 		closeUnread(c) // the library reads and discards a small body itself
 	}
 	c.Response.Header.Set(headerID, r.Work.ID)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/leaving"
 	"github.com/fireflypath/fireflypath/internal/member"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/order"
 	"github.com/fireflypath/fireflypath/internal/origins"
 	"github.com/fireflypath/fireflypath/internal/peer"
@@ -125,10 +126,12 @@
 	limits       *gatelimits.Limits
 	targetClient *http1.Client
 	tunnel       *tunnel.Tunnel
-	gate         *gate.Gate
-	gateServer   *http.Server
-	gateAddr     string
-	readyServer  *http.Server
+	// memory bounds what the gate and the tunnel hold.
+	memory      *memory.Budget
+	gate        *gate.Gate
+	gateServer  *http.Server
+	gateAddr    string
+	readyServer *http.Server
 }
 
 // step is one start step. Stop reverses Run before the context ends.
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -298,11 +298,12 @@
 		Ratio: g.Retries.Ratio, Window: g.Retries.Window.Std(), Allowance: g.Retries.Allowance,
 		Quotas: d.quotaTolerance(),
 	}, initialDaemonCount, 1.0/initialDaemonCount)
+	d.memory = d.newMemoryBudget()
 	d.targetClient = http1.New(d.deps.Clock, d.deps.Codec.Headers().ID, d.targetDialer())
 	deps := gate.Deps{
 		Clock: d.deps.Clock, Codec: d.deps.Codec, Configs: d.deps.Configs, Freshness: d.directory,
 		Pools: d.pools, Client: d.targetClient, Limits: d.limits, Recorder: d.deps.Recorder, Origins: d.origins,
-		Bodies:  d.newBodyBudget(),
+		Memory:  d.memory,
 		Returns: g.Returns, Scope: d.scope, Log: d.deps.Log,
 		MaxKeyViewAge:      g.RevocationDelay.Std() - viewAgeMargin,
 		MaxNotFoundViewAge: time.Duration(notFoundViewAgeFraction * float64(g.ActivationDelay)),
@@ -328,7 +329,7 @@
 	if d.members == nil {
 		return direct
 	}
-	d.tunnel = tunnel.New(d.cfg.Name, direct, d.peers, d.members, d.deps.Configs, d.deps.Clock, d.scope, d.deps.Log)
+	d.tunnel = tunnel.New(d.cfg.Name, direct, d.peers, d.members, d.deps.Configs, d.memory, d.deps.Clock, d.scope, d.deps.Log)
 	return d.tunnel
 }
 
--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -15,6 +15,7 @@
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/logs"
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 const (
@@ -86,33 +87,46 @@
 
 // relayBuffered reads a response up to maxBufferedAnswer before forwarding it.
 func (g *Gate) relayBuffered(c *call, att *attempt, a *http1.Response) (outcome, *refusal) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer))
+	held := g.reserve(c, memory.KindAnswers)
+	body, complete, err := readAnswer(a, a.ContentLength, held)
 	g.recordFirstByte(c, att)
 	g.recordEnd(att, a, 0)
 	if err != nil {
+		held.Close()
 		att.result = "answer broke off: " + err.Error()
 		g.reportCrash(c, att, err)
 		g.markFailed(c, att)
 		return outcomeUnknown, nil
 	}
-	if a.Status >= http.StatusInternalServerError && c.route.Repeat == fireflypath.RepeatSafe && len(body) < maxBufferedAnswer {
+	if a.Status >= http.StatusInternalServerError && c.route.Repeat == fireflypath.RepeatSafe && complete {
 		// Another target may succeed.
 		att.result = "status " + strconv.Itoa(a.Status)
-		c.savedFailure = &savedAnswer{answer: a, body: body}
+		c.saveFailure(&savedAnswer{answer: a, body: body, memory: held})
 		g.markFailed(c, att)
 		return outcomeUnknown, nil
 	}
-	if len(body) < maxBufferedAnswer {
+	if a.BodyWritten() {
+		c.releaseBody()
+	}
+	if complete {
 		g.markAnswered(att)
 		g.reportServed(c, att, a.Status)
 		att.result = "status " + strconv.Itoa(a.Status)
 		g.writeHeader(c, a, c.bodyLength(a, body))
 		if _, err := c.w.Write(body); err != nil {
-			return outcomeDone, callerGone("the caller did not read its answer")
+			return outcomeDone, callerGone(unreadAnswer)
 		}
 		return outcomeDone, nil
 	}
-	return g.relayLong(c, att, a, body)
+	return g.relayLong(c, att, a, body, held)
+}
+
+// saveFailure keeps a failure response in place of an earlier one.
+func (c *call) saveFailure(s *savedAnswer) {
+	if c.savedFailure != nil {
+		c.savedFailure.memory.Close()
+	}
+	c.savedFailure = s
 }
 
 // bodyLength returns the length to declare for a response that was read completely.
@@ -124,13 +138,18 @@
 }
 
 // relayLong forwards a response that is too long to buffer: first what was buffered of it,
-// then the rest as it arrives.
-func (g *Gate) relayLong(c *call, att *attempt, a *http1.Response, buffered []byte) (outcome, *refusal) {
+// then the rest as it arrives. held is the memory of the buffer, which is used for the rest if it is small.
+func (g *Gate) relayLong(c *call, att *attempt, a *http1.Response, buffered []byte, held *memory.Reservation) (outcome, *refusal) {
 	g.writeHeader(c, a, a.ContentLength)
 	if _, err := c.w.Write(buffered); err != nil {
 		return g.callerLeft(c, att)
 	}
-	buf := make([]byte, chunkSize)
+	buf := buffered[:cap(buffered)]
+	if len(buf) > chunkSize {
+		held.Close()
+		g.reserve(c, memory.KindAnswers).Add(chunkSize)
+		buf = make([]byte, chunkSize)
+	}
 	for {
 		n, err := a.Read(buf)
 		if _, werr := c.w.Write(buf[:n]); werr != nil {
@@ -159,7 +178,9 @@
 
 // relayStream forwards complete events as they arrive.
 func (g *Gate) relayStream(c *call, att *attempt, a *http1.Response) (outcome, *refusal) {
-	src := events.NewReader(a, c.lastEvent)
+	held := g.reserve(c, memory.KindEvents)
+	defer held.Close()
+	src := events.NewReader(a, c.lastEvent, held)
 	for {
 		chunk, err := src.Next()
 		if err != nil {
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -8,18 +8,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 const (
 	// defaultBody is the body size limit of configurations that set none.
 	defaultBody = 4 << 20
-	// bodyRetryAfter is the retry delay for callers whose body finds no memory: most requests end within
-	// that time.
-	bodyRetryAfter = time.Second
-	// writeGrace is for how long after its deadline a request's answer may still be written to a caller
-	// that reads slowly.
-	writeGrace = time.Second
 	// discardBodyTimeout bounds the time for the rest of a body that is refused.
 	discardBodyTimeout = time.Second
 )
@@ -29,31 +23,33 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	limit := c.cfg.Bounds.Body
-	if limit == 0 {
-		limit = defaultBody
-	}
+	limit := c.maxBody()
 	if c.r.ContentLength > int64(limit) {
 		return bodyTooLarge()
 	}
-	// All have the same rank: a body is needed until its request ends, so that none is evicted.
-	c.reservation = g.deps.Bodies.Reserve(0, func() {})
+	c.bodyMemory = g.reserve(c, memory.KindBodies)
 	var err error
-	c.body, err = bodies.Read(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), int(c.r.ContentLength), limit, c.reservation)
+	c.body, err = memory.ReadBody(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), int(c.r.ContentLength), limit, c.bodyMemory)
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &large), errors.Is(err, bodies.ErrTooLarge):
+	case errors.As(err, &large), errors.Is(err, memory.ErrTooLarge):
 		return bodyTooLarge()
-	case errors.Is(err, bodies.ErrNoMemory):
-		g.metrics.bodiesRefused.Inc(1)
-		g.discardRequestBody(c, int64(limit))
-		return notRun(fireflypath.ReasonFull, err.Error(), bodyRetryAfter)
+	case errors.Is(err, memory.ErrNoMemory):
+		return g.refuseForMemory(c, err.Error())
 	}
 	return &refusal{status: http.StatusBadRequest, reason: fireflypath.ReasonMalformed, detail: "the body ended early"}
 }
 
+// maxBody returns the body size limit in bytes.
+func (c *call) maxBody() int {
+	if c.cfg.Bounds.Body == 0 {
+		return defaultBody
+	}
+	return c.cfg.Bounds.Body
+}
+
 func bodyTooLarge() *refusal {
 	return &refusal{status: http.StatusRequestEntityTooLarge, reason: fireflypath.ReasonTooLarge, detail: "the body is above the limit"}
 }
@@ -73,21 +69,3 @@
 		_ = rc.SetReadDeadline(time.Time{}) // an error means that the connection is closed
 	}
 }
-
-// releaseBody returns the memory of a request's body.
-func (g *Gate) releaseBody(c *call) {
-	if c.reservation == nil {
-		return
-	}
-	c.body = nil
-	c.reservation.Close()
-	g.metrics.bodyBytes.Update(float64(g.deps.Bodies.Used()))
-}
-
-// limitWriting bounds the time for writing the answer. A caller that stops reading would otherwise hold
-// its body, its answer and a target's slot for as long as it keeps its connection; enough of them leave
-// no memory for the bodies of others.
-func (c *call) limitWriting(deadline time.Time) {
-	// An error means that the connection is closed, or that the writer has none.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(writeGrace))
-}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/rollout"
 	"github.com/fireflypath/fireflypath/internal/route/pool"
 	"github.com/fireflypath/fireflypath/internal/route/request"
@@ -42,8 +42,10 @@
 	pool          string
 	rank          int
 	body          []byte
-	// reservation is the memory of the body, or nil if there is none.
-	reservation *bodies.Reservation
+	// bodyMemory is the memory of the body, or nil if there is none.
+	bodyMemory *memory.Reservation
+	// held are all reservations of the request.
+	held []*memory.Reservation
 	// digest is equal for requests for the same work, whichever caller or daemon sends them.
 	digest digest.Digest
 	// parts are the digests of the parts that the prompt may share with others, whichever team
@@ -121,6 +123,7 @@
 type savedAnswer struct {
 	answer *http1.Response
 	body   []byte
+	memory *memory.Reservation
 }
 
 // requestURI returns the path and query as the caller wrote them.
--- a/internal/gate/events/endless_test.go
+++ b/internal/gate/events/endless_test.go
@@ -45,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			src := &endlessReader{text: text}
-			r := events.NewReader(src, "5")
+			r := newReader(src, "5")
 			var err error
 			for err == nil && src.read < maxRead {
 				_, err = r.Next()
@@ -64,7 +64,7 @@
 	for n := range all {
 		text.WriteString(": keep-alive " + strings.Repeat("-", 100) + "\n\nid: " + strconv.Itoa(n) + "\ndata: " + strings.Repeat("x", 200) + "\n\n")
 	}
-	r := events.NewReader(strings.NewReader(text.String()), strconv.Itoa(delivered-1))
+	r := newReader(strings.NewReader(text.String()), strconv.Itoa(delivered-1))
 	got, _ := readAll(r)
 	is.Equal(strings.Count(got, "id:"), all-delivered)
 	is.Equal(r.LastID(), strconv.Itoa(all-1))
@@ -94,9 +94,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		parts := rapid.SliceOfN(rapid.SampledFrom([]string{"\r", "\n", "\r\n", "x", ":", "id: 7", "data: y"}), 0, 30).Draw(t, "parts")
 		text := strings.Join(parts, "")
-		whole, wholeErr := readAll(events.NewReader(strings.NewReader(text), ""))
+		whole, wholeErr := readAll(newReader(strings.NewReader(text), ""))
 		sizes := rapid.SliceOfN(rapid.IntRange(1, 5), 0, 20).Draw(t, "sizes")
-		pieces, piecesErr := readAll(events.NewReader(&piecesReader{text, sizes}, ""))
+		pieces, piecesErr := readAll(newReader(&piecesReader{text, sizes}, ""))
 		if whole != pieces || !errors.Is(piecesErr, wholeErr) {
 			t.Fatalf("%q, %v in one piece; %q, %v in pieces", whole, wholeErr, pieces, piecesErr)
 		}
@@ -111,7 +111,7 @@
 		sizes[i] = 4
 	}
 	for b.Loop() {
-		if got, _ := readAll(events.NewReader(&piecesReader{text, sizes}, "")); got != text {
+		if got, _ := readAll(newReader(&piecesReader{text, sizes}, "")); got != text {
 			b.Fatal("event was not read")
 		}
 	}
--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -37,8 +37,9 @@
 // the partial event is discarded, so that another target can resume the stream after
 // the last complete one.
 type Reader struct {
-	src io.Reader
-	buf []byte
+	src    io.Reader
+	memory Memory
+	buf    []byte
 	// start and end delimit the unread bytes in buf.
 	start, end int
 	// lastID is the id of the last returned event.
@@ -56,10 +57,17 @@
 	readErr error
 }
 
+// Memory counts the bytes that a Reader holds.
+type Memory interface {
+	// Add counts n more bytes.
+	Add(n int)
+}
+
 // NewReader reads events from src. If after is a number, events with an id up to it
 // have been delivered before and are skipped.
-func NewReader(src io.Reader, after string) *Reader {
-	r := &Reader{src: src, buf: make([]byte, initialBuffer), lastID: after, skipThrough: -1}
+func NewReader(src io.Reader, after string, memory Memory) *Reader {
+	memory.Add(initialBuffer)
+	r := &Reader{src: src, memory: memory, buf: make([]byte, initialBuffer), lastID: after, skipThrough: -1}
 	if n, err := strconv.ParseInt(after, 10, 64); err == nil {
 		r.skipThrough = n
 	}
@@ -137,6 +145,7 @@
 		if len(r.buf) >= maxEvent {
 			return ErrTooLarge
 		}
+		r.memory.Add(len(r.buf))
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
 	n, err := r.src.Read(r.buf[r.end:])
--- a/internal/gate/events/events_test.go
+++ b/internal/gate/events/events_test.go
@@ -12,6 +12,15 @@
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 )
 
+// countedBytes counts the bytes that a reader holds.
+type countedBytes int
+
+func (n *countedBytes) Add(more int) { *n += countedBytes(more) }
+
+func newReader(src io.Reader, after string) *events.Reader {
+	return events.NewReader(src, after, new(countedBytes))
+}
+
 func readAll(r *events.Reader) (string, error) {
 	var out strings.Builder
 	for {
@@ -30,7 +39,7 @@
 	for _, src := range []io.Reader{
 		strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text)), iotest.HalfReader(strings.NewReader(text)),
 	} {
-		r := events.NewReader(src, "")
+		r := newReader(src, "")
 		got, err := readAll(r)
 		is.Equal(err, io.EOF)
 		is.Equal(got, text)
@@ -42,7 +51,7 @@
 // the stream resumed from another target would be appended to the half event.
 func TestTruncatedEventIsDropped(t *testing.T) {
 	is := is.New(t)
-	r := events.NewReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(io.ErrUnexpectedEOF)), "")
+	r := newReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(io.ErrUnexpectedEOF)), "")
 	got, err := readAll(r)
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
 	is.Equal(got, "id: 1\ndata: a\n\n")
@@ -54,7 +63,7 @@
 	for _, event := range []string{"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r"} {
 		for n := 1; n < len(event); n++ {
 			is := is.New(t)
-			r := events.NewReader(strings.NewReader(event+event[:n]), "")
+			r := newReader(strings.NewReader(event+event[:n]), "")
 			got, err := readAll(r)
 			is.True(errors.Is(err, events.ErrPartialEvent))
 			is.Equal(got, event)
@@ -69,7 +78,7 @@
 		is := is.New(t)
 		in, out := io.Pipe()
 		go func() { _, _ = io.WriteString(out, event) }()
-		got, err := events.NewReader(in, "").Next()
+		got, err := newReader(in, "").Next()
 		is.NoErr(err)
 		is.Equal(string(got), event)
 		in.Close()
@@ -79,7 +88,7 @@
 // A target that resumes a stream may repeat events that the caller already has.
 func TestDeliveredEventsAreSkipped(t *testing.T) {
 	is := is.New(t)
-	r := events.NewReader(strings.NewReader("id: 4\ndata: x\n\nid: 5\ndata: y\n\nid: 6\ndata: z\n\n"), "5")
+	r := newReader(strings.NewReader("id: 4\ndata: x\n\nid: 5\ndata: y\n\nid: 6\ndata: z\n\n"), "5")
 	got, err := readAll(r)
 	is.Equal(err, io.EOF)
 	is.Equal(got, "id: 6\ndata: z\n\n")
@@ -89,10 +98,10 @@
 func TestLongEvents(t *testing.T) {
 	is := is.New(t)
 	long := "id: 1\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
-	got, err := readAll(events.NewReader(strings.NewReader(long), ""))
+	got, err := readAll(newReader(strings.NewReader(long), ""))
 	is.Equal(err, io.EOF)
 	is.Equal(got, long)
-	_, err = readAll(events.NewReader(strings.NewReader("data: "+strings.Repeat("x", 3<<20)), ""))
+	_, err = readAll(newReader(strings.NewReader("data: "+strings.Repeat("x", 3<<20)), ""))
 	is.True(errors.Is(err, events.ErrTooLarge))
 }
 
@@ -104,7 +113,7 @@
 		if size%2 == 1 {
 			src = iotest.OneByteReader(src)
 		}
-		got, err := readAll(events.NewReader(src, ""))
+		got, err := readAll(newReader(src, ""))
 		if errors.Is(err, events.ErrPartialEvent) && !strings.HasPrefix(string(text), got) ||
 			errors.Is(err, io.EOF) && got != string(text) {
 			t.Fatalf("read %q of %q", got, text)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -85,8 +85,9 @@
 		return ref
 	case c.savedFailure != nil && !c.headerWritten:
 		g.writeHeader(c, c.savedFailure.answer, c.bodyLength(c.savedFailure.answer, c.savedFailure.body))
-		// An error means that the caller disconnected, which net/http detects by itself.
-		_, _ = c.w.Write(c.savedFailure.body)
+		if _, err := c.w.Write(c.savedFailure.body); err != nil {
+			return callerGone(unreadAnswer)
+		}
 		return nil
 	case c.mayHaveRun && ref.status == http.StatusServiceUnavailable:
 		return unknownOutcome(ref.detail)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/decide/origin"
 	"github.com/fireflypath/fireflypath/internal/decide/retrydetect"
 	"github.com/fireflypath/fireflypath/internal/digest"
@@ -22,6 +21,7 @@
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/gate/table"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 )
 
@@ -35,8 +35,8 @@
 	Client    *http1.Client
 	Limits    *limits.Limits
 	Recorder  fireflypath.Recorder
-	// Bodies bounds the memory for the bodies of requests.
-	Bodies *bodies.Budget
+	// Memory bounds the bytes that are held for callers.
+	Memory *memory.Budget
 	// Quarantine may be nil; then no request is held.
 	Quarantine Quarantine
 	// Origins may be nil; then a caller's resumed stream may go on at any target.
@@ -138,6 +138,7 @@
 	g.steps = []step{
 		{"match", g.matchRoute},
 		{"identify", g.identifyTeam},
+		{"make room", g.refuseIfMemoryFull},
 		{"read", g.readBody},
 		{"identify work", g.computeDigest},
 		{"hold", g.refuseIfHeld},
@@ -176,7 +177,7 @@
 	}()
 	defer func() {
 		g.finish(c)
-		g.releaseBody(c)
+		g.releaseMemory(c)
 	}()
 	for _, s := range g.steps {
 		if ref := s.run(c); ref != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -23,13 +23,13 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/decide/slots"
 	"github.com/fireflypath/fireflypath/internal/digest"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	"github.com/fireflypath/fireflypath/internal/gate/callerconn"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/route/pools"
 )
 
@@ -86,7 +86,9 @@
 	pools      *pools.Pools
 	client     *http1.Client
 	quarantine recordedQuarantine
-	memory     *bodies.Budget
+	memory     *memory.Budget
+	// connBuffer is the size of the buffer for writing to each caller, or 0 for the system's default.
+	connBuffer atomic.Int64
 	mu         sync.Mutex
 	received   []*http.Request
 	bodies     []string
@@ -157,7 +159,7 @@
 // serve starts the gate. It replaces one that was started before.
 func (s *testSite) serve(tuning slots.Tuning, scope tally.Scope, log *zap.Logger) {
 	clock := clockwork.NewRealClock()
-	s.memory = bodies.New(testBodyMemory, testBodyMemory*3/4)
+	s.memory = memory.New(testBodyMemory, testBodyMemory*3/4)
 	ps := pools.New(clock, nil, func(p fireflypath.Pool) fireflypath.Scheduler { return slots.New(p, 1, tuning) })
 	ps.Apply(s.cfg)
 	s.pools, s.client = ps, http1.New(clock, "T-Id", http1.Direct{})
@@ -165,12 +167,17 @@
 		Clock: clock, Codec: testCodec{}, Configs: &staticConfigs{s.cfg}, Freshness: s.freshness, Pools: ps,
 		Client: s.client, Quarantine: &s.quarantine,
 		Limits:  limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Bodies:  s.memory,
+		Memory:  s.memory,
 		Returns: tuning.Returns, Scope: scope, Log: log,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
 	s.gateServer = httptest.NewUnstartedServer(g)
-	s.gateServer.Config.ConnContext = callerconn.Context
+	s.gateServer.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if n := int(s.connBuffer.Load()); n > 0 {
+			_ = c.(*net.TCPConn).SetWriteBuffer(n) // an error shows as memory that is free too early
+		}
+		return callerconn.Context(ctx, c)
+	}
 	s.gateServer.Start()
 	s.t.Cleanup(s.gateServer.Close)
 }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 // durationBuckets double from 1 ms to about 33 s, to exceed the deadlines in use.
@@ -30,11 +32,11 @@
 	endedByClose, partialEvents tally.Counter
 	// heldAtStart counts requests that waited for the first configuration.
 	heldAtStart tally.Counter
-	// bodyBytes is the memory in use for bodies, bodiesRefused counts requests whose body found none.
-	bodyBytes     tally.Gauge
-	bodiesRefused tally.Counter
-	returns       returnMetrics
-	byRank        [16]*rankMetrics
+	// heldBytes is the memory in use by kind, refusedForMemory counts requests that found none.
+	heldBytes        [memory.KindCount]tally.Gauge
+	refusedForMemory tally.Counter
+	returns          returnMetrics
+	byRank           [16]*rankMetrics
 }
 
 type rankMetrics struct {
@@ -48,8 +50,11 @@
 		scope: scope, retries: scope.Counter("repeats"), unconfirmedUnits: scope.Counter("quota_unjudged"), limitsNamed: scope.Counter("target_limits"), leavingNamed: scope.Counter("target_leaving"), backoffsAsked: scope.Counter("target_backoffs"), brittleNamed: scope.Counter("target_brittle"),
 		returns:      newReturnMetrics(scope),
 		endedByClose: scope.Counter("ended_by_close"), partialEvents: scope.Counter("partial_events"),
-		heldAtStart: scope.Counter("held_at_start"),
-		bodyBytes:   scope.Gauge("body_bytes"), bodiesRefused: scope.Counter("bodies_refused"),
+		heldAtStart:      scope.Counter("held_at_start"),
+		refusedForMemory: scope.Counter("refused_for_memory"),
+	}
+	for k := range m.heldBytes {
+		m.heldBytes[k] = scope.Tagged(map[string]string{"kind": memory.Kind(k).String()}).Gauge("held_bytes")
 	}
 	for i := range m.byRank {
 		s := scope.Tagged(map[string]string{"rank": strconv.Itoa(i)})
@@ -62,6 +67,13 @@
 	return m
 }
 
+// recordMemory records the memory in use.
+func (m *metrics) recordMemory(usage memory.Usage) {
+	for k, n := range usage {
+		m.heldBytes[k].Update(float64(n))
+	}
+}
+
 // finish records and logs the end of a request.
 func (g *Gate) finish(c *call) {
 	now := g.deps.Clock.Now()
@@ -139,6 +151,9 @@
 	if ref := c.refusal; ref != nil {
 		fields = append(fields, zap.String("step", ref.step), zap.String("reason", string(ref.reason)),
 			zap.String("detail", ref.detail), zap.Duration("retry", ref.retryAfter), zap.Bool("ran", c.mayHaveRun))
+		if ref.usage != (memory.Usage{}) {
+			fields = append(fields, zap.Stringer("held", ref.usage))
+		}
 		g.deps.Log.Info("request refused", fields...)
 		return
 	}
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflypath/fireflypath"
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 // Refusal reasons in addition to those of the root package.
@@ -33,6 +34,8 @@
 	retryAfter time.Duration
 	// step is the processing step that refused the request.
 	step string
+	// usage is the memory in use when the request found none.
+	usage memory.Usage
 	// callerGone is true if the caller disconnected, so that no response is written.
 	callerGone bool
 }
@@ -76,6 +79,9 @@
 	return &refusal{status: http.StatusBadGateway, reason: fireflypath.ReasonTarget, detail: detail}
 }
 
+// unreadAnswer is the detail of a request whose answer could not be written.
+const unreadAnswer = "the caller left or did not read its answer"
+
 // callerGone returns the refusal of a request whose caller cannot get an answer any more.
 func callerGone(detail string) *refusal {
 	return &refusal{reason: fireflypath.ReasonWithdrawn, detail: detail, callerGone: true}
--- a/internal/gate/start_test.go
+++ b/internal/gate/start_test.go
@@ -14,9 +14,9 @@
 	"go.uber.org/zap"
 
 	"github.com/fireflypath/fireflypath"
-	"github.com/fireflypath/fireflypath/internal/bodies"
 	"github.com/fireflypath/fireflypath/internal/gate"
 	"github.com/fireflypath/fireflypath/internal/gate/limits"
+	"github.com/fireflypath/fireflypath/internal/memory"
 )
 
 // startingGate is a gate whose daemon has no configuration yet.
@@ -32,7 +32,7 @@
 	g.Gate = gate.New(gate.Deps{
 		Clock: clock, Codec: testCodec{}, Configs: g.configs, Freshness: &fakeFreshness{},
 		Limits: limits.New(limits.Config{Ratio: 10, Window: 10 * time.Second, Allowance: 100}, 1, 1),
-		Bodies: bodies.New(testBodyMemory, testBodyMemory*3/4),
+		Memory: memory.New(testBodyMemory, testBodyMemory*3/4),
 		Scope:  tally.NoopScope, Log: zap.NewNop(), Started: g.started,
 		MaxKeyViewAge: time.Minute, MaxNotFoundViewAge: 30 * time.Second,
 	})
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -241,25 +241,30 @@
 	resp.client.push(resp.endpoint, resp.conn)
 }
 
-// reusable reports whether the connection can carry another request: the response was
-// read and the request body written completely, and no further bytes arrived.
-func (resp *Response) reusable() bool {
-	if resp.httpResp == nil || !resp.complete || resp.framing == FramingClose || resp.httpResp.Close || resp.conn.reader.Buffered() > 0 {
-		return false
-	}
+// BodyWritten reports whether the request body is no longer used.
+func (resp *Response) BodyWritten() bool {
 	if resp.bodyWritten == nil {
 		return true
 	}
 	select {
 	case <-resp.bodyWritten:
-		return resp.writeErr == nil
+		return true
 	default:
-		// The target responded early and may still read the rest of the body, so
-		// nothing else may be written to the connection.
 		return false
 	}
 }
 
+// reusable reports whether the connection can carry another request: the response was
+// read and the request body written completely, and no further bytes arrived.
+func (resp *Response) reusable() bool {
+	if resp.httpResp == nil || !resp.complete || resp.framing == FramingClose || resp.httpResp.Close || resp.conn.reader.Buffered() > 0 {
+		return false
+	}
+	// A target that responded early may still read the rest of the body, so that nothing else may be
+	// written to the connection.
+	return resp.bodyWritten == nil || resp.BodyWritten() && resp.writeErr == nil
+}
+
 // SetReadDeadline sets the deadline of future reads; a zero time removes it.
 func (resp *Response) SetReadDeadline(t time.Time) error {
 	return resp.conn.SetReadDeadline(t)
--- a/internal/bodies/read.go
+++ b/internal/memory/read.go
@@ -1,4 +1,4 @@
-package bodies
+package memory
 
 import (
 	"errors"
@@ -11,16 +11,16 @@
 const InitialBuffer = 32 << 10
 
 var (
-	// ErrNoMemory means that other bodies use the budget, or that the reservation was evicted.
+	// ErrNoMemory means that others use the budget, or that the reservation was evicted.
 	ErrNoMemory = errors.New("no memory for the body")
 	// ErrTooLarge means that a body is above its own limit.
 	ErrTooLarge = errors.New("the body is above the limit")
 )
 
-// Read reads a body of length bytes, or up to its end if length is negative, and at most limit bytes. It
+// ReadBody reads a body of length bytes, or up to its end if length is negative, and at most limit bytes. It
 // reserves memory as the buffer grows. Other errors than ErrNoMemory and ErrTooLarge are those of the
 // source; a source that ends before length bytes returns io.ErrUnexpectedEOF.
-func Read(src io.Reader, length, limit int, r *Reservation) ([]byte, error) {
+func ReadBody(src io.Reader, length, limit int, r *Reservation) ([]byte, error) {
 	maxLen := length
 	if length < 0 {
 		maxLen = limit + 1 // one more byte shows that the body is too large
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -13,6 +13,7 @@
 	"github.com/fireflypath/fireflypath/internal/decide/targets"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/logs"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -59,6 +60,9 @@
 		return
 	}
 	defer t.endServing()
+	held := t.memory.Reserve(memory.KindChannels)
+	defer held.Close()
+	held.Add(2 * copyBufferSize)
 	t.metrics.served.Inc(1)
 	_ = s.SetDeadline(time.Time{})
 	setTimeouts(s)
@@ -80,7 +84,7 @@
 		return nil, refusalUnfit
 	case t.paths.Lost(now, target.Addr):
 		return nil, refusalDown
-	case !t.beginServing():
+	case t.memory.Full() || !t.beginServing():
 		return nil, refusalUnfit
 	}
 	c, err := t.dialDirect(ctx, target)
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -18,6 +18,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/decide/path"
 	"github.com/fireflypath/fireflypath/internal/http1"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/peer"
 )
 
@@ -35,6 +36,7 @@
 	peers   Peers
 	members fireflypath.Members
 	configs fireflypath.Configs
+	memory  *memory.Budget
 	paths   *path.Tracker
 	clock   clockwork.Clock
 	log     *zap.Logger
@@ -58,11 +60,11 @@
 
 // New returns the tunnel of the daemon with the name self. It must be called before peers serves.
 func New(self string, direct http1.Dialer, peers Peers, members fireflypath.Members, configs fireflypath.Configs,
-	clock clockwork.Clock, scope tally.Scope, log *zap.Logger,
+	budget *memory.Budget, clock clockwork.Clock, scope tally.Scope, log *zap.Logger,
 ) *Tunnel {
 	scope = scope.SubScope("tunnel")
 	t := &Tunnel{
-		self: self, direct: direct, peers: peers, members: members, configs: configs, paths: path.New(), clock: clock, log: log,
+		self: self, direct: direct, peers: peers, members: members, configs: configs, memory: budget, paths: path.New(), clock: clock, log: log,
 		metrics: metrics{
 			lostPaths: scope.Counter("lost_paths"), indirect: scope.Counter("indirect"), indirectFailed: scope.Counter("indirect_failed"),
 			served: scope.Counter("served"), refused: scope.Counter("refused"), open: scope.Gauge("open"),
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -16,6 +16,7 @@
 	"github.com/fireflypath/fireflypath"
 	"github.com/fireflypath/fireflypath/internal/http1"
 	"github.com/fireflypath/fireflypath/internal/loopback"
+	"github.com/fireflypath/fireflypath/internal/memory"
 	"github.com/fireflypath/fireflypath/internal/peer"
 	"github.com/fireflypath/fireflypath/internal/testkit"
 	"github.com/fireflypath/fireflypath/internal/tunnel"
@@ -83,7 +84,7 @@
 		if cut[name] {
 			direct = cutDialer{}
 		}
-		tunnels[name] = tunnel.New(name, direct, e, f, f, clockwork.NewRealClock(), tally.NoopScope, zap.NewNop())
+		tunnels[name] = tunnel.New(name, direct, e, f, f, memory.New(1<<20, 1<<20), clockwork.NewRealClock(), tally.NoopScope, zap.NewNop())
 		go func() { _ = e.Serve(peerListener) }()
 		f.stop[name] = e.Close
 		t.Cleanup(e.Close)
