test(soak): callers with the largest bodies that read slowly

Guards against daemons that end by their memory: 40 callers send bodies of 4 MiB and read answers of 200 KB a byte every 50 ms, while faults go on. The peak of each daemon's resident memory must stay under its host's 128 MB, nothing may be lost, and the other callers are served as without them.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -28,13 +28,14 @@
 	invariantHeld       invariant = "a request that crashes targets is held by all daemons"
 	invariantNotHeld    invariant = "no other request is held because of it"
 	invariantCrowd      invariant = "a daemon that gets nearly all callers serves those that it reads"
+	invariantMemory     invariant = "a daemon stays within the memory of its host"
 	invariantRecovery   invariant = "service is back after the faults"
 )
 
 // invariants lists all invariants in the order in which reports print them.
 var invariants = []invariant{
 	invariantAtMostOnce, invariantNotRun, invariantComplete, invariantStream, invariantVersions, invariantGoesOn, invariantBody,
-	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantBrittle, invariantPaths, invariantRecords, invariantVersion, invariantHeld, invariantNotHeld, invariantCrowd, invariantRecovery,
+	invariantRevoked, invariantDrained, invariantLimited, invariantBackoff, invariantBrittle, invariantPaths, invariantRecords, invariantVersion, invariantHeld, invariantNotHeld, invariantCrowd, invariantMemory, invariantRecovery,
 }
 
 // violation is one failed check of an invariant.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -72,7 +72,7 @@
 	}
 	addr := func(i int) string { return loopback.Addr() + ":" + strconv.Itoa(ports[i]) }
 	settings := map[string]any{
-		"name": name, "domain": "a", "host": map[string]any{"source": sourceOf(index).String()},
+		"name": name, "domain": "a", "host": map[string]any{"source": sourceOf(index).String(), "memory": daemonMemory},
 		"listen":   map[string]any{"callers": addr(0), "ready": addr(1), "peers": addr(2), "operators": addr(3)},
 		"platform": map[string]any{"addr": p.addr(), "timeout": "800ms"},
 		"peers":    map[string]any{"seeds": seeds, "plain": true},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,8 @@
 	// CrowdCallers has nearly all callers come to one daemon for a while, each request on a
 	// connection of its own.
 	CrowdCallers bool
+	// SlowReaders adds callers with bodies of the largest size that read a byte now and then.
+	SlowReaders bool
 	// StarveDaemons gives one daemon after the other little processor time.
 	StarveDaemons bool
 }
@@ -287,6 +289,12 @@
 	for _, d := range r.daemons {
 		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.disturbances.Load() == 0 && d.isStable() }) })
 	}
+	if r.options.SlowReaders {
+		for n := range slowReaderCount {
+			wg.Go(func() { r.sendSlowRequests(ctx, n) })
+		}
+		wg.Go(func() { r.watchMemory(ctx) })
+	}
 	if r.options.CrowdCallers {
 		r.moveCallers(ctx)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,11 @@
 	runSoak(t, soak.Options{Seed: 13, StarveDaemons: true})
 }
 
+// Like TestSoak, while callers send bodies of the largest size and read their answers a byte now and then.
+func TestSoakWithSlowReaders(t *testing.T) {
+	runSoak(t, soak.Options{Seed: 17, SlowReaders: true})
+}
+
 // Nearly all callers come to one daemon, each request on a connection of its own.
 func TestSoakWithCallersAtOneDaemon(t *testing.T) {
 	runSoak(t, soak.Options{Seed: 15, CrowdCallers: true, NoFaults: true})
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,7 +173,12 @@
 	e.end(w)
 }
 
-func responseBody(id string) string { return "the whole answer to " + id }
+func responseBody(id string) string {
+	if strings.HasPrefix(id, slowReaderPrefix) {
+		return strings.Repeat("x", largeAnswerSize)
+	}
+	return "the whole answer to " + id
+}
 
 func eventText(id, version string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, id, n, version)
