fix(http1): discard answers without the id of the request

What callers saw: a target that sends an extra answer without an id before the answer to the next request on that connection has it taken for that one. The caller gets another's answer, and if it says "not run" a request that runs may be sent again.

Cause: a missing id was read as one that fits.

Change: an answer is taken only with the id of the request; any other is thrown away within the bounds for answers to other requests, and the next one is read. Targets echo the id in all their answers.

Evidence: TestResponseWithoutIDIsDiscarded gave the second caller the 503 before ("old" in place of its own answer).

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// Guards against an extra response that does not say whose it is: taken for the current request's, it
+// reaches the wrong caller, or a refusal in it lets a request run twice.
+func TestResponseWithoutIDIsDiscarded(t *testing.T) {
+	is := is.New(t)
+	tg := startTarget(t, func(c net.Conn, n int, r *http.Request) bool {
+		if n > 0 {
+			io.WriteString(c, "HTTP/1.1 503 Full\r\nContent-Length: 3\r\n\r\nold")
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\nContent-Length: 1\r\n\r\n"+r.Header.Get(idHeader))
+		return true
+	})
+	c := newClient()
+	for _, name := range []string{"1", "2"} {
+		got, err := readBody(t, c, tg.addr(), name)
+		is.NoErr(err)
+		is.Equal(got, name)
+	}
+}
+
 // Extra bytes follow a complete response. The connection must not be reused.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
 	is := is.New(t)
@@ -144,8 +163,8 @@
 func TestBrokenResponsesAreErrors(t *testing.T) {
 	is := is.New(t)
 	for name, response := range map[string]string{
-		"short":   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
-		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"short":   "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 5\r\n\r\nab",
+		"chunked": "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
 		"garbage": "\x00\x01 not http\r\n\r\n",
 		"nothing": "",
 	} {
@@ -166,7 +185,7 @@
 	is := is.New(t)
 	var reset atomic.Bool
 	tg := startTarget(t, func(c net.Conn, _ int, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nabc")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\n\r\nabc")
 		if reset.Load() {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -37,6 +37,7 @@
 	"interim answer":         {"HTTP/1.1 103 Early Hints\r\n", "X: v\r\n"},
 	"interim answers":        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	"body of another answer": {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"body without an id":     {"HTTP/1.1 200 OK\r\n\r\n", "x"},
 	"long body of another":   {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
 }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -102,7 +102,8 @@
 }
 
 // readHeader reads the header of the response. Responses to other requests that arrive
-// before it are discarded: a target may send a response twice or late.
+// before it are discarded: a target may send a response twice or late. One without an id may be
+// to any request.
 func (resp *Response) readHeader(req *Request) error {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxMismatched {
@@ -113,8 +114,7 @@
 		if httpResp.StatusCode < http.StatusOK {
 			continue
 		}
-		id := httpResp.Header.Get(resp.client.idHeader)
-		if id == "" || id == req.ID {
+		if httpResp.Header.Get(resp.client.idHeader) == req.ID {
 			resp.setHeader(req.Method, httpResp)
 			return nil
 		}
