fix(directory): followers in touch wait for no registration

Cause: the daemon that was cut off keeps what it sees removed for 2.1 s, as registrations lapse in outages of the store and come back. It passes the rest of that time on, and followers adopted it although their own views show that the store was up.

Change: a follower adopts it only if its view was not confirmed for two renewal intervals, the shortest outage in which the registration of a live target lapses. platform.renewal sets the interval, 1.2 s by default.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -127,6 +127,9 @@
 		feed = relay
 	}
 	d.directory = directory.New(feed, d.deps.Codec, d.deps.Clock, boottime.System{}, d.scope, d.deps.Log)
+	if interval := d.cfg.Platform.Renewal.Std(); interval > 0 {
+		d.directory.SetRenewalInterval(interval)
+	}
 	lost := writeback.New(d.deps.Store, d.deps.Clock, d.scope, d.deps.Log)
 	d.directory.OnRestore(lost.Write)
 	d.background.Go(func() { lost.Run(d.ctx) })
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,10 +38,17 @@
 	// startupDelay is the pause after a read of all keys. A daemon that starts learns
 	// during this time which daemon watches the store, and does not watch it itself.
 	startupDelay = 500 * time.Millisecond
-	// reregistrationTime is how long after an outage of the store a target may take to
+	// ReregistrationTime is how long after an outage of the store a target may take to
 	// register again if its registration lapsed during the outage. Live targets are back
 	// within about two seconds.
-	reregistrationTime = 2100 * time.Millisecond
+	ReregistrationTime = 2100 * time.Millisecond
+	// defaultRenewalInterval is how often targets renew their registrations unless
+	// SetRenewalInterval is called.
+	defaultRenewalInterval = 1200 * time.Millisecond
+	// lapseIntervals is how many intervals the store has to be out of reach, at least, for the
+	// registration of a live target to lapse: three after the last renewal, which was up to one
+	// before the outage.
+	lapseIntervals = 2
 )
 
 // Directory keeps the newest configuration and targets and the age of this view. It
@@ -139,6 +146,8 @@
 	// lapsesUntil is the time until which a removal may be a registration that lapsed
 	// during an outage of the store.
 	lapsesUntil time.Time
+	// lapseTime is the shortest outage of the store in which registrations lapse.
+	lapseTime time.Duration
 }
 
 type metrics struct {
@@ -172,6 +181,7 @@
 
 		ordersToRewrite: map[string]uint64{},
 		watchTimeout:    defaultWatchTimeout,
+		lapseTime:       lapseIntervals * defaultRenewalInterval,
 		metrics: metrics{
 			watches: scope.Counter("watches"), reads: scope.Counter("reads"),
 			failures: scope.Counter("failures"), changes: scope.Counter("changes"),
@@ -189,6 +199,11 @@
 	d.watchTimeout = wait
 }
 
+// SetRenewalInterval sets how often targets renew their registrations. It must be called before Run.
+func (d *Directory) SetRenewalInterval(interval time.Duration) {
+	d.lapseTime = lapseIntervals * interval
+}
+
 // OnChange registers a function that is called for each change of a key with the prefix,
 // including removals. It must be called before Run.
 func (d *Directory) OnChange(prefix string, fn func(fireflypath.Entry)) {
@@ -308,7 +323,7 @@
 	}
 	d.storeDown = false
 	d.mu.Lock()
-	d.lapsesUntil = d.clock.Now().Add(reregistrationTime)
+	d.lapsesUntil = d.clock.Now().Add(ReregistrationTime)
 	d.mu.Unlock()
 	d.log.Info("store reachable again", zap.Uint64("revision", d.revision))
 }
--- a/internal/directory/log.go
+++ b/internal/directory/log.go
@@ -165,8 +165,13 @@
 	d.needsRead = true
 }
 
-// extendLapses adopts the remaining time for which removals may be lapsed registrations.
+// extendLapses adopts the remaining time for which removals may be lapsed registrations from a source
+// that could not reach the store. A view that was current so recently that no registration can have
+// lapsed since shows that only the source was cut off: waiting with it would keep targets that are gone.
 func (d *Directory) extendLapses(remaining time.Duration) {
+	if d.Age() < d.lapseTime {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if at := d.clock.Now().Add(remaining); at.After(d.lapsesUntil) {
--- a/internal/directory/restored.go
+++ b/internal/directory/restored.go
@@ -67,7 +67,7 @@
 		known.Revision = l.Revision
 		kept[key] = known
 	}
-	d.lapsesUntil = d.clock.Now().Add(reregistrationTime)
+	d.lapsesUntil = d.clock.Now().Add(ReregistrationTime)
 	d.mu.Unlock()
 	l.Entries = slices.DeleteFunc(l.Entries, func(e fireflypath.Entry) bool { _, ok := kept[e.Key]; return ok })
 	for _, e := range kept {
@@ -161,5 +161,5 @@
 		}
 		return d.isEarlierRegistration(known, e)
 	})
-	d.lapsesUntil = d.clock.Now().Add(reregistrationTime)
+	d.lapsesUntil = d.clock.Now().Add(ReregistrationTime)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -63,6 +63,9 @@
 	Addr string `json:"addr" validate:"omitempty,ipport"`
 	// Timeout limits each call.
 	Timeout fireflypath.Duration `json:"timeout,omitempty" validate:"min=0"`
+	// Renewal is how often targets renew their registrations; 0 selects 1.2 s. Registrations lapse
+	// after three times as long.
+	Renewal fireflypath.Duration `json:"renewal,omitempty" validate:"min=0"`
 }
 
 // Peers configures how daemons discover and authenticate each other.
