test(sim): run all tests at the same time, and one test of determinism

Cause: internal/sim is the last large package of a run and takes about ten minutes under race, most of it on one processor while the others are idle: its tests ran one after the other. The test of determinism played no load with restarts, where one seed had many results.

Change: each test is parallel; the simulations share nothing. The determinism of restarts is in TestRunIsDeterministic, which keeps its case.

--- a/internal/sim/lending_test.go
+++ b/internal/sim/lending_test.go
@@ -62,6 +62,7 @@
 // Over two seeds, lending gains 0.06 of all requests of the run; the test requires half of that. No
 // engine may get more than its slots.
 func TestLendingServesUnevenDemand(t *testing.T) {
+	t.Parallel()
 	uneven := load.Load{Name: "uneven", Rate: 1, Skews: []load.Skew{{At: 5 * time.Second, Duration: 10 * time.Second, Cells: 5, Factor: 4}}}
 	seeds := uint64(1)
 	if *large {
@@ -83,6 +84,7 @@
 // Guards against grants that are exchanged back and forth under an even load, and that cost more than
 // they serve. Cells differ a little at any moment, so some requests are placed elsewhere.
 func TestLendingLeavesEvenLoadAlone(t *testing.T) {
+	t.Parallel()
 	rates := []float64{0.6}
 	if *large {
 		rates = append(rates, 1)
--- a/internal/sim/returns_test.go
+++ b/internal/sim/returns_test.go
@@ -87,6 +87,7 @@
 // that are served first, and are refused again. One cell (3 daemons) and eight (73) are run with the previous
 // code and with promised times.
 func TestReturningCallersAreServed(t *testing.T) {
+	t.Parallel()
 	for _, f := range []struct {
 		mix            string
 		daemons, seeds int
@@ -113,6 +114,7 @@
 // Daemons with dispatchers and their ledgers are killed after the burst, or a third of the engines is lost.
 // Callers must not be worse off than without promised times.
 func TestReturnsWithFaults(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(*sim.Options){
 		"restarts": func(o *sim.Options) { o.Load.Restarts = []load.Restart{{At: 9 * time.Second, Fraction: 0.34}} },
 		"outage": func(o *sim.Options) {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -52,8 +52,10 @@
 // wait for. Measured over eight seeds, the dispatcher gains 0.10 to 0.17 on these
 // loads; the test requires half of the smallest gain.
 func TestDispatcherImprovesHeavyLoads(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"flash", "flash-shortage", "return"} {
 		t.Run(pattern, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			for _, mix := range []string{"norte", "austral"} {
 				is.True(meanWorth(t, mix, pattern, true) > meanWorth(t, mix, pattern, false)+0.05)
@@ -62,24 +64,10 @@
 	}
 }
 
-// Guards against verdicts that change from run to run: a seed stands for one result, also
-// where daemons restart and all their callers come back at once.
-func TestSameSeedGivesSameResult(t *testing.T) {
-	for _, pattern := range []string{"restarts", "limits-restarts", "brittle-restarts"} {
-		t.Run(pattern, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			for _, dispatched := range []bool{true, false} {
-				first := simulate(t, "austral", pattern, 1, dispatched)
-				is.Equal(simulate(t, "austral", pattern, 1, dispatched), first)
-			}
-		})
-	}
-}
-
 // All daemons restart, including the one that runs the dispatcher, and later half of
 // them again. Callers must lose no more than without a dispatcher.
 func TestDispatcherSurvivesRestarts(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	is.True(meanWorth(t, "norte", "restarts", true) > meanWorth(t, "norte", "restarts", false)-0.01)
 }
@@ -88,6 +76,7 @@
 // or ask daemons for a backoff, while daemons restart or not. No engine may get requests against its
 // word.
 func TestNoticesOfEnginesAreKept(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"limits", "limits-restarts", "release-answers", "backoffs", "backoffs-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
@@ -107,6 +96,7 @@
 // Engines say that they are brittle, and fall over when they turn away too much. They must not do so
 // because of the daemons, while these restart or not.
 func TestBrittleEnginesDoNotFall(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"brittle", "brittle-restarts"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
@@ -129,6 +119,7 @@
 // Daemons lose their paths to all or some engines. Their callers must be served about as often as those
 // of the others, which must be served as well.
 func TestDaemonsWithoutPathsServe(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"cut", "cut-most"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
@@ -149,6 +140,7 @@
 
 // Engines fall silent for a second or so and go on. No request may fail because of that.
 func TestSilentEnginesLoseNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for _, mix := range []string{"gent", "norte"} {
 		for seed := range uint64(3) {
@@ -163,6 +155,7 @@
 // restart. No stream may hold events of two versions, and streams that are taken up again must go on at
 // least half as often as new ones begin.
 func TestStreamsKeepTheirVersion(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"versions", "versions-release"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
@@ -184,6 +177,7 @@
 // later than three seconds after the fifth crash, no other request may be refused for it, and the others
 // must be served as often as without it from then on.
 func TestCrashingPartsAreHeld(t *testing.T) {
+	t.Parallel()
 	for _, pattern := range []string{"part", "part-bursts", "parts-shortage"} {
 		for _, mix := range []string{"gent", "norte"} {
 			t.Run(pattern+" "+mix, func(t *testing.T) {
@@ -207,13 +201,21 @@
 	}
 }
 
+// Guards against verdicts that change from run to run: a seed stands for one result, also where daemons
+// restart and all their callers come back at once.
 func TestRunIsDeterministic(t *testing.T) {
-	is := is.New(t)
-	for _, dispatched := range []bool{false, true} {
-		a, err := json.Marshal(simulate(t, "drawn", "drawn", 3, dispatched))
-		is.NoErr(err)
-		b, err := json.Marshal(simulate(t, "drawn", "drawn", 3, dispatched))
-		is.NoErr(err)
-		is.Equal(string(a), string(b))
+	t.Parallel()
+	for pattern, mix := range map[string]string{"drawn": "drawn", "restarts": "austral", "limits-restarts": "austral", "brittle-restarts": "austral"} {
+		t.Run(pattern, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			for _, dispatched := range []bool{false, true} {
+				a, err := json.Marshal(simulate(t, mix, pattern, 3, dispatched))
+				is.NoErr(err)
+				b, err := json.Marshal(simulate(t, mix, pattern, 3, dispatched))
+				is.NoErr(err)
+				is.Equal(string(a), string(b))
+			}
+		})
 	}
 }
--- a/internal/sim/teams_test.go
+++ b/internal/sim/teams_test.go
@@ -69,6 +69,7 @@
 // One team sends five times what it usually sends. Across daemons, dispatchers and cells of unlike sizes,
 // the others must be served more of their requests than without fair shares, and all together no less.
 func TestTeamsShareFleet(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{3, 73} {
 		if daemons > smallFleet && !*large {
 			continue
