fix(events): give up long events when there is no memory

What callers would see: parts of events were counted and took memory in any case, up to 256 KB a stream, so that streams of long events could end the daemon with all that it carries although its limit was used up.

Change: a buffer grows up to 64 KB in any case and above that only if the budget has room; otherwise the stream ends as one that was broken off.

--- a/internal/gate/events/events.go
+++ b/internal/gate/events/events.go
@@ -13,6 +13,8 @@
 	// initialBuffer is the buffer's size in bytes before it grows; it fits several
 	// typical events.
 	initialBuffer = 4 << 10
+	// smallEvent is the buffer size in bytes up to which a stream is not broken off for want of memory.
+	smallEvent = 64 << 10
 	// maxEvent is the buffer size in bytes beyond which it does not grow. A host holds one such
 	// buffer for each stream that it forwards.
 	maxEvent = 256 << 10
@@ -25,6 +27,8 @@
 var (
 	// ErrTooLarge is returned for an event that exceeds the maximum buffer size.
 	ErrTooLarge = errors.New("event is too large")
+	// ErrNoMemory is returned for a long event if others use the memory that it needs.
+	ErrNoMemory = errors.New("no memory for the event")
 	// ErrNoEvents is returned for a stream that goes on without new events: with comments only, or
 	// with events that were delivered before.
 	ErrNoEvents = errors.New("stream goes on without new events")
@@ -59,8 +63,9 @@
 
 // Memory counts the bytes that a Reader holds.
 type Memory interface {
-	// Add counts n more bytes.
+	// Add counts n more bytes in any case, Grow only if there is room for them, which it reports.
 	Add(n int)
+	Grow(n int) bool
 }
 
 // NewReader reads events from src. If after is a number, events with an id up to it
@@ -142,11 +147,9 @@
 		r.start = 0
 	}
 	if r.end == len(r.buf) {
-		if len(r.buf) >= maxEvent {
-			return ErrTooLarge
+		if err := r.grow(); err != nil {
+			return err
 		}
-		r.memory.Add(len(r.buf))
-		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
 	n, err := r.src.Read(r.buf[r.end:])
 	if bytes.ContainsAny(r.buf[r.end:r.end+n], "\r\n") {
@@ -157,6 +160,22 @@
 	return nil
 }
 
+// grow doubles the buffer. A stream of long events is broken off when memory runs out: the daemon would
+// otherwise end with all that it carries.
+func (r *Reader) grow() error {
+	n := len(r.buf)
+	switch {
+	case n >= maxEvent:
+		return ErrTooLarge
+	case 2*n <= smallEvent:
+		r.memory.Add(n)
+	case !r.memory.Grow(n):
+		return ErrNoMemory
+	}
+	r.buf = append(r.buf, make([]byte, n)...)
+	return nil
+}
+
 // takeEvents returns the buffered complete events, skipping those already delivered.
 func (r *Reader) takeEvents() []byte {
 	start := r.start
--- a/internal/gate/events/events_test.go
+++ b/internal/gate/events/events_test.go
@@ -12,13 +12,21 @@
 	"github.com/fireflypath/fireflypath/internal/gate/events"
 )
 
-// countedBytes counts the bytes that a reader holds.
-type countedBytes int
+// countedBytes counts the bytes that a reader holds, and has room for no more than limit.
+type countedBytes struct{ held, limit int }
 
-func (n *countedBytes) Add(more int) { *n += countedBytes(more) }
+func (c *countedBytes) Add(n int) { c.held += n }
+
+func (c *countedBytes) Grow(n int) bool {
+	if c.held+n > c.limit {
+		return false
+	}
+	c.held += n
+	return true
+}
 
 func newReader(src io.Reader, after string) *events.Reader {
-	return events.NewReader(src, after, new(countedBytes))
+	return events.NewReader(src, after, &countedBytes{limit: 1 << 20})
 }
 
 func readAll(r *events.Reader) (string, error) {
@@ -120,3 +128,17 @@
 		}
 	})
 }
+
+// Guards against streams of long events that end the daemon by its memory, and against streams of usual
+// ones that are broken off because of them.
+func TestLongEventIsGivenUpWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	event := func(n int) io.Reader { return strings.NewReader("data: " + strings.Repeat("x", n) + "\n\n") }
+	held := &countedBytes{}
+	_, err := readAll(events.NewReader(event(60<<10), "", held))
+	is.Equal(err, io.EOF)
+	held = &countedBytes{}
+	_, err = readAll(events.NewReader(event(200<<10), "", held))
+	is.True(errors.Is(err, events.ErrNoMemory))
+	is.True(held.held <= 64<<10)
+}
