fix(gate): keep the quota of an answer that nobody read

Found when the diff was read.

TestQuotaIsKeptForUnreadAnswer: the next request of a team whose quota is used up was served before (200), and is refused now (429).

--- a/internal/gate/answer.go
+++ b/internal/gate/answer.go
@@ -114,6 +114,7 @@
 		att.result = "status " + strconv.Itoa(a.Status)
 		g.writeHeader(c, a, c.bodyLength(a, body))
 		if _, err := c.w.Write(body); err != nil {
+			c.mayHaveRun = true
 			return outcomeDone, callerGone(unreadAnswer)
 		}
 		return outcomeDone, nil
--- a/internal/gate/slowreader_test.go
+++ b/internal/gate/slowreader_test.go
@@ -169,3 +169,23 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 200)
 }
+
+// Guards against units of a quota that are given back for a request that ran, because its answer was
+// complete and nobody read it: a team that never reads runs more than its quota.
+func TestQuotaIsKeptForUnreadAnswer(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, func(cfg *fireflypath.Config) {
+		cfg.Teams[0].Quota = &fireflypath.Quota{Unit: fireflypath.UnitRequests, Rate: 0.01}
+	}, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, strings.Repeat("x", 200<<10))
+	})
+	s.connBuffer.Store(4 << 10)
+	s.sendWithoutReading("/once/", 300*time.Millisecond, "body")
+	for end := time.Now().Add(maxTestWait); s.memory.Usage()[memory.KindAnswers] == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.awaitMemory(0)
+	resp, _, err := s.post("/once/", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 429)
+}
