refactor(memory): call what passes through a daemon a tunnel

Cause: the kind of memory had the name that connections have on the platform's pages; in this code they are tunnels, and a channel is Go's. Change: the name and the metric's label.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -17,15 +17,15 @@
 	KindAnswers
 	// KindEvents are events of streams of which only a part has arrived.
 	KindEvents
-	// KindChannels are bytes on their way between another daemon and a target.
-	KindChannels
+	// KindTunnels are bytes on their way between another daemon and a target.
+	KindTunnels
 	// KindCount is the number of kinds.
 	KindCount
 )
 
 // String returns the name that is used in logs and metrics.
 func (k Kind) String() string {
-	return [...]string{"bodies", "answers", "events", "channels"}[k]
+	return [...]string{"bodies", "answers", "events", "tunnels"}[k]
 }
 
 // Usage is the number of bytes in use by kind.
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -60,7 +60,7 @@
 		return
 	}
 	defer t.endServing()
-	held := t.memory.Reserve(memory.KindChannels)
+	held := t.memory.Reserve(memory.KindTunnels)
 	defer held.Close()
 	held.Add(2 * copyBufferSize)
 	t.metrics.served.Inc(1)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -105,7 +105,7 @@
 	// PendingBodies is the maximum number of bytes of request bodies that are being read,
 	// summed over all connections. One body of the maximum size always fits. With a gate, it
 	// bounds all bytes that are held for callers and other daemons: bodies until their requests
-	// end, answers, parts of events and channels; the default is then a quarter of the host's
+	// end, answers, parts of events and tunnels; the default is then a quarter of the host's
 	// memory.
 	PendingBodies int `json:"bodies,omitempty" validate:"min=0"`
 	// Header is the maximum size of a request header in bytes.
