--- a/cmd/fireflypath/soak.go
+++ b/cmd/fireflypath/soak.go
@@ -33,7 +33,7 @@
 			&cli.BoolFlag{Name: "deadly", Usage: "include a request that crashes targets", Value: true},
 			&cli.BoolFlag{Name: "parts", Usage: "include requests that differ and share parts that crash targets", Value: true},
 			&cli.BoolFlag{Name: "crowd", Usage: "have nearly all callers come to one daemon before the faults"},
-			&cli.BoolFlag{Name: "slow", Usage: "add callers with bodies of the largest size that read slowly"},
+			&cli.IntFlag{Name: "slow", Usage: "number of additional callers with bodies of the largest size that read slowly"},
 			&cli.BoolFlag{Name: "starved", Usage: "give daemons little processor time", Value: true},
 		},
 		Action: runSoak,
@@ -51,7 +51,7 @@
 		}
 		res, err := soak.Run(ctx, soak.Options{
 			Program: c.String("program"), Seed: seed, Duration: c.Duration("for"), Dir: dir, NoFaults: c.Bool("mute"), PoisonRequest: c.Bool("deadly"),
-			CrashingParts: c.Bool("parts"), CrowdCallers: c.Bool("crowd"), SlowReaders: c.Bool("slow"), StarveDaemons: c.Bool("starved"),
+			CrashingParts: c.Bool("parts"), CrowdCallers: c.Bool("crowd"), SlowReaders: c.Int("slow"), StarveDaemons: c.Bool("starved"),
 			Daemons: c.Int("daemons"), Targets: c.Int("targets"), Callers: c.Int("callers"),
 		})
 		if err != nil {
--- a/internal/soak/slowreaders.go
+++ b/internal/soak/slowreaders.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// slowReaderCount is the number of callers with large bodies that read slowly.
-	slowReaderCount = 40
 	// largeBodySize is the largest body that a route takes, in bytes, and largeAnswerSize the size of
 	// the answers to slow readers.
 	largeBodySize   = 4 << 20
@@ -27,6 +25,8 @@
 	// two bytes.
 	slowReadBuffer   = 4 << 10
 	slowReadInterval = 50 * time.Millisecond
+	// slowReaderPause is the pause of a slow reader after a refusal.
+	slowReaderPause = time.Second
 	// daemonMemory is the memory of a daemon in MB, above which its host would end it.
 	daemonMemory = 128
 	// memoryInterval is how often the memory of the daemons is read.
@@ -77,7 +77,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		c.checkResponse(id, false, resp, "", nil)
-		sleep(ctx, time.Duration(c.rnd.IntN(1000))*time.Millisecond)
+		sleep(ctx, slowReaderPause)
 		return
 	}
 	b := make([]byte, 1)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,8 +56,9 @@
 	// CrowdCallers has nearly all callers come to one daemon for a while, each request on a
 	// connection of its own.
 	CrowdCallers bool
-	// SlowReaders adds callers with bodies of the largest size that read a byte now and then.
-	SlowReaders bool
+	// SlowReaders is the number of additional callers with bodies of the largest size that read a byte
+	// now and then.
+	SlowReaders int
 	// StarveDaemons gives one daemon after the other little processor time.
 	StarveDaemons bool
 }
@@ -289,8 +290,8 @@
 	for _, d := range r.daemons {
 		wg.Go(func() { r.prober.run(ctx, d, func() bool { return r.disturbances.Load() == 0 && d.isStable() }) })
 	}
-	if r.options.SlowReaders {
-		for n := range slowReaderCount {
+	if r.options.SlowReaders > 0 {
+		for n := range r.options.SlowReaders {
 			wg.Go(func() { r.sendSlowRequests(ctx, n) })
 		}
 		wg.Go(func() { r.watchMemory(ctx) })
